--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,1 @@
+export * from './Scheduler.js'
--- /dev/null
+++ b/packages/schema/test/validation/createValidator.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, it } from 'vitest'
+import { createValidator, formatProblem, type SchemaName } from '../../src/index.js'
+
+function doTest (schema: SchemaName, definition: string, value: unknown): string[] {
+  return createValidator(schema, definition)(value).match({
+    Ok: valid => [JSON.stringify(valid)],
+    Err: problems => problems.map(formatProblem)
+  })
+}
+
+describe('createValidator', () => {
+  it('accepts a valid lease request', () => {
+    expect(doTest('caller', 'LeaseRequest', { workspace: 'w' })).toMatchInlineSnapshot(`
+      [
+        "{"workspace":"w"}",
+      ]
+    `)
+  })
+
+  it('names a missing field', () => {
+    expect(doTest('caller', 'LeaseRequest', {})).toMatchInlineSnapshot(`
+      [
+        "workspace: got nothing, allowed is a value is required",
+      ]
+    `)
+  })
+
+  it('names an unknown field with its value', () => {
+    expect(doTest('caller', 'LeaseRequest', { workspace: 'w', size: 3 })).toMatchInlineSnapshot(`
+      [
+        "size: got 3, allowed is no such field; the fields are workspace",
+      ]
+    `)
+  })
+
+  it('lists what is allowed for a string union', () => {
+    expect(doTest('caller', 'SubmitRequest', { service: 's', priority: 'urgent' })).toMatchInlineSnapshot(`
+      [
+        "priority: got "urgent", allowed is high, normal, low",
+      ]
+    `)
+  })
+
+  it('turns settings text into numbers and fills defaults', () => {
+    expect(doTest('settings', 'LogSettings', { countersMs: '5000' })).toMatchInlineSnapshot(`
+      [
+        "{"countersMs":5000,"level":"info"}",
+      ]
+    `)
+  })
+})
