--- /dev/null
+++ b/packages/scheduling/src/addresses/rankAddresses.ts
@@ -0,0 +1,72 @@
+import { rankByRendezvous, type Snapshot } from '@fescuespoke/common'
+import { type Address } from '@fescuespoke/schema'
+
+/** An instance as the membership sees it. */
+export interface RankedMember {
+  readonly instance: string
+  readonly url: string
+  readonly availabilityZone: string
+  readonly region: string
+  readonly state: 'alive' | 'suspect' | 'dead' | 'leaving'
+}
+
+/** What an address answer is made from. */
+export interface RankAddressesOptions {
+  readonly service: string
+  readonly workspace: string
+  readonly members: readonly RankedMember[]
+  readonly snapshot: Snapshot
+  /** Availability zone of the instance that answers; callers ask one that is near. */
+  readonly availabilityZone?: string
+  readonly region?: string
+  /** Makes callers of one spread workspace begin at different instances; any whole number. */
+  readonly turn?: number
+  /** Number of addresses in the answer. */
+  readonly maxAddresses?: number
+}
+
+const DEFAULT_MAX_ADDRESSES = 3
+
+/**
+ * Ranks the instances that a caller of one service and workspace should use.
+ * @param options - What is known.
+ */
+export function rankAddresses (options: RankAddressesOptions): Address[] {
+  const usable = listUsableMembers(options.members)
+  const byName = new Map(usable.map(member => [member.instance, member]))
+  const names = rankByRendezvous(`${options.service}\u0000${options.workspace}`, [...byName.keys()])
+  const ranked = names.map(name => byName.get(name) as RankedMember)
+  const rotated = spreadFirst(ranked, countSpread(options, ranked.length), options.turn ?? 0)
+  const near = rotated.sort((a, b) => computeDistance(options, a) - computeDistance(options, b))
+  return near.slice(0, options.maxAddresses ?? DEFAULT_MAX_ADDRESSES).map(convertMember)
+}
+
+function listUsableMembers (members: readonly RankedMember[]): RankedMember[] {
+  const alive = members.filter(member => member.state === 'alive')
+  if (alive.length > 0) return alive
+  return members.filter(member => member.state === 'suspect')
+}
+
+function countSpread (options: RankAddressesOptions, members: number): number {
+  const weights = [...options.snapshot.workspaces.values()].map(workspace => workspace.weight)
+  const total = weights.reduce((sum, weight) => sum + weight, 0)
+  const weight = options.snapshot.workspaces.get(options.workspace)?.weight ?? 1
+  const share = total > 0 ? weight / total : 0
+  return Math.max(1, Math.min(members, Math.ceil(share * members)))
+}
+
+function spreadFirst (ranked: readonly RankedMember[], spread: number, turn: number): RankedMember[] {
+  const first = ranked.slice(0, spread)
+  const start = spread > 0 ? turn % spread : 0
+  return [...first.slice(start), ...first.slice(0, start), ...ranked.slice(spread)]
+}
+
+function computeDistance (options: RankAddressesOptions, member: RankedMember): number {
+  if (options.region !== undefined && member.region !== options.region) return 2
+  if (options.availabilityZone !== undefined && member.availabilityZone !== options.availabilityZone) return 1
+  return 0
+}
+
+function convertMember (member: RankedMember): Address {
+  return { instance: member.instance, url: member.url, availabilityZone: member.availabilityZone }
+}
--- /dev/null
+++ b/packages/scheduling/src/createScheduler.ts
@@ -0,0 +1,9 @@
+import { TargetScheduler, type TargetSchedulerOptions } from './TargetScheduler.js'
+
+/**
+ * Creates the scheduler of one instance.
+ * @param options - Options of the scheduler.
+ */
+export function createScheduler (options: TargetSchedulerOptions): TargetScheduler {
+  return TargetScheduler.create(options)
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,5 @@
+export * from './addresses/rankAddresses.js'
+export * from './createScheduler.js'
 export * from './Scheduler.js'
+export * from './targets/TargetDirectory.js'
+export * from './TargetScheduler.js'
--- /dev/null
+++ b/packages/scheduling/src/targets/TargetDirectory.ts
@@ -0,0 +1,50 @@
+import { type TargetState } from '@fescuespoke/schema'
+import { Maybe } from 'true-myth'
+
+/** What a target last said of itself, dated by the moment it was asked. */
+export interface TargetEvidence {
+  readonly report: TargetState
+  /** Reading of the instance's clock when the question was sent. */
+  readonly sentAtMs: number
+}
+
+/** Holds the latest evidence of each target. */
+export class TargetDirectory {
+  /** Creates an empty directory. */
+  static create (): TargetDirectory {
+    return new TargetDirectory()
+  }
+
+  private readonly evidence = new Map<string, TargetEvidence>()
+
+  /** @internal */
+  private constructor () {}
+
+  /**
+   * Observes a state report; one that was asked for earlier than the held one is dropped.
+   * @param target - Name of the target.
+   * @param report - The report.
+   * @param sentAtMs - Reading of the clock when the question was sent.
+   */
+  observeReport (target: string, report: TargetState, sentAtMs: number): void {
+    const held = this.evidence.get(target)
+    if (held !== undefined && held.sentAtMs > sentAtMs) return
+    this.evidence.set(target, { report, sentAtMs })
+  }
+
+  /**
+   * Gets the latest evidence of a target.
+   * @param target - Name of the target.
+   */
+  getEvidence (target: string): Maybe<TargetEvidence> {
+    return Maybe.of(this.evidence.get(target))
+  }
+
+  /**
+   * Checks whether a target said that it is leaving.
+   * @param target - Name of the target.
+   */
+  isLeaving (target: string): boolean {
+    return this.evidence.get(target)?.report.state === 'leaving'
+  }
+}
--- /dev/null
+++ b/packages/scheduling/test/addresses/rankAddresses.test.ts
@@ -0,0 +1,46 @@
+import { EMPTY_SNAPSHOT, type Snapshot } from '@fescuespoke/common'
+import { describe, expect, it } from 'vitest'
+import { rankAddresses, type RankedMember } from '../../src/index.js'
+
+function createMember (instance: string, availabilityZone: string, state: RankedMember['state'] = 'alive'): RankedMember {
+  return { instance, url: `http://${instance}`, availabilityZone, region: 'r', state }
+}
+
+const MEMBERS = ['a', 'b', 'c', 'd', 'e', 'f'].map((name, index) => createMember(name, `z${index % 3}`))
+
+function doTest (workspace: string, members: readonly RankedMember[], extra: { availabilityZone?: string, turn?: number, snapshot?: Snapshot } = {}): string {
+  const addresses = rankAddresses({ service: 's', workspace, members, snapshot: EMPTY_SNAPSHOT, ...extra })
+  return addresses.map(address => address.instance).join(' ')
+}
+
+describe('rankAddresses', () => {
+  it('gives the same answer from every instance', () => {
+    expect(doTest('w', MEMBERS)).toBe(doTest('w', [...MEMBERS].reverse()))
+  })
+
+  it('keeps the others in order when one is gone', () => {
+    const [first, second] = doTest('w', MEMBERS).split(' ')
+    expect(doTest('w', MEMBERS.filter(member => member.instance !== first)).split(' ')[0]).toBe(second)
+  })
+
+  it('leaves out members that are leaving, suspect or dead', () => {
+    expect(doTest('w', [createMember('a', 'z', 'leaving'), createMember('b', 'z', 'suspect'), createMember('c', 'z', 'dead'), createMember('d', 'z')])).toBe('d')
+  })
+
+  it('falls back to suspect members when no other is left', () => {
+    expect(doTest('w', [createMember('a', 'z', 'suspect'), createMember('b', 'z', 'dead')])).toBe('a')
+  })
+
+  it('prefers the zone of the instance that answers', () => {
+    const zoneOf = new Map(MEMBERS.map(member => [member.instance, member.availabilityZone]))
+    const zones = doTest('w', MEMBERS, { availabilityZone: 'z1' }).split(' ').map(name => zoneOf.get(name))
+    expect(zones.slice(0, 2)).toEqual(['z1', 'z1'])
+  })
+
+  it('spreads a large workspace over several instances', () => {
+    const workspaces = new Map([['w', { name: 'w', weight: 9 }], ['v', { name: 'v', weight: 3 }]])
+    const snapshot = { ...EMPTY_SNAPSHOT, workspaces }
+    const countFirsts = (workspace: string): number => new Set([0, 1, 2, 3, 4, 5].map(turn => doTest(workspace, MEMBERS, { snapshot, turn }).split(' ')[0])).size
+    expect([countFirsts('w'), countFirsts('v')]).toEqual([5, 2])
+  })
+})
