Add a first caller library

Cause: callers need one place that keeps leases, resumes cut streams and collapses duplicate tokens. Change: Caller with generate and call, address book, lease book, submissions with routes to the owner, through another instance and past a lost owner, retry budget, and a scripted fake instance for tests.

--- /dev/null
+++ b/packages/caller/src/Caller.ts
@@ -0,0 +1,82 @@
+import { SystemClock, SystemRandom } from '@fescuespoke/common'
+import { type SubmitRequest } from '@fescuespoke/schema'
+import { AddressBook } from './addresses/AddressBook.js'
+import { Answer } from './answer/Answer.js'
+import { AnswerBuffer } from './answer/AnswerBuffer.js'
+import { type CallerOptions, type CallOptions, type GenerateOptions } from './CallerOptions.js'
+import { ConnectionPool } from './http/ConnectionPool.js'
+import { InstanceClient } from './http/InstanceClient.js'
+import { LeaseBook } from './leases/LeaseBook.js'
+import { type RequestContext, type RequestKind, type RequestServices } from './requests/RequestContext.js'
+import { RetryBudget } from './requests/RetryBudget.js'
+import { runRequest } from './requests/runRequest.js'
+
+const DEFAULTS = {
+  silenceMs: 3000,
+  connectTimeoutMs: 1000,
+  avoidMs: 10_000,
+  maxSubmissions: 4,
+  maxAttempts: 8,
+  retryRatio: 0.1,
+  retryBurst: 20
+}
+
+/** Makes requests for one workspace, and keeps at them until their outcome is known. */
+export class Caller {
+  /**
+   * Creates a caller. It opens no connection until the first request.
+   * @param options - Options of the caller.
+   */
+  static create (options: CallerOptions): Caller {
+    return new Caller(options)
+  }
+
+  private readonly pool: ConnectionPool
+  private readonly services: RequestServices
+
+  /** @internal */
+  private constructor (options: CallerOptions) {
+    const settings = { ...DEFAULTS, clock: SystemClock.create(), random: SystemRandom.create(), ...options }
+    this.pool = ConnectionPool.create(settings)
+    const client = InstanceClient.create({ ...settings, pool: this.pool })
+    const addresses = AddressBook.create({ ...settings, client })
+    const leases = LeaseBook.create({ ...settings, client, addresses })
+    const budget = RetryBudget.create({ ratio: settings.retryRatio, burst: settings.retryBurst })
+    this.services = { ...settings, client, addresses, leases, budget }
+  }
+
+  /**
+   * Starts a generation. While the application has got no token, a lost generation is started anew.
+   * @param options - Options of the generation.
+   */
+  generate (options: GenerateOptions): Answer {
+    return this.startRequest('generation', options)
+  }
+
+  /**
+   * Starts a call of a plain service. It reaches the service once at most.
+   * @param options - Options of the call.
+   */
+  call (options: CallOptions): Answer {
+    return this.startRequest('call', options)
+  }
+
+  /** Closes every connection at once. Requests in progress are to be awaited or cancelled before. */
+  async close (): Promise<void> {
+    await this.pool.close()
+  }
+
+  private startRequest (kind: RequestKind, input: SubmitRequest): Answer {
+    const { budget, clock } = this.services
+    const buffer = AnswerBuffer.create()
+    const controller = new AbortController()
+    const deadlineAtMs = input.deadlineMs === undefined ? Number.POSITIVE_INFINITY : clock.nowMs() + input.deadlineMs
+    const context: RequestContext = { services: this.services, kind, input, buffer, deadlineAtMs, cancelSignal: controller.signal }
+    budget.recordRequest()
+    const result = runRequest(context).then(settled => {
+      buffer.settle(settled)
+      return settled
+    })
+    return Answer.create({ buffer, result, cancel: () => controller.abort() })
+  }
+}
--- /dev/null
+++ b/packages/caller/src/http/ConnectionPool.ts
@@ -0,0 +1,60 @@
+import { Agent, type Dispatcher } from 'undici'
+
+/** Makes a dispatcher with connections of its own. */
+export type DispatcherFactory = () => Dispatcher
+
+/** Options of a connection pool. */
+export interface ConnectionPoolOptions {
+  /** Makes the dispatchers; by default agents of undici. */
+  readonly createDispatcher?: DispatcherFactory
+  /** Longest wait for a connection in milliseconds, used by the default factory. */
+  readonly connectTimeoutMs: number
+}
+
+/** Holds the connections in use and replaces all of them once one has failed, since idle ones may be silent too. */
+export class ConnectionPool {
+  /**
+   * Creates a pool.
+   * @param options - Options of the pool.
+   */
+  static create (options: ConnectionPoolOptions): ConnectionPool {
+    return new ConnectionPool(options)
+  }
+
+  private readonly createDispatcher: DispatcherFactory
+  private readonly retired = new Set<Dispatcher>()
+  private current: Dispatcher
+
+  /** @internal */
+  private constructor (options: ConnectionPoolOptions) {
+    this.createDispatcher = options.createDispatcher ?? (() => createAgent(options.connectTimeoutMs))
+    this.current = this.createDispatcher()
+  }
+
+  /** Gets the dispatcher for the next request. */
+  getDispatcher (): Dispatcher {
+    return this.current
+  }
+
+  /**
+   * Replaces the connections, unless that was done since the dispatcher was taken. Requests on the old ones may finish.
+   * @param failed - Dispatcher whose connection failed.
+   */
+  replace (failed: Dispatcher): void {
+    if (failed !== this.current) return
+    this.current = this.createDispatcher()
+    this.retired.add(failed)
+    const forget = (): void => { this.retired.delete(failed) }
+    failed.close().then(forget, forget)
+  }
+
+  /** Closes every connection at once. */
+  async close (): Promise<void> {
+    const dispatchers = [this.current, ...this.retired]
+    await Promise.allSettled(dispatchers.map(async dispatcher => await dispatcher.destroy()))
+  }
+}
+
+function createAgent (connectTimeoutMs: number): Dispatcher {
+  return new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+}
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export { Answer, type AnswerOptions } from './answer/Answer.js'
+export * from './answer/AnswerResult.js'
+export * from './Caller.js'
+export * from './CallerOptions.js'
+export { type DispatcherFactory } from './http/ConnectionPool.js'
--- /dev/null
+++ b/packages/caller/src/leases/LeaseBook.ts
@@ -0,0 +1,98 @@
+import { type Clock } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { type AddressBook } from '../addresses/AddressBook.js'
+import { type ExchangeError } from '../http/ExchangeError.js'
+import { type InstanceClient } from '../http/InstanceClient.js'
+
+/** A request lease and the number that one request uses under it. */
+export interface RequestSlot {
+  readonly lease: string
+  readonly number: number
+  /** Base URL of the owner. */
+  readonly ownerUrl: string
+}
+
+/** Options of a lease book. */
+export interface LeaseBookOptions {
+  readonly client: InstanceClient
+  readonly addresses: AddressBook
+  readonly clock: Clock
+  readonly workspace: string
+}
+
+interface HeldLease {
+  readonly lease: string
+  readonly ownerUrl: string
+  readonly renewAtMs: number
+  nextNumber: number
+}
+
+/** Part of a lease's life after which a new lease is asked for, so that requests arrive before it expires. */
+const USED_LIFE = 0.5
+
+/** Holds one request lease for each service and numbers the requests under it. */
+export class LeaseBook {
+  /**
+   * Creates an empty book.
+   * @param options - Options of the book.
+   */
+  static create (options: LeaseBookOptions): LeaseBook {
+    return new LeaseBook(options)
+  }
+
+  private readonly leases = new Map<string, HeldLease>()
+  private readonly requests = new Map<string, Promise<Result<HeldLease, ExchangeError>>>()
+
+  /** @internal */
+  private constructor (private readonly options: LeaseBookOptions) {}
+
+  /**
+   * Acquires a number under the lease of a service, with a new lease when the present one is nearly used up.
+   * @param service - Name of the service.
+   */
+  async acquireSlot (service: string): Promise<Result<RequestSlot, ExchangeError>> {
+    const held = this.leases.get(service)
+    if (held !== undefined && held.renewAtMs > this.options.clock.nowMs()) return Result.ok(takeSlot(held))
+    const running = this.requests.get(service) ?? this.startRequest(service)
+    const requested = await running
+    return requested.map(takeSlot)
+  }
+
+  /**
+   * Removes a lease whose owner takes no more requests; the next lease comes from another instance where possible.
+   * @param slot - Slot under the lease.
+   */
+  removeLease (slot: RequestSlot): void {
+    this.options.addresses.avoidUrl(slot.ownerUrl)
+    for (const [service, held] of this.leases) {
+      if (held.lease === slot.lease) this.leases.delete(service)
+    }
+  }
+
+  private startRequest (service: string): Promise<Result<HeldLease, ExchangeError>> {
+    const running = this.requestLease(service).finally(() => { this.requests.delete(service) })
+    this.requests.set(service, running)
+    return running
+  }
+
+  private async requestLease (service: string): Promise<Result<HeldLease, ExchangeError>> {
+    let lastError: ExchangeError = { kind: 'notSent', detail: 'no address is known' }
+    for (const url of await this.options.addresses.listUrls(service)) {
+      const sentMs = this.options.clock.nowMs()
+      const granted = await this.options.client.requestLease(url, this.options.workspace)
+      if (granted.isOk) {
+        const { lease, validForMs } = granted.value
+        const held = { lease, ownerUrl: url, renewAtMs: sentMs + validForMs * USED_LIFE, nextNumber: 1 }
+        this.leases.set(service, held)
+        return Result.ok(held)
+      }
+      lastError = granted.error
+      this.options.addresses.avoidUrl(url)
+    }
+    return Result.err(lastError)
+  }
+}
+
+function takeSlot (held: HeldLease): RequestSlot {
+  return { lease: held.lease, number: held.nextNumber++, ownerUrl: held.ownerUrl }
+}
--- /dev/null
+++ b/packages/caller/test/support/doCallerTest.ts
@@ -0,0 +1,74 @@
+import { SeededRandom } from '@fescuespoke/common'
+import { type StreamEvent } from '@fescuespoke/schema'
+import { Caller, type CallerOptions } from '../../src/index.js'
+import { FakeInstance, type Scripts, type Step } from './FakeInstance.js'
+import { TestClock } from './TestClock.js'
+
+export interface CallerTest {
+  readonly caller: Caller
+  readonly clock: TestClock
+  readonly fakes: readonly FakeInstance[]
+  /** Waits until a script has fallen silent. */
+  waitForSilence: () => Promise<void>
+}
+
+export interface CallerTestOptions {
+  /** Scripts of the instances a, b and so on; the first one is ranked first. */
+  readonly scripts: readonly Scripts[]
+  readonly callerOptions?: Partial<CallerOptions>
+}
+
+/**
+ * Runs a caller against scripted instances and returns what it got, with the requests that arrived.
+ */
+export async function doCallerTest (options: CallerTestOptions, run: (test: CallerTest) => Promise<unknown>): Promise<unknown> {
+  const log: string[] = []
+  let observeSilence = (): void => {}
+  const silence = new Promise<void>(resolve => { observeSilence = resolve })
+  const clock = TestClock.create()
+  const fakes = await Promise.all(options.scripts.map(async (_, index) =>
+    await FakeInstance.start({ name: 'abcdef'.charAt(index), log, onSilence: observeSilence })))
+  const addresses = fakes.map(({ url }, index) => ({ instance: 'abcdef'.charAt(index), url, availabilityZone: `z${index}` }))
+  fakes.forEach((fake, index) => {
+    const lease = 'abcdef'.charAt(index).toUpperCase()
+    fake.scripts = {
+      'GET addresses': [[{ status: 200, body: { addresses, validForMs: 10_000, revision: 1 } }]],
+      'POST leases': [[{ status: 200, body: { lease, instance: lease, incarnation: 'i', validForMs: 60_000, revision: 1 } }]],
+      ...options.scripts[index]
+    }
+  })
+  const bootstrapUrls = fakes.map(({ url }) => url)
+  const caller = Caller.create({ bootstrapUrls, workspace: 'w', clock, random: SeededRandom.create(1), ...options.callerOptions })
+  try {
+    const result = await run({ caller, clock, fakes, waitForSilence: async () => await silence })
+    return { result, log }
+  } finally {
+    await caller.close()
+    await Promise.all(fakes.map(async fake => await fake.stop()))
+  }
+}
+
+/** Makes the event that opens a stream. */
+export function accept (delivery: 'stream' | 'whole' = 'stream'): StreamEvent {
+  return { type: 'accepted', request: 'r', delivery }
+}
+
+/** Makes the event that names a generation. */
+export function begin (generation: string): StreamEvent {
+  return { type: 'generation', generation, resumeToken: `token-${generation}` }
+}
+
+/** Makes the event that carries tokens. */
+export function produce (generation: string, offset: number, ...tokens: string[]): StreamEvent {
+  return { type: 'tokens', generation, offset, tokens }
+}
+
+/** Makes the end of a complete answer. */
+export function complete (tokens?: number): StreamEvent {
+  return { type: 'end', outcome: 'complete', reason: 'finished', tokens }
+}
+
+/** Makes the steps of an HTTP error. */
+export function refuse (status: number, error: string): readonly Step[] {
+  return [{ status, body: { error, message: error } }]
+}
