Add records, accepted revisions and instance list

Change: records of schema versions 1 and 2 are checked one by one and converted; a refused record keeps its predecessor with what it refers to; the accepted revision and the list version only rise; sources over HTTP.

--- /dev/null
+++ b/packages/configuration/src/list/InstanceListView.ts
@@ -0,0 +1,245 @@
+import { type AuditEntry, type AuditTrail, type Clock } from '@fescuespoke/common'
+import { type ListedEntry, type PublishedList } from '@fescuespoke/schema'
+import { BoundedSet } from './BoundedSet.js'
+import { compareLists, type ListDifference } from './compareLists.js'
+
+/** State of a target as far as the instance list tells. */
+export type ListedState = 'active' | 'leaving' | 'unknown'
+
+/** What became of an offered list. */
+export type ListOutcome = 'accepted' | 'current' | 'older' | 'empty' | 'shrunk'
+
+/** What the list tells of one target, with its age. */
+export interface ListEvidence {
+  readonly state: ListedState
+  /** Time since the request was sent whose answer confirmed the state; infinite when nothing has. */
+  readonly ageMs: number
+}
+
+/** Receives each change of the list. */
+export type ListListener = (view: InstanceListView) => void
+
+/** Options of an instance list view. */
+export interface InstanceListViewOptions {
+  readonly clock: Clock
+  readonly audit: AuditTrail
+  /** Gets the accepted configuration revision, for audit events. */
+  readonly getRevision?: () => number
+}
+
+/** Share of the last good list below which a new one is taken for damaged. */
+const MIN_REMAINING_SHARE = 0.5
+
+/** Number of targets remembered as leaving after the list has dropped them. */
+const MAX_DEPARTED = 10_000
+
+/**
+ * Holds the last good list of instances and targets. Its version only rises. A list that is empty or has shrunk to
+ * under half removes nothing, since the platform may have lost sight of machines that still run.
+ */
+export class InstanceListView {
+  /**
+   * Creates an empty view at version 0.
+   * @param options - Options of the view.
+   */
+  static create (options: InstanceListViewOptions): InstanceListView {
+    return new InstanceListView(options)
+  }
+
+  private version = 0
+  private goodCount = 0
+  private entries = new Map<string, ListedEntry>()
+  /** Names in the list that was confirmed last. */
+  private confirmedNames: ReadonlySet<string> = new Set()
+  private confirmedAtMs = -Infinity
+  /** Versions of shrunk lists by the target that they called leaving. */
+  private readonly leavingMarks = new Map<string, number>()
+  private readonly departed = BoundedSet.create(MAX_DEPARTED)
+  private readonly changedAt = new Map<string, number>()
+  private floorVersion = 0
+  private readonly listeners = new Set<ListListener>()
+
+  /** @internal */
+  private constructor (private readonly options: InstanceListViewOptions) {}
+
+  /** Gets the version of the last good list; 0 before the first. */
+  getVersion (): number {
+    return this.version
+  }
+
+  /** Gets the time in milliseconds since the list was last confirmed, counted from the sending of the request. */
+  getAgeMs (): number {
+    return this.options.clock.nowMs() - this.confirmedAtMs
+  }
+
+  /** Lists all entries in use, sorted by name. */
+  listEntries (): readonly ListedEntry[] {
+    return [...this.entries.values()].sort((a, b) => a.id < b.id ? -1 : 1)
+  }
+
+  /** Lists the entry instances, sorted by name. */
+  listInstances (): readonly ListedEntry[] {
+    return this.listEntries().filter(entry => entry.role === 'entry')
+  }
+
+  /**
+   * Gets what the list tells of a target. A target that was leaving stays so until a later version says otherwise.
+   * @param name - Name of the target.
+   */
+  getTargetState (name: string): ListEvidence {
+    const entry = this.entries.get(name)
+    if (entry?.state === 'leaving' || (entry === undefined && this.departed.has(name))) {
+      return { state: 'leaving', ageMs: this.getAgeMs() }
+    }
+    if (entry === undefined) return { state: 'unknown', ageMs: Infinity }
+    return { state: 'active', ageMs: this.confirmedNames.has(name) ? this.getAgeMs() : Infinity }
+  }
+
+  /**
+   * Offers a list.
+   * @param list - The list.
+   * @param origin - Who offers it, for operators.
+   * @param sentAtMs - Reading of the clock when the request was sent; for a peer's list, less the age that the peer stated.
+   */
+  offer (list: PublishedList, origin: string, sentAtMs: number = this.options.clock.nowMs()): ListOutcome {
+    if (list.entries.length === 0) return 'empty'
+    if (list.version < this.version) return 'older'
+    if (list.version === this.version) {
+      this.recordConfirmation(list.version, sentAtMs)
+      return 'current'
+    }
+    return list.entries.length < this.goodCount * MIN_REMAINING_SHARE
+      ? this.acceptShrunk(list, origin)
+      : this.acceptList(list, origin, sentAtMs)
+  }
+
+  /**
+   * Records that a version was named as the latest one.
+   * @param version - The version named.
+   * @param sentAtMs - Reading of the clock when the question was sent; for a peer, less the age that it stated.
+   */
+  recordConfirmation (version: number, sentAtMs: number): void {
+    if (version === this.version && version > 0) this.confirmedAtMs = Math.max(this.confirmedAtMs, sentAtMs)
+  }
+
+  /**
+   * Finds the differences between an earlier version and this one; undefined when the version is too old to tell.
+   * @param version - The earlier version.
+   */
+  findDifference (version: number): ListDifference | undefined {
+    if (version < this.floorVersion || version > this.version) return undefined
+    const names = [...this.changedAt].filter(([, at]) => at > version).map(([name]) => name).sort()
+    const changed = names.flatMap(name => this.confirmedNames.has(name) ? [this.entries.get(name) as ListedEntry] : [])
+    return { changed, removed: names.filter(name => !this.confirmedNames.has(name)) }
+  }
+
+  /** Lists the entries of the last good list, without those kept from before it. */
+  listConfirmed (): readonly ListedEntry[] {
+    return this.listEntries().filter(entry => this.confirmedNames.has(entry.id))
+  }
+
+  /**
+   * Adds a listener and returns what removes it.
+   * @param listener - Receives each change of the list.
+   */
+  addListener (listener: ListListener): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  private acceptList (list: PublishedList, origin: string, sentAtMs: number): ListOutcome {
+    const next = new Map(list.entries.map(entry => [entry.id, this.applyMark(entry, list.version)]))
+    const difference = compareLists(this.entries, next)
+    this.recordHistory(difference, list.version)
+    this.recordDepartures(difference, next)
+    this.recordDifference(difference, list.version, origin)
+    this.entries = next
+    this.confirmedNames = new Set(next.keys())
+    this.version = list.version
+    this.goodCount = next.size
+    this.confirmedAtMs = sentAtMs
+    this.announce()
+    return 'accepted'
+  }
+
+  /** Takes over additions and leaving marks from a list that is too short to remove anything. */
+  private acceptShrunk (list: PublishedList, origin: string): ListOutcome {
+    const next = new Map(this.entries)
+    for (const entry of list.entries) {
+      const known = next.get(entry.id)
+      const canAdd = known === undefined && next.size < this.goodCount * 2
+      const isLeaving = known !== undefined && entry.state === 'leaving'
+      if (isLeaving) this.leavingMarks.set(entry.id, list.version)
+      if (canAdd || isLeaving) next.set(entry.id, entry)
+    }
+    const difference = compareLists(this.entries, next)
+    if (difference.changed.length === 0) return 'shrunk'
+    this.recordDifference(difference, list.version, `${origin}, shrunk list`)
+    this.entries = next
+    this.announce()
+    return 'shrunk'
+  }
+
+  /** Keeps an entry leaving when a later list than the offered one has called it so. */
+  private applyMark (entry: ListedEntry, version: number): ListedEntry {
+    const markVersion = this.leavingMarks.get(entry.id)
+    if (markVersion === undefined) return entry
+    if (markVersion >= version) return { ...entry, state: 'leaving' }
+    this.leavingMarks.delete(entry.id)
+    return entry
+  }
+
+  private recordHistory (difference: ListDifference, version: number): void {
+    if (this.version === 0) this.floorVersion = version
+    for (const { id } of difference.changed) this.changedAt.set(id, version)
+    for (const id of difference.removed) this.changedAt.set(id, version)
+    for (const [id, at] of this.changedAt) {
+      if (this.changedAt.size <= this.goodCount * 2 + MAX_DEPARTED) return
+      this.changedAt.delete(id)
+      this.floorVersion = Math.max(this.floorVersion, at)
+    }
+  }
+
+  private recordDepartures (difference: ListDifference, next: ReadonlyMap<string, ListedEntry>): void {
+    for (const id of difference.removed) {
+      if (this.entries.get(id)?.state === 'leaving') this.departed.add(id)
+    }
+    for (const id of next.keys()) this.departed.remove(id)
+  }
+
+  private recordDifference (difference: ListDifference, version: number, origin: string): void {
+    const cause = `instance list version ${version} from ${origin}`
+    if (this.version === 0) return
+    for (const entry of difference.changed) {
+      const before = this.entries.get(entry.id)
+      this.recordEntry(CHANGE_KINDS[entry.role][describeChange(before, entry)], entry.id, cause, before?.state, entry.state)
+    }
+    for (const id of difference.removed) {
+      const before = this.entries.get(id) as ListedEntry
+      this.recordEntry(CHANGE_KINDS[before.role].left, id, cause, before.state, 'absent')
+    }
+  }
+
+  private recordEntry (kind: AuditEntry['kind'] | undefined, subject: string, cause: string, before: string | undefined, after: string): void {
+    if (kind === undefined) return
+    const revision = this.options.getRevision?.() ?? 0
+    this.options.audit.record({ kind, subject, revision, cause, before: before ?? 'absent', after })
+  }
+
+  private announce (): void {
+    for (const listener of this.listeners) listener(this)
+  }
+}
+
+type EntryChange = 'joined' | 'leaving' | 'left' | 'amended'
+
+const CHANGE_KINDS: Record<ListedEntry['role'], Partial<Record<EntryChange, AuditEntry['kind']>>> = {
+  target: { joined: 'targetJoined', leaving: 'targetLeaving', left: 'targetLeft' },
+  entry: { joined: 'instanceJoined', left: 'instanceLeft' }
+}
+
+function describeChange (before: ListedEntry | undefined, after: ListedEntry): EntryChange {
+  if (after.state === 'leaving' && before?.state !== 'leaving') return 'leaving'
+  if (before === undefined || before.state !== after.state) return 'joined'
+  return 'amended'
+}
--- /dev/null
+++ b/packages/configuration/src/list/index.ts
@@ -0,0 +1,2 @@
+export { type ListDifference } from './compareLists.js'
+export * from './InstanceListView.js'
--- /dev/null
+++ b/packages/configuration/src/records/checkRecords.ts
@@ -0,0 +1,33 @@
+import { type RefusedRecord } from '@fescuespoke/schema'
+import { convertRecords } from './convertRecords.js'
+
+/** A file of records, published as one value. */
+export interface RecordFile {
+  /** Name of the file, used as the key of the value. */
+  readonly name: string
+  readonly text: string
+}
+
+/** What would happen if the files were published as the whole state. */
+export interface RecordCheck {
+  readonly services: number
+  readonly targets: number
+  readonly workspaces: number
+  /** Records that would be refused, with every mistake. */
+  readonly refused: readonly RefusedRecord[]
+}
+
+/**
+ * Checks files of records before they are published. The files together are taken as the whole state.
+ * @param files - The files.
+ */
+export function checkRecords (files: readonly RecordFile[]): RecordCheck {
+  const values = Object.fromEntries(files.map(({ name, text }) => [name, text]))
+  const { snapshot, refused } = convertRecords(values, 1)
+  return {
+    services: snapshot.services.size,
+    targets: snapshot.targets.size,
+    workspaces: snapshot.workspaces.size,
+    refused
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/records/index.ts
@@ -0,0 +1,5 @@
+export * from './AcceptedRecords.js'
+export * from './checkRecords.js'
+export * from './convertRecord.js'
+export * from './convertRecords.js'
+export { MAX_VALUE_BYTES } from './readValues.js'
--- /dev/null
+++ b/packages/configuration/src/records/resolveReferences.ts
@@ -0,0 +1,133 @@
+import { formatProblem, type RefusedRecord } from '@fescuespoke/schema'
+import {
+  type AcceptedRecord,
+  type AcceptedRecords,
+  formatRecordId,
+  type RecordKind,
+  type TargetReference
+} from './AcceptedRecords.js'
+
+/** What references are resolved against. */
+export interface ResolveOptions {
+  /** Records that are acceptable each by itself, and kept ones, by kind and name. */
+  readonly records: ReadonlyMap<string, AcceptedRecord>
+  /** What has been in force until now. */
+  readonly previous: AcceptedRecords
+  readonly revision: number
+  /** Kinds and names of the records that have been refused by themselves. */
+  readonly refusedIds: ReadonlySet<string>
+}
+
+/** Records whose references all resolve, and those refused because theirs do not. */
+export interface ResolvedRecords {
+  readonly records: ReadonlyMap<string, AcceptedRecord>
+  readonly refused: readonly RefusedRecord[]
+}
+
+/**
+ * Resolves the references from services to targets, then those from workspaces to services. A record with a
+ * reference that does not resolve is refused; its predecessor is kept together with the records that it needs.
+ * @param options - What references are resolved against.
+ */
+export function resolveReferences (options: ResolveOptions): ResolvedRecords {
+  const work: Work = { ...options, records: new Map(options.records), refused: [] }
+  const services = listOfKind(work.records, 'service')
+  const unresolved = services
+    .filter(([id, record]) => !resolveService(work, id, record))
+    .map(([id, record]) => ({ id, record, problems: listServiceProblems(work, record) }))
+  for (const { id, record, problems } of unresolved) refuseService(work, id, record, problems)
+  for (const [id, record] of listOfKind(work.records, 'workspace')) resolveWorkspace(work, id, record)
+  return { records: work.records, refused: work.refused }
+}
+
+/**
+ * Finds the names of the targets that a reference means, sorted; a name may have no record.
+ * @param reference - The reference.
+ * @param records - Records by kind and name.
+ */
+export function findReferredTargets (reference: TargetReference, records: ReadonlyMap<string, AcceptedRecord>): string[] {
+  if (reference.by === 'names') return [...reference.targets]
+  const targets = listOfKind(records, 'target').map(([, record]) => record.content)
+  return targets
+    .filter(content => content.kind === 'target' && content.pool === reference.pool)
+    .map(content => content.name)
+    .sort()
+}
+
+interface Work extends ResolveOptions {
+  readonly records: Map<string, AcceptedRecord>
+  readonly refused: RefusedRecord[]
+}
+
+function listOfKind (records: ReadonlyMap<string, AcceptedRecord>, kind: RecordKind): Array<[string, AcceptedRecord]> {
+  return [...records].filter(([, record]) => record.content.kind === kind).sort(([a], [b]) => a < b ? -1 : 1)
+}
+
+function resolveService (work: Work, id: string, record: AcceptedRecord): boolean {
+  if (record.content.kind !== 'service') return false
+  const names = findReferredTargets(record.content.reference, work.records)
+  const isResolved = names.length > 0 && names.every(name => work.records.has(formatRecordId('target', name)))
+  if (isResolved) work.records.set(id, { ...record, resolvedTargets: names })
+  return isResolved
+}
+
+function refuseService (work: Work, id: string, record: AcceptedRecord, problems: string[]): void {
+  const kept = work.previous.records.get(id)
+  work.records.delete(id)
+  if (kept !== undefined) keepService(work, id, kept)
+  addRefusal(work, id, record, problems)
+}
+
+function listServiceProblems (work: Work, record: AcceptedRecord): string[] {
+  if (record.content.kind !== 'service') return []
+  const { reference } = record.content
+  if (reference.by === 'pool') {
+    return [formatProblem({ field: 'pool', value: reference.pool, allowed: 'a pool that at least one target record belongs to' })]
+  }
+  return reference.targets
+    .filter(name => !work.records.has(formatRecordId('target', name)))
+    .map(name => formatProblem({ field: 'targets', value: name, allowed: 'the name of a target record' }))
+}
+
+function keepService (work: Work, id: string, kept: AcceptedRecord): void {
+  const names = kept.resolvedTargets ?? []
+  for (const name of names) keepRecord(work, formatRecordId('target', name))
+  const resolvedTargets = names.filter(name => work.records.has(formatRecordId('target', name)))
+  if (resolvedTargets.length > 0) work.records.set(id, { ...kept, resolvedTargets })
+}
+
+function keepRecord (work: Work, id: string): void {
+  const kept = work.previous.records.get(id)
+  if (kept !== undefined && !work.records.has(id)) work.records.set(id, kept)
+}
+
+function resolveWorkspace (work: Work, id: string, record: AcceptedRecord): void {
+  const missing = listMissingServices(work, record)
+  if (missing.length === 0) return
+  const kept = work.previous.records.get(id)
+  work.records.delete(id)
+  const problems = missing.map(name => formatProblem({ field: 'services', value: name, allowed: 'the name of a service record' }))
+  if (kept !== undefined) keepWorkspace(work, id, kept)
+  addRefusal(work, id, record, problems)
+}
+
+function listMissingServices (work: Work, record: AcceptedRecord): string[] {
+  if (record.content.kind !== 'workspace') return []
+  const services = record.content.workspace.services ?? []
+  return services.filter(name => !work.records.has(formatRecordId('service', name)))
+}
+
+function keepWorkspace (work: Work, id: string, kept: AcceptedRecord): void {
+  for (const name of listMissingServices(work, kept)) {
+    const serviceId = formatRecordId('service', name)
+    const service = work.previous.records.get(serviceId)
+    if (service !== undefined) keepService(work, serviceId, service)
+  }
+  if (listMissingServices(work, kept).length === 0) work.records.set(id, kept)
+}
+
+function addRefusal (work: Work, id: string, record: AcceptedRecord, problems: string[]): void {
+  if (work.refusedIds.has(id)) return
+  const keptRevision = work.records.get(id)?.revision ?? 0
+  work.refused.push({ key: record.key, record: id, problems, revision: work.revision, keptRevision })
+}
--- /dev/null
+++ b/packages/configuration/src/sources/index.ts
@@ -0,0 +1,5 @@
+export * from './ConfigurationSource.js'
+export * from './HttpConfigurationSource.js'
+export * from './HttpInstanceListSource.js'
+export * from './InstanceListSource.js'
+export { type SourceError, type SourceErrorKind } from './readDocument.js'
--- /dev/null
+++ b/packages/configuration/src/sources/readDocument.ts
@@ -0,0 +1,81 @@
+import { type Clock } from '@fescuespoke/common'
+import { type Problem, formatProblem, type Validator } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { type Dispatcher, request } from 'undici'
+
+/** Why a source gave no usable answer. */
+export type SourceErrorKind = 'unreachable' | 'refused' | 'badAnswer'
+
+/** A failed read of the platform. */
+export interface SourceError {
+  readonly kind: SourceErrorKind
+  readonly detail: string
+}
+
+/** Largest body that is read from the platform, in bytes. */
+const MAX_BODY_BYTES = 67_108_864
+
+/** Options of one read. */
+export interface ReadOptions<T> {
+  readonly url: string
+  /** Checks the body. */
+  readonly validate: Validator<T>
+  /** Longest wait for the whole answer in milliseconds. */
+  readonly timeoutMs: number
+  readonly clock: Clock
+  /** Ends the read early. */
+  readonly signal?: AbortSignal
+  readonly dispatcher?: Dispatcher
+}
+
+/**
+ * Reads one JSON document over HTTP within bounded time and memory.
+ * @param options - Options of the read.
+ */
+export async function readDocument<T> (options: ReadOptions<T>): Promise<Result<T, SourceError>> {
+  const abort = new AbortController()
+  const cancelTimer = options.clock.startTimer(options.timeoutMs, () => abort.abort())
+  const signal = options.signal === undefined ? abort.signal : AbortSignal.any([abort.signal, options.signal])
+  try {
+    const { dispatcher } = options
+    const response = await request(options.url, { signal, ...(dispatcher === undefined ? {} : { dispatcher }) })
+    const text = await readBody(response.body)
+    if (text === undefined) return refuse('badAnswer', `body of more than ${MAX_BODY_BYTES} bytes`)
+    if (response.statusCode !== 200) return refuse('refused', `status ${response.statusCode}`)
+    return parseDocument(text, options.validate)
+  } catch (error) {
+    return refuse('unreachable', (error as Error).message)
+  } finally {
+    cancelTimer()
+  }
+}
+
+function parseDocument<T> (text: string, validate: Validator<T>): Result<T, SourceError> {
+  try {
+    return validate(JSON.parse(text)).mapErr(describeProblems)
+  } catch (error) {
+    return refuse('badAnswer', (error as Error).message)
+  }
+}
+
+function describeProblems (problems: Problem[]): SourceError {
+  return { kind: 'badAnswer', detail: problems.slice(0, 3).map(formatProblem).join('; ') }
+}
+
+function refuse<T> (kind: SourceErrorKind, detail: string): Result<T, SourceError> {
+  return Result.err({ kind, detail })
+}
+
+async function readBody (body: AsyncIterable<Buffer> & { destroy: () => unknown }): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of body) {
+    bytes += chunk.length
+    if (bytes > MAX_BODY_BYTES) {
+      body.destroy()
+      return undefined
+    }
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
--- /dev/null
+++ b/packages/configuration/src/view/index.ts
@@ -0,0 +1,1 @@
+export * from './ConfigurationView.js'
--- /dev/null
+++ b/packages/configuration/test/view/ConfigurationView.test.ts
@@ -0,0 +1,137 @@
+import { AuditTrail, VirtualClock } from '@fescuespoke/common'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { ConfigurationView } from '../../src/index.js'
+import { createServiceItem, createTargetItem, createValues } from '../support/records.js'
+
+const BASE = createValues({ targets: [createTargetItem('t1')], gate: createServiceItem('gate') })
+const BAD = { ...BASE, gate: '7' }
+
+describe('ConfigurationView', () => {
+  let clock: VirtualClock
+  let audit: AuditTrail
+  let view: ConfigurationView
+
+  beforeEach(() => {
+    clock = VirtualClock.create()
+    audit = AuditTrail.create({ instance: 'i1', incarnation: '1' })
+    view = ConfigurationView.create({ clock, audit })
+  })
+
+  function doTest (...offers: Array<[Record<string, string>, number]>): object {
+    const outcomes = offers.map(([values, revision]) => view.offer(values, revision, 'service'))
+    const events = audit.getPage(0).events.map(({ kind, subject, revision, after }) => `${kind} ${subject} ${revision} ${after ?? ''}`)
+    return { outcomes, services: [...view.getSnapshot().services.keys()], revision: view.getRevision(), events }
+  }
+
+  it('accepts a higher revision and ignores a lower one', () => {
+    expect(doTest([BASE, 5], [{}, 4])).toMatchInlineSnapshot(`
+      {
+        "events": [
+          "revisionAccepted configuration 5 5",
+        ],
+        "outcomes": [
+          "accepted",
+          "older",
+        ],
+        "revision": 5,
+        "services": [
+          "gate",
+        ],
+      }
+    `)
+  })
+
+  it('keeps the first content of a revision', () => {
+    expect(doTest([BASE, 5], [{}, 5], [BASE, 5])).toMatchInlineSnapshot(`
+      {
+        "events": [
+          "revisionAccepted configuration 5 5",
+        ],
+        "outcomes": [
+          "accepted",
+          "conflicting",
+          "current",
+        ],
+        "revision": 5,
+        "services": [
+          "gate",
+        ],
+      }
+    `)
+  })
+
+  it('records a refused record once and again when it is no longer refused', () => {
+    expect(doTest([BASE, 5], [BAD, 6], [BAD, 7], [BASE, 8])).toMatchInlineSnapshot(`
+      {
+        "events": [
+          "revisionAccepted configuration 5 5",
+          "revisionAccepted configuration 6 6",
+          "recordRefused gate: #1 6 revision 5 stays in force",
+          "revisionAccepted configuration 7 7",
+          "revisionAccepted configuration 8 8",
+          "recordRestored gate: #1 8 ",
+        ],
+        "outcomes": [
+          "accepted",
+          "accepted",
+          "accepted",
+          "accepted",
+        ],
+        "revision": 8,
+        "services": [
+          "gate",
+        ],
+      }
+    `)
+  })
+
+  it('keeps a deleted record deleted when a stale source returns', () => {
+    expect(doTest([BASE, 5], [{}, 6], [BASE, 5])).toMatchInlineSnapshot(`
+      {
+        "events": [
+          "revisionAccepted configuration 5 5",
+          "revisionAccepted configuration 6 6",
+        ],
+        "outcomes": [
+          "accepted",
+          "accepted",
+          "older",
+        ],
+        "revision": 6,
+        "services": [],
+      }
+    `)
+  })
+
+  it('announces each accepted snapshot and leaves earlier ones as they were', () => {
+    const seen: number[] = []
+    const remove = view.addListener(snapshot => seen.push(snapshot.revision))
+    view.offer(BASE, 1, 'service')
+    const first = view.getSnapshot()
+    view.offer({}, 2, 'service')
+    remove()
+    view.offer(BASE, 3, 'service')
+    expect([seen, first.services.size]).toEqual([[1, 2], 1])
+  })
+
+  it('counts its age from the sending of the question', async () => {
+    expect(view.getAgeMs()).toBe(Infinity)
+    await clock.advance(1000)
+    view.offer(BASE, 1, 'service', { sentAtMs: 400 })
+    view.recordConfirmation(0, 1000)
+    expect(view.getAgeMs()).toBe(600)
+  })
+
+  it('takes over a predecessor that a peer kept from a higher revision', () => {
+    const peer = ConfigurationView.create({ clock, audit: AuditTrail.create({ instance: 'i2', incarnation: '1' }) })
+    peer.offer(createValues({ targets: [createTargetItem('t1')], gate: createServiceItem('gate', { priority: 'high' }) }), 6, 'service')
+    peer.offer(BAD, 7, 'service')
+    view.offer(BASE, 5, 'service')
+    view.offer(BAD, 7, 'service')
+    expect(view.getSnapshot().services.get('gate')?.priority).toBe('normal')
+    view.offerKept(peer.listKept(), 'i2')
+    expect(view.getSnapshot()).toEqual(peer.getSnapshot())
+    peer.offerKept([{ key: 'gate', revision: 5, text: JSON.stringify(createServiceItem('gate')) }], 'i1')
+    expect(peer.getSnapshot().services.get('gate')?.priority).toBe('high')
+  })
+})
