Add first stand-ins for engines, plain services and the platform

Cause: tests and measurements of the other packages need targets and a platform that fail on demand. Change: EngineCore with continuous batching, prefix cache, preemption and orders, EngineServer, PlainServiceServer, ConfigurationServer and InstanceListServer, each with a core that runs in-process under an injected clock.

--- /dev/null
+++ b/packages/standins/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './ConfigurationCore.js'
+export * from './ConfigurationServer.js'
--- /dev/null
+++ b/packages/standins/src/engine/EngineCore.ts
@@ -0,0 +1,346 @@
+import { type CancelTimer } from '@fescuespoke/common'
+import { type CacheEvent, type GenerationSpec, type GenerationStatus, type Order, type OrderAnswer, type TargetState } from '@fescuespoke/schema'
+import { Maybe, Result } from 'true-myth'
+import { type StandinRefusal } from '../http/StandinRefusal.js'
+import { Batch, type StepPlan } from './Batch.js'
+import { CacheEventLog } from './CacheEventLog.js'
+import { type EngineOptions, type EngineSettings, mergeEngineDefaults } from './EngineOptions.js'
+import { type EndReason, type Generation, type GenerationListener, listTokens, sendEvent, sendLatestToken, type Subscription } from './Generation.js'
+import { LoadReports } from './LoadReports.js'
+import { formatModel, ModelShelf } from './ModelShelf.js'
+import { PrefixCache } from './PrefixCache.js'
+import { WaitingQueue } from './WaitingQueue.js'
+
+/** How a generation was started: anew, or known already by its id. */
+export type StartOutcome = 'started' | 'attached'
+
+/** Exact counts of an engine since its start, for measurements. */
+export interface EngineCounts {
+  readonly steps: number
+  readonly tokens: number
+  readonly started: number
+  readonly ended: number
+  readonly preemptions: number
+  /** Tokens computed again after preemptions. */
+  readonly recomputedTokens: number
+  /** New generations that arrived after the engine was set to leave. */
+  readonly receivedAfterLeaving: number
+  /** Time from the start of leaving to the last such arrival. */
+  readonly lastArrivalAfterLeavingMs: number
+}
+
+const INCARNATION_BYTES = 8
+
+/** A model engine with continuous batching, limited cache memory and preemption. */
+export class EngineCore {
+  /**
+   * Creates an idle engine.
+   * @param options - Options of the engine.
+   */
+  static create (options: EngineOptions): EngineCore {
+    return new EngineCore(mergeEngineDefaults(options))
+  }
+
+  /** Name of this run of the engine. */
+  readonly incarnation: string
+  private readonly generations = new Map<string, Generation>()
+  private readonly waiting = WaitingQueue.create()
+  private readonly batch: Batch
+  private readonly cacheEvents: CacheEventLog
+  private readonly reports: LoadReports
+  private readonly shelf: ModelShelf
+  private readonly counts = { steps: 0, tokens: 0, started: 0, ended: 0, preemptions: 0, recomputedTokens: 0, receivedAfterLeaving: 0, lastArrivalAfterLeavingMs: 0 }
+  private slowFactor = 1
+  private stepMs = 0
+  private stalledUntilMs = 0
+  private leavingSinceMs: number | undefined
+  private openCount = 0
+  private isStopped = false
+  private cancelStep: CancelTimer | undefined
+  private cancelHeartbeat: CancelTimer | undefined
+
+  /** @internal */
+  private constructor (private readonly settings: EngineSettings) {
+    const { clock, random, eventLagMs, eventLossRate } = settings
+    this.incarnation = random.nextText(INCARNATION_BYTES)
+    this.cacheEvents = CacheEventLog.create({ clock, random, lagMs: eventLagMs, lossRate: eventLossRate })
+    this.reports = LoadReports.create({ clock, lagMs: settings.loadLagMs })
+    this.shelf = ModelShelf.create({ settings, observeUnload: model => this.failGenerations(formatModel(model)) })
+    this.batch = Batch.create({
+      settings,
+      waiting: this.waiting,
+      prefixes: PrefixCache.create({
+        capacityTokens: settings.prefixCacheTokens,
+        recordEvent: (event, prefix) => this.cacheEvents.record(event, prefix)
+      }),
+      observePreemption: generation => this.observePreemption(generation),
+      observeOverflow: generation => this.end(generation, 'failed')
+    })
+  }
+
+  /** Gets the name of the target. */
+  get targetName (): string {
+    return this.settings.targetName
+  }
+
+  /**
+   * Starts a generation; does nothing when the id is known.
+   * @param id - Id chosen by the caller.
+   * @param spec - What to generate.
+   */
+  startGeneration (id: string, spec: GenerationSpec): Result<StartOutcome, StandinRefusal> {
+    if (this.isStopped) return Result.err({ status: 503, error: 'stopped' })
+    if (this.generations.has(id)) return Result.ok('attached')
+    if (this.leavingSinceMs !== undefined) {
+      this.counts.receivedAfterLeaving++
+      this.counts.lastArrivalAfterLeavingMs = this.settings.clock.nowMs() - this.leavingSinceMs
+      if (this.settings.refusesWhenLeaving) return Result.err({ status: 503, error: 'leaving' })
+    }
+    if (!this.shelf.isReady(spec)) return Result.err({ status: 409, error: 'modelNotLoaded' })
+    const generation = this.createGeneration(id, spec)
+    if (generation.promptTokens >= this.settings.capacityTokens) return Result.err({ status: 413, error: 'promptTooLong' })
+    this.generations.set(id, generation)
+    this.waiting.add(generation)
+    this.openCount++
+    this.counts.started++
+    this.recordLoad()
+    this.startLoop()
+    return Result.ok('started')
+  }
+
+  /**
+   * Adds a reader; it gets the tokens produced so far at once. Returns what removes it, if the generation is known.
+   * @param id - Id of the generation.
+   * @param offset - Number of tokens that the reader already has.
+   * @param listener - Receives the events.
+   */
+  subscribe (id: string, offset: number, listener: GenerationListener): Maybe<() => void> {
+    const generation = this.generations.get(id)
+    if (generation === undefined) return Maybe.nothing()
+    const subscription: Subscription = { listener, nextOffset: Math.max(offset, generation.produced), isFresh: true }
+    if (generation.endReason === undefined) generation.subscriptions.add(subscription)
+    const tokens = listTokens(id, offset, generation.produced)
+    if (tokens.length > 0) listener({ type: 'tokens', offset, tokens })
+    if (generation.endReason !== undefined) listener({ type: 'end', reason: generation.endReason, tokens: generation.produced })
+    return Maybe.just(() => { generation.subscriptions.delete(subscription) })
+  }
+
+  /**
+   * Cancels a generation and tells whether its id is known.
+   * @param id - Id of the generation.
+   */
+  cancel (id: string): boolean {
+    const generation = this.generations.get(id)
+    if (generation === undefined) return false
+    if (generation.endReason === undefined) this.end(generation, 'cancelled')
+    return true
+  }
+
+  /** Gets the state as it is published; the load figures lag behind. */
+  getState (): TargetState {
+    const { settings, shelf } = this
+    const { figures, ageMs } = this.reports.getLagged()
+    return {
+      target: settings.targetName,
+      incarnation: this.incarnation,
+      state: this.leavingSinceMs === undefined ? 'active' : 'leaving',
+      ...figures,
+      capacityTokens: settings.capacityTokens,
+      maxSequences: settings.maxSequences,
+      loadAgeMs: ageMs,
+      role: shelf.getRole(),
+      models: shelf.listModels(),
+      fence: shelf.getFence()
+    }
+  }
+
+  /** Gets the counts since the start, without lag. */
+  getCounts (): EngineCounts {
+    return { ...this.counts }
+  }
+
+  /** Gets the cache memory in use, in tokens, without lag. */
+  getUsedTokens (): number {
+    return this.batch.getUsedTokens()
+  }
+
+  /**
+   * Tells whether a generation can be read.
+   * @param id - Id of the generation.
+   */
+  hasGeneration (id: string): boolean {
+    return this.generations.has(id)
+  }
+
+  /** Lists the generations that can be read. */
+  listGenerations (): GenerationStatus[] {
+    return [...this.generations.values()].map(({ id, state, produced }) => ({ id, state, tokens: produced }))
+  }
+
+  /** Lists the orders carried out so far. */
+  listOrders (): readonly Order[] {
+    return this.shelf.listOrders()
+  }
+
+  /**
+   * Lists the cache events that can be read by now.
+   * @param after - Sequence number of the last event already read.
+   */
+  listCacheEvents (after: number): CacheEvent[] {
+    return this.cacheEvents.listAfter(after)
+  }
+
+  /**
+   * Carries out an order, or refuses it because of its fencing number.
+   * @param order - The order.
+   */
+  giveOrder (order: Order): OrderAnswer {
+    return this.shelf.giveOrder(order)
+  }
+
+  /**
+   * Sets how many times longer each later step takes.
+   * @param factor - Factor; 1 for the usual speed.
+   */
+  setSlow (factor: number): void {
+    this.slowFactor = factor
+  }
+
+  /**
+   * Halts decoding and heartbeats for a while.
+   * @param durationMs - Duration in milliseconds.
+   */
+  stall (durationMs: number): void {
+    this.stalledUntilMs = Math.max(this.stalledUntilMs, this.settings.clock.nowMs() + durationMs)
+  }
+
+  /** Publishes from now on that the engine is leaving. */
+  setLeaving (): void {
+    this.leavingSinceMs ??= this.settings.clock.nowMs()
+  }
+
+  /** Stops for good; readers hear nothing more. */
+  kill (): void {
+    this.isStopped = true
+    this.cancelStep?.()
+    this.cancelHeartbeat?.()
+    this.shelf.stop()
+    for (const generation of this.generations.values()) generation.subscriptions.clear()
+  }
+
+  private createGeneration (id: string, spec: GenerationSpec): Generation {
+    const { settings } = this
+    const promptTokens = settings.computePromptTokens(spec)
+    return {
+      id,
+      spec,
+      promptTokens,
+      prefixTokens: spec.prefix === undefined ? 0 : Math.min(promptTokens, settings.computePrefixTokens(spec)),
+      outputTokens: Math.max(1, settings.computeOutputTokens(spec, id)),
+      order: this.counts.started,
+      subscriptions: new Set(),
+      state: 'waiting',
+      produced: 0,
+      prefillLeft: 0,
+      sharesPrefix: false,
+      preemptions: 0,
+      endReason: undefined
+    }
+  }
+
+  private startLoop (): void {
+    const { clock, heartbeatMs } = this.settings
+    this.cancelStep ??= clock.startTimer(0, () => this.startStep())
+    this.cancelHeartbeat ??= clock.startTimer(heartbeatMs, () => this.sendHeartbeats())
+  }
+
+  private startStep (): void {
+    const plan = this.batch.startStep()
+    if (plan.decoding.length === 0 && plan.prefillTokens === 0) {
+      this.cancelStep = undefined
+      this.recordLoad()
+      return
+    }
+    const { clock, stepBaseMs, stepSequenceMs, prefillTokenMs, speed } = this.settings
+    const workMs = stepBaseMs + stepSequenceMs * this.batch.getCount() + prefillTokenMs * plan.prefillTokens
+    this.stepMs = workMs * this.slowFactor / speed
+    this.recordLoad()
+    this.cancelStep = clock.startTimer(this.stepMs, () => this.finishStep(plan))
+  }
+
+  private finishStep (plan: StepPlan): void {
+    const remainingMs = this.stalledUntilMs - this.settings.clock.nowMs()
+    if (remainingMs > 0) {
+      this.cancelStep = this.settings.clock.startTimer(remainingMs, () => this.finishStep(plan))
+      return
+    }
+    this.counts.steps++
+    for (const generation of plan.decoding) {
+      if (generation.state === 'running') this.produceToken(generation)
+    }
+    if (!this.isStopped) this.startStep()
+  }
+
+  private produceToken (generation: Generation): void {
+    this.batch.recordToken(generation)
+    this.counts.tokens++
+    sendLatestToken(generation)
+    if (generation.produced >= generation.spec.maxTokens) this.end(generation, 'length')
+    else if (generation.produced >= generation.outputTokens) this.end(generation, 'stop')
+  }
+
+  private observePreemption (generation: Generation): void {
+    this.counts.preemptions++
+    this.counts.recomputedTokens += generation.promptTokens + generation.produced
+    sendEvent(generation, { type: 'preempted' })
+  }
+
+  private end (generation: Generation, reason: EndReason): void {
+    if (generation.endReason !== undefined) return
+    this.batch.remove(generation)
+    this.waiting.remove(generation)
+    generation.state = 'ended'
+    generation.endReason = reason
+    this.openCount--
+    this.counts.ended++
+    sendEvent(generation, { type: 'end', reason, tokens: generation.produced })
+    generation.subscriptions.clear()
+    this.recordLoad()
+    this.settings.clock.startTimer(this.settings.retentionMs, () => this.generations.delete(generation.id))
+  }
+
+  private failGenerations (model: string): void {
+    for (const generation of this.generations.values()) {
+      if (formatModel(generation.spec) === model) this.end(generation, 'failed')
+    }
+  }
+
+  private sendHeartbeats (): void {
+    const { clock, heartbeatMs } = this.settings
+    if (this.openCount === 0) {
+      this.cancelHeartbeat = undefined
+      return
+    }
+    if (clock.nowMs() >= this.stalledUntilMs) this.sendDueHeartbeats()
+    this.cancelHeartbeat = clock.startTimer(heartbeatMs, () => this.sendHeartbeats())
+  }
+
+  private sendDueHeartbeats (): void {
+    for (const generation of this.generations.values()) {
+      for (const subscription of generation.subscriptions) {
+        if (!subscription.isFresh) subscription.listener({ type: 'heartbeat' })
+        subscription.isFresh = false
+      }
+    }
+  }
+
+  private recordLoad (): void {
+    this.reports.record({
+      running: this.batch.getCount(),
+      waiting: this.waiting.getCount(),
+      usedTokens: this.batch.getUsedTokens(),
+      stepMs: this.stepMs,
+      preemptions: this.counts.preemptions
+    })
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/GenerationReader.ts
@@ -0,0 +1,89 @@
+import { type EngineEvent } from '@fescuespoke/schema'
+import { type Exchange } from '../http/HttpHost.js'
+import { type EngineCore } from './EngineCore.js'
+
+/** Options of a reader. */
+export interface GenerationReaderOptions {
+  readonly core: EngineCore
+  readonly exchange: Exchange
+  readonly id: string
+  /** Number of tokens that the client already has. */
+  readonly offset: number
+}
+
+/**
+ * Streams a generation as one JSON object a line. While the client does not read, or its connection is stalled, nothing
+ * is buffered: the reader leaves the generation and comes back at the offset that it has reached.
+ */
+export class GenerationReader {
+  /**
+   * Creates a reader that is streaming.
+   * @param options - Options of the reader.
+   */
+  static create (options: GenerationReaderOptions): GenerationReader {
+    const reader = new GenerationReader(options)
+    options.exchange.gate.runWhenOpen(() => reader.start())
+    return reader
+  }
+
+  private nextOffset: number
+  private unsubscribe: (() => void) | undefined
+  private isPaused = false
+  private isEnded = false
+
+  /** @internal */
+  private constructor (private readonly options: GenerationReaderOptions) {
+    this.nextOffset = options.offset
+  }
+
+  private start (): void {
+    const { response } = this.options.exchange
+    if (response.destroyed) return
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' })
+    response.flushHeaders()
+    response.on('close', () => this.stop())
+    response.on('drain', () => this.resume())
+    this.resume()
+  }
+
+  private stop (): void {
+    this.isEnded = true
+    this.unsubscribe?.()
+  }
+
+  private pause (): void {
+    this.isPaused = true
+    this.unsubscribe?.()
+    this.unsubscribe = undefined
+  }
+
+  private resume (): void {
+    if (this.isEnded) return
+    this.pause()
+    this.isPaused = false
+    const { core, id, exchange } = this.options
+    const subscribed = core.subscribe(id, this.nextOffset, event => this.handleEvent(event))
+    if (subscribed.isNothing) {
+      exchange.response.destroy()
+      return
+    }
+    if (this.isPaused || this.isEnded) subscribed.value()
+    else this.unsubscribe = subscribed.value
+  }
+
+  private handleEvent (event: EngineEvent): void {
+    const { gate, response } = this.options.exchange
+    if (this.isPaused || this.isEnded) return
+    if (!gate.isOpen()) {
+      this.pause()
+      gate.runWhenOpen(() => this.resume())
+      return
+    }
+    if (event.type === 'tokens') this.nextOffset = event.offset + event.tokens.length
+    const hasRoom = response.write(`${JSON.stringify(event)}\n`)
+    if (event.type === 'end') {
+      this.isEnded = true
+      response.end()
+    } else if (!hasRoom) this.pause()
+  }
+}
--- /dev/null
+++ b/packages/standins/src/http/HttpHost.ts
@@ -0,0 +1,198 @@
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type AddressInfo, type Socket } from 'node:net'
+import { type Clock } from '@fescuespoke/common'
+import { ConnectionGate } from './ConnectionGate.js'
+
+/** One request with what is needed to answer it. */
+export interface Exchange {
+  /** Groups of the route's pattern, decoded. */
+  readonly parameters: readonly string[]
+  readonly query: URLSearchParams
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  readonly response: ServerResponse
+  /** State of the connection that carries the answer. */
+  readonly gate: ConnectionGate
+  /** Aborted when the answer is finished or its connection closed. */
+  readonly signal: AbortSignal
+  /**
+   * Answers with JSON once the connection is not stalled.
+   * @param status - HTTP status.
+   * @param body - Value of the body; none when absent.
+   */
+  answer(status: number, body?: unknown): void
+}
+
+/** What answers one kind of request. */
+export interface Route {
+  readonly method: string
+  /** Pattern of the whole path. */
+  readonly path: RegExp
+  /**
+   * Answers a request.
+   * @param exchange - The request.
+   */
+  handle(exchange: Exchange): void | Promise<void>
+}
+
+/** Options of a host. */
+export interface HttpHostOptions {
+  readonly clock: Clock
+  readonly routes: readonly Route[]
+}
+
+const HOST = '127.0.0.1'
+
+/** Listens for HTTP on a port chosen by the system and can lose, stall or silence its connections. */
+export class HttpHost {
+  /**
+   * Creates a host that is listening.
+   * @param options - Options of the host.
+   */
+  static async create (options: HttpHostOptions): Promise<HttpHost> {
+    const host = new HttpHost(options)
+    await host.listen(0)
+    return host
+  }
+
+  private readonly gates = new Map<Socket, ConnectionGate>()
+  private server: Server | undefined
+  private port = 0
+  private connected = 0
+
+  /** @internal */
+  private constructor (private readonly options: HttpHostOptions) {}
+
+  /** Base URL. */
+  get url (): string {
+    return `http://${HOST}:${this.port}`
+  }
+
+  /** Gets the number of connections accepted so far. */
+  getConnectionCount (): number {
+    return this.connected
+  }
+
+  /** Silences all present connections for good; later ones work. */
+  freezeConnections (): void {
+    for (const gate of this.gates.values()) gate.setState('frozen')
+  }
+
+  /**
+   * Silences all present connections for a while.
+   * @param durationMs - Duration in milliseconds.
+   */
+  stall (durationMs: number): void {
+    const stalled = [...this.gates.values()].filter(gate => gate.isOpen())
+    for (const gate of stalled) gate.setState('stalled')
+    this.options.clock.startTimer(durationMs, () => stalled.forEach(gate => gate.setState('open')))
+  }
+
+  /** Refuses new connections; present ones go on. */
+  refuseConnects (): void {
+    this.server?.close()
+    this.server = undefined
+  }
+
+  /** Accepts connections again, on the same port. */
+  async acceptConnects (): Promise<void> {
+    if (this.server === undefined) await this.listen(this.port)
+  }
+
+  /** Closes the port and destroys all connections. */
+  kill (): void {
+    this.refuseConnects()
+    for (const socket of this.gates.keys()) socket.destroy()
+    this.gates.clear()
+  }
+
+  /** Closes the port and all connections and waits until that is done. */
+  async close (): Promise<void> {
+    const server = this.server
+    this.server = undefined
+    const closed = new Promise<void>(resolve => {
+      if (server === undefined) resolve()
+      else server.close(() => resolve())
+    })
+    this.kill()
+    await closed
+  }
+
+  private async listen (port: number): Promise<void> {
+    const server = createServer((request, response) => this.handleRequest(request, response))
+    server.keepAliveTimeout = 0
+    server.on('connection', socket => this.addConnection(socket))
+    this.server = server
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, HOST, resolve)
+    })
+    this.port = (server.address() as AddressInfo).port
+  }
+
+  private addConnection (socket: Socket): void {
+    this.connected++
+    this.gates.set(socket, ConnectionGate.create())
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => this.gates.delete(socket))
+  }
+
+  private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const gate = this.gates.get(request.socket)
+    if (gate === undefined || gate.isFrozen()) return
+    const body = await readBody(request)
+    if (body === undefined) return
+    const url = new URL(request.url ?? '/', this.url)
+    for (const route of this.options.routes) {
+      const match = route.method === request.method ? route.path.exec(url.pathname) : null
+      if (match === null) continue
+      const parameters = match.slice(1).map(decodeURIComponent)
+      await route.handle(createExchange({ request, response, gate, body, parameters, query: url.searchParams }))
+      return
+    }
+    writeJson(response, 404, { error: 'notFound' })
+  }
+}
+
+interface ExchangeParts {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly gate: ConnectionGate
+  readonly body: string
+  readonly parameters: readonly string[]
+  readonly query: URLSearchParams
+}
+
+function createExchange (parts: ExchangeParts): Exchange {
+  const { request, response, gate, body, parameters, query } = parts
+  const controller = new AbortController()
+  response.on('close', () => controller.abort())
+  return {
+    parameters,
+    query,
+    headers: request.headers,
+    body,
+    response,
+    gate,
+    signal: controller.signal,
+    answer: (status, value) => gate.runWhenOpen(() => writeJson(response, status, value))
+  }
+}
+
+/** Reads a whole body; `undefined` when the connection closed before its end. */
+async function readBody (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+  } catch {
+    return undefined
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+function writeJson (response: ServerResponse, status: number, value: unknown): void {
+  if (response.destroyed) return
+  const text = value === undefined ? '' : JSON.stringify(value)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  response.end(text)
+}
--- /dev/null
+++ b/packages/standins/src/http/StandinRefusal.ts
@@ -0,0 +1,5 @@
+/** Why a stand-in refused a call, with the HTTP status that it answers. */
+export interface StandinRefusal {
+  readonly status: number
+  readonly error: string
+}
--- /dev/null
+++ b/packages/standins/src/http/index.ts
@@ -0,0 +1,2 @@
+export { HttpHost, type HttpHostOptions } from './HttpHost.js'
+export { type StandinRefusal } from './StandinRefusal.js'
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './configuration/index.js'
+export * from './engine/index.js'
+export * from './http/index.js'
+export * from './instances/index.js'
+export * from './limits/index.js'
+export * from './service/index.js'
--- /dev/null
+++ b/packages/standins/src/instances/InstanceListCore.ts
@@ -0,0 +1,131 @@
+import { type Clock } from '@fescuespoke/common'
+import { type ListedEntry, type PublishedList } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { type StandinRefusal } from '../http/StandinRefusal.js'
+import { ChangeSignal } from '../signal/ChangeSignal.js'
+
+/** What is wrong with the list: `half` lacks every second entry, `garbage` does not follow the schema. */
+export type ListFault = 'none' | 'empty' | 'half' | 'garbage'
+
+/** Options of the instance list. */
+export interface InstanceListCoreOptions {
+  readonly clock: Clock
+  /** Delay until a change can be seen. */
+  readonly lagMs?: number
+}
+
+interface ListVersion {
+  readonly list: PublishedList
+  readonly visibleMs: number
+}
+
+const GARBAGE = [{ id: 7, role: 'unheard-of' }, null, 'entry'] as unknown as ListedEntry[]
+
+const FAULT_HANDLERS: Record<ListFault, (entries: readonly ListedEntry[]) => ListedEntry[]> = {
+  none: entries => [...entries],
+  empty: () => [],
+  half: entries => entries.filter((_, index) => index % 2 === 0),
+  garbage: () => GARBAGE
+}
+
+/** A list of the live and leaving instances that lags behind. */
+export class InstanceListCore {
+  /**
+   * Creates an empty list of version 0.
+   * @param options - Options of the list.
+   */
+  static create (options: InstanceListCoreOptions): InstanceListCore {
+    return new InstanceListCore(options)
+  }
+
+  private readonly entries = new Map<string, ListedEntry>()
+  private readonly signal: ChangeSignal
+  /** Versions, oldest first; the first is the one shown. */
+  private readonly versions: ListVersion[] = [{ list: { version: 0, entries: [] }, visibleMs: 0 }]
+  private version = 0
+  private fault: ListFault = 'none'
+  private isDown = false
+  private calls = 0
+
+  /** @internal */
+  private constructor (private readonly options: InstanceListCoreOptions) {
+    this.signal = ChangeSignal.create({ clock: options.clock })
+  }
+
+  /** Gets the number of calls so far. */
+  getCallCount (): number {
+    return this.calls
+  }
+
+  /**
+   * Adds or replaces entries in one version.
+   * @param entries - The entries.
+   */
+  setEntries (entries: readonly ListedEntry[]): void {
+    for (const entry of entries) this.entries.set(entry.id, entry)
+    this.publish()
+  }
+
+  /**
+   * Sets whether an entry is live or leaving; does nothing when it is not listed.
+   * @param id - Its id.
+   * @param state - The state.
+   */
+  setState (id: string, state: ListedEntry['state']): void {
+    const entry = this.entries.get(id)
+    if (entry !== undefined) this.setEntries([{ ...entry, state }])
+  }
+
+  /**
+   * Removes an entry.
+   * @param id - Its id.
+   */
+  remove (id: string): void {
+    if (this.entries.delete(id)) this.publish()
+  }
+
+  /**
+   * Refuses all calls, or serves them again.
+   * @param isDown - Whether it is down.
+   */
+  setDown (isDown: boolean): void {
+    this.isDown = isDown
+    this.signal.send()
+  }
+
+  /**
+   * Sets what is wrong with the list, as a new version.
+   * @param fault - The fault.
+   */
+  setFault (fault: ListFault): void {
+    this.fault = fault
+    this.publish()
+  }
+
+  /**
+   * Waits for a version later than the one known and returns the list.
+   * @param after - Version that the reader has.
+   * @param waitMs - Longest wait in milliseconds.
+   * @param signal - Ends the wait early.
+   */
+  async watch (after: number, waitMs: number, signal?: AbortSignal): Promise<Result<PublishedList, StandinRefusal>> {
+    this.calls++
+    await this.signal.wait(waitMs, () => this.isDown || this.getVisible().version > after, signal)
+    return this.isDown ? Result.err({ status: 503, error: 'down' }) : Result.ok(this.getVisible())
+  }
+
+  private publish (): void {
+    const { clock, lagMs = 0 } = this.options
+    this.version++
+    const entries = FAULT_HANDLERS[this.fault]([...this.entries.values()])
+    this.versions.push({ list: { version: this.version, entries }, visibleMs: clock.nowMs() + lagMs })
+    if (lagMs === 0) this.signal.send()
+    else clock.startTimer(lagMs, () => this.signal.send())
+  }
+
+  private getVisible (): PublishedList {
+    const nowMs = this.options.clock.nowMs()
+    while (this.versions.length > 1 && (this.versions[1] as ListVersion).visibleMs <= nowMs) this.versions.shift()
+    return (this.versions[0] as ListVersion).list
+  }
+}
--- /dev/null
+++ b/packages/standins/src/instances/index.ts
@@ -0,0 +1,2 @@
+export * from './InstanceListCore.js'
+export * from './InstanceListServer.js'
--- /dev/null
+++ b/packages/standins/src/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './RateLimiter.js'
--- /dev/null
+++ b/packages/standins/src/service/index.ts
@@ -0,0 +1,2 @@
+export * from './PlainServiceCore.js'
+export * from './PlainServiceServer.js'
--- /dev/null
+++ b/packages/standins/test/configuration/ConfigurationCore.test.ts
@@ -0,0 +1,152 @@
+import { VirtualClock } from '@fescuespoke/common'
+import { describe, expect, it } from 'vitest'
+import { ConfigurationCore } from '../../src/index.js'
+
+describe('ConfigurationCore', () => {
+  function createCore (readsPerSecond?: number): { clock: VirtualClock, core: ConfigurationCore } {
+    const clock = VirtualClock.create()
+    return { clock, core: ConfigurationCore.create({ clock, readsPerSecond }) }
+  }
+
+  it('publishes all values under one revision', () => {
+    const { core } = createCore()
+    core.publish({ a: '1', b: '2' })
+    core.publish({ b: '3' })
+    expect(core.readSnapshot()).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "revision": 2,
+          "values": {
+            "b": "3",
+          },
+        },
+        "variant": "Ok",
+      }
+    `)
+  })
+
+  it('tells a watch what changed', async () => {
+    const { core } = createCore()
+    core.publish({ a: '1', b: '2' })
+    const watch = core.watch(1, 1000)
+    core.amend('a')
+    expect(await watch).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "changed": [
+            {
+              "key": "a",
+            },
+          ],
+          "revision": 2,
+        },
+        "variant": "Ok",
+      }
+    `)
+  })
+
+  it('ends a watch without changes after its time', async () => {
+    const { core, clock } = createCore()
+    const watch = core.watch(0, 1000)
+    await clock.advance(1000)
+    expect(await watch).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "changed": [],
+          "revision": 0,
+        },
+        "variant": "Ok",
+      }
+    `)
+  })
+
+  it('refuses calls beyond the rate until the next second', async () => {
+    const { core, clock } = createCore(1)
+    expect(core.readSnapshot().isOk).toBe(true)
+    expect(core.readSnapshot()).toMatchInlineSnapshot(`
+      {
+        "error": {
+          "error": "tooManyReads",
+          "status": 429,
+        },
+        "variant": "Err",
+      }
+    `)
+    await clock.advance(1000)
+    expect(core.readSnapshot().isOk).toBe(true)
+  })
+
+  it('goes on serving an old revision while stale', () => {
+    const { core } = createCore()
+    core.amend('a', '1')
+    core.setStale(true)
+    core.amend('a', '2')
+    expect(core.readSnapshot()).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "revision": 1,
+          "values": {
+            "a": "1",
+          },
+        },
+        "variant": "Ok",
+      }
+    `)
+    core.setStale(false)
+    expect(core.readSnapshot()).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "revision": 2,
+          "values": {
+            "a": "2",
+          },
+        },
+        "variant": "Ok",
+      }
+    `)
+  })
+
+  it('serves an older revision when told to', () => {
+    const { core } = createCore()
+    core.amend('a', '1')
+    core.amend('b', '2')
+    core.serveOlder(1)
+    expect(core.readSnapshot()).toMatchInlineSnapshot(`
+      {
+        "value": {
+          "revision": 1,
+          "values": {
+            "a": "1",
+          },
+        },
+        "variant": "Ok",
+      }
+    `)
+  })
+
+  it('refuses a value that is too large', () => {
+    const { core } = createCore()
+    expect(core.amend('a', 'x'.repeat(1_048_577))).toMatchInlineSnapshot(`
+      {
+        "error": "a: larger than 1048576 bytes",
+        "variant": "Err",
+      }
+    `)
+    expect(core.getRevision()).toBe(0)
+  })
+
+  it('ends waiting watches when it goes down', async () => {
+    const { core } = createCore()
+    const watch = core.watch(0, 1000)
+    core.setDown(true)
+    expect(await watch).toMatchInlineSnapshot(`
+      {
+        "error": {
+          "error": "down",
+          "status": 503,
+        },
+        "variant": "Err",
+      }
+    `)
+  })
+})
--- /dev/null
+++ b/packages/standins/test/engine/EngineServer.test.ts
@@ -0,0 +1,79 @@
+import { SeededRandom, SystemClock } from '@fescuespoke/common'
+import { afterEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { EngineCore, type EngineOptions, EngineServer } from '../../src/index.js'
+
+describe('EngineServer', () => {
+  const servers: EngineServer[] = []
+
+  afterEach(async () => {
+    for (const server of servers.splice(0)) await server.close()
+  })
+
+  async function createServer (options: Partial<EngineOptions> = {}): Promise<EngineServer> {
+    const clock = SystemClock.create()
+    const core = EngineCore.create({
+      clock,
+      random: SeededRandom.create(1),
+      targetName: 'e1',
+      computeOutputTokens: () => 3,
+      speed: 100,
+      loadLagMs: 0,
+      ...options
+    })
+    const server = await EngineServer.create({ core, clock })
+    servers.push(server)
+    return server
+  }
+
+  const SPEC = { model: 'm', prompt: 'write', maxTokens: 100, priority: 0 }
+
+  async function call (server: EngineServer, method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<string> {
+    const answer = await request(`${server.url}${path}`, { method, body: body === undefined ? undefined : JSON.stringify(body) })
+    return `${answer.statusCode} ${await answer.body.text()}`
+  }
+
+  it('streams a generation', async () => {
+    const server = await createServer()
+    expect(await call(server, 'PUT', '/v1/generations/g', SPEC)).toMatchInlineSnapshot(`
+      "200 {"type":"tokens","offset":0,"tokens":["g:0"]}
+      {"type":"tokens","offset":1,"tokens":["g:1"]}
+      {"type":"tokens","offset":2,"tokens":["g:2"]}
+      {"type":"end","reason":"stop","tokens":3}
+      "
+    `)
+  })
+
+  it('attaches at an offset', async () => {
+    const server = await createServer()
+    await call(server, 'PUT', '/v1/generations/g', SPEC)
+    expect(await call(server, 'PUT', '/v1/generations/g?offset=2', SPEC)).toMatchInlineSnapshot(`
+      "200 {"type":"tokens","offset":2,"tokens":["g:2"]}
+      {"type":"end","reason":"stop","tokens":3}
+      "
+    `)
+    expect(await call(server, 'GET', '/v1/generations/g?offset=3')).toMatchInlineSnapshot(`
+      "200 {"type":"end","reason":"stop","tokens":3}
+      "
+    `)
+    expect(server.core.getCounts().started).toBe(1)
+  })
+
+  it('answers 404 for an unknown generation', async () => {
+    const server = await createServer()
+    expect(await call(server, 'GET', '/v1/generations/g')).toMatchInlineSnapshot('"404 {"error":"notFound"}"')
+    expect(await call(server, 'DELETE', '/v1/generations/g')).toMatchInlineSnapshot('"404 "')
+  })
+
+  it('refuses a body that does not follow the schema', async () => {
+    const server = await createServer()
+    expect(await call(server, 'PUT', '/v1/generations/g', { ...SPEC, priority: 'high' })).toMatchInlineSnapshot('"400 {"error":"priority: got \\"high\\", allowed is must be integer"}"')
+  })
+
+  it('refuses an order with an old fencing number', async () => {
+    const server = await createServer({ enforcesFences: true })
+    expect(await call(server, 'POST', '/v1/orders', { fence: 5, action: 'role', role: 'r' })).toMatchInlineSnapshot('"200 {"accepted":true,"fence":5}"')
+    expect(await call(server, 'POST', '/v1/orders', { fence: 4, action: 'role', role: 's' })).toMatchInlineSnapshot('"409 {"accepted":false,"fence":5}"')
+    expect(server.core.getState().role).toBe('r')
+  })
+})
--- /dev/null
+++ b/packages/standins/test/service/PlainServiceServer.test.ts
@@ -0,0 +1,48 @@
+import { SeededRandom, SystemClock } from '@fescuespoke/common'
+import { afterEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { PlainServiceCore, PlainServiceServer } from '../../src/index.js'
+
+describe('PlainServiceServer', () => {
+  const servers: PlainServiceServer[] = []
+
+  afterEach(async () => {
+    for (const server of servers.splice(0)) await server.close()
+  })
+
+  async function createServer (): Promise<PlainServiceServer> {
+    const clock = SystemClock.create()
+    const core = PlainServiceCore.create({ clock, random: SeededRandom.create(1), targetName: 'p1' })
+    const server = await PlainServiceServer.create({ core, clock })
+    servers.push(server)
+    return server
+  }
+
+  async function call (server: PlainServiceServer, id: string): Promise<string> {
+    const answer = await request(`${server.url}/v1/calls`, { method: 'POST', headers: { 'fescuespoke-request': id }, body: '{"gate":1}' })
+    return `${answer.statusCode} ${await answer.body.text()}`
+  }
+
+  it('replies and remembers the call', async () => {
+    const server = await createServer()
+    expect(await call(server, 'r1')).toMatchInlineSnapshot('"200 {"status":200,"body":{"request":"r1","echo":{"gate":1}}}"')
+    expect(server.core.listCalls().map(({ request }) => request)).toEqual(['r1'])
+  })
+
+  it('runs a call whose reply is lost', async () => {
+    const server = await createServer()
+    server.loseReplies(1)
+    await expect(call(server, 'r1')).rejects.toThrow()
+    await call(server, 'r1')
+    expect(server.core.listDoubled()).toEqual(['r1'])
+  })
+
+  it('refuses connections for a while', async () => {
+    const server = await createServer()
+    server.refuseConnects()
+    await expect(call(server, 'r1')).rejects.toThrow('ECONNREFUSED')
+    await server.acceptConnects()
+    expect(await call(server, 'r2')).toContain('200')
+    expect(server.core.listCalls().map(({ request }) => request)).toEqual(['r2'])
+  })
+})
