Add leases, requests, dispatch and the HTTP interface for callers

Cause: nothing served a request. Change: request leases, request entries with tombstones, runners for generations and calls, readers with backpressure, resume tokens, forwarding to the owner, HTTP routes, settings.

--- /dev/null
+++ b/packages/daemon/src/dispatch/runCall.ts
@@ -0,0 +1,92 @@
+import { type Placement } from '@fescuespoke/scheduling'
+import { type Result } from 'true-myth'
+import { type RequestEntry } from '../requests/RequestEntry.js'
+import { type CallError, type CallReply } from '../targets/TargetClient.js'
+import { acquireOpenPlacement, endCancelled, endOverdue, MAX_ATTEMPTS, refuseEntry, type RunnerTools } from './RequestRunner.js'
+
+/** Longest wait for a late reply beyond the deadline, in milliseconds. */
+const LATE_REPLY_MS = 60_000
+
+/** Whether another attempt follows. */
+type AttemptResult = 'ended' | 'retry'
+
+/**
+ * Runs a call. One that is not idempotent is repeated only when no byte of it was sent.
+ * @param entry - The request.
+ * @param tools - What the runner works with.
+ */
+export async function runCall (entry: RequestEntry, tools: RunnerTools): Promise<void> {
+  const failedTargets: string[] = []
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    const placed = await acquireOpenPlacement(entry, tools, failedTargets)
+    if (placed.isErr) {
+      refuseEntry(entry, placed.error)
+      return
+    }
+    if (await sendAttempt(entry, placed.value, tools) === 'ended') return
+    failedTargets.push(placed.value.target.name)
+  }
+  refuseEntry(entry, { reason: 'targetLost', retryAfterMs: 1000, detail: `${MAX_ATTEMPTS} targets failed` })
+}
+
+async function sendAttempt (entry: RequestEntry, placement: Placement, tools: RunnerTools): Promise<AttemptResult> {
+  const { clock, targetClient } = tools
+  const remainingMs = entry.options.deadlineMs - clock.nowMs()
+  const cancelDeadline = clock.startTimer(remainingMs, () => endAtDeadline(entry))
+  const reply = await targetClient.sendCall(placement.target, {
+    request: entry.options.id,
+    body: entry.options.body.body,
+    remainingMs,
+    timeoutMs: remainingMs + LATE_REPLY_MS,
+    canSend: () => startDispatch(entry, placement, tools)
+  })
+  cancelDeadline()
+  return handleReply(entry, placement, reply)
+}
+
+/** Checks everything that a pause of the process may have changed, right before the first byte. */
+function startDispatch (entry: RequestEntry, placement: Placement, tools: RunnerTools): boolean {
+  if (entry.isEnded() || entry.isOverdue() || entry.cancellation.signal.aborted) return false
+  if (!tools.targetGate.isOpen(placement.target)) return false
+  entry.setDispatched()
+  entry.recordStep('sent', placement.target.name)
+  return true
+}
+
+function endAtDeadline (entry: RequestEntry): void {
+  if (entry.getPhase() === 'dispatched') {
+    entry.setEnd({ outcome: 'unknown', reason: 'deadlineExceeded', detail: 'sent, without a reply so far' })
+  } else {
+    endOverdue(entry)
+  }
+}
+
+function handleReply (entry: RequestEntry, placement: Placement, reply: Result<CallReply, CallError>): AttemptResult {
+  if (reply.isOk) {
+    placement.release('complete')
+    entry.setEnd({ outcome: 'complete', reason: 'finished' }, { type: 'reply', ...reply.value })
+    return 'ended'
+  }
+  return CALL_ERROR_HANDLERS[reply.error](entry, placement)
+}
+
+const CALL_ERROR_HANDLERS: Record<CallError, (entry: RequestEntry, placement: Placement) => AttemptResult> = {
+  notSent: (entry, placement) => {
+    placement.release('targetUnreachable')
+    entry.recordStep('notSent', `${placement.target.name} could not be connected`)
+    return entry.isEnded() ? 'ended' : 'retry'
+  },
+  withheld: (entry, placement) => {
+    placement.release('rejected')
+    if (entry.isOverdue()) endOverdue(entry)
+    else if (entry.cancellation.signal.aborted) endCancelled(entry)
+    return entry.isEnded() ? 'ended' : 'retry'
+  },
+  replyLost: (entry, placement) => {
+    placement.release('targetFailed')
+    entry.recordStep('replyLost', placement.target.name)
+    if (entry.options.service.idempotent && !entry.isEnded()) return 'retry'
+    entry.setEnd({ outcome: 'unknown', reason: 'replyLost', detail: 'the call was sent and no reply came' })
+    return 'ended'
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/HttpServer.ts
@@ -0,0 +1,83 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type AddressInfo } from 'node:net'
+import { findRoute, type HttpRoute } from './HttpRoute.js'
+import { sendError } from './sendAnswer.js'
+
+/** Longest time for the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000
+
+/** Longest time for a whole request, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 30_000
+
+/** Largest size of all headers, in bytes. */
+const MAX_HEADER_BYTES = 16_384
+
+/** Options of an HTTP server. */
+export interface HttpServerOptions {
+  readonly host: string
+  /** Port; 0 lets the system choose. */
+  readonly port: number
+  readonly routes: readonly HttpRoute[]
+  /** Receives an error that no handler expected. */
+  readonly onInternalError: (error: unknown) => void
+}
+
+/** Serves a table of routes over HTTP. */
+export class HttpServer {
+  /**
+   * Creates a server that does not listen yet.
+   * @param options - Options of the server.
+   */
+  static create (options: HttpServerOptions): HttpServer {
+    return new HttpServer(options)
+  }
+
+  private readonly server: Server
+
+  /** @internal */
+  private constructor (private readonly options: HttpServerOptions) {
+    this.server = createServer({
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      maxHeaderSize: MAX_HEADER_BYTES
+    }, (incoming, outgoing) => { this.handleRequest(incoming, outgoing) })
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(this.options.port, this.options.host, resolve)
+    })
+  }
+
+  /** Gets the base URL; the server must have been started. */
+  getUrl (): string {
+    const { address, port } = this.server.address() as AddressInfo
+    return `http://${address}:${port}`
+  }
+
+  /** Stops listening and closes every connection. */
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve())
+      this.server.closeAllConnections()
+    })
+  }
+
+  private async handleRequest (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const url = new URL(incoming.url ?? '/', 'http://instance')
+    const match = findRoute(this.options.routes, incoming.method ?? '', url.pathname)
+    if (match === undefined) {
+      sendError(outgoing, 404, { error: 'notFound', message: `no such path: ${incoming.method ?? ''} ${url.pathname}` })
+      return
+    }
+    try {
+      await match.route.handle({ incoming, outgoing, parts: match.parts, query: url.searchParams })
+    } catch (error) {
+      this.options.onInternalError(error)
+      if (outgoing.headersSent) outgoing.destroy()
+      else sendError(outgoing, 500, { error: 'internal', message: 'the request could not be handled' })
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/createCallerRoutes.ts
@@ -0,0 +1,247 @@
+import { type Clock } from '@fescuespoke/common'
+import {
+  type AddressAnswer, createValidator, type EndEvent, type LeaseGrant, type LeaseRequest, type ResumeRequest, type StreamEvent,
+  type SubmitRequest
+} from '@fescuespoke/schema'
+import { type Dispatcher } from 'undici'
+import { FORWARDED_HEADER, forwardRequest } from '../forwarding/forwardRequest.js'
+import { type LeaseName, parseLease } from '../leases/LeaseName.js'
+import { type Lease, type LeaseRegistry } from '../leases/LeaseRegistry.js'
+import { readEvents } from '../requests/readEvents.js'
+import { type RequestEntry } from '../requests/RequestEntry.js'
+import { type RequestService } from '../requests/RequestService.js'
+import { type ResumeService } from '../resume/ResumeService.js'
+import { type ResumeTokens } from '../resume/ResumeTokens.js'
+import { type HttpRoute, type RouteContext } from './HttpRoute.js'
+import { readBody } from './readBody.js'
+import { sendError, sendEvents, sendJson } from './sendAnswer.js'
+
+/** Largest number that a caller may choose. */
+const MAX_REQUEST_NUMBER = Number.MAX_SAFE_INTEGER
+
+const checkLeaseRequest = createValidator<LeaseRequest>('caller', 'LeaseRequest')
+const checkSubmitRequest = createValidator<SubmitRequest>('caller', 'SubmitRequest')
+const checkResumeRequest = createValidator<ResumeRequest>('caller', 'ResumeRequest')
+
+/** What the routes for callers work with. */
+export interface CallerRoutesOptions {
+  readonly instance: string
+  readonly incarnation: string
+  readonly clock: Clock
+  readonly leases: LeaseRegistry
+  readonly requests: RequestService
+  readonly resumes: ResumeService
+  readonly resumeTokens: ResumeTokens
+  readonly dispatcher: Dispatcher
+  readonly heartbeatMs: number
+  readonly maxBodyBytes: number
+  readonly leaseMs: number
+  /** Tells whether requests and leases are taken. */
+  readonly getPhase: () => 'starting' | 'ready' | 'draining' | 'stopped'
+  readonly getRevision: () => number
+  readonly isHandingOver: () => boolean
+  readonly rankAddresses: (service: string, workspace: string) => AddressAnswer
+  /** Finds the base URL of another instance. */
+  readonly findInstanceUrl: (instance: string) => string | undefined
+}
+
+/** A request id that was found in a path. */
+interface RequestPath {
+  readonly name: LeaseName
+  readonly leaseText: string
+  readonly number: number
+  readonly offset: number
+}
+
+/** Where the requests of a lease are. */
+type LeaseLocation =
+  | { readonly at: 'here', readonly lease: Lease }
+  | { readonly at: 'elsewhere', readonly url: string }
+  | { readonly at: 'nowhere', readonly end: EndEvent }
+
+type RequestHandler = (context: RouteContext, path: RequestPath, lease: Lease, text: string | undefined) => Promise<void>
+
+/**
+ * Creates the routes of the HTTP interface for callers.
+ * @param options - What the routes work with.
+ */
+export function createCallerRoutes (options: CallerRoutesOptions): HttpRoute[] {
+  return [
+    { method: 'GET', path: '/v1/addresses', handle: context => answerAddresses(options, context) },
+    { method: 'POST', path: '/v1/leases', handle: async context => await grantLease(options, context) },
+    { method: 'PUT', path: '/v1/requests/*/*', handle: async context => await handleSubmit(options, context) },
+    { method: 'GET', path: '/v1/requests/*/*', handle: async context => await handleOwned(options, context, undefined, attachRequest(options)) },
+    { method: 'DELETE', path: '/v1/requests/*/*', handle: async context => await handleOwned(options, context, undefined, cancelRequest(options)) },
+    { method: 'POST', path: '/v1/resumes', handle: async context => await resumeGeneration(options, context) },
+    { method: 'DELETE', path: '/v1/resumes/*', handle: async context => await cancelGeneration(options, context) }
+  ]
+}
+
+function answerAddresses (options: CallerRoutesOptions, { outgoing, query }: RouteContext): void {
+  const service = query.get('service') ?? ''
+  const workspace = query.get('workspace') ?? ''
+  const missing = [['service', service], ['workspace', workspace]].filter(([, value]) => value === '')
+  if (missing.length > 0) {
+    const problems = missing.map(([field]) => ({ field: field ?? '', value: 'nothing', allowed: 'a value is required' }))
+    sendError(outgoing, 400, { error: 'invalidInput', message: 'the query is not complete', problems })
+    return
+  }
+  sendJson(outgoing, 200, options.rankAddresses(service, workspace))
+}
+
+async function grantLease (options: CallerRoutesOptions, { incoming, outgoing }: RouteContext): Promise<void> {
+  const body = await readBody(incoming, checkLeaseRequest, options.maxBodyBytes)
+  if (body.isErr) {
+    sendError(outgoing, body.error.status, body.error.body)
+    return
+  }
+  const phase = options.getPhase()
+  if (phase !== 'ready') {
+    const error = phase === 'starting' ? 'notReady' : 'draining'
+    sendError(outgoing, 503, { error, message: `the instance grants no leases while it is ${phase}` })
+    return
+  }
+  const lease = options.leases.grantLease(body.value.value.workspace)
+  const grant: LeaseGrant = {
+    lease: lease.text,
+    instance: options.instance,
+    incarnation: options.incarnation,
+    validForMs: options.leaseMs,
+    revision: options.getRevision()
+  }
+  sendJson(outgoing, 200, grant)
+}
+
+async function handleSubmit (options: CallerRoutesOptions, context: RouteContext): Promise<void> {
+  const body = await readBody(context.incoming, checkSubmitRequest, options.maxBodyBytes)
+  if (body.isErr) {
+    sendError(context.outgoing, body.error.status, body.error.body)
+    return
+  }
+  await handleOwned(options, context, body.value.text, submitRequest(options, body.value.value))
+}
+
+/** Handles a request at its owner, or forwards it there. */
+async function handleOwned (
+  options: CallerRoutesOptions, context: RouteContext, text: string | undefined, handle: RequestHandler
+): Promise<void> {
+  const path = parsePath(context)
+  if (path === undefined) {
+    sendError(context.outgoing, 400, describeBadPath(context))
+    return
+  }
+  const location = locateLease(options, context, path)
+  if (location.at === 'here') await handle(context, path, location.lease, text)
+  else if (location.at === 'elsewhere') await forwardToOwner(options, context, location.url, text)
+  else await sendEnd(context, location.end)
+}
+
+function parsePath ({ parts, query }: RouteContext): RequestPath | undefined {
+  const [leaseText = '', numberText = ''] = parts
+  const name = parseLease(leaseText).unwrapOr(undefined)
+  const number = Number(numberText)
+  const offset = Number(query.get('offset') ?? '0')
+  if (name === undefined || !/^\d+$/.test(numberText) || number > MAX_REQUEST_NUMBER) return undefined
+  if (!Number.isSafeInteger(offset) || offset < 0) return undefined
+  return { name, leaseText, number, offset }
+}
+
+function describeBadPath ({ parts, query }: RouteContext): Parameters<typeof sendError>[2] {
+  const value = JSON.stringify([...parts, query.get('offset')]).slice(0, 200)
+  const problems = [{ field: 'path', value, allowed: 'a lease, a whole number, and an offset that is a whole number' }]
+  return { error: 'invalidInput', message: 'the path does not name a request', problems }
+}
+
+function locateLease (options: CallerRoutesOptions, { incoming }: RouteContext, { name, leaseText }: RequestPath): LeaseLocation {
+  if (name.instance !== options.instance) {
+    const url = incoming.headers[FORWARDED_HEADER] === undefined ? options.findInstanceUrl(name.instance) : undefined
+    return url === undefined ? { at: 'nowhere', end: describeUnknown('ownerUnreachable') } : { at: 'elsewhere', url }
+  }
+  if (name.incarnation !== options.incarnation) return { at: 'nowhere', end: describeUnknown('ownerRestarted') }
+  const lease = options.leases.findLease(leaseText).unwrapOr(undefined)
+  return lease === undefined ? { at: 'nowhere', end: describeUnknown('leaseUnknown') } : { at: 'here', lease }
+}
+
+function describeUnknown (reason: EndEvent['reason']): EndEvent {
+  return { type: 'end', outcome: 'unknown', reason }
+}
+
+async function forwardToOwner (options: CallerRoutesOptions, context: RouteContext, ownerUrl: string, body: string | undefined): Promise<void> {
+  const { incoming, outgoing } = context
+  const result = await forwardRequest({ incoming, outgoing, body, ownerUrl, dispatcher: options.dispatcher })
+  if (result === 'ownerUnreachable') await sendEnd(context, describeUnknown('ownerUnreachable'))
+  if (result === 'cut') outgoing.destroy()
+}
+
+async function sendEnd ({ incoming, outgoing }: RouteContext, end: EndEvent): Promise<void> {
+  if (incoming.method === 'DELETE') sendJson(outgoing, 200, end)
+  else await sendEvents(outgoing, listEvents(end))
+}
+
+async function * listEvents (...events: StreamEvent[]): AsyncGenerator<StreamEvent> {
+  yield * events
+}
+
+function submitRequest (options: CallerRoutesOptions, body: SubmitRequest): RequestHandler {
+  return async (context, path, lease) => {
+    if (options.getPhase() === 'starting') {
+      sendError(context.outgoing, 503, { error: 'notReady', message: 'the instance is starting' })
+      return
+    }
+    const entry = options.requests.submitRequest(lease, path.number, body)
+    if (entry.isErr) {
+      const message = entry.error === 'conflict' ? 'the number was used for another body' : 'the lease holds too many requests'
+      sendError(context.outgoing, entry.error === 'conflict' ? 409 : 503, { error: entry.error === 'conflict' ? 'conflict' : 'notReady', message })
+      return
+    }
+    if (body.replaces !== undefined) options.resumes.cancelGeneration(body.replaces)
+    await sendRequestEvents(options, context, entry.value, path.offset)
+  }
+}
+
+function attachRequest (options: CallerRoutesOptions): RequestHandler {
+  return async (context, path, lease) => {
+    const entry = options.requests.findRequest(lease, path.number).unwrapOr(undefined)
+    if (entry === undefined) sendError(context.outgoing, 404, { error: 'notFound', message: 'the lease has no request of this number' })
+    else await sendRequestEvents(options, context, entry, path.offset)
+  }
+}
+
+function cancelRequest (options: CallerRoutesOptions): RequestHandler {
+  return async (context, path, lease) => {
+    sendJson(context.outgoing, 200, await options.requests.cancelRequest(lease, path.number))
+  }
+}
+
+async function sendRequestEvents (options: CallerRoutesOptions, { outgoing }: RouteContext, entry: RequestEntry, offset: number): Promise<void> {
+  const { clock, heartbeatMs, isHandingOver } = options
+  const signal = createCloseSignal(outgoing)
+  await sendEvents(outgoing, readEvents({ entry, offset, clock, heartbeatMs, signal, isHandingOver }))
+}
+
+function createCloseSignal (outgoing: RouteContext['outgoing']): AbortSignal {
+  const closed = new AbortController()
+  outgoing.once('close', () => closed.abort())
+  return closed.signal
+}
+
+async function resumeGeneration (options: CallerRoutesOptions, { incoming, outgoing }: RouteContext): Promise<void> {
+  const body = await readBody(incoming, checkResumeRequest, options.maxBodyBytes)
+  if (body.isErr) {
+    sendError(outgoing, body.error.status, body.error.body)
+    return
+  }
+  const { resumeToken, offset } = body.value.value
+  const name = options.resumeTokens.decodeToken(resumeToken).unwrapOr(undefined)
+  if (name === undefined) {
+    sendError(outgoing, 403, { error: 'forbidden', message: 'the resume token is not one of this fleet' })
+    return
+  }
+  await sendEvents(outgoing, options.resumes.readResumed({ name, resumeToken, offset, signal: createCloseSignal(outgoing) }))
+}
+
+async function cancelGeneration (options: CallerRoutesOptions, { parts, outgoing }: RouteContext): Promise<void> {
+  await options.resumes.cancelGeneration(parts[0] ?? '')
+  outgoing.writeHead(204)
+  outgoing.end()
+}
--- /dev/null
+++ b/packages/daemon/src/http/createOperatorRoutes.ts
@@ -0,0 +1,46 @@
+import { type AuditTrail } from '@fescuespoke/common'
+import { type Explanation, type InstanceStatus } from '@fescuespoke/schema'
+import { type Maybe } from 'true-myth'
+import { type HttpRoute } from './HttpRoute.js'
+import { sendError, sendJson } from './sendAnswer.js'
+
+/** What the routes for operators work with. */
+export interface OperatorRoutesOptions {
+  readonly getStatus: () => InstanceStatus
+  readonly audit: AuditTrail
+  readonly findExplanation: (request: string) => Maybe<Explanation>
+}
+
+/**
+ * Creates the routes of the HTTP interface for operators. None of them changes anything.
+ * @param options - What the routes work with.
+ */
+export function createOperatorRoutes (options: OperatorRoutesOptions): HttpRoute[] {
+  const { getStatus, audit, findExplanation } = options
+  return [
+    {
+      method: 'GET',
+      path: '/health',
+      handle: ({ outgoing }) => {
+        const { phase } = getStatus()
+        sendJson(outgoing, phase === 'ready' ? 200 : 503, { alive: true, ready: phase === 'ready', phase })
+      }
+    },
+    { method: 'GET', path: '/v1/status', handle: ({ outgoing }) => sendJson(outgoing, 200, getStatus()) },
+    {
+      method: 'GET',
+      path: '/v1/audit',
+      handle: ({ outgoing, query }) => sendJson(outgoing, 200, audit.getPage(Number(query.get('after') ?? '0') || 0))
+    },
+    {
+      method: 'GET',
+      path: '/v1/explanations/*',
+      handle: ({ outgoing, parts }) => {
+        findExplanation(parts[0] ?? '').match({
+          Just: explanation => sendJson(outgoing, 200, explanation),
+          Nothing: () => sendError(outgoing, 404, { error: 'notFound', message: 'this instance does not remember the request' })
+        })
+      }
+    }
+  ]
+}
--- /dev/null
+++ b/packages/daemon/src/http/readBody.ts
@@ -0,0 +1,59 @@
+import { type IncomingMessage } from 'node:http'
+import { type ErrorBody, type Validator } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+
+/** A body that can't be taken, with the HTTP status that says so. */
+export interface BodyError {
+  readonly status: 400 | 413
+  readonly body: ErrorBody
+}
+
+/** A checked body and its text. */
+export interface CheckedBody<T> {
+  readonly value: T
+  readonly text: string
+}
+
+/**
+ * Reads and checks a JSON body.
+ * @param incoming - The request.
+ * @param check - Checks the value.
+ * @param maxBytes - Largest size in bytes.
+ */
+export async function readBody<T> (incoming: IncomingMessage, check: Validator<T>, maxBytes: number): Promise<Result<CheckedBody<T>, BodyError>> {
+  const text = await readText(incoming, maxBytes)
+  if (text === undefined) return Result.err(describeTooLarge(maxBytes))
+  const parsed = parseJson(text)
+  if (parsed.isErr) return Result.err(describeNotJson(text))
+  return check(parsed.value)
+    .map(value => ({ value, text }))
+    .mapErr(problems => ({ status: 400, body: { error: 'invalidInput', message: 'the body does not match its schema', problems } }))
+}
+
+async function readText (incoming: IncomingMessage, maxBytes: number): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of incoming as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size <= maxBytes) chunks.push(chunk)
+    else chunks.length = 0
+  }
+  return size > maxBytes ? undefined : Buffer.concat(chunks).toString('utf8')
+}
+
+function parseJson (text: string): Result<unknown, 'notJson'> {
+  try {
+    return Result.ok(JSON.parse(text))
+  } catch {
+    return Result.err('notJson')
+  }
+}
+
+function describeTooLarge (maxBytes: number): BodyError {
+  return { status: 413, body: { error: 'tooLarge', message: `the body has more than ${maxBytes} bytes` } }
+}
+
+function describeNotJson (text: string): BodyError {
+  const problem = { field: 'body', value: JSON.stringify(text.slice(0, 80)), allowed: 'JSON' }
+  return { status: 400, body: { error: 'invalidInput', message: 'the body is not JSON', problems: [problem] } }
+}
--- /dev/null
+++ b/packages/daemon/src/leases/LeaseRegistry.ts
@@ -0,0 +1,96 @@
+import { type Clock, type Random } from '@fescuespoke/common'
+import { Maybe } from 'true-myth'
+import { type RequestEntry } from '../requests/RequestEntry.js'
+import { formatLease, type LeaseName } from './LeaseName.js'
+
+/** Number of random bytes in a lease. */
+const SECRET_BYTES = 16
+
+/** A lease that this incarnation granted. */
+export interface Lease {
+  readonly name: LeaseName
+  readonly text: string
+  readonly workspace: string
+  /** Reading of the clock after which no new request is admitted. */
+  readonly expiresMs: number
+  /** Requests by the caller's number. */
+  readonly requests: Map<number, RequestEntry>
+}
+
+/** Options of a lease registry. */
+export interface LeaseRegistryOptions {
+  readonly instance: string
+  readonly incarnation: string
+  readonly clock: Clock
+  readonly random: Random
+  /** Life of a lease in milliseconds. */
+  readonly leaseMs: number
+  /** Time after expiry in milliseconds during which requests stay known. */
+  readonly retentionMs: number
+}
+
+/** Holds the leases of one incarnation and, through them, every request that it owns. */
+export class LeaseRegistry {
+  /**
+   * Creates an empty registry.
+   * @param options - Options of the registry.
+   */
+  static create (options: LeaseRegistryOptions): LeaseRegistry {
+    return new LeaseRegistry(options)
+  }
+
+  private readonly leases = new Map<string, Lease>()
+  private nextSerial = 1
+
+  /** @internal */
+  private constructor (private readonly options: LeaseRegistryOptions) {}
+
+  /**
+   * Grants a lease to a workspace.
+   * @param workspace - Name of the workspace.
+   */
+  grantLease (workspace: string): Lease {
+    this.pruneLeases()
+    const { instance, incarnation, clock, random, leaseMs } = this.options
+    const name = { instance, incarnation, serial: this.nextSerial++, secret: random.nextText(SECRET_BYTES) }
+    const text = formatLease(name)
+    const lease: Lease = { name, text, workspace, expiresMs: clock.nowMs() + leaseMs, requests: new Map() }
+    this.leases.set(text, lease)
+    return lease
+  }
+
+  /**
+   * Finds a lease that is still remembered, expired or not.
+   * @param text - Text of the lease.
+   */
+  findLease (text: string): Maybe<Lease> {
+    return Maybe.of(this.leases.get(text))
+  }
+
+  /**
+   * Tells whether a lease admits new requests.
+   * @param lease - The lease.
+   */
+  isLive (lease: Lease): boolean {
+    return this.options.clock.nowMs() < lease.expiresMs
+  }
+
+  /** Lists all requests that are remembered. */
+  listRequests (): RequestEntry[] {
+    return [...this.leases.values()].flatMap(lease => [...lease.requests.values()])
+  }
+
+  /** Removes leases whose retention time has passed and whose requests have ended. */
+  pruneLeases (): void {
+    const nowMs = this.options.clock.nowMs()
+    for (const [text, lease] of this.leases) {
+      if (nowMs < lease.expiresMs + this.options.retentionMs) continue
+      if ([...lease.requests.values()].every(request => request.isEnded())) this.leases.delete(text)
+    }
+  }
+
+  /** Counts the leases that are remembered. */
+  countLeases (): number {
+    return this.leases.size
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/RequestService.ts
@@ -0,0 +1,184 @@
+import { createHash } from 'node:crypto'
+import { type Clock, type Service, type ServiceKind, type Snapshot } from '@fescuespoke/common'
+import { type EndEvent, type Reason, type SubmitRequest } from '@fescuespoke/schema'
+import { Maybe, Result } from 'true-myth'
+import { runCall } from '../dispatch/runCall.js'
+import { runGeneration } from '../dispatch/runGeneration.js'
+import { endCancelled, type RequestRunner, type RunnerTools } from '../dispatch/RequestRunner.js'
+import { formatRequestId } from '../leases/LeaseName.js'
+import { type Lease, type LeaseRegistry } from '../leases/LeaseRegistry.js'
+import { RequestEntry } from './RequestEntry.js'
+
+/** Why a request was not taken; it is not an outcome of the request. */
+export type SubmitError = 'conflict' | 'overloaded'
+
+const REQUEST_RUNNERS: Record<ServiceKind, RequestRunner> = { generation: runGeneration, call: runCall }
+
+/** Answer to cancelling a call that has been sent. */
+const CALL_IN_PROGRESS: EndEvent = {
+  type: 'end',
+  outcome: 'unknown',
+  reason: 'cancelledByCaller',
+  detail: 'the call was sent and has no reply so far'
+}
+
+/** Options of a request service. */
+export interface RequestServiceOptions {
+  readonly clock: Clock
+  readonly leases: LeaseRegistry
+  readonly tools: RunnerTools
+  readonly getSnapshot: () => Snapshot
+  /** Tells whether new requests are refused because the instance stops. */
+  readonly isRefusing: () => boolean
+  readonly defaultDeadlineMs: number
+  /** Requests remembered at once. */
+  readonly maxRequests: number
+  /** Time in milliseconds that tokens stay readable after the end of their request. */
+  readonly answerRetentionMs: number
+}
+
+/** Takes requests of this incarnation's leases and runs each number at most once. */
+export class RequestService {
+  /**
+   * Creates a service.
+   * @param options - Options of the service.
+   */
+  static create (options: RequestServiceOptions): RequestService {
+    return new RequestService(options)
+  }
+
+  private readonly running = new Set<RequestEntry>()
+
+  /** @internal */
+  private constructor (private readonly options: RequestServiceOptions) {}
+
+  /**
+   * Submits a request, or finds the one that has the number already.
+   * @param lease - Lease of the request.
+   * @param number - The caller's number.
+   * @param body - The request.
+   */
+  submitRequest (lease: Lease, number: number, body: SubmitRequest): Result<RequestEntry, SubmitError> {
+    const digest = computeDigest(body)
+    const known = lease.requests.get(number)
+    if (known !== undefined) return known.options.digest === digest || known.options.digest === '' ? Result.ok(known) : Result.err('conflict')
+    if (lease.requests.size >= this.options.maxRequests) return Result.err('overloaded')
+    const entry = this.createEntry(lease, number, body, digest)
+    lease.requests.set(number, entry)
+    this.startEntry(lease, entry)
+    return Result.ok(entry)
+  }
+
+  /**
+   * Finds a request that has been submitted or cancelled.
+   * @param lease - Lease of the request.
+   * @param number - The caller's number.
+   */
+  findRequest (lease: Lease, number: number): Maybe<RequestEntry> {
+    return Maybe.of(lease.requests.get(number))
+  }
+
+  /**
+   * Cancels a request. One that has never been submitted is kept from running later.
+   * @param lease - Lease of the request.
+   * @param number - The caller's number.
+   */
+  async cancelRequest (lease: Lease, number: number): Promise<EndEvent> {
+    const known = lease.requests.get(number)
+    const entry = known ?? this.createTombstone(lease, number)
+    if (entry.getPhase() === 'waiting') endCancelled(entry)
+    if (entry.options.service.kind === 'generation' || entry.getPhase() !== 'dispatched') entry.cancellation.abort()
+    while (!entry.isEnded() && entry.options.service.kind === 'generation') await this.waitForEnd(entry)
+    return entry.getEnd().unwrapOr(CALL_IN_PROGRESS)
+  }
+
+  /** Counts the requests in progress. */
+  countRunning (): number {
+    return this.running.size
+  }
+
+  /** Lists the requests in progress. */
+  listRunning (): RequestEntry[] {
+    return [...this.running]
+  }
+
+  private startEntry (lease: Lease, entry: RequestEntry): void {
+    const refusal = this.findRefusal(lease, entry)
+    if (refusal.isJust) {
+      entry.setEnd({ outcome: 'notRun', reason: refusal.value, retryAfterMs: 0 })
+      this.options.tools.observer.observeEnd(entry)
+      return
+    }
+    this.running.add(entry)
+    this.runEntry(entry)
+  }
+
+  private async runEntry (entry: RequestEntry): Promise<void> {
+    const { clock, tools, answerRetentionMs } = this.options
+    await REQUEST_RUNNERS[entry.options.service.kind](entry, tools)
+    this.running.delete(entry)
+    tools.observer.observeEnd(entry)
+    clock.startTimer(answerRetentionMs, () => entry.dropAnswer())
+  }
+
+  private findRefusal (lease: Lease, entry: RequestEntry): Maybe<Reason> {
+    const { leases, isRefusing, maxRequests, getSnapshot } = this.options
+    if (!leases.isLive(lease)) return Maybe.just('leaseExpired')
+    if (isRefusing()) return Maybe.just('draining')
+    if (this.running.size >= maxRequests) return Maybe.just('queueFull')
+    if (!isConfigured(getSnapshot(), lease.workspace, entry.options.service.name)) return Maybe.just('notConfigured')
+    return Maybe.nothing()
+  }
+
+  private createEntry (lease: Lease, number: number, body: SubmitRequest, digest: string): RequestEntry {
+    const { clock, defaultDeadlineMs, getSnapshot } = this.options
+    const snapshot = getSnapshot()
+    const service = snapshot.services.get(body.service) ?? createUnknownService(body.service, defaultDeadlineMs)
+    return RequestEntry.create({
+      id: formatRequestId(lease.name, number),
+      workspace: lease.workspace,
+      body,
+      digest,
+      service,
+      snapshot,
+      priority: body.priority ?? service.overrides.get(lease.workspace)?.priority ?? service.priority,
+      clock,
+      deadlineMs: clock.nowMs() + Math.min(body.deadlineMs ?? service.deadlineMs, service.deadlineMs)
+    })
+  }
+
+  private createTombstone (lease: Lease, number: number): RequestEntry {
+    const entry = this.createEntry(lease, number, { service: '' }, '')
+    lease.requests.set(number, entry)
+    return entry
+  }
+
+  private async waitForEnd (entry: RequestEntry): Promise<void> {
+    await new Promise<void>(resolve => { entry.changes.addWaiter(resolve) })
+  }
+}
+
+function computeDigest (body: SubmitRequest): string {
+  const { replaces, ...rest } = body
+  return createHash('sha256').update(JSON.stringify(rest)).digest('base64')
+}
+
+function isConfigured (snapshot: Snapshot, workspace: string, service: string): boolean {
+  const found = snapshot.workspaces.get(workspace)
+  if (found === undefined || !snapshot.services.has(service)) return false
+  return found.services === undefined || found.services.includes(service)
+}
+
+function createUnknownService (name: string, deadlineMs: number): Service {
+  return {
+    name,
+    kind: 'call',
+    idempotent: false,
+    delivery: 'whole',
+    priority: 'normal',
+    deadlineMs,
+    targets: [],
+    copies: 0,
+    overrides: new Map()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/readEvents.ts
@@ -0,0 +1,108 @@
+import { type Clock } from '@fescuespoke/common'
+import { type StreamEvent } from '@fescuespoke/schema'
+import { type ReaderPosition, type RequestEntry } from './RequestEntry.js'
+
+/** Most tokens in one event. */
+const MAX_TOKENS_PER_EVENT = 256
+
+/** Options of reading a request's events. */
+export interface ReadEventsOptions {
+  readonly entry: RequestEntry
+  /** Number of tokens that the reader has already. */
+  readonly offset: number
+  readonly clock: Clock
+  /** Longest silence in milliseconds. */
+  readonly heartbeatMs: number
+  /** Ends the reading when the reader is gone. */
+  readonly signal: AbortSignal
+  /** Tells whether readers are being sent to another instance. */
+  readonly isHandingOver: () => boolean
+}
+
+/**
+ * Reads a request from a token offset to its end. Tokens of a whole answer come only when it is complete.
+ * @param options - Options of the reader.
+ */
+export async function * readEvents (options: ReadEventsOptions): AsyncGenerator<StreamEvent, void, undefined> {
+  const { entry, signal } = options
+  const position: ReaderPosition = { offset: options.offset }
+  const removeReader = entry.addReader(position)
+  try {
+    yield { type: 'accepted', request: entry.options.id, delivery: entry.getDelivery() }
+    yield * readChanges(options, position)
+  } finally {
+    removeReader()
+    if (!signal.aborted) entry.changes.notifyAll()
+  }
+}
+
+async function * readChanges (options: ReadEventsOptions, position: ReaderPosition): AsyncGenerator<StreamEvent, void, undefined> {
+  const { entry, signal } = options
+  let announced: string | undefined
+  while (!signal.aborted) {
+    const generation = entry.getGeneration().unwrapOr(undefined)
+    if (generation !== undefined && generation.generation !== announced) {
+      announced = generation.generation
+      yield generation
+    } else if (mustResumeElsewhere(options, position)) {
+      yield { type: 'handover' }
+      return
+    } else if (hasReadableTokens(entry, position)) {
+      yield takeTokens(entry, position)
+    } else if (entry.isEnded()) {
+      yield * readEnd(entry)
+      return
+    } else if (!await waitForChange(options)) {
+      yield { type: 'heartbeat' }
+    }
+  }
+}
+
+function mustResumeElsewhere (options: ReadEventsOptions, position: ReaderPosition): boolean {
+  const { entry } = options
+  if (entry.getGeneration().isNothing || entry.tokens.getEndOffset() === 0) return false
+  return position.offset < entry.tokens.getFirstOffset() || (options.isHandingOver() && !entry.isEnded())
+}
+
+function hasReadableTokens (entry: RequestEntry, position: ReaderPosition): boolean {
+  if (position.offset >= entry.tokens.getEndOffset()) return false
+  return entry.getDelivery() === 'stream' || isComplete(entry)
+}
+
+function isComplete (entry: RequestEntry): boolean {
+  return entry.getEnd().mapOr(false, ({ outcome }) => outcome === 'complete')
+}
+
+function takeTokens (entry: RequestEntry, position: ReaderPosition): StreamEvent {
+  const offset = position.offset
+  const tokens = entry.tokens.listTokens(offset, MAX_TOKENS_PER_EVENT)
+  const generation = entry.getGeneration().mapOr('', ({ generation: name }) => name)
+  entry.recordDelivery()
+  position.offset += tokens.length
+  entry.changes.notifyAll()
+  return { type: 'tokens', generation, offset, tokens }
+}
+
+function * readEnd (entry: RequestEntry): Generator<StreamEvent, void, undefined> {
+  const reply = entry.getReply().unwrapOr(undefined)
+  if (reply !== undefined) yield reply
+  const end = entry.getEnd().unwrapOr(undefined)
+  if (end !== undefined) yield end
+}
+
+/** Waits for a change; tells whether one came before a heartbeat was due. */
+async function waitForChange (options: ReadEventsOptions): Promise<boolean> {
+  const { entry, clock, heartbeatMs, signal } = options
+  return await new Promise<boolean>(resolve => {
+    const finish = (changed: boolean): void => {
+      removeWaiter()
+      cancelTimer()
+      signal.removeEventListener('abort', wake)
+      resolve(changed)
+    }
+    const wake = (): void => finish(true)
+    const removeWaiter = entry.changes.addWaiter(wake)
+    const cancelTimer = clock.startTimer(heartbeatMs, () => finish(false))
+    signal.addEventListener('abort', wake)
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/targets/HttpTargetClient.ts
@@ -0,0 +1,174 @@
+import { type Clock, JsonLineError, readJsonLines, type Target } from '@fescuespoke/common'
+import {
+  type CacheEvent, type CacheEvents, createValidator, type EngineEvent, type TargetState, type Validator
+} from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { Agent, type Dispatcher, request } from 'undici'
+import { sendCallOnce } from './sendCallOnce.js'
+import {
+  type CallError, type CallOptions, type CallReply, type GenerationEvents, type GenerationOptions, type TargetClient,
+  type TargetError
+} from './TargetClient.js'
+
+/** Longest line of a response stream, in characters. */
+const MAX_LINE_CHARACTERS = 1_048_576
+
+const checkEvent: Validator<EngineEvent> = createValidator('platform', 'EngineEvent')
+const checkState: Validator<TargetState> = createValidator('platform', 'TargetState')
+const checkCacheEvents: Validator<CacheEvents> = createValidator('platform', 'CacheEvents')
+
+/** Options of a target client. */
+export interface HttpTargetClientOptions {
+  readonly clock: Clock
+  /** Longest wait for a connection in milliseconds. */
+  readonly connectTimeoutMs: number
+  /** Silence in milliseconds after which a connection is given up. */
+  readonly silenceMs: number
+}
+
+/** Speaks the published protocols of targets over HTTP. */
+export class HttpTargetClient implements TargetClient {
+  /**
+   * Creates a client.
+   * @param options - Options of the client.
+   */
+  static create (options: HttpTargetClientOptions): HttpTargetClient {
+    return new HttpTargetClient(options)
+  }
+
+  private readonly agent: Agent
+
+  /** @internal */
+  private constructor (private readonly options: HttpTargetClientOptions) {
+    this.agent = new Agent({ connect: { timeout: options.connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, pipelining: 1 })
+  }
+
+  /** @inheritdoc */
+  async * openGeneration (target: Target, options: GenerationOptions): GenerationEvents {
+    const abort = new AbortController()
+    const forwardAbort = (): void => abort.abort()
+    options.signal.addEventListener('abort', forwardAbort)
+    const watchdog = this.createWatchdog(abort)
+    try {
+      yield * this.readGeneration(target, options, abort.signal, watchdog.restart)
+    } catch (error) {
+      yield Result.err(watchdog.hasFired() ? 'silent' : classifyError(error, options.signal))
+    } finally {
+      watchdog.stop()
+      options.signal.removeEventListener('abort', forwardAbort)
+      abort.abort()
+    }
+  }
+
+  /** @inheritdoc */
+  async cancelGeneration (target: Target, generation: string): Promise<Result<null, TargetError>> {
+    const answer = await this.fetchJson(target, `/v1/generations/${encodeURIComponent(generation)}`, 'DELETE')
+    return answer.map(() => null)
+  }
+
+  /** @inheritdoc */
+  async sendCall (target: Target, options: CallOptions): Promise<Result<CallReply, CallError>> {
+    return await sendCallOnce(target, options, this.options)
+  }
+
+  /** @inheritdoc */
+  async fetchState (target: Target): Promise<Result<TargetState, TargetError>> {
+    return (await this.fetchJson(target, '/v1/state', 'GET')).andThen(body => convertChecked(checkState(body)))
+  }
+
+  /** @inheritdoc */
+  async fetchCacheEvents (target: Target, after: number): Promise<Result<CacheEvent[], TargetError>> {
+    const answer = await this.fetchJson(target, `/v1/cache-events?after=${after}`, 'GET')
+    return answer.andThen(body => convertChecked(checkCacheEvents(body))).map(({ events }) => events)
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async * readGeneration (
+    target: Target, options: GenerationOptions, signal: AbortSignal, restartWatchdog: () => void
+  ): GenerationEvents {
+    if (options.canSend?.() === false) {
+      yield Result.err('withheld')
+      return
+    }
+    const response = await this.requestGeneration(target, options, signal)
+    if (response.statusCode !== 200) {
+      await response.body.dump()
+      yield Result.err(response.statusCode === 404 ? 'notFound' : 'refused')
+      return
+    }
+    for await (const line of readJsonLines(response.body, MAX_LINE_CHARACTERS)) {
+      restartWatchdog()
+      const event = checkEvent(line)
+      if (event.isErr) throw new JsonLineError('notJson', 'an engine event does not match its schema')
+      yield Result.ok(event.value)
+      if (event.value.type === 'end') return
+      restartWatchdog()
+    }
+    yield Result.err('cut')
+  }
+
+  private async requestGeneration (target: Target, options: GenerationOptions, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const url = `${target.url}/v1/generations/${encodeURIComponent(options.generation)}?offset=${options.offset}`
+    const start = options.spec === undefined
+      ? { method: 'GET' as const }
+      : { method: 'PUT' as const, body: JSON.stringify(options.spec), headers: { 'content-type': 'application/json' } }
+    return await request(url, { ...start, signal, dispatcher: this.agent })
+  }
+
+  private async fetchJson (target: Target, path: string, method: 'GET' | 'DELETE'): Promise<Result<unknown, TargetError>> {
+    const abort = new AbortController()
+    const watchdog = this.createWatchdog(abort)
+    try {
+      const response = await request(`${target.url}${path}`, { method, signal: abort.signal, dispatcher: this.agent })
+      if (response.statusCode === 204) return Result.ok(null)
+      const body = await response.body.json()
+      return response.statusCode === 200 ? Result.ok(body) : Result.err(response.statusCode === 404 ? 'notFound' : 'refused')
+    } catch (error) {
+      return Result.err(watchdog.hasFired() ? 'silent' : classifyError(error, undefined))
+    } finally {
+      watchdog.stop()
+    }
+  }
+
+  private createWatchdog (abort: AbortController): Watchdog {
+    const { clock, silenceMs } = this.options
+    let fired = false
+    const fire = (): void => {
+      fired = true
+      abort.abort()
+    }
+    let cancel = clock.startTimer(silenceMs, fire)
+    return {
+      restart: () => {
+        cancel()
+        cancel = clock.startTimer(silenceMs, fire)
+      },
+      stop: () => cancel(),
+      hasFired: () => fired
+    }
+  }
+}
+
+interface Watchdog {
+  restart(): void
+  stop(): void
+  hasFired(): boolean
+}
+
+const UNREACHABLE_CODES: ReadonlySet<string> =
+  new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'ETIMEDOUT'])
+
+function classifyError (error: unknown, signal: AbortSignal | undefined): TargetError {
+  if (signal?.aborted === true) return 'aborted'
+  if (error instanceof JsonLineError || error instanceof SyntaxError) return 'malformed'
+  const code = (error as { code?: string }).code ?? ''
+  return UNREACHABLE_CODES.has(code) ? 'unreachable' : 'cut'
+}
+
+function convertChecked<T> (checked: Result<T, unknown>): Result<T, TargetError> {
+  return checked.mapErr(() => 'malformed' as const)
+}
--- /dev/null
+++ b/packages/daemon/src/targets/sendCallOnce.ts
@@ -0,0 +1,89 @@
+import { request as requestHttp, type IncomingMessage } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import { type Clock, type Target } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { type CallError, type CallOptions, type CallReply } from './TargetClient.js'
+
+/** Largest reply in bytes. */
+const MAX_REPLY_BYTES = 4_194_304
+
+/** Limits of a call. */
+export interface CallLimits {
+  readonly clock: Clock
+  /** Longest wait for a connection in milliseconds. */
+  readonly connectTimeoutMs: number
+}
+
+/**
+ * Sends a call on a new connection, once. The connection stands before the first byte is sent, so a failure to
+ * connect is known to have sent nothing.
+ * @param target - The target.
+ * @param options - Options of the call.
+ * @param limits - Limits of the call.
+ */
+export async function sendCallOnce (target: Target, options: CallOptions, limits: CallLimits): Promise<Result<CallReply, CallError>> {
+  const url = new URL('/v1/calls', target.url)
+  const socket = await openSocket(url, limits)
+  if (socket === undefined) return Result.err('notSent')
+  if (!options.canSend()) {
+    socket.destroy()
+    return Result.err('withheld')
+  }
+  const cancelTimer = limits.clock.startTimer(options.timeoutMs, () => socket.destroy())
+  try {
+    const response = await exchange(url, socket, options)
+    return Result.ok({ status: response.statusCode ?? 0, body: await readReply(response) })
+  } catch {
+    return Result.err('replyLost')
+  } finally {
+    cancelTimer()
+    socket.destroy()
+  }
+}
+
+async function openSocket (url: URL, limits: CallLimits): Promise<Socket | undefined> {
+  return await new Promise(resolve => {
+    const socket = connect({ host: url.hostname, port: Number(url.port === '' ? 80 : url.port) })
+    const giveUp = (): void => {
+      cancelTimer()
+      socket.destroy()
+      resolve(undefined)
+    }
+    const cancelTimer = limits.clock.startTimer(limits.connectTimeoutMs, giveUp)
+    socket.on('error', giveUp)
+    socket.once('connect', () => {
+      cancelTimer()
+      resolve(socket)
+    })
+  })
+}
+
+async function exchange (url: URL, socket: Socket, options: CallOptions): Promise<IncomingMessage> {
+  return await new Promise((resolve, reject) => {
+    const request = requestHttp(url, {
+      method: 'POST',
+      agent: false,
+      createConnection: () => socket,
+      headers: {
+        'content-type': 'application/json',
+        'fescuespoke-request': options.request,
+        'fescuespoke-remaining-ms': String(Math.max(0, Math.round(options.remainingMs)))
+      }
+    })
+    request.on('response', resolve)
+    request.on('error', reject)
+    request.end(JSON.stringify(options.body ?? null))
+  })
+}
+
+async function readReply (response: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of response as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > MAX_REPLY_BYTES) throw new Error('reply too large')
+    chunks.push(chunk)
+  }
+  if (!response.complete) throw new Error('reply cut')
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'))
+}
