--- a/packages/caller/src/answer/AnswerBuffer.ts
+++ b/packages/caller/src/answer/AnswerBuffer.ts
@@ -32,6 +32,7 @@
     tokens: event => this.observeTokens(event),
     reply: event => this.observeReply(event),
     heartbeat: () => READ_ON,
+    handover: () => READ_ON,
     end: () => READ_ON
   }
 
