Add the metrics registry

Cause: operators need stall time, preemptions, token intervals and the other figures in one place, within 32 MB a node. Change: a table of metrics, counters, gauges and histograms of hdr-histogram-js behind MetricsRegistry, a bound on the series of each metric beyond which open labels read other, quantiles over the last one to two minutes, a JSON reading in the operators' schema and text exposition formatted by prom-client.

--- /dev/null
+++ b/packages/common/src/metrics/formatExposition.ts
@@ -0,0 +1,50 @@
+import { type MetricReading, type MetricSeriesReading, type MetricsReading } from '@fescuespoke/schema'
+import { type Metric, Registry } from 'prom-client'
+
+interface Sample {
+  readonly metricName: string
+  readonly labels: Readonly<Record<string, string | number>>
+  readonly value: number
+}
+
+type SampleLister = (name: string, series: MetricSeriesReading) => Sample[]
+
+/** A distribution is exposed as a summary, since its quantiles are computed by the instance. */
+const EXPOSED_TYPES: Record<MetricReading['kind'], string> = { counter: 'counter', gauge: 'gauge', histogram: 'summary' }
+
+const SAMPLE_LISTERS: Record<MetricReading['kind'], SampleLister> = {
+  counter: listValue,
+  gauge: listValue,
+  histogram: listQuantiles
+}
+
+/**
+ * Formats metrics as text exposition, version 0.0.4.
+ * @param reading - The metrics.
+ */
+export async function formatExposition (reading: MetricsReading): Promise<string> {
+  const registry = new Registry()
+  for (const metric of reading.metrics) registry.registerMetric(convertMetric(metric))
+  return await registry.metrics()
+}
+
+function convertMetric ({ exposedName: name, help, kind, series }: MetricReading): Metric {
+  const values = series.flatMap(one => SAMPLE_LISTERS[kind](name, one))
+  const exposed = { name, help, type: EXPOSED_TYPES[kind], aggregator: 'sum', values }
+  return { ...exposed, get: async () => exposed } as unknown as Metric
+}
+
+function listValue (metricName: string, { labels, value = 0 }: MetricSeriesReading): Sample[] {
+  return [{ metricName, labels, value }]
+}
+
+function listQuantiles (name: string, { labels, count = 0, sum = 0, recent }: MetricSeriesReading): Sample[] {
+  const quantiles: Array<[string, number]> = recent === undefined
+    ? []
+    : [['0.5', recent.p50], ['0.95', recent.p95], ['0.99', recent.p99], ['0.999', recent.p999], ['1', recent.max]]
+  return [
+    ...quantiles.map(([quantile, value]) => ({ metricName: name, labels: { ...labels, quantile }, value })),
+    { metricName: `${name}_sum`, labels, value: sum },
+    { metricName: `${name}_count`, labels, value: count }
+  ]
+}
--- /dev/null
+++ b/packages/common/src/metrics/index.ts
@@ -0,0 +1,6 @@
+export * from './metricDefinitions.js'
+export * from './MetricFamily.js'
+export * from './MetricSeries.js'
+export * from './MetricsRegistry.js'
+export * from './formatExposition.js'
+export * from './readProcessUsage.js'
