--- a/packages/configuration/src/records/AcceptedRecords.ts
+++ b/packages/configuration/src/records/AcceptedRecords.ts
@@ -1,5 +1,5 @@
 import { EMPTY_SNAPSHOT, type Service, type Snapshot, type Target, type Workspace } from '@fescuespoke/common'
-import { type RefusedRecord } from '@fescuespoke/schema'
+import { type KeptRecord, type RefusedRecord } from '@fescuespoke/schema'
 
 /** Kind of a record. */
 export type RecordKind = 'service' | 'target' | 'workspace'
@@ -51,13 +51,6 @@
   readonly resolvedTargets?: readonly string[]
 }
 
-/** A record that stays in force although the published values no longer hold it in an acceptable form. */
-export interface KeptRecord {
-  readonly key: string
-  readonly revision: number
-  readonly text: string
-}
-
 /** Everything in force at one revision, with what was refused and what was kept instead. */
 export interface AcceptedRecords {
   readonly revision: number
--- a/packages/configuration/src/records/convertRecords.ts
+++ b/packages/configuration/src/records/convertRecords.ts
@@ -1,10 +1,9 @@
 import { type Service, type Snapshot, type Target, type Workspace } from '@fescuespoke/common'
-import { type RefusedRecord } from '@fescuespoke/schema'
+import { type KeptRecord, type RefusedRecord } from '@fescuespoke/schema'
 import {
   type AcceptedRecord,
   type AcceptedRecords,
   formatRecordId,
-  type KeptRecord,
   NO_ACCEPTED_RECORDS,
   type RecordContent,
   type RecordKind,
--- a/packages/configuration/src/view/ConfigurationView.ts
+++ b/packages/configuration/src/view/ConfigurationView.ts
@@ -1,6 +1,6 @@
 import { type AuditTrail, type Clock, type Snapshot } from '@fescuespoke/common'
-import { type RefusedRecord } from '@fescuespoke/schema'
-import { type AcceptedRecords, type KeptRecord, NO_ACCEPTED_RECORDS } from '../records/AcceptedRecords.js'
+import { type KeptRecord, type RefusedRecord } from '@fescuespoke/schema'
+import { type AcceptedRecords, NO_ACCEPTED_RECORDS } from '../records/AcceptedRecords.js'
 import { convertRecords, mergeKept } from '../records/convertRecords.js'
 import { computeDigest } from './computeDigest.js'
 import { KeyHistory } from './KeyHistory.js'
@@ -73,6 +73,12 @@
     return this.history
   }
 
+  /** Gets a digest of the records that stay in force in place of refused ones. */
+  getKeptDigest (): string {
+    const entries = this.accepted.kept.map(({ key, revision, text }) => [`${key} ${revision} ${text}`, ''])
+    return computeDigest(Object.fromEntries(entries) as Values)
+  }
+
   /** Lists the refused records of the accepted revision. */
   listRefused (): readonly RefusedRecord[] {
     return this.accepted.refused
