Add peer connections, membership and a memory network in a first version

Cause: instances have no way to reach each other and no view of who is alive. Change: PeerNetwork (TCP, CBOR frames, HMAC handshake, heartbeats, reconnects), Membership (SWIM with suspicion, piggybacked news, exchange of all members at joining), MemoryNetwork (seeded faults in virtual time).

--- /dev/null
+++ b/packages/peers/src/framing/MessageCodec.ts
@@ -0,0 +1,81 @@
+import { type AnyPeerMessage } from '@fescuespoke/common'
+import { createValidator, peerSchema, type Validator } from '@fescuespoke/schema'
+import { Decoder, Encoder } from 'cbor-x'
+import { Result } from 'true-myth'
+
+/** What a frame is for. */
+export type EnvelopeKind = 'request' | 'answer' | 'handshake'
+
+/** A message with what connects an answer to its request. */
+export interface Envelope {
+  readonly kind: EnvelopeKind
+  /** Number of the request on its connection; 0 during the handshake. */
+  readonly id: number
+  readonly message: AnyPeerMessage
+}
+
+const CODEC_OPTIONS = { useRecords: false, mapsAsObjects: true, structuredClone: false }
+const KINDS: ReadonlySet<unknown> = new Set<EnvelopeKind>(['request', 'answer', 'handshake'])
+
+/** Encodes and decodes messages as CBOR (RFC 8949) and checks what was decoded against the schema. */
+export class MessageCodec {
+  /** Creates a codec. */
+  static create (): MessageCodec {
+    return new MessageCodec()
+  }
+
+  private readonly encoder = new Encoder(CODEC_OPTIONS)
+  private readonly decoder = new Decoder(CODEC_OPTIONS)
+  private readonly validators = createValidators()
+
+  /** @internal */
+  private constructor () {}
+
+  /**
+   * Encodes an envelope.
+   * @param envelope - The envelope.
+   */
+  encodeEnvelope (envelope: Envelope): Uint8Array {
+    return this.encoder.encode(envelope)
+  }
+
+  /**
+   * Decodes an envelope; anything that the schema does not allow fails.
+   * @param bytes - Content of a frame.
+   */
+  decodeEnvelope (bytes: Uint8Array): Result<Envelope, 'malformed'> {
+    const decoded = this.decodeBytes(bytes)
+    if (!isEnvelope(decoded)) return Result.err('malformed')
+    const validate = this.validators.get(decoded.message.type)
+    if (validate === undefined || validate(decoded.message).isErr) return Result.err('malformed')
+    return Result.ok(decoded)
+  }
+
+  private decodeBytes (bytes: Uint8Array): unknown {
+    try {
+      return this.decoder.decode(bytes)
+    } catch {
+      return undefined
+    }
+  }
+}
+
+function isEnvelope (value: unknown): value is Envelope {
+  if (typeof value !== 'object' || value === null) return false
+  const { kind, id, message } = value as Partial<Record<keyof Envelope, unknown>>
+  return KINDS.has(kind) && Number.isSafeInteger(id) && typeof message === 'object' && message !== null
+}
+
+function createValidators (): Map<unknown, Validator<AnyPeerMessage>> {
+  const validators = new Map<unknown, Validator<AnyPeerMessage>>()
+  for (const [name, definition] of Object.entries(peerSchema.definitions)) {
+    const type = findTypeName(definition)
+    if (type !== undefined) validators.set(type, createValidator('peer', name))
+  }
+  return validators
+}
+
+function findTypeName (definition: object): unknown {
+  const { properties } = definition as { properties?: { type?: { const?: unknown } } }
+  return properties?.type?.const
+}
--- /dev/null
+++ b/packages/peers/src/membership/recordMemberChange.ts
@@ -0,0 +1,21 @@
+import { type AuditEntry, type AuditTrail } from '@fescuespoke/common'
+import { type MemberState } from '@fescuespoke/schema'
+import { type MemberChange } from './Member.js'
+
+const AUDIT_KINDS: Record<MemberState, AuditEntry['kind']> = {
+  alive: 'instanceJoined',
+  leaving: 'instanceLeft',
+  suspect: 'instanceSuspected',
+  dead: 'instanceLeft'
+}
+
+/**
+ * Records a change of a member in the audit trail.
+ * @param audit - The trail.
+ * @param change - The change.
+ * @param revision - Accepted revision of the own instance.
+ * @internal
+ */
+export function recordMemberChange (audit: AuditTrail, { member, before, cause }: MemberChange, revision: number): void {
+  audit.record({ kind: AUDIT_KINDS[member.state], subject: member.instance, revision, cause, before, after: member.state })
+}
