Join the parts into an instance and add the daemon

Cause: leases, requests, views, peers and scheduler stood apart. Settings with defaults are required fields of their types.

--- a/packages/daemon/src/dispatch/RequestRunner.ts
+++ b/packages/daemon/src/dispatch/RequestRunner.ts
@@ -53,8 +53,6 @@
   readonly createGenerationName: () => string
   /** Tokens that are held for each streamed request before the target is slowed down. */
   readonly maxBufferedTokens: number
-  /** Silence in milliseconds after which a generation's target is given up. */
-  readonly silenceMs: number
 }
 
 /** Runs one request from placement to outcome. */
--- a/packages/daemon/src/http/HttpServer.ts
+++ b/packages/daemon/src/http/HttpServer.ts
@@ -33,6 +33,7 @@
   }
 
   private readonly server: Server
+  private exchanges = 0
 
   /** @internal */
   private constructor (private readonly options: HttpServerOptions) {
@@ -65,7 +66,14 @@
     })
   }
 
+  /** Counts the exchanges whose response has not been closed. */
+  countExchanges (): number {
+    return this.exchanges
+  }
+
   private async handleRequest (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.exchanges++
+    outgoing.once('close', () => { this.exchanges-- })
     const url = new URL(incoming.url ?? '/', 'http://instance')
     const match = findRoute(this.options.routes, incoming.method ?? '', url.pathname)
     if (match === undefined) {
--- /dev/null
+++ b/packages/daemon/src/instance/Instance.ts
@@ -0,0 +1,202 @@
+import { type AddressAnswer, type InstanceStatus } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { createCallerRoutes } from '../http/createCallerRoutes.js'
+import { createOperatorRoutes } from '../http/createOperatorRoutes.js'
+import { HttpServer } from '../http/HttpServer.js'
+import { closeParts, createParts, type InstanceParts } from './createParts.js'
+import { describeInstance, findExplanation } from './describeInstance.js'
+import { type InstanceOptions } from './InstanceOptions.js'
+import { runDrain } from './runDrain.js'
+
+/** Life of an instance. */
+export type InstancePhase = InstanceStatus['phase']
+
+/** Interval in milliseconds at which leases that nobody needs are forgotten. */
+const PRUNE_INTERVAL_MS = 10_000
+
+/** One daemon: it grants leases, runs the requests of its leases and watches the platform and its peers. */
+export class Instance {
+  /**
+   * Creates an instance that does not listen yet.
+   * @param options - Options of the instance.
+   */
+  static create (options: InstanceOptions): Instance {
+    return new Instance(options)
+  }
+
+  private readonly parts: InstanceParts
+  private readonly callerServer: HttpServer
+  private readonly operatorServer: HttpServer
+  private readonly stopping = new AbortController()
+  private phase: InstancePhase = 'starting'
+  private handingOver = false
+  private refusing = false
+  private addressTurn = 0
+
+  /** @internal */
+  private constructor (options: InstanceOptions) {
+    this.parts = createParts(options, { isRefusing: () => this.refusing })
+    this.callerServer = this.createCallerServer()
+    this.operatorServer = this.createOperatorServer()
+  }
+
+  /** Starts to listen, to watch the platform and to probe peers. */
+  async start (): Promise<Result<null, string>> {
+    const { peers, settings, logger } = this.parts
+    try {
+      await this.callerServer.start()
+      await this.operatorServer.start()
+    } catch (error) {
+      return Result.err((error as Error).message)
+    }
+    const listening = await peers.listen(settings.instance.httpUrl ?? this.callerServer.getUrl())
+    if (listening.isErr) return Result.err(listening.error)
+    this.startTasks()
+    logger.info({ url: this.getUrl(), operatorUrl: this.getOperatorUrl(), peerAddress: listening.value }, 'listening')
+    return Result.ok(null)
+  }
+
+  /** Gets the base URL for callers. */
+  getUrl (): string {
+    return this.parts.settings.instance.httpUrl ?? this.callerServer.getUrl()
+  }
+
+  /** Gets the base URL for operators. */
+  getOperatorUrl (): string {
+    return this.operatorServer.getUrl()
+  }
+
+  /** Gets the address for peers, host and port. */
+  getPeerAddress (): string {
+    return this.parts.peers.getAddress()
+  }
+
+  /** Gets the name of this run. */
+  getIncarnation (): string {
+    return this.parts.incarnation
+  }
+
+  /** Gets where the instance is in its life. */
+  getPhase (): InstancePhase {
+    return this.phase
+  }
+
+  /** Gets the status for operators. */
+  getStatus (): InstanceStatus {
+    return describeInstance(this.parts, this.phase)
+  }
+
+  /** Waits until the instance takes requests, or has stopped. */
+  async waitUntilReady (): Promise<void> {
+    while (this.phase === 'starting') await this.parts.clock.sleep(20, this.stopping.signal)
+  }
+
+  /**
+   * Stops without cutting a request: grants no more leases, stays reachable for as long as addresses were promised,
+   * lets work end, hands over what lasts longer than the drain time, and closes.
+   */
+  async drain (): Promise<void> {
+    if (this.phase !== 'ready' && this.phase !== 'starting') return
+    this.phase = 'draining'
+    await runDrain({
+      parts: this.parts,
+      refuseRequests: () => { this.refusing = true },
+      handOver: () => {
+        this.handingOver = true
+        for (const entry of this.parts.requests.listRunning()) entry.changes.notifyAll()
+      },
+      countExchanges: () => this.callerServer.countExchanges()
+    })
+    await this.stop()
+  }
+
+  /** Closes every connection and ends every task at once. */
+  async stop (): Promise<void> {
+    if (this.phase === 'stopped') return
+    this.phase = 'stopped'
+    this.stopping.abort()
+    await closeParts(this.parts)
+    await this.callerServer.close()
+    await this.operatorServer.close()
+    this.parts.logger.info('stopped')
+  }
+
+  private startTasks (): void {
+    const { configuration, follower, pauses, scheduler, poller } = this.parts
+    follower.start()
+    scheduler.start()
+    pauses.run()
+    configuration.addListener(() => {
+      poller.refreshTargets()
+      this.observeReadiness()
+    })
+    this.observeReadiness()
+    this.runUpkeep()
+  }
+
+  /** An instance is ready once records are in force. */
+  private observeReadiness (): void {
+    if (this.phase !== 'starting' || this.parts.configuration.getRevision() === 0) return
+    this.phase = 'ready'
+    this.parts.poller.refreshTargets()
+    this.parts.logger.info({ revision: this.parts.configuration.getRevision() }, 'ready')
+  }
+
+  private async runUpkeep (): Promise<void> {
+    const { clock, leases, poller } = this.parts
+    while (!this.stopping.signal.aborted) {
+      await clock.sleep(PRUNE_INTERVAL_MS, this.stopping.signal)
+      leases.pruneLeases()
+      poller.refreshTargets()
+    }
+  }
+
+  private createCallerServer (): HttpServer {
+    const { settings, clock, leases, requests, resumes, resumeTokens, dispatcher, incarnation, peers, configuration } = this.parts
+    const routes = createCallerRoutes({
+      instance: settings.instance.id,
+      incarnation,
+      clock,
+      leases,
+      requests,
+      resumes,
+      resumeTokens,
+      dispatcher,
+      heartbeatMs: settings.requests.heartbeatMs,
+      maxBodyBytes: settings.requests.maxBodyBytes,
+      leaseMs: settings.requests.leaseMs,
+      getPhase: () => this.phase,
+      getRevision: () => configuration.getRevision(),
+      isHandingOver: () => this.handingOver,
+      rankAddresses: (service, workspace) => this.rankAddresses(service, workspace),
+      findInstanceUrl: instance => peers.findUrl(instance)
+    })
+    const { httpHost, httpPort } = settings.instance
+    return this.createServer(httpHost, httpPort, routes)
+  }
+
+  private createOperatorServer (): HttpServer {
+    const { settings, audit, leases } = this.parts
+    const routes = createOperatorRoutes({
+      getStatus: () => this.getStatus(),
+      audit,
+      findExplanation: request => findExplanation(leases, request)
+    })
+    const { operatorHost, operatorPort } = settings.instance
+    return this.createServer(operatorHost, operatorPort, routes)
+  }
+
+  private createServer (host: string, port: number, routes: Parameters<typeof HttpServer.create>[0]['routes']): HttpServer {
+    const onInternalError = (error: unknown): void => this.parts.logger.error({ err: error }, 'request handler failed')
+    return HttpServer.create({ host, port, routes, onInternalError })
+  }
+
+  private rankAddresses (service: string, workspace: string): AddressAnswer {
+    const { peers, configuration, settings } = this.parts
+    return {
+      addresses: peers.rankAddresses({ service, workspace, turn: this.addressTurn++, snapshot: configuration.getSnapshot() }),
+      validForMs: settings.requests.addressValidityMs,
+      revision: configuration.getRevision()
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/instance/describeInstance.ts
@@ -0,0 +1,41 @@
+import { type Explanation, type InstanceStatus } from '@fescuespoke/schema'
+import { Maybe } from 'true-myth'
+import { type LeaseRegistry } from '../leases/LeaseRegistry.js'
+import { type InstanceParts } from './createParts.js'
+
+/**
+ * Describes an instance for operators.
+ * @param parts - Parts of the instance.
+ * @param phase - Where it is in its life.
+ */
+export function describeInstance (parts: InstanceParts, phase: InstanceStatus['phase']): InstanceStatus {
+  const { settings, incarnation, configuration, list, requests, scheduler, peers } = parts
+  return {
+    instance: settings.instance.id,
+    incarnation,
+    phase,
+    revision: configuration.getRevision(),
+    listVersion: list.getVersion(),
+    listAgeMs: formatAge(list.getAgeMs()),
+    configurationAgeMs: formatAge(configuration.getAgeMs()),
+    requests: requests.countRunning(),
+    queued: scheduler.countQueued(),
+    targets: scheduler.listTargetStatus(),
+    members: peers.listMemberStatus(),
+    refused: [...configuration.listRefused()]
+  }
+}
+
+/**
+ * Finds why a request went where it went.
+ * @param leases - Leases of the instance.
+ * @param request - Public id of the request.
+ */
+export function findExplanation (leases: LeaseRegistry, request: string): Maybe<Explanation> {
+  return Maybe.of(leases.listRequests().find(entry => entry.options.id === request)).map(entry => entry.getExplanation())
+}
+
+/** Ages that are not known are shown as -1. */
+function formatAge (ageMs: number): number {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : -1
+}
--- /dev/null
+++ b/packages/daemon/src/instance/runDrain.ts
@@ -0,0 +1,42 @@
+import { type InstanceParts } from './createParts.js'
+
+/** Interval in milliseconds at which the end of work is looked for. */
+const CHECK_INTERVAL_MS = 50
+
+/** Longest wait in milliseconds for callers to take the last bytes. */
+const LAST_BYTES_MS = 10_000
+
+/** What a drain works with. */
+export interface DrainOptions {
+  readonly parts: InstanceParts
+  /** Refuses requests that come from now on. */
+  readonly refuseRequests: () => void
+  /** Sends readers of generations to other instances. */
+  readonly handOver: () => void
+  /** Counts the HTTP exchanges in progress. */
+  readonly countExchanges: () => number
+}
+
+/**
+ * Drains an instance. Calls are always waited for; generations that outlast the drain time are handed over.
+ * @param options - What the drain works with.
+ */
+export async function runDrain (options: DrainOptions): Promise<void> {
+  const { clock, settings, peers, audit, configuration, requests } = options.parts
+  const revision = configuration.getRevision()
+  audit.record({ kind: 'drainStarted', subject: settings.instance.id, revision, cause: 'planned stop', after: `${requests.countRunning()} requests in progress` })
+  peers.announceLeaving()
+  await clock.sleep(settings.requests.addressValidityMs)
+  options.refuseRequests()
+  const deadlineMs = clock.nowMs() + (settings.requests.drainMs)
+  while (requests.countRunning() > 0 && clock.nowMs() < deadlineMs) await clock.sleep(CHECK_INTERVAL_MS)
+  options.handOver()
+  while (hasRunningCalls(options.parts)) await clock.sleep(CHECK_INTERVAL_MS)
+  const lastMs = clock.nowMs() + LAST_BYTES_MS
+  while (options.countExchanges() > 0 && clock.nowMs() < lastMs) await clock.sleep(CHECK_INTERVAL_MS)
+  audit.record({ kind: 'drainEnded', subject: settings.instance.id, revision, cause: 'planned stop', after: `${requests.countRunning()} requests handed over` })
+}
+
+function hasRunningCalls ({ requests }: InstanceParts): boolean {
+  return requests.listRunning().some(entry => entry.options.service.kind === 'call')
+}
--- /dev/null
+++ b/packages/daemon/src/peers/PeerGroup.ts
@@ -0,0 +1,139 @@
+import { type AuditTrail, type Clock, type Random, type Snapshot } from '@fescuespoke/common'
+import { type FleetNews, type Member, Membership } from '@fescuespoke/peers'
+import { type Address, type ListedEntry, type MemberStatus, type Settings } from '@fescuespoke/schema'
+import { type AliveInstance, rankAddresses, type RankedMember } from '@fescuespoke/scheduling'
+import { Maybe, Result } from 'true-myth'
+import { type ListeningTransport, type TransportFactory } from '../instance/InstanceOptions.js'
+
+/** Options of a peer group. */
+export interface PeerGroupOptions {
+  readonly settings: Settings
+  readonly incarnation: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly audit: AuditTrail
+  readonly createTransport: TransportFactory
+  readonly getNews: () => FleetNews
+  readonly observeNews: (from: string, news: FleetNews, sentAtMs: Maybe<number>) => void
+}
+
+/** What an address answer is made from. */
+export interface RankOptions {
+  readonly service: string
+  readonly workspace: string
+  readonly turn: number
+  readonly snapshot: Snapshot
+}
+
+/** The other instances: the transport to them, and who of them answers. */
+export class PeerGroup {
+  /**
+   * Creates a group that does not listen yet.
+   * @param options - Options of the group.
+   */
+  static create (options: PeerGroupOptions): PeerGroup {
+    return new PeerGroup(options)
+  }
+
+  readonly transport: ListeningTransport
+  private membership: Membership | undefined
+  private listed: readonly ListedEntry[] = []
+  private url = ''
+  private address = ''
+
+  /** @internal */
+  private constructor (private readonly options: PeerGroupOptions) {
+    this.transport = options.createTransport(instance => this.findPeerAddress(instance), options.incarnation)
+  }
+
+  /**
+   * Starts to listen and to probe.
+   * @param url - Base URL of this instance for callers.
+   */
+  async listen (url: string): Promise<Result<string, string>> {
+    const address = await this.transport.listen()
+    if (address.isErr) return address
+    const { settings, incarnation, clock, random, audit, getNews, observeNews } = this.options
+    const { id, availabilityZone, region } = settings.instance
+    this.url = url
+    this.address = address.value
+    const limits = settings.peers
+    this.membership = Membership.create({
+      instance: id, incarnation, url, peerAddress: this.address, availabilityZone, region, transport: this.transport, clock, random, audit, getNews, observeNews, limits
+    })
+    this.membership.setListed(this.listed)
+    this.membership.start()
+    return Result.ok(this.address)
+  }
+
+  /**
+   * Sets the instances that the platform lists.
+   * @param entries - Entries of the instance list.
+   */
+  setListed (entries: readonly ListedEntry[]): void {
+    this.listed = entries
+    this.membership?.setListed(entries)
+  }
+
+  /** Gets the address for peers, host and port. */
+  getAddress (): string {
+    return this.address
+  }
+
+  /** Lists the names of the instances thought to be alive, this one included. */
+  listAlive (): string[] {
+    return this.listAliveInstances().map(({ instance }) => instance)
+  }
+
+  /** Lists the instances thought to be alive, this one included. */
+  listAliveInstances (): AliveInstance[] {
+    return this.listRanked().filter(({ state }) => state === 'alive')
+  }
+
+  /** Lists all members for operators. */
+  listMemberStatus (): MemberStatus[] {
+    return this.listRanked().map(({ instance, state, availabilityZone, url }) => ({ instance, state, availabilityZone, url }))
+  }
+
+  /**
+   * Finds the base URL of another instance.
+   * @param instance - Name of the instance.
+   */
+  findUrl (instance: string): string | undefined {
+    const member = this.membership?.findMember(instance).unwrapOr(undefined)
+    return member?.url ?? this.listed.find(entry => entry.id === instance)?.url
+  }
+
+  /**
+   * Ranks the addresses for a service and workspace.
+   * @param options - What the answer is made from.
+   */
+  rankAddresses (options: RankOptions): Address[] {
+    const { availabilityZone, region } = this.options.settings.instance
+    return rankAddresses({ ...options, members: this.listRanked(), availabilityZone, region })
+  }
+
+  /** Tells the peers that this instance stops. */
+  announceLeaving (): void {
+    this.membership?.announceLeaving()
+  }
+
+  /** Ends probing and closes every connection. */
+  async close (): Promise<void> {
+    await this.membership?.stop()
+    await this.transport.close()
+  }
+
+  private findPeerAddress (instance: string): Maybe<string> {
+    const known = this.membership?.findPeerAddress(instance) ?? Maybe.nothing<string>()
+    return known.isJust ? known : Maybe.of(this.listed.find(entry => entry.id === instance)?.peerAddress)
+  }
+
+  private listRanked (): RankedMember[] {
+    const { id, availabilityZone, region } = this.options.settings.instance
+    const own: RankedMember = { instance: id, url: this.url, availabilityZone, region, state: 'alive' }
+    const others = (this.membership?.listMembers() ?? []).filter(({ instance }) => instance !== id)
+    const ownState = this.membership?.findMember(id).map(({ state }: Member) => state).unwrapOr('alive') ?? 'alive'
+    return [...others, { ...own, state: ownState }].sort((a, b) => a.instance < b.instance ? -1 : 1)
+  }
+}
--- a/packages/daemon/src/targets/TargetClient.ts
+++ b/packages/daemon/src/targets/TargetClient.ts
@@ -75,4 +75,6 @@
    * @param after - Sequence number of the last event that is known.
    */
   fetchCacheEvents(target: Target, after: number): Promise<Result<CacheEvent[], TargetError>>
+  /** Closes all connections. */
+  close(): Promise<void>
 }
--- /dev/null
+++ b/packages/daemon/src/targets/TargetPoller.ts
@@ -0,0 +1,92 @@
+import { addJitter, type Clock, type Random, type Snapshot, type Target } from '@fescuespoke/common'
+import { type TargetScheduler } from '@fescuespoke/scheduling'
+import { type TargetClient } from './TargetClient.js'
+
+/** Options of a target poller. */
+export interface TargetPollerOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly scheduler: TargetScheduler
+  readonly targetClient: TargetClient
+  readonly getSnapshot: () => Snapshot
+  /** Interval in milliseconds at which each target is asked. */
+  readonly intervalMs: number
+}
+
+/** Asks the targets of this instance for their state and cache events, one task for each target. */
+export class TargetPoller {
+  /**
+   * Creates a poller.
+   * @param options - Options of the poller.
+   */
+  static create (options: TargetPollerOptions): TargetPoller {
+    return new TargetPoller(options)
+  }
+
+  private readonly tasks = new Map<string, AbortController>()
+  private stopped = false
+
+  /** @internal */
+  private constructor (private readonly options: TargetPollerOptions) {}
+
+  /** Starts tasks for new targets and stops those of targets that are gone. */
+  refreshTargets (): void {
+    if (this.stopped) return
+    const wanted = new Map(this.options.scheduler.listObservedTargets(this.options.getSnapshot()).map(target => [target.name, target]))
+    for (const [name, task] of this.tasks) if (!wanted.has(name)) this.stopTask(name, task)
+    for (const target of wanted.values()) if (!this.tasks.has(target.name)) this.startTask(target)
+  }
+
+  /** Stops all tasks. */
+  stop (): void {
+    this.stopped = true
+    for (const [name, task] of this.tasks) this.stopTask(name, task)
+  }
+
+  private startTask (target: Target): void {
+    const task = new AbortController()
+    this.tasks.set(target.name, task)
+    this.pollTarget(target, task.signal)
+  }
+
+  private stopTask (name: string, task: AbortController): void {
+    task.abort()
+    this.tasks.delete(name)
+  }
+
+  private async pollTarget (target: Target, signal: AbortSignal): Promise<void> {
+    const { clock, random, intervalMs } = this.options
+    let lastEvent = 0
+    while (!signal.aborted) {
+      await this.askState(this.getCurrent(target))
+      lastEvent = await this.askCacheEvents(this.getCurrent(target), lastEvent)
+      await clock.sleep(addJitter(random, intervalMs), signal)
+    }
+  }
+
+  private getCurrent (target: Target): Target {
+    return this.options.getSnapshot().targets.get(target.name) ?? target
+  }
+
+  private async askState (target: Target): Promise<void> {
+    const { clock, scheduler, targetClient } = this.options
+    const sentAtMs = clock.nowMs()
+    const report = await targetClient.fetchState(target)
+    if (report.isOk) scheduler.observeTargetState(target.name, report.value, sentAtMs)
+    else scheduler.observeTargetSilence(target.name)
+  }
+
+  private async askCacheEvents (target: Target, after: number): Promise<number> {
+    const { scheduler, targetClient } = this.options
+    if (!this.servesGenerations(target)) return after
+    const events = await targetClient.fetchCacheEvents(target, after)
+    if (events.isErr) return after
+    scheduler.observeCacheEvents(target.name, events.value)
+    return events.value.at(-1)?.sequence ?? after
+  }
+
+  private servesGenerations (target: Target): boolean {
+    return [...this.options.getSnapshot().services.values()]
+      .some(service => service.kind === 'generation' && service.targets.includes(target.name))
+  }
+}
--- a/packages/daemon/test/support/FakeTargetClient.ts
+++ b/packages/daemon/test/support/FakeTargetClient.ts
@@ -56,6 +56,8 @@
   async fetchCacheEvents (): Promise<Result<CacheEvent[], TargetError>> {
     return Result.ok([])
   }
+
+  async close (): Promise<void> {}
 }
 
 /** Makes a tokens event whose texts name their offsets. */
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -87,8 +87,7 @@
     resumeTokens: ResumeTokens.create({ fleetKey: 'key-of-this-test' }),
     observer: { observeTokens: () => undefined, observePreemption: () => undefined, observeEnd: () => undefined },
     createGenerationName: () => `g${++generations}`,
-    maxBufferedTokens: 8,
-    silenceMs: 1000
+    maxBufferedTokens: 8
   }
   const requests = RequestService.create({
     clock,
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -19,6 +19,14 @@
   return definition.description ?? `Data of ${name}.`
 }
 
+/** Marks properties with a default as required, since validation has filled them in. */
+function markFilledProperties (definitions) {
+  for (const definition of Object.values(definitions)) {
+    const filled = Object.entries(definition.properties ?? {}).filter(([, property]) => property.default !== undefined)
+    definition.required = [...new Set([...(definition.required ?? []), ...filled.map(([key]) => key)])]
+  }
+}
+
 async function generateModule (name, schema) {
   const definitions = schema.definitions
   for (const [key, definition] of Object.entries(definitions)) definition.description = describeFallback(key, definition)
@@ -26,7 +34,9 @@
   const union = definitions[schema.title] ? { $ref: `#/definitions/${schema.title}` } : { oneOf: references }
   const title = definitions[schema.title] ? `${schema.title}Document` : schema.title
   const wrapper = { title, description: schema.description, definitions, ...union }
-  const types = await compile(structuredClone(wrapper), title, {
+  const typed = structuredClone(wrapper)
+  if (name === 'settings') markFilledProperties(typed.definitions)
+  const types = await compile(typed, title, {
     bannerComment: `/* Generated from schemas/${name}.yaml by scripts/generate.mjs. */`,
     style: { semi: false, singleQuote: true, printWidth: 120 },
     unreachableDefinitions: true,
