Add weight store, faults of connections and whole deployments to the stand-ins

Cause: tests of failures need silent, stalled and refused connections, orders that load models, and a platform at once.

--- a/packages/standins/src/engine/EngineServer.ts
+++ b/packages/standins/src/engine/EngineServer.ts
@@ -25,12 +25,21 @@
    * @param options - Options of the server.
    */
   static async create (options: EngineServerOptions): Promise<EngineServer> {
-    const routes = createRoutes(options.core)
-    return new EngineServer(options.core, await HttpHost.create({ clock: options.clock, routes }))
+    const { core, clock } = options
+    const server: EngineServer = new EngineServer(core, clock, await HttpHost.create({
+      clock,
+      routes: createRoutes(() => server.core)
+    }))
+    return server
   }
 
   /** @internal */
-  private constructor (readonly core: EngineCore, readonly host: HttpHost) {}
+  private constructor (private currentCore: EngineCore, private readonly clock: Clock, readonly host: HttpHost) {}
+
+  /** The engine of now; a restart replaces it. */
+  get core (): EngineCore {
+    return this.currentCore
+  }
 
   /** Base URL. */
   get url (): string {
@@ -56,6 +65,25 @@
     this.host.kill()
   }
 
+  /**
+   * Announces that the engine is leaving and kills it after the notice.
+   * @param noticeMs - Duration of the notice in milliseconds.
+   */
+  reclaim (noticeMs: number): void {
+    this.core.setLeaving()
+    this.clock.startTimer(noticeMs, () => this.kill())
+  }
+
+  /**
+   * Listens again at the same URL after a kill, with an engine that knows nothing of the former one.
+   * @param core - The new engine.
+   */
+  async restart (core: EngineCore): Promise<void> {
+    this.kill()
+    this.currentCore = core
+    await this.host.acceptConnects()
+  }
+
   /** Stops the engine and closes the port and all connections. */
   async close (): Promise<void> {
     this.core.kill()
@@ -63,15 +91,15 @@
   }
 }
 
-function createRoutes (core: EngineCore): Route[] {
+function createRoutes (getCore: () => EngineCore): Route[] {
   return [
-    { method: 'PUT', path: GENERATION_PATH, handle: exchange => handlePut(core, exchange) },
-    { method: 'GET', path: GENERATION_PATH, handle: exchange => handleGet(core, exchange) },
-    { method: 'DELETE', path: GENERATION_PATH, handle: exchange => handleDelete(core, exchange) },
-    { method: 'GET', path: /^\/v1\/generations$/, handle: exchange => exchange.answer(200, core.listGenerations()) },
-    { method: 'GET', path: /^\/v1\/state$/, handle: exchange => exchange.answer(200, core.getState()) },
-    { method: 'GET', path: /^\/v1\/cache-events$/, handle: exchange => handleCacheEvents(core, exchange) },
-    { method: 'POST', path: /^\/v1\/orders$/, handle: exchange => handleOrder(core, exchange) }
+    { method: 'PUT', path: GENERATION_PATH, handle: exchange => handlePut(getCore(), exchange) },
+    { method: 'GET', path: GENERATION_PATH, handle: exchange => handleGet(getCore(), exchange) },
+    { method: 'DELETE', path: GENERATION_PATH, handle: exchange => handleDelete(getCore(), exchange) },
+    { method: 'GET', path: /^\/v1\/generations$/, handle: exchange => exchange.answer(200, getCore().listGenerations()) },
+    { method: 'GET', path: /^\/v1\/state$/, handle: exchange => exchange.answer(200, getCore().getState()) },
+    { method: 'GET', path: /^\/v1\/cache-events$/, handle: exchange => handleCacheEvents(getCore(), exchange) },
+    { method: 'POST', path: /^\/v1\/orders$/, handle: exchange => handleOrder(getCore(), exchange) }
   ]
 }
 
--- a/packages/standins/src/http/HttpHost.ts
+++ b/packages/standins/src/http/HttpHost.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type AddressInfo, type Socket } from 'node:net'
+import { type AddressInfo, createServer as createListener, type Server as Listener, type Socket } from 'node:net'
 import { type Clock } from '@fescuespoke/common'
 import { ConnectionGate } from './ConnectionGate.js'
 
@@ -43,7 +43,10 @@
 
 const HOST = '127.0.0.1'
 
-/** Listens for HTTP on a port chosen by the system and can lose, stall or silence its connections. */
+/**
+ * Listens for HTTP on a port chosen by the system and can lose, stall or silence its connections. The HTTP server does
+ * not listen itself, since closing it would close idle connections too.
+ */
 export class HttpHost {
   /**
    * Creates a host that is listening.
@@ -56,12 +59,16 @@
   }
 
   private readonly gates = new Map<Socket, ConnectionGate>()
-  private server: Server | undefined
+  private readonly server: Server
+  private listener: Listener | undefined
   private port = 0
   private connected = 0
 
   /** @internal */
-  private constructor (private readonly options: HttpHostOptions) {}
+  private constructor (private readonly options: HttpHostOptions) {
+    this.server = createServer((request, response) => this.handleRequest(request, response))
+    this.server.keepAliveTimeout = 0
+  }
 
   /** Base URL. */
   get url (): string {
@@ -79,7 +86,8 @@
   }
 
   /**
-   * Silences all present connections for a while.
+   * Silences all present connections for a while. Requests that arrive meanwhile are handled afterwards, even if their
+   * client has given up.
    * @param durationMs - Duration in milliseconds.
    */
   stall (durationMs: number): void {
@@ -90,13 +98,13 @@
 
   /** Refuses new connections; present ones go on. */
   refuseConnects (): void {
-    this.server?.close()
-    this.server = undefined
+    this.listener?.close()
+    this.listener = undefined
   }
 
   /** Accepts connections again, on the same port. */
   async acceptConnects (): Promise<void> {
-    if (this.server === undefined) await this.listen(this.port)
+    if (this.listener === undefined) await this.listen(this.port)
   }
 
   /** Closes the port and destroys all connections. */
@@ -108,26 +116,23 @@
 
   /** Closes the port and all connections and waits until that is done. */
   async close (): Promise<void> {
-    const server = this.server
-    this.server = undefined
+    const listener = this.listener
     const closed = new Promise<void>(resolve => {
-      if (server === undefined) resolve()
-      else server.close(() => resolve())
+      if (listener === undefined) resolve()
+      else listener.once('close', resolve)
     })
     this.kill()
     await closed
   }
 
   private async listen (port: number): Promise<void> {
-    const server = createServer((request, response) => this.handleRequest(request, response))
-    server.keepAliveTimeout = 0
-    server.on('connection', socket => this.addConnection(socket))
-    this.server = server
+    const listener = createListener({ noDelay: true }, socket => this.addConnection(socket))
+    this.listener = listener
     await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, HOST, resolve)
+      listener.once('error', reject)
+      listener.listen(port, HOST, resolve)
     })
-    this.port = (server.address() as AddressInfo).port
+    this.port = (listener.address() as AddressInfo).port
   }
 
   private addConnection (socket: Socket): void {
@@ -135,6 +140,7 @@
     this.gates.set(socket, ConnectionGate.create())
     socket.on('error', () => socket.destroy())
     socket.on('close', () => this.gates.delete(socket))
+    this.server.emit('connection', socket)
   }
 
   private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -142,23 +148,31 @@
     if (gate === undefined || gate.isFrozen()) return
     const body = await readBody(request)
     if (body === undefined) return
+    gate.runWhenOpen(() => this.dispatch({ request, response, gate, body }))
+  }
+
+  private async dispatch (arrival: Arrival): Promise<void> {
+    const { request, response } = arrival
     const url = new URL(request.url ?? '/', this.url)
     for (const route of this.options.routes) {
       const match = route.method === request.method ? route.path.exec(url.pathname) : null
       if (match === null) continue
       const parameters = match.slice(1).map(decodeURIComponent)
-      await route.handle(createExchange({ request, response, gate, body, parameters, query: url.searchParams }))
+      await route.handle(createExchange({ ...arrival, parameters, query: url.searchParams }))
       return
     }
     writeJson(response, 404, { error: 'notFound' })
   }
 }
 
-interface ExchangeParts {
+interface Arrival {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly gate: ConnectionGate
   readonly body: string
+}
+
+interface ExchangeParts extends Arrival {
   readonly parameters: readonly string[]
   readonly query: URLSearchParams
 }
--- /dev/null
+++ b/packages/standins/src/platform/DeploymentShape.ts
@@ -0,0 +1,122 @@
+import { type ModelReference } from '@fescuespoke/common'
+import { type Delivery, type Priority } from '@fescuespoke/schema'
+
+/** Version of the schema that a record is published in. */
+export type RecordVersion = 1 | 2
+
+/** Targets of one kind. */
+export interface PoolShape {
+  readonly name: string
+  readonly kind: 'engine' | 'plain'
+  /** Number of targets. */
+  readonly targets: number
+  readonly schemaVersion: RecordVersion
+  /** Whether its engines refuse orders with an old fencing number. */
+  readonly enforcesFences?: boolean
+}
+
+/** One service. */
+export interface ServiceShape {
+  readonly name: string
+  readonly pool: string
+  readonly schemaVersion: RecordVersion
+  /** Model that it runs; absent for plain services. */
+  readonly runs?: ModelReference
+  readonly priority: Priority
+  readonly idempotent: boolean
+  readonly delivery: Delivery
+  readonly deadlineMs: number
+}
+
+/** One workspace. */
+export interface WorkspaceShape {
+  readonly name: string
+  readonly weight: number
+  readonly schemaVersion: RecordVersion
+}
+
+/** What a deployment consists of. */
+export interface DeploymentShape {
+  readonly region: string
+  readonly availabilityZones: readonly string[]
+  readonly pools: readonly PoolShape[]
+  readonly services: readonly ServiceShape[]
+  readonly workspaces: readonly WorkspaceShape[]
+}
+
+/** Name of a deployment with a shape of its own. */
+export type DeploymentName = 'spas' | 'garages'
+
+const SPAS: DeploymentShape = {
+  region: 'central',
+  availabilityZones: ['central-a', 'central-b', 'central-c'],
+  pools: [
+    { name: 'assistant', kind: 'engine', targets: 10, schemaVersion: 2, enforcesFences: true },
+    { name: 'billing', kind: 'plain', targets: 3, schemaVersion: 2 }
+  ],
+  services: [
+    {
+      name: 'package-assistant',
+      pool: 'assistant',
+      schemaVersion: 2,
+      runs: { model: 'package-routing', version: '1' },
+      priority: 'normal',
+      idempotent: true,
+      delivery: 'whole',
+      deadlineMs: 120_000
+    },
+    {
+      name: 'scheduling-billing',
+      pool: 'billing',
+      schemaVersion: 2,
+      priority: 'high',
+      idempotent: false,
+      delivery: 'whole',
+      deadlineMs: 30_000
+    }
+  ],
+  workspaces: listWorkspaces('spa', [8, 6, 4, 1, 1, 1, 1, 1, 1, 1])
+}
+
+const GARAGES: DeploymentShape = {
+  region: 'sicily',
+  availabilityZones: ['palermo', 'catania', 'messina'],
+  pools: [
+    { name: 'leases', kind: 'engine', targets: 6, schemaVersion: 2 },
+    { name: 'barriers', kind: 'plain', targets: 3, schemaVersion: 1 }
+  ],
+  services: [
+    {
+      name: 'lease-assistant',
+      pool: 'leases',
+      schemaVersion: 2,
+      runs: { model: 'lease-drafting', version: '1' },
+      priority: 'normal',
+      idempotent: true,
+      delivery: 'stream',
+      deadlineMs: 120_000
+    },
+    {
+      name: 'gate',
+      pool: 'barriers',
+      schemaVersion: 1,
+      priority: 'high',
+      idempotent: false,
+      delivery: 'whole',
+      deadlineMs: 10_000
+    }
+  ],
+  workspaces: listWorkspaces('garage', [6, 5, 1, 1, 1, 1, 1, 1, 1, 1])
+}
+
+/** Shapes of the named deployments. */
+export const DEPLOYMENT_SHAPES: Readonly<Record<DeploymentName, DeploymentShape>> = { spas: SPAS, garages: GARAGES }
+
+/** Lists workspaces of given weights; the last two have records of schema version 1. */
+function listWorkspaces (prefix: string, weights: readonly number[]): WorkspaceShape[] {
+  return weights.map((weight, index) => ({
+    name: `${prefix}-${index + 1}`,
+    weight,
+    schemaVersion: index < weights.length - 2 ? 2 : 1
+  }))
+}
--- a/packages/standins/src/service/PlainServiceServer.ts
+++ b/packages/standins/src/service/PlainServiceServer.ts
@@ -9,6 +9,9 @@
   readonly clock: Clock
 }
 
+/** What the client of a lost reply sees: its connection closes, or stays silent. */
+export type ReplyLoss = 'closed' | 'silent'
+
 /** Header that carries the request id. */
 export const REQUEST_HEADER = 'fescuespoke-request'
 
@@ -31,6 +34,7 @@
   }
 
   private repliesToLose = 0
+  private replyLoss: ReplyLoss = 'closed'
 
   /** @internal */
   private constructor (readonly core: PlainServiceCore, readonly host: HttpHost) {}
@@ -41,11 +45,13 @@
   }
 
   /**
-   * Runs the next calls but destroys their connections in place of a reply.
+   * Runs the next calls but does not reply.
    * @param count - Number of calls.
+   * @param loss - What their clients see.
    */
-  loseReplies (count: number): void {
+  loseReplies (count: number, loss: ReplyLoss = 'closed'): void {
     this.repliesToLose = count
+    this.replyLoss = loss
   }
 
   /** Silences all present connections for good; later ones work. */
@@ -77,11 +83,16 @@
     const isLost = this.repliesToLose > 0
     if (isLost) this.repliesToLose--
     const reply = await this.core.runCall(String(exchange.headers[REQUEST_HEADER] ?? ''), parseJson(exchange.body))
-    if (isLost) exchange.response.destroy()
+    if (isLost) REPLY_LOSS_HANDLERS[this.replyLoss](exchange)
     else exchange.answer(200, reply)
   }
 }
 
+const REPLY_LOSS_HANDLERS: Record<ReplyLoss, (exchange: Exchange) => void> = {
+  closed: exchange => { exchange.response.destroy() },
+  silent: () => {}
+}
+
 function parseJson (text: string): unknown {
   try {
     return JSON.parse(text)
--- /dev/null
+++ b/packages/standins/src/weights/index.ts
@@ -0,0 +1,3 @@
+export * from './HttpWeightSource.js'
+export * from './WeightStoreCore.js'
+export * from './WeightStoreServer.js'
--- a/packages/standins/test/engine/EngineCore.test.ts
+++ b/packages/standins/test/engine/EngineCore.test.ts
@@ -1,38 +1,13 @@
-import { SeededRandom, VirtualClock } from '@fescuespoke/common'
-import { type EngineEvent, type GenerationSpec } from '@fescuespoke/schema'
+import { VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
-import { EngineCore, type EngineOptions } from '../../src/index.js'
+import { type EngineCore, type EngineOptions } from '../../src/index.js'
+import { createSpec, createTestEngine, startGeneration as start } from './support.js'
 
 describe('EngineCore', () => {
   const clock = VirtualClock.create()
 
   function createEngine (options: Partial<EngineOptions> = {}): EngineCore {
-    return EngineCore.create({
-      clock,
-      random: SeededRandom.create(1),
-      targetName: 'e1',
-      computePromptTokens: spec => spec.prompt.length,
-      computeOutputTokens: () => 3,
-      computePrefixTokens: () => 10,
-      loadLagMs: 0,
-      ...options
-    })
-  }
-
-  function createSpec (spec: Partial<GenerationSpec> = {}): GenerationSpec {
-    return { model: 'm', prompt: 'x'.repeat(20), maxTokens: 100, priority: 0, ...spec }
-  }
-
-  function start (engine: EngineCore, id: string, spec: Partial<GenerationSpec> = {}, offset = 0): string[] {
-    const events: string[] = []
-    engine.startGeneration(id, createSpec(spec))
-    engine.subscribe(id, offset, event => events.push(formatEvent(event)))
-    return events
-  }
-
-  function formatEvent (event: EngineEvent): string {
-    if (event.type === 'tokens') return `${event.offset}=${event.tokens.join(',')}`
-    return event.type === 'end' ? `${event.reason} ${event.tokens}` : event.type
+    return createTestEngine(clock, options)
   }
 
   describe('a generation', () => {
@@ -212,4 +187,123 @@
       expect(ended).toEqual(['high', 'middle', 'low'])
     })
   })
+
+  describe('prefix cache', () => {
+    const PROMPT = { prefix: 'p', prompt: 'x'.repeat(1000) }
+    const options = { prefillTokenMs: 1, computePrefixTokens: () => 900, stepBaseMs: 0, stepSequenceMs: 0 }
+
+    async function measureFirstToken (engine: EngineCore, id: string): Promise<number> {
+      const startMs = clock.nowMs()
+      let firstMs = 0
+      engine.startGeneration(id, createSpec(PROMPT))
+      engine.subscribe(id, 0, event => { if (event.type === 'tokens' && event.offset === 0) firstMs = clock.nowMs() - startMs })
+      await clock.advance(5000)
+      return firstMs
+    }
+
+    it('skips the prefix of a later prompt', async () => {
+      const engine = createEngine(options)
+      expect(await measureFirstToken(engine, 'a')).toBe(1000)
+      expect(await measureFirstToken(engine, 'b')).toBe(100)
+    })
+
+    it('counts a shared prefix once', async () => {
+      const engine = createEngine({ ...options, computeOutputTokens: () => 50, prefillTokenMs: 0, stepBaseMs: 20 })
+      start(engine, 'a', PROMPT)
+      start(engine, 'b', PROMPT)
+      await clock.advance(1)
+      expect(engine.getUsedTokens()).toBe(900 + 100 + 100)
+    })
+
+    it('evicts the least recently used and tells so late', async () => {
+      const engine = createEngine({ prefixCacheTokens: 20, eventLagMs: 5000 })
+      for (const prefix of ['p', 'q', 'p', 'r']) {
+        start(engine, `${prefix}${clock.nowMs()}`, { prefix })
+        await clock.advance(1000)
+      }
+      const early = engine.listCacheEvents(0).length
+      await clock.advance(5000)
+      expect(early).toBe(0)
+      expect(engine.listCacheEvents(1).map(({ sequence, event, prefix }) => `${sequence} ${event} ${prefix}`)).toMatchInlineSnapshot(`
+        [
+          "2 stored q",
+          "3 stored r",
+          "4 evicted q",
+        ]
+      `)
+    })
+
+    it('loses some events, which shows as a gap', async () => {
+      const engine = createEngine({ prefixCacheTokens: 10, eventLossRate: 0.5, maxSequences: 1 })
+      for (const prefix of ['p', 'q', 'r', 's', 't']) start(engine, prefix, { prefix })
+      await clock.advance(5000)
+      expect(engine.listCacheEvents(0).map(({ sequence }) => sequence)).toMatchInlineSnapshot(`
+        [
+          1,
+          2,
+          4,
+          5,
+          7,
+          9,
+        ]
+      `)
+    })
+  })
+
+  describe('load figures', () => {
+    it('lag behind', async () => {
+      const engine = createEngine({ loadLagMs: 500, computeOutputTokens: () => 100 })
+      start(engine, 'a')
+      await clock.advance(400)
+      const early = engine.getState()
+      await clock.advance(200)
+      const late = engine.getState()
+      expect([early.running, late.running, late.loadAgeMs]).toEqual([0, 1, 500])
+    })
+
+    it('show an idle engine in the end', async () => {
+      const engine = createEngine({ loadLagMs: 500 })
+      start(engine, 'a')
+      await clock.advance(1000)
+      expect(engine.getState()).toMatchObject({ running: 0, waiting: 0, usedTokens: 0 })
+    })
+  })
+
+  describe('faults', () => {
+    it('stalls without tokens and heartbeats, then goes on', async () => {
+      const engine = createEngine({ heartbeatMs: 100 })
+      const events = start(engine, 'a')
+      engine.stall(10_000)
+      await clock.advance(9999)
+      expect(events).toEqual([])
+      await clock.advance(1000)
+      expect(events.at(-1)).toBe('stop 3')
+    })
+
+    it('says nothing more after a kill', async () => {
+      const engine = createEngine()
+      const events = start(engine, 'a')
+      engine.kill()
+      await clock.advance(1000)
+      expect(events).toEqual([])
+      expect(engine.startGeneration('b', createSpec())).toMatchObject({ error: { status: 503 } })
+    })
+
+    it('counts new work that arrives while leaving', async () => {
+      const engine = createEngine()
+      engine.setLeaving()
+      await clock.advance(3000)
+      start(engine, 'a')
+      await clock.advance(1000)
+      expect(engine.getCounts()).toMatchObject({ receivedAfterLeaving: 1, lastArrivalAfterLeavingMs: 3000, ended: 1 })
+    })
+
+    it('refuses new work while leaving when told to, but not a reader that comes back', async () => {
+      const engine = createEngine({ refusesWhenLeaving: true })
+      start(engine, 'a')
+      engine.setLeaving()
+      expect(engine.startGeneration('b', createSpec())).toMatchObject({ error: { error: 'leaving' } })
+      expect(engine.startGeneration('a', createSpec())).toMatchObject({ value: 'attached' })
+    })
+  })
 })
--- a/packages/standins/test/engine/EngineServer.test.ts
+++ b/packages/standins/test/engine/EngineServer.test.ts
@@ -76,4 +76,14 @@
     expect(await call(server, 'POST', '/v1/orders', { fence: 4, action: 'role', role: 's' })).toMatchInlineSnapshot('"409 {"accepted":false,"fence":5}"')
     expect(server.core.getState().role).toBe('r')
   })
+
+  it('knows nothing of earlier generations after a restart at the same URL', async () => {
+    const server = await createServer()
+    const { url, core } = server
+    await call(server, 'PUT', '/v1/generations/g', SPEC)
+    await server.restart(EngineCore.create({ clock: SystemClock.create(), random: SeededRandom.create(2), targetName: 'e1' }))
+    expect(server.url).toBe(url)
+    expect(await call(server, 'GET', '/v1/generations')).toMatchInlineSnapshot('"200 []"')
+    expect(server.core.incarnation).not.toBe(core.incarnation)
+  })
 })
--- /dev/null
+++ b/packages/standins/test/engine/ModelShelf.test.ts
@@ -0,0 +1,87 @@
+import { VirtualClock } from '@fescuespoke/common'
+import { type Order } from '@fescuespoke/schema'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { type EngineCore, type EngineOptions, WeightStoreCore } from '../../src/index.js'
+import { createSpec, createTestEngine, startGeneration } from './support.js'
+
+describe('orders to an engine', () => {
+  let clock: VirtualClock
+
+  beforeEach(() => { clock = VirtualClock.create() })
+
+  function createEngine (options: Partial<EngineOptions> = {}): EngineCore {
+    return createTestEngine(clock, { models: [{ model: 'm' }], loadMs: 2000, ...options })
+  }
+
+  function createLoad (fields: Partial<Order> = {}): Order {
+    return { fence: 1, action: 'load', model: 'n', version: '2', ...fields }
+  }
+
+  function describeModels (engine: EngineCore): string[] {
+    return (engine.getState().models ?? []).map(({ model, version, state }) => `${model} ${version ?? ''} ${state}`)
+  }
+
+  it('refuse work for a model that is not loaded', () => {
+    expect(createEngine().startGeneration('g', createSpec({ model: 'n' }))).toMatchObject({ error: { error: 'modelNotLoaded' } })
+  })
+
+  it('load a model, which takes time', async () => {
+    const engine = createEngine()
+    engine.giveOrder(createLoad())
+    await clock.advance(1999)
+    expect(describeModels(engine)).toEqual(['m  ready', 'n 2 loading'])
+    await clock.advance(1)
+    expect(describeModels(engine)).toEqual(['m  ready', 'n 2 ready'])
+  })
+
+  it('wait for the rate of the weight store', async () => {
+    const weights = WeightStoreCore.create({ clock, fetchesPerMinute: 1 })
+    const engine = createEngine({ weightSource: weights })
+    engine.giveOrder(createLoad({ model: 'a' }))
+    engine.giveOrder(createLoad({ model: 'b' }))
+    await clock.advance(30_000)
+    expect(describeModels(engine)).toEqual(['m  ready', 'a 2 ready', 'b 2 loading'])
+    await clock.advance(35_000)
+    expect(describeModels(engine)).toEqual(['m  ready', 'a 2 ready', 'b 2 ready'])
+    expect(weights.listFetched()).toEqual(['a', 'b'])
+  })
+
+  it('unload a model and fail its generations', async () => {
+    const engine = createEngine()
+    const events = startGeneration(engine, 'g')
+    engine.giveOrder({ fence: 1, action: 'unload', model: 'm' })
+    expect(events).toEqual(['failed 0'])
+    expect(describeModels(engine)).toEqual([])
+  })
+
+  it('end a load by an unload', async () => {
+    const engine = createEngine()
+    engine.giveOrder(createLoad())
+    engine.giveOrder(createLoad({ action: 'unload' }))
+    await clock.advance(5000)
+    expect(describeModels(engine)).toEqual(['m  ready'])
+  })
+
+  it('fetch the weights again when loaded, unloaded and loaded', async () => {
+    const weights = WeightStoreCore.create({ clock })
+    const engine = createEngine({ weightSource: weights })
+    for (const action of ['load', 'unload', 'load'] as const) {
+      engine.giveOrder(createLoad({ action }))
+      await clock.advance(5000)
+    }
+    expect(weights.listFetched()).toEqual(['n', 'n'])
+  })
+
+  function doTest (enforcesFences: boolean, expected: { accepted: boolean[], role: string, fence: number | undefined }): void {
+    it(`${enforcesFences ? 'are refused' : 'are carried out'} with an old fencing number`, () => {
+      const engine = createEngine({ enforcesFences })
+      const answers = [5, 4, 5].map(fence => engine.giveOrder({ fence, action: 'role', role: `r${fence}` }).accepted)
+      engine.giveOrder({ fence: 3, action: 'role', role: 'r3' })
+      const { role, fence } = engine.getState()
+      expect({ accepted: answers, role, fence }).toEqual(expected)
+    })
+  }
+
+  doTest(true, { accepted: [true, false, true], role: 'r5', fence: 5 })
+  doTest(false, { accepted: [true, true, true], role: 'r3', fence: undefined })
+})
--- a/packages/standins/test/service/PlainServiceServer.test.ts
+++ b/packages/standins/test/service/PlainServiceServer.test.ts
@@ -37,6 +37,16 @@
     expect(server.core.listDoubled()).toEqual(['r1'])
   })
 
+  it('can run a call and stay silent', async () => {
+    const server = await createServer()
+    server.loseReplies(1, 'silent')
+    const controller = new AbortController()
+    const silent = request(`${server.url}/v1/calls`, { method: 'POST', body: '{}', headers: { 'fescuespoke-request': 'r1' }, signal: controller.signal })
+    await expect.poll(() => server.core.listCalls().length).toBe(1)
+    controller.abort()
+    await expect(silent).rejects.toThrow()
+  })
+
   it('refuses connections for a while', async () => {
     const server = await createServer()
     server.refuseConnects()
--- /dev/null
+++ b/packages/standins/test/weights/WeightStoreServer.test.ts
@@ -0,0 +1,19 @@
+import { VirtualClock } from '@fescuespoke/common'
+import { describe, expect, it } from 'vitest'
+import { HttpWeightSource, WeightStoreCore, WeightStoreServer } from '../../src/index.js'
+
+describe('WeightStoreServer', () => {
+  it('serves weights at its rate', async () => {
+    const clock = VirtualClock.create()
+    const core = WeightStoreCore.create({ clock, fetchesPerMinute: 1 })
+    const server = await WeightStoreServer.create({ core, clock })
+    const source = HttpWeightSource.create({ url: server.url })
+    const answers = [await source.fetchWeights('a/b'), await source.fetchWeights('c')]
+    await clock.advance(60_000)
+    answers.push(await source.fetchWeights('c'))
+    await server.close()
+    expect(answers.map(answer => answer.isOk ? 'ok' : answer.error.status)).toEqual(['ok', 429, 'ok'])
+    expect(core.listFetched()).toEqual(['a/b', 'c'])
+    expect(await source.fetchWeights('c')).toMatchObject({ error: { status: 503 } })
+  })
+})
