Follow the published records and the instance list through peers

Cause: every instance would have to read the platform, and one cut off from it would stay behind. Change: two instances of each availability zone read the platform, the others ask them and read it themselves when nobody confirms their view; revisions travel as differences with a digest, kept records travel too. A test showed peers at a lower revision taken for conflicting; mended here.

--- /dev/null
+++ b/packages/configuration/src/spread/ConfigurationExchange.ts
@@ -0,0 +1,145 @@
+import { type Clock, type PeerMessageOf, type PeerTransport } from '@fescuespoke/common'
+import { type ValuesAnswer } from '@fescuespoke/schema'
+import { computeDigest } from '../view/computeDigest.js'
+import { type ConfigurationView, type Values } from '../view/ConfigurationView.js'
+import { type SourceMonitor } from './SourceMonitor.js'
+
+/** Options of the exchange of values with peers. */
+export interface ConfigurationExchangeOptions {
+  readonly view: ConfigurationView
+  readonly transport: PeerTransport
+  readonly clock: Clock
+  /** Records peers that hold other values under the same revision. */
+  readonly monitor: SourceMonitor
+}
+
+/** Longest wait for a part of a peer's answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 1000
+
+/** Size of the values in one part of an answer, in characters; one value more may follow. */
+const PART_CHARACTERS = 1_500_000
+
+/** Number of parts after which an answer is given up. */
+const MAX_PARTS = 1000
+
+interface CollectedValues {
+  readonly values: Values
+  readonly answer: ValuesAnswer
+  readonly sentAtMs: number
+}
+
+/** Exchanges published values with peers, so that a revision reaches instances that do not read the platform. */
+export class ConfigurationExchange {
+  /**
+   * Creates an exchange and answers the peers' requests from now on.
+   * @param options - Options of the exchange.
+   */
+  static create (options: ConfigurationExchangeOptions): ConfigurationExchange {
+    return new ConfigurationExchange(options)
+  }
+
+  /** @internal */
+  private constructor (private readonly options: ConfigurationExchangeOptions) {
+    options.transport.setHandler('valuesRequest', message => this.answerValues(message))
+  }
+
+  /**
+   * Asks a peer for a higher revision, and takes it over.
+   * @param instance - Name of the peer.
+   * @returns True when the peer has confirmed the accepted revision or given a higher one.
+   */
+  async askPeer (instance: string): Promise<boolean> {
+    const { view } = this.options
+    const haveRevision = view.getRevision()
+    const haveDigest = view.getDigest()
+    const collected = await this.collectValues(instance, haveRevision, view.getValues())
+    if (collected === undefined || collected.answer.revision < Math.max(1, haveRevision)) return false
+    if (collected.answer.revision === haveRevision) return this.confirmSame(instance, collected, haveDigest)
+    if (isWhole(collected)) return this.offerCollected(instance, collected)
+    const again = await this.collectValues(instance, 0, {})
+    return again !== undefined && isWhole(again) && this.offerCollected(instance, again)
+  }
+
+  private confirmSame (instance: string, { answer, sentAtMs }: CollectedValues, haveDigest: string): boolean {
+    const { view, monitor } = this.options
+    if (answer.digest !== undefined && answer.digest !== haveDigest) return this.observeConflict(instance, answer.revision)
+    if (answer.revision === view.getRevision()) view.offerKept(answer.kept ?? [], `peer ${instance}`)
+    view.recordConfirmation(answer.revision, sentAtMs - (answer.ageMs ?? Infinity))
+    monitor.observe()
+    return answer.ageMs !== undefined
+  }
+
+  private offerCollected (instance: string, { values, answer, sentAtMs }: CollectedValues): boolean {
+    const { view } = this.options
+    const confirmedAtMs = sentAtMs - (answer.ageMs ?? Infinity)
+    const outcome = view.offer(values, answer.revision, `peer ${instance}`, { sentAtMs: confirmedAtMs, kept: answer.kept ?? [] })
+    if (outcome === 'conflicting') return this.observeConflict(instance, answer.revision)
+    return outcome !== 'older' && answer.ageMs !== undefined
+  }
+
+  private observeConflict (instance: string, revision: number): boolean {
+    this.options.monitor.observe(`${instance} holds other values under revision ${revision}`)
+    return false
+  }
+
+  private async collectValues (instance: string, haveRevision: number, base: Values): Promise<CollectedValues | undefined> {
+    const { transport, clock, view } = this.options
+    const sentAtMs = clock.nowMs()
+    const collected: Record<string, string> = {}
+    let afterKey: string | undefined
+    for (let part = 0; part < MAX_PARTS; part++) {
+      const question = { type: 'valuesRequest' as const, haveRevision, keptDigest: view.getKeptDigest() }
+      const message = afterKey === undefined ? question : { ...question, afterKey }
+      const reply = await transport.request<'valuesAnswer'>(instance, message, ANSWER_TIMEOUT_MS)
+      if (reply.isErr) return undefined
+      const answer = reply.value
+      Object.assign(collected, answer.values)
+      if (answer.nextAfterKey === undefined) return { values: mergeValues(answer, collected, base), answer, sentAtMs }
+      afterKey = answer.nextAfterKey
+    }
+    return undefined
+  }
+
+  private answerValues (request: PeerMessageOf<'valuesRequest'>): ValuesAnswer {
+    const { view } = this.options
+    const ageMs = view.getAgeMs()
+    const answer: ValuesAnswer = {
+      type: 'valuesAnswer',
+      revision: view.getRevision(),
+      digest: view.getDigest(),
+      values: {},
+      ...(ageMs === Infinity ? {} : { ageMs: Math.ceil(ageMs) }),
+      ...(request.keptDigest === view.getKeptDigest() ? {} : { kept: [...view.listKept()] })
+    }
+    if (request.haveRevision >= view.getRevision()) return answer
+    const changes = view.getHistory().findChanges(request.haveRevision)
+    const keys = changes?.changed ?? Object.keys(view.getValues()).sort()
+    const base = changes === undefined ? {} : { baseRevision: request.haveRevision, deleted: [...changes.deleted] }
+    return { ...answer, ...base, ...this.pickPart(keys, request.afterKey) }
+  }
+
+  private pickPart (keys: readonly string[], afterKey: string | undefined): Pick<ValuesAnswer, 'values' | 'nextAfterKey'> {
+    const all = this.options.view.getValues()
+    const left = afterKey === undefined ? keys : keys.filter(key => key > afterKey)
+    const values: Record<string, string> = {}
+    let characters = 0
+    for (const key of left) {
+      const text = all[key] as string
+      values[key] = text
+      characters += key.length + text.length
+      if (characters >= PART_CHARACTERS && key !== left.at(-1)) return { values, nextAfterKey: key }
+    }
+    return { values }
+  }
+}
+
+function isWhole ({ values, answer }: CollectedValues): boolean {
+  return answer.digest === undefined || computeDigest(values) === answer.digest
+}
+
+function mergeValues (answer: ValuesAnswer, collected: Values, base: Values): Values {
+  if (answer.baseRevision === undefined) return collected
+  const merged = { ...base, ...collected }
+  for (const key of answer.deleted ?? []) Reflect.deleteProperty(merged, key)
+  return merged
+}
--- /dev/null
+++ b/packages/configuration/src/spread/ConfigurationFollower.ts
@@ -0,0 +1,107 @@
+import { type AuditTrail, type Clock, type PeerTransport, type Random } from '@fescuespoke/common'
+import { type ConfigurationSource } from '../sources/ConfigurationSource.js'
+import { type ConfigurationView } from '../view/ConfigurationView.js'
+import { ConfigurationExchange } from './ConfigurationExchange.js'
+import { ConfigurationReader } from './ConfigurationReader.js'
+import { type FleetMember } from './FleetMember.js'
+import { SourceMonitor } from './SourceMonitor.js'
+import { type FollowerTiming, type RefreshOptions, ViewFollower } from './ViewFollower.js'
+
+/** Options of a follower of the published records. */
+export interface ConfigurationFollowerOptions {
+  readonly view: ConfigurationView
+  readonly source: ConfigurationSource
+  readonly transport: PeerTransport
+  readonly clock: Clock
+  readonly random: Random
+  readonly audit: AuditTrail
+  /** This instance. */
+  readonly self: FleetMember
+  /** Lists the other instances thought alive. */
+  readonly listPeers: () => readonly FleetMember[]
+  readonly timing?: Partial<FollowerTiming>
+}
+
+const DEFAULT_TIMING: FollowerTiming = {
+  waitMs: 500,
+  askMs: 800,
+  urgentAskMs: 300,
+  silenceMs: 2500,
+  checkMs: 250,
+  firstBackoffMs: 200,
+  maxBackoffMs: 1500
+}
+
+/** Follows the published records through the configuration service and through peers. */
+export class ConfigurationFollower {
+  /**
+   * Creates a follower that answers peers at once and reads nothing until it is started.
+   * @param options - Options of the follower.
+   */
+  static create (options: ConfigurationFollowerOptions): ConfigurationFollower {
+    return new ConfigurationFollower(options)
+  }
+
+  private readonly exchange: ConfigurationExchange
+  private readonly follower: ViewFollower
+  private catchUp: Promise<void> | undefined
+
+  /** @internal */
+  private constructor (private readonly options: ConfigurationFollowerOptions) {
+    const { view, source, transport, clock, random, audit, self, listPeers, timing } = options
+    const createMonitor = (subject: string): SourceMonitor =>
+      SourceMonitor.create({ audit, subject, getRevision: () => view.getRevision() })
+    const reader = ConfigurationReader.create({ view, source, clock, monitor: createMonitor('configuration service') })
+    this.exchange = ConfigurationExchange.create({ view, transport, clock, monitor: createMonitor('configuration of peers') })
+    this.follower = ViewFollower.create({
+      clock,
+      random,
+      subject: 'configuration',
+      self,
+      listPeers,
+      getAgeMs: () => view.getAgeMs(),
+      readSource: async (waitMs, signal) => await reader.readSource(waitMs, signal),
+      askPeer: async instance => await this.exchange.askPeer(instance),
+      timing: { ...DEFAULT_TIMING, ...timing }
+    })
+  }
+
+  /** Starts following. */
+  start (): void {
+    this.follower.start()
+  }
+
+  /** Stops following and waits for the end of its tasks. */
+  async stop (): Promise<void> {
+    await this.follower.stop()
+    await this.catchUp
+  }
+
+  /** Tells whether this instance reads the configuration service for its availability zone. */
+  isWatcher (): boolean {
+    return this.follower.isWatcher()
+  }
+
+  /**
+   * Asks the service and a few peers at once.
+   * @param options - When the wait ends early.
+   */
+  async refresh (options: RefreshOptions = {}): Promise<void> {
+    await this.follower.refresh(options)
+  }
+
+  /**
+   * Observes a revision that a peer, a request lease or a target has named, and fetches it when it is higher.
+   * @param revision - The revision named.
+   * @param hintPeer - Instance that is likely to hold it.
+   */
+  observeRevision (revision: number, hintPeer?: string): void {
+    if (revision <= this.options.view.getRevision() || this.catchUp !== undefined) return
+    this.catchUp = this.fetchRevision(revision, hintPeer).finally(() => { this.catchUp = undefined })
+  }
+
+  private async fetchRevision (revision: number, hintPeer?: string): Promise<void> {
+    if (hintPeer !== undefined) await this.exchange.askPeer(hintPeer)
+    if (this.options.view.getRevision() < revision) await this.follower.refresh()
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/spread/ConfigurationReader.ts
@@ -0,0 +1,95 @@
+import { type Clock } from '@fescuespoke/common'
+import { type PublishedChange } from '@fescuespoke/schema'
+import { type ConfigurationSource } from '../sources/ConfigurationSource.js'
+import { type ConfigurationView, type Values } from '../view/ConfigurationView.js'
+import { type SourceMonitor } from './SourceMonitor.js'
+
+/** Options of a reader of the configuration service. */
+export interface ConfigurationReaderOptions {
+  readonly view: ConfigurationView
+  readonly source: ConfigurationSource
+  readonly clock: Clock
+  readonly monitor: SourceMonitor
+}
+
+/** Reads the configuration service into a view. */
+export class ConfigurationReader {
+  /**
+   * Creates a reader.
+   * @param options - Options of the reader.
+   */
+  static create (options: ConfigurationReaderOptions): ConfigurationReader {
+    return new ConfigurationReader(options)
+  }
+
+  /** After an answer that does not fit the view, changes alone cannot be trusted to lead from it to the next state. */
+  private needsSnapshot = true
+
+  /** @internal */
+  private constructor (private readonly options: ConfigurationReaderOptions) {}
+
+  /**
+   * Waits for a change at the service, or reads the whole state when changes alone do not suffice.
+   * @param waitMs - Longest wait of the service in milliseconds.
+   * @param signal - Ends the wait early.
+   * @returns False when the answer was of no use.
+   */
+  async readSource (waitMs: number, signal: AbortSignal): Promise<boolean> {
+    if (this.needsSnapshot || this.options.view.getRevision() === 0) return await this.readSnapshot(signal)
+    return await this.readChange(waitMs, signal)
+  }
+
+  private async readSnapshot (signal: AbortSignal): Promise<boolean> {
+    const sentAtMs = this.options.clock.nowMs()
+    const answer = await this.options.source.fetchSnapshot(signal)
+    if (answer.isErr) return this.observeProblem(answer.error.detail, signal)
+    return this.offerValues(answer.value.values, answer.value.revision, sentAtMs, signal)
+  }
+
+  private async readChange (waitMs: number, signal: AbortSignal): Promise<boolean> {
+    const { view, source, clock } = this.options
+    const sentAtMs = clock.nowMs()
+    const base = view.getValues()
+    const after = view.getRevision()
+    const answer = await source.fetchChange(after, waitMs, signal)
+    if (answer.isErr) return this.observeProblem(answer.error.detail, signal)
+    const { revision } = answer.value
+    if (revision > after) return this.offerValues(applyChange(base, answer.value), revision, sentAtMs, signal)
+    if (revision < after) return this.observeOlder(revision, signal)
+    view.recordConfirmation(revision, sentAtMs)
+    return this.observeUsable()
+  }
+
+  private offerValues (values: Values, revision: number, sentAtMs: number, signal: AbortSignal): boolean {
+    const outcome = this.options.view.offer(values, revision, 'configuration service', { sentAtMs })
+    if (outcome === 'older') return this.observeOlder(revision, signal)
+    if (outcome === 'conflicting') return this.observeProblem(`other values under the accepted revision ${revision}`, signal)
+    return this.observeUsable()
+  }
+
+  private observeOlder (revision: number, signal: AbortSignal): boolean {
+    const accepted = this.options.view.getRevision()
+    return this.observeProblem(`serves revision ${revision}, lower than the accepted ${accepted}`, signal)
+  }
+
+  private observeProblem (problem: string, signal: AbortSignal): boolean {
+    this.needsSnapshot = true
+    if (!signal.aborted) this.options.monitor.observe(problem)
+    return false
+  }
+
+  private observeUsable (): boolean {
+    this.needsSnapshot = false
+    this.options.monitor.observe()
+    return true
+  }
+}
+
+function applyChange (base: Values, change: PublishedChange): Values {
+  const values: Record<string, string> = { ...base }
+  for (const { key, value } of change.changed) {
+    if (value === undefined) Reflect.deleteProperty(values, key)
+    else values[key] = value
+  }
+  return values
+}
--- /dev/null
+++ b/packages/configuration/src/spread/InstanceListFollower.ts
@@ -0,0 +1,185 @@
+import { addJitter, type AuditTrail, type Clock, type PeerMessageOf, type PeerTransport, type Random } from '@fescuespoke/common'
+import { type ListAnswer, type ListedEntry } from '@fescuespoke/schema'
+import { type InstanceListView, type ListOutcome } from '../list/InstanceListView.js'
+import { checkList } from '../sources/checkList.js'
+import { type InstanceListSource } from '../sources/InstanceListSource.js'
+import { type FleetMember } from './FleetMember.js'
+import { SourceMonitor } from './SourceMonitor.js'
+import { type FollowerTiming, ViewFollower } from './ViewFollower.js'
+
+/** Options of a follower of the instance list. */
+export interface InstanceListFollowerOptions {
+  readonly view: InstanceListView
+  readonly source: InstanceListSource
+  readonly transport: PeerTransport
+  readonly clock: Clock
+  readonly random: Random
+  readonly audit: AuditTrail
+  /** This instance. */
+  readonly self: FleetMember
+  /** Lists the other instances thought alive. */
+  readonly listPeers: () => readonly FleetMember[]
+  /** Gets the accepted configuration revision, for audit events. */
+  readonly getRevision?: () => number
+  readonly timing?: Partial<FollowerTiming>
+}
+
+const DEFAULT_TIMING: FollowerTiming = {
+  waitMs: 400,
+  askMs: 500,
+  urgentAskMs: 200,
+  silenceMs: 1700,
+  checkMs: 100,
+  firstBackoffMs: 200,
+  maxBackoffMs: 1500
+}
+
+/** Longest wait for a peer's answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 1000
+
+/** Longest wait of a refresh, in milliseconds. */
+const REFRESH_MS = 300
+
+/** Interval at which an old list is looked for, in milliseconds. */
+const SEEK_MS = 800
+
+const OUTCOME_PROBLEMS: Record<ListOutcome, string | undefined> = {
+  accepted: undefined,
+  current: undefined,
+  older: 'serves a lower version than the one in use',
+  empty: 'serves an empty list',
+  shrunk: 'serves a list that has shrunk to under half'
+}
+
+/** Follows the instance list through the platform and through peers. */
+export class InstanceListFollower {
+  /**
+   * Creates a follower that answers peers at once and reads nothing until it is started.
+   * @param options - Options of the follower.
+   */
+  static create (options: InstanceListFollowerOptions): InstanceListFollower {
+    return new InstanceListFollower(options)
+  }
+
+  private readonly follower: ViewFollower
+  private readonly monitor: SourceMonitor
+  private readonly timing: FollowerTiming
+  private readonly abort = new AbortController()
+  private askedAtMs = -Infinity
+  private refreshing: Promise<void> | undefined
+  private seeking: Promise<void> | undefined
+
+  /** @internal */
+  private constructor (private readonly options: InstanceListFollowerOptions) {
+    const { view, transport, clock, random, audit, self, listPeers, timing, getRevision = () => 0 } = options
+    this.timing = { ...DEFAULT_TIMING, ...timing }
+    this.monitor = SourceMonitor.create({ audit, subject: 'instance list', getRevision })
+    transport.setHandler('listRequest', message => this.answerList(message))
+    this.follower = ViewFollower.create({
+      clock,
+      random,
+      subject: 'list',
+      self,
+      listPeers,
+      getAgeMs: () => view.getAgeMs(),
+      readSource: async (waitMs, signal) => await this.readSource(waitMs, signal),
+      askPeer: async instance => await this.askPeer(instance),
+      timing: this.timing
+    })
+  }
+
+  /** Starts following. */
+  start (): void {
+    this.follower.start()
+    this.seeking = this.runSeeker()
+  }
+
+  /** Stops following and waits for the end of its tasks. */
+  async stop (): Promise<void> {
+    this.abort.abort()
+    await Promise.all([this.follower.stop(), this.seeking])
+  }
+
+  /** Tells whether this instance reads the list for its availability zone. */
+  isWatcher (): boolean {
+    return this.follower.isWatcher()
+  }
+
+  /**
+   * Asks the platform and a few peers at once. Calls during a refresh share it.
+   * @param maxAgeMs - Age of the view that ends the wait early; 0 to hear all.
+   */
+  async refresh (maxAgeMs: number = 0): Promise<void> {
+    this.refreshing ??= this.runRefresh(maxAgeMs).finally(() => { this.refreshing = undefined })
+    await this.refreshing
+  }
+
+  /**
+   * Gets the time since the platform and a few peers were last asked together, whether they answered or not.
+   * While it is short and the list is old, nobody within reach knows a younger list.
+   */
+  getAskedAgeMs (): number {
+    return this.options.clock.nowMs() - this.askedAtMs
+  }
+
+  private async runRefresh (maxAgeMs: number): Promise<void> {
+    const sentAtMs = this.options.clock.nowMs()
+    await this.follower.refresh({ maxAgeMs, waitMs: REFRESH_MS })
+    this.askedAtMs = sentAtMs
+  }
+
+  /** Keeps asking while the list is old, so that dispatch need not wait for it during an outage. */
+  private async runSeeker (): Promise<void> {
+    const { clock, random, view } = this.options
+    while (!this.abort.signal.aborted) {
+      if (view.getAgeMs() > this.timing.silenceMs) await this.refresh(this.timing.silenceMs)
+      await clock.sleep(addJitter(random, SEEK_MS), this.abort.signal)
+    }
+  }
+
+  private async readSource (waitMs: number, signal: AbortSignal): Promise<boolean> {
+    const { view, source, clock } = this.options
+    const sentAtMs = clock.nowMs()
+    const answer = await source.fetchList(view.getVersion(), waitMs, signal)
+    const problem = answer.match({
+      Ok: list => OUTCOME_PROBLEMS[view.offer(list, 'platform', sentAtMs)],
+      Err: error => error.detail
+    })
+    if (!signal.aborted) this.monitor.observe(problem)
+    return problem === undefined
+  }
+
+  private async askPeer (instance: string): Promise<boolean> {
+    const { view, transport, clock } = this.options
+    const sentAtMs = clock.nowMs()
+    const base = new Map(view.listConfirmed().map(entry => [entry.id, entry]))
+    const request = { type: 'listRequest' as const, haveVersion: view.getVersion() }
+    const reply = await transport.request<'listAnswer'>(instance, request, ANSWER_TIMEOUT_MS)
+    if (reply.isErr || reply.value.version < Math.max(1, request.haveVersion)) return false
+    const answer = reply.value
+    const confirmedAtMs = sentAtMs - answer.ageMs
+    if (answer.version === request.haveVersion) view.recordConfirmation(answer.version, confirmedAtMs)
+    else this.offerAnswer(answer, base, confirmedAtMs, instance)
+    return answer.version === view.getVersion()
+  }
+
+  private offerAnswer (answer: ListAnswer, base: Map<string, ListedEntry>, confirmedAtMs: number, instance: string): void {
+    const checked = checkList({ version: answer.version, entries: answer.entries })
+    if (checked.isErr) return
+    const entries = answer.baseVersion === undefined ? new Map<string, ListedEntry>() : base
+    for (const entry of checked.value.entries) entries.set(entry.id, entry)
+    for (const id of answer.removed ?? []) entries.delete(id)
+    this.options.view.offer({ version: answer.version, entries: [...entries.values()] }, `peer ${instance}`, confirmedAtMs)
+  }
+
+  private answerList (request: PeerMessageOf<'listRequest'>): ListAnswer | undefined {
+    const { view } = this.options
+    if (view.getVersion() === 0) return undefined
+    const version = view.getVersion()
+    const answer = { type: 'listAnswer' as const, version, ageMs: Math.ceil(Math.min(view.getAgeMs(), Number.MAX_SAFE_INTEGER)) }
+    if (request.haveVersion >= version) return { ...answer, entries: [] }
+    const difference = view.findDifference(request.haveVersion)
+    if (difference === undefined) return { ...answer, entries: [...view.listConfirmed()] }
+    return { ...answer, entries: [...difference.changed], baseVersion: request.haveVersion, removed: [...difference.removed] }
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/spread/ViewFollower.ts
@@ -0,0 +1,174 @@
+import { addJitter, type Clock, pickIndex, type Random } from '@fescuespoke/common'
+import { type FleetMember, pickWatchers } from './FleetMember.js'
+
+/** Intervals of a follower, in milliseconds. */
+export interface FollowerTiming {
+  /** Longest wait of the platform for a change. */
+  readonly waitMs: number
+  /** Interval at which a peer is asked. */
+  readonly askMs: number
+  /** Interval at which a peer is asked while the view is old. */
+  readonly urgentAskMs: number
+  /** Age of the view at which an instance reads the platform although others do so for it. */
+  readonly silenceMs: number
+  /** Interval at which that age is looked at. */
+  readonly checkMs: number
+  /** First wait after a failed read; doubled after each further one. */
+  readonly firstBackoffMs: number
+  readonly maxBackoffMs: number
+}
+
+/** Options of a follower. */
+export interface ViewFollowerOptions {
+  readonly clock: Clock
+  readonly random: Random
+  /** What is followed; enters the choice of the instances that read the platform. */
+  readonly subject: string
+  /** This instance. */
+  readonly self: FleetMember
+  /** Lists the other instances thought alive. */
+  readonly listPeers: () => readonly FleetMember[]
+  /** Gets the time since the view was last confirmed. */
+  readonly getAgeMs: () => number
+  /** Reads the platform; false when the answer was of no use. */
+  readonly readSource: (waitMs: number, signal: AbortSignal) => Promise<boolean>
+  /** Asks a peer; false when it did not answer or knows less. */
+  readonly askPeer: (instance: string) => Promise<boolean>
+  readonly timing: FollowerTiming
+}
+
+/** When a refresh ends before everybody asked has been heard. */
+export interface RefreshOptions {
+  /** Age of the view in milliseconds that suffices; 0 to hear all. */
+  readonly maxAgeMs?: number
+  /** Longest wait in milliseconds. */
+  readonly waitMs?: number
+}
+
+const DEFAULT_REFRESH_MS = 1000
+
+/** Shortest interval between two reads of the platform, in milliseconds. */
+const MIN_READ_MS = 50
+
+/** Number of peers that are asked at once by an instance without any view. */
+const FIRST_PEERS = 3
+
+/**
+ * Keeps a view up to date from the platform and from peers. Only a few instances of each availability zone read the
+ * platform; the others ask those, and read it themselves when their view grows old.
+ */
+export class ViewFollower {
+  /**
+   * Creates a follower that has not been started.
+   * @param options - Options of the follower.
+   */
+  static create (options: ViewFollowerOptions): ViewFollower {
+    return new ViewFollower(options)
+  }
+
+  private readonly abort = new AbortController()
+  private tasks: Array<Promise<void>> = []
+
+  /** @internal */
+  private constructor (private readonly options: ViewFollowerOptions) {}
+
+  /** Starts the tasks that read the platform and ask peers. */
+  start (): void {
+    this.tasks = [this.runReader(), this.runAsker()]
+  }
+
+  /** Stops the tasks and waits for their end. */
+  async stop (): Promise<void> {
+    this.abort.abort()
+    await Promise.all(this.tasks)
+  }
+
+  /** Tells whether this instance reads the platform for its availability zone. */
+  isWatcher (): boolean {
+    return this.listWatchers().includes(this.options.self.instance)
+  }
+
+  /**
+   * Asks the platform and a few peers at once, and waits until the view is young enough or all have been heard.
+   * @param options - When the wait ends early.
+   */
+  async refresh (options: RefreshOptions = {}): Promise<void> {
+    const { maxAgeMs = 0, waitMs = DEFAULT_REFRESH_MS } = options
+    const { clock, readSource, askPeer, getAgeMs } = this.options
+    const asked = [readSource(0, this.abort.signal), ...this.pickPeers(FIRST_PEERS).map(askPeer)]
+    await new Promise<void>(resolve => {
+      const cancelTimer = clock.startTimer(waitMs, resolve)
+      const finish = (): void => {
+        cancelTimer()
+        resolve()
+      }
+      for (const one of asked) one.then(() => { if (getAgeMs() <= maxAgeMs) finish() })
+      Promise.all(asked).then(finish)
+    })
+  }
+
+  private async runReader (): Promise<void> {
+    const { clock, random, timing, readSource } = this.options
+    let failures = 0
+    while (!this.abort.signal.aborted) {
+      if (!this.isReadDue()) {
+        failures = 0
+        await clock.sleep(addJitter(random, timing.checkMs), this.abort.signal)
+        continue
+      }
+      const startedAtMs = clock.nowMs()
+      const isUsable = await readSource(this.isWatcher() ? timing.waitMs : 0, this.abort.signal)
+      failures = isUsable ? 0 : failures + 1
+      const pauseMs = isUsable ? startedAtMs + MIN_READ_MS - clock.nowMs() : addJitter(random, this.computeBackoff(failures))
+      if (pauseMs > 0) await clock.sleep(pauseMs, this.abort.signal)
+    }
+  }
+
+  private async runAsker (): Promise<void> {
+    const { clock, random, timing, askPeer, getAgeMs } = this.options
+    let isAnswered = true
+    while (!this.abort.signal.aborted) {
+      const count = getAgeMs() === Infinity ? FIRST_PEERS : 1
+      const isOld = getAgeMs() > timing.silenceMs
+      const peers: string[] = isOld || !isAnswered ? this.pickPeers(count) : this.pickHelpers()
+      const answers: boolean[] = await Promise.all(peers.map(askPeer))
+      isAnswered = answers.includes(true)
+      const intervalMs = isOld || !isAnswered ? timing.urgentAskMs : timing.askMs
+      await clock.sleep(addJitter(random, intervalMs), this.abort.signal)
+    }
+  }
+
+  private isReadDue (): boolean {
+    return this.isWatcher() || this.options.getAgeMs() > this.options.timing.silenceMs
+  }
+
+  private computeBackoff (failures: number): number {
+    const { firstBackoffMs, maxBackoffMs } = this.options.timing
+    return Math.min(maxBackoffMs, firstBackoffMs * 2 ** (failures - 1))
+  }
+
+  private listWatchers (): string[] {
+    const { self, listPeers, subject } = this.options
+    return pickWatchers(subject, [self, ...listPeers()], self.availabilityZone)
+  }
+
+  /** Picks one of the instances that read the platform for this zone, or any peer for an instance that reads it itself. */
+  private pickHelpers (): string[] {
+    const watchers = this.listWatchers()
+    if (watchers.includes(this.options.self.instance)) return this.pickPeers(1)
+    return this.pickFrom(watchers, 1)
+  }
+
+  private pickPeers (count: number): string[] {
+    return this.pickFrom(this.options.listPeers().map(peer => peer.instance), count)
+  }
+
+  private pickFrom (names: readonly string[], count: number): string[] {
+    const left = [...names]
+    const picked: string[] = []
+    while (picked.length < count && left.length > 0) {
+      picked.push(...left.splice(pickIndex(this.options.random, left.length), 1))
+    }
+    return picked
+  }
+}
--- /dev/null
+++ b/packages/configuration/test/spread/ConfigurationFollower.test.ts
@@ -0,0 +1,141 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { createServiceItem, createTargetItem, createValues } from '../support/records.js'
+import { TestFleet } from '../support/TestFleet.js'
+
+const IN_FORCE_MS = 5000
+const BASE = createValues({ targets: [createTargetItem('t1')], gate: createServiceItem('gate') })
+const AMENDED = { ...BASE, gate: JSON.stringify(createServiceItem('gate', { priority: 'high' })) }
+const DELETED = { targets: BASE.targets as string }
+const BAD = { ...BASE, gate: '7' }
+
+describe('ConfigurationFollower', () => {
+  let fleet: TestFleet
+
+  beforeEach(() => { fleet = TestFleet.create() })
+  afterEach(async () => { await fleet.stop() })
+
+  /** Starts instances that have accepted revision 1, runs the steps and returns the revisions in force afterwards. */
+  async function doTest (count: number, ...steps: Array<() => void | Promise<unknown>>): Promise<string> {
+    fleet.platform.publish(1, BASE)
+    fleet.platform.publishList(1, [{ id: 't1', role: 'target', state: 'live' }])
+    for (let index = 0; index < count; index++) await fleet.startInstance(`i${index}`, `z${index % 3}`)
+    await fleet.clock.advance(IN_FORCE_MS)
+    for (const step of steps) {
+      await step()
+      await fleet.clock.advance(IN_FORCE_MS)
+    }
+    return fleet.listRevisions()
+  }
+
+  const publish = (revision: number, values: Record<string, string>) => () => fleet.platform.publish(revision, values)
+  const listAudit = (instance: string): string[] =>
+    (fleet.instances.get(instance)?.audit.getPage(0).events ?? []).map(({ kind, subject, revision, cause }) => `${kind} ${subject} ${revision}: ${cause}`)
+
+  it('brings an amendment to every instance of a small fleet', async () => {
+    expect(await doTest(3, publish(2, AMENDED))).toBe('i0:2 i1:2 i2:2')
+  })
+
+  it('brings it to a fleet in which few instances read the service', async () => {
+    const revisions = await doTest(30, publish(2, AMENDED))
+    expect(new Set(revisions.split(' ').map(text => text.split(':')[1]))).toEqual(new Set(['2']))
+    expect([...fleet.instances.values()].filter(({ follower }) => follower.isWatcher()).length).toBe(6)
+  })
+
+  it('spares the service the reads of those that ask peers', async () => {
+    await doTest(30)
+    const before = fleet.platform.reads
+    await fleet.clock.advance(10_000)
+    const perSecond = (fleet.platform.reads - before) / 10
+    // Six instances read records every 500 ms and the list every 400 ms.
+    expect(perSecond).toBeLessThan(6 * (2 + 2.5) + 1)
+  })
+
+  it('keeps what is in force while the service is down, and catches up', async () => {
+    expect(await doTest(2, () => { fleet.platform.isUpFor = () => false })).toBe('i0:1 i1:1')
+    fleet.platform.publish(2, AMENDED)
+    await fleet.clock.advance(60_000)
+    expect(fleet.listRevisions()).toBe('i0:1 i1:1')
+    fleet.platform.isUpFor = () => true
+    await fleet.clock.advance(IN_FORCE_MS)
+    expect(fleet.listRevisions()).toBe('i0:2 i1:2')
+    expect(listAudit('i0')).toMatchInlineSnapshot(`
+      [
+        "revisionAccepted configuration 1: configuration service",
+        "sourceLost configuration service 1: down",
+        "sourceLost instance list 0: down",
+        "sourceRestored instance list 0: usable again after: down",
+        "revisionAccepted configuration 2: peer i1",
+        "sourceRestored configuration service 2: usable again after: down",
+      ]
+    `)
+  })
+
+  it('reaches all through the only instance that the service answers', async () => {
+    expect(await doTest(20, () => { fleet.platform.isUpFor = reader => reader === 'i7' }, publish(2, AMENDED)))
+      .toMatch(/^(i\d+:2 ?){20}$/)
+  })
+
+  it('ignores an older state of the service and records it', async () => {
+    expect(await doTest(2, publish(2, DELETED), () => fleet.platform.serveState(1))).toBe('i0:2 i1:2')
+    expect(fleet.instances.get('i0')?.configuration.getSnapshot().services.size).toBe(0)
+    expect(listAudit('i0').at(-1)).toMatchInlineSnapshot('"sourceLost configuration service 2: serves revision 1, lower than the accepted 2"')
+  })
+
+  it('raises a restarted instance to the revision of its peers when the service is stale', async () => {
+    expect(await doTest(3, publish(2, DELETED), () => fleet.platform.serveState(1), async () => await fleet.startInstance('i1', 'z1')))
+      .toBe('i0:2 i2:2 i1:2')
+  })
+
+  it('gives a new instance everything from its peers when the service is down', async () => {
+    expect(await doTest(2, publish(2, AMENDED), () => { fleet.platform.isUpFor = () => false }, async () => await fleet.startInstance('i9', 'z1')))
+      .toBe('i0:2 i1:2 i9:2')
+    expect(fleet.instances.get('i9')?.configuration.getSnapshot()).toEqual(fleet.instances.get('i0')?.configuration.getSnapshot())
+  })
+
+  it('joins the halves of a healed partition at the higher revision', async () => {
+    expect(await doTest(4,
+      () => {
+        fleet.network.split(['i0', 'i1'], ['i2', 'i3'])
+        fleet.platform.isUpFor = reader => reader === 'i0'
+      },
+      publish(2, DELETED)
+    )).toBe('i0:2 i1:2 i2:1 i3:1')
+    fleet.network.split()
+    fleet.platform.isUpFor = () => false
+    await fleet.clock.advance(IN_FORCE_MS)
+    expect(fleet.listRevisions()).toBe('i0:2 i1:2 i2:2 i3:2')
+  })
+
+  it('gives a restarted instance the predecessor of a bad record', async () => {
+    expect(await doTest(2, publish(2, AMENDED), publish(3, BAD), async () => await fleet.startInstance('i1', 'z1'))).toBe('i0:3 i1:3')
+    const views = [...fleet.instances.values()].map(({ configuration }) => configuration)
+    expect(views.map(view => view.getSnapshot().services.get('gate')?.priority)).toEqual(['high', 'high'])
+    expect(views[1]?.listRefused()).toEqual(views[0]?.listRefused())
+  })
+
+  it('reads everything again after the service has lost and replaced its content', async () => {
+    const replaced = createValues({ targets: [createTargetItem('t7')], lot: createServiceItem('lot') })
+    await doTest(2, publish(2, AMENDED), () => fleet.platform.serveState(1), () => {
+      fleet.platform.publish(3, replaced)
+      fleet.platform.serveState()
+    })
+    const snapshots = [...fleet.instances.values()].map(({ configuration }) => configuration.getSnapshot())
+    expect(snapshots.map(({ revision, services }) => `${revision} ${[...services.keys()].join()}`)).toEqual(['3 lot', '3 lot'])
+  })
+
+  it('fetches a revision that a request lease has named from the hinted peer', async () => {
+    await doTest(2, () => { fleet.platform.isUpFor = reader => reader === 'i0' })
+    fleet.platform.publish(2, AMENDED)
+    await fleet.clock.advance(20)
+    fleet.instances.get('i1')?.follower.observeRevision(2, 'i0')
+    await fleet.clock.advance(5)
+    expect(fleet.listRevisions()).toBe('i0:2 i1:2')
+  })
+
+  it('carries a state that is larger than one frame', async () => {
+    const large = Object.fromEntries(Array.from({ length: 6 }, (_, index) => [`k${index}`, JSON.stringify('x'.repeat(900_000))]))
+    await doTest(2, publish(2, { ...BASE, ...large }), () => { fleet.platform.isUpFor = () => false }, async () => await fleet.startInstance('i9', 'z1'))
+    const values = [...fleet.instances.values()].map(({ configuration }) => Object.keys(configuration.getValues()).length)
+    expect(values).toEqual([8, 8, 8])
+  })
+})
--- /dev/null
+++ b/packages/configuration/test/spread/InstanceListFollower.test.ts
@@ -0,0 +1,86 @@
+import { type ListedEntry } from '@fescuespoke/schema'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { TestFleet } from '../support/TestFleet.js'
+
+const EVIDENCE_MS = 2000
+
+function createEntries (...names: string[]): ListedEntry[] {
+  return names.map(name => ({ id: name.replace('-', ''), role: 'target', state: name.endsWith('-') ? 'leaving' : 'live' }))
+}
+
+describe('InstanceListFollower', () => {
+  let fleet: TestFleet
+
+  beforeEach(() => { fleet = TestFleet.create() })
+  afterEach(async () => { await fleet.stop() })
+
+  /** Starts instances over a list, runs the steps and returns what each then holds of target a. */
+  async function doTest (count: number, ...steps: Array<() => void>): Promise<string[]> {
+    fleet.platform.publishList(1, createEntries('a', 'b', 'c'))
+    for (let index = 0; index < count; index++) await fleet.startInstance(`i${index}`, `z${index % 3}`)
+    await fleet.clock.advance(3000)
+    for (const step of steps) {
+      step()
+      await fleet.clock.advance(EVIDENCE_MS)
+    }
+    return listStates()
+  }
+
+  function listStates (): string[] {
+    return [...fleet.instances.values()].map(({ list }) => {
+      const { state, ageMs } = list.getTargetState('a')
+      return `${state} ${ageMs < EVIDENCE_MS ? 'fresh' : 'old'}`
+    })
+  }
+
+  it('keeps every view fresh in a small fleet', async () => {
+    expect(new Set(await doTest(4))).toEqual(new Set(['active fresh']))
+  })
+
+  it('keeps every view fresh when few instances read the list', async () => {
+    await doTest(30)
+    for (let step = 0; step < 40; step++) {
+      await fleet.clock.advance(50)
+      expect(new Set(listStates())).toEqual(new Set(['active fresh']))
+    }
+  })
+
+  it('tells everybody of a leaving target', async () => {
+    expect(new Set(await doTest(30, () => fleet.platform.publishList(2, createEntries('a-', 'b', 'c'))))).toEqual(new Set(['leaving fresh']))
+  })
+
+  it('tells an instance through peers that is cut off from the list', async () => {
+    expect(await doTest(3,
+      () => { fleet.platform.isUpFor = reader => reader !== 'i1' },
+      () => fleet.platform.publishList(2, createEntries('a-', 'b', 'c')))).toEqual(['leaving fresh', 'leaving fresh', 'leaving fresh'])
+  })
+
+  it('lets the views grow old while the list is down, and notes that everybody was asked', async () => {
+    expect(await doTest(2, () => { fleet.platform.isUpFor = () => false }, () => {})).toEqual(['active old', 'active old'])
+    expect([...fleet.instances.values()].every(({ listFollower }) => listFollower.getAskedAgeMs() < EVIDENCE_MS)).toBe(true)
+  })
+
+  it('lets the views grow old while the list is empty or of a lower version', async () => {
+    expect(await doTest(2, () => fleet.platform.publishList(2, []), () => {})).toEqual(['active old', 'active old'])
+    fleet.platform.publishList(0, createEntries('z'))
+    await fleet.clock.advance(EVIDENCE_MS)
+    expect(listStates()).toEqual(['active old', 'active old'])
+    fleet.platform.publishList(3, createEntries('a', 'b'))
+    await fleet.clock.advance(EVIDENCE_MS)
+    expect(listStates()).toEqual(['active fresh', 'active fresh'])
+  })
+
+  it('sends a peer only the differences, and the peer holds the same list', async () => {
+    await doTest(2, () => { fleet.platform.isUpFor = reader => reader === 'i0' }, () => fleet.platform.publishList(2, createEntries('a-', 'b', 'd')))
+    const [first, second] = [...fleet.instances.values()].map(({ list }) => list.listEntries())
+    expect(second).toEqual(first)
+  })
+
+  it('does not take evidence from before a pause for fresh', async () => {
+    await doTest(2)
+    fleet.clock.jump(60_000)
+    expect(listStates()).toEqual(['active old', 'active old'])
+    await fleet.clock.advance(EVIDENCE_MS)
+    expect(listStates()).toEqual(['active fresh', 'active fresh'])
+  })
+})
--- /dev/null
+++ b/packages/configuration/test/support/FakePlatform.ts
@@ -0,0 +1,89 @@
+import { type Clock } from '@fescuespoke/common'
+import { type ListedEntry, type PublishedChange, type PublishedList, type PublishedValues } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { type ConfigurationSource, type InstanceListSource, type SourceError } from '../../src/index.js'
+
+const LATENCY_MS = 2
+
+/** Publishes records and the instance list in one process; it can be down for some readers and serve old states. */
+export class FakePlatform {
+  static create (clock: Clock): FakePlatform {
+    return new FakePlatform(clock)
+  }
+
+  reads = 0
+  /** Tells whether the platform answers a reader. */
+  isUpFor: (reader: string) => boolean = () => true
+  private readonly states: PublishedValues[] = [{ revision: 0, values: {} }]
+  private served: number | undefined
+  private list: PublishedList = { version: 0, entries: [] }
+  private readonly waiting = new Set<() => void>()
+
+  private constructor (private readonly clock: Clock) {}
+
+  publish (revision: number, values: Record<string, string>): void {
+    this.states.push({ revision, values })
+    this.wake()
+  }
+
+  /** Serves an earlier state from now on; without an index the latest one. */
+  serveState (index?: number): void {
+    this.served = index
+    this.wake()
+  }
+
+  publishList (version: number, entries: ListedEntry[]): void {
+    this.list = { version, entries }
+    this.wake()
+  }
+
+  createSource (reader: string): ConfigurationSource {
+    return {
+      fetchSnapshot: async () => await this.read(reader, () => this.getState()),
+      fetchChange: async (after, waitMs, signal) => {
+        await this.waitFor(reader, () => this.getState().revision !== after, waitMs, signal)
+        return await this.read(reader, () => this.findChange(after))
+      }
+    }
+  }
+
+  createListSource (reader: string): InstanceListSource {
+    return {
+      fetchList: async (after, waitMs, signal) => {
+        await this.waitFor(reader, () => this.list.version !== after, waitMs, signal)
+        return await this.read(reader, () => structuredClone(this.list))
+      }
+    }
+  }
+
+  private getState (): PublishedValues {
+    return this.states.at(this.served ?? -1) as PublishedValues
+  }
+
+  private findChange (after: number): PublishedChange {
+    const { revision, values } = this.getState()
+    const before = this.states.findLast(state => state.revision === after)?.values ?? {}
+    const keys = [...new Set([...Object.keys(before), ...Object.keys(values)])].filter(key => before[key] !== values[key])
+    const changed = keys.map(key => values[key] === undefined ? { key } : { key, value: values[key] })
+    return { revision, changed: revision > after ? changed : [] }
+  }
+
+  private async read<T> (reader: string, get: () => T): Promise<Result<T, SourceError>> {
+    this.reads++
+    await this.clock.sleep(LATENCY_MS)
+    return this.isUpFor(reader) ? Result.ok(get()) : Result.err({ kind: 'unreachable', detail: 'down' })
+  }
+
+  private async waitFor (reader: string, isDue: () => boolean, waitMs: number, signal?: AbortSignal): Promise<void> {
+    if (!this.isUpFor(reader) || isDue() || waitMs === 0) return
+    const woken = new AbortController()
+    const wake = (): void => woken.abort()
+    this.waiting.add(wake)
+    await this.clock.sleep(waitMs, signal === undefined ? woken.signal : AbortSignal.any([woken.signal, signal]))
+    this.waiting.delete(wake)
+  }
+
+  private wake (): void {
+    for (const wake of this.waiting) wake()
+  }
+}
