--- a/packages/caller/src/Caller.ts
+++ b/packages/caller/src/Caller.ts
@@ -2,6 +2,7 @@
 import { type SubmitRequest } from '@fescuespoke/schema'
 import { AddressBook } from './addresses/AddressBook.js'
 import { Answer } from './answer/Answer.js'
+import { type AnswerResult } from './answer/AnswerResult.js'
 import { AnswerBuffer } from './answer/AnswerBuffer.js'
 import { type CallerOptions, type CallOptions, type GenerateOptions } from './CallerOptions.js'
 import { ConnectionPool } from './http/ConnectionPool.js'
@@ -13,6 +14,7 @@
 
 const DEFAULTS = {
   silenceMs: 3000,
+  firstByteMs: 1000,
   connectTimeoutMs: 1000,
   avoidMs: 10_000,
   maxSubmissions: 4,
@@ -69,14 +71,18 @@
   private startRequest (kind: RequestKind, input: SubmitRequest): Answer {
     const { budget, clock } = this.services
     const buffer = AnswerBuffer.create()
-    const controller = new AbortController()
+    const cancellation = new AbortController()
     const deadlineAtMs = input.deadlineMs === undefined ? Number.POSITIVE_INFINITY : clock.nowMs() + input.deadlineMs
-    const context: RequestContext = { services: this.services, kind, input, buffer, deadlineAtMs, cancelSignal: controller.signal }
+    const context: RequestContext = { services: this.services, kind, input, buffer, deadlineAtMs, cancelSignal: cancellation.signal }
     budget.recordRequest()
-    const result = runRequest(context).then(settled => {
-      buffer.settle(settled)
-      return settled
-    })
-    return Answer.create({ buffer, result, cancel: () => controller.abort() })
+    const result = settleRequest(context)
+    return Answer.create({ buffer, result, cancel: () => cancellation.abort() })
   }
 }
+
+async function settleRequest (context: RequestContext): Promise<AnswerResult> {
+  const result = await runRequest(context)
+  const settled = { ...result, request: context.buffer.getRequest() }
+  context.buffer.settle(settled)
+  return settled
+}
--- a/packages/caller/src/CallerOptions.ts
+++ b/packages/caller/src/CallerOptions.ts
@@ -18,6 +18,8 @@
   readonly createDispatcher?: DispatcherFactory
   /** Silence after which a connection is given up, in milliseconds; three heartbeats or more. */
   readonly silenceMs?: number
+  /** Longest wait for the first byte of an instance's answer, in milliseconds; owners confirm a request at once. */
+  readonly firstByteMs?: number
   /** Longest wait for a connection in milliseconds. */
   readonly connectTimeoutMs?: number
   /** How long an instance that failed is ranked last, in milliseconds. */
--- a/packages/caller/src/addresses/AddressBook.ts
+++ b/packages/caller/src/addresses/AddressBook.ts
@@ -4,7 +4,7 @@
 
 /** Options of an address book. */
 export interface AddressBookOptions {
-  readonly client: InstanceClient
+  readonly client: Pick<InstanceClient, 'fetchAddresses'>
   readonly clock: Clock
   readonly random: Random
   readonly workspace: string
@@ -61,18 +61,18 @@
    * Ranks an instance last for a while, because it failed or is draining.
    * @param url - Base URL of the instance.
    */
-  avoidUrl (url: string): void {
+  excludeUrl (url: string): void {
     this.avoidedUntilMs.set(url, this.options.clock.nowMs() + this.options.avoidMs)
   }
 
   private async fetchUrls (service: string): Promise<readonly string[]> {
     const known = this.answers.get(service)?.addresses ?? []
-    const bootstrap = shuffleUrls(this.options.random, this.options.bootstrapUrls)
+    const bootstrap = rankAtRandom(this.options.random, this.options.bootstrapUrls)
     for (const url of new Set([...this.rankUrls(known), ...bootstrap])) {
       const sentMs = this.options.clock.nowMs()
       const answer = await this.options.client.fetchAddresses(url, service, this.options.workspace)
       if (answer.isOk && answer.value.addresses.length > 0) return this.acceptAnswer(service, answer.value, sentMs)
-      if (answer.isErr) this.avoidUrl(url)
+      if (answer.isErr) this.excludeUrl(url)
     }
     return this.rankUrls(known)
   }
@@ -93,7 +93,7 @@
   }
 }
 
-function shuffleUrls (random: Random, urls: readonly string[]): string[] {
+function rankAtRandom (random: Random, urls: readonly string[]): string[] {
   const left = [...urls]
   const shuffled: string[] = []
   while (left.length > 0) shuffled.push(...left.splice(pickIndex(random, left.length), 1))
--- a/packages/caller/src/answer/AnswerBuffer.ts
+++ b/packages/caller/src/answer/AnswerBuffer.ts
@@ -2,8 +2,6 @@
 import { type StreamStep } from '../http/InstanceClient.js'
 import { type AnswerResult, type Reply } from './AnswerResult.js'
 
-const READ_ON: StreamStep = { next: 'read' }
-
 type EventOf<T extends StreamEvent['type']> = Extract<StreamEvent, { type: T }>
 
 type EventHandlers = { readonly [T in StreamEvent['type']]: (event: EventOf<T>) => StreamStep }
@@ -22,8 +20,7 @@
   private reply?: Reply
   private result?: AnswerResult
   private delivered = false
-  private spliced = false
-  private accepted = false
+  private request?: string
   private waiting: Array<() => void> = []
 
   private readonly handlers: EventHandlers = {
@@ -31,9 +28,9 @@
     generation: event => this.observeGeneration(event),
     tokens: event => this.observeTokens(event),
     reply: event => this.observeReply(event),
-    heartbeat: () => READ_ON,
-    handover: () => READ_ON,
-    end: () => READ_ON
+    heartbeat: () => 'read',
+    handover: () => ({ type: 'left', cause: 'handover', detail: 'the owner hands its generations over' }),
+    end: () => 'read'
   }
 
   /** @internal */
@@ -73,14 +70,9 @@
     return this.delivered
   }
 
-  /** Tells whether another generation turned up after the application had got a token. */
-  isSpliced (): boolean {
-    return this.spliced
-  }
-
-  /** Tells whether an owner has confirmed that it knows the request. */
-  isAccepted (): boolean {
-    return this.accepted
+  /** Gets the id of the request for operators, once an owner knows the request. */
+  getRequest (): string | undefined {
+    return this.request
   }
 
   /** Removes what came from a lost generation of which nothing has been delivered. */
@@ -88,7 +80,6 @@
     this.tokens = []
     this.generation = undefined
     this.resumeToken = undefined
-    this.accepted = false
   }
 
   /**
@@ -97,7 +88,7 @@
    */
   settle (result: AnswerResult): void {
     this.result = result
-    this.wakeReaders()
+    this.notifyReaders()
   }
 
   /**
@@ -118,39 +109,38 @@
     return isReleased && index < this.tokens.length
   }
 
-  private observeAccepted ({ delivery }: EventOf<'accepted'>): StreamStep {
-    this.accepted = true
+  private observeAccepted ({ request, delivery }: EventOf<'accepted'>): StreamStep {
+    this.request = request
     this.delivery = delivery
-    return READ_ON
+    return 'read'
   }
 
   private observeGeneration ({ generation, resumeToken }: EventOf<'generation'>): StreamStep {
     if (this.generation !== undefined && this.generation !== generation) {
-      if (this.delivered) {
-        this.spliced = true
-        return { next: 'leave', detail: 'another generation followed delivered tokens' }
-      }
+      if (this.delivered) return { type: 'left', cause: 'spliced', detail: 'another generation followed delivered tokens' }
       this.tokens = []
     }
     this.generation = generation
     this.resumeToken = resumeToken
-    return READ_ON
+    return 'read'
   }
 
   private observeTokens ({ generation, offset, tokens }: EventOf<'tokens'>): StreamStep {
-    if (generation !== this.generation) return READ_ON
-    if (offset > this.tokens.length) return { next: 'leave', detail: `tokens ${this.tokens.length} to ${offset - 1} are missing` }
+    if (generation !== this.generation) return 'read'
+    if (offset > this.tokens.length) {
+      return { type: 'left', cause: 'gap', detail: `tokens ${this.tokens.length} to ${offset - 1} are missing` }
+    }
     this.tokens.push(...tokens.slice(this.tokens.length - offset))
-    this.wakeReaders()
-    return READ_ON
+    this.notifyReaders()
+    return 'read'
   }
 
   private observeReply ({ status, body }: EventOf<'reply'>): StreamStep {
     this.reply = { status, body }
-    return READ_ON
+    return 'read'
   }
 
-  private wakeReaders (): void {
+  private notifyReaders (): void {
     const waiting = this.waiting
     this.waiting = []
     for (const resolve of waiting) resolve()
--- a/packages/caller/src/answer/AnswerResult.ts
+++ b/packages/caller/src/answer/AnswerResult.ts
@@ -10,10 +10,15 @@
   readonly body?: unknown
 }
 
+interface ResultBase {
+  readonly reason: AnswerReason
+  /** Id of the request for operators, once an owner has accepted it. */
+  readonly request?: string
+}
+
 /** The whole answer has arrived. */
-export interface CompleteResult {
+export interface CompleteResult extends ResultBase {
   readonly outcome: 'complete'
-  readonly reason: AnswerReason
   /** All tokens of a generation; empty for a call. */
   readonly tokens: readonly string[]
   /** Present for a call. */
@@ -21,32 +26,28 @@
 }
 
 /** The request has not run and cannot run any more; it may be made again. */
-export interface NotRunResult {
+export interface NotRunResult extends ResultBase {
   readonly outcome: 'notRun'
-  readonly reason: AnswerReason
   readonly detail: string
   /** When it may be made again, in milliseconds. */
   readonly retryAfterMs?: number
 }
 
 /** Nobody can know whether the request ran. */
-export interface UnknownResult {
+export interface UnknownResult extends ResultBase {
   readonly outcome: 'unknown'
-  readonly reason: AnswerReason
   readonly detail: string
 }
 
 /** The request ran and its answer is lost or incomplete; tokens that were delivered before are to be thrown away. */
-export interface FailedResult {
+export interface FailedResult extends ResultBase {
   readonly outcome: 'failed'
-  readonly reason: AnswerReason
   readonly detail: string
 }
 
 /** The request was cancelled; a call may have run in part. */
-export interface CancelledResult {
+export interface CancelledResult extends ResultBase {
   readonly outcome: 'cancelled'
-  readonly reason: AnswerReason
   readonly detail: string
 }
 
--- a/packages/caller/src/http/InstanceClient.ts
+++ b/packages/caller/src/http/InstanceClient.ts
@@ -15,12 +15,30 @@
   readonly path: string
   /** JSON text. */
   readonly body?: string
+  /** Whether the instance answers without asking others first. */
+  readonly answersAtOnce?: boolean
   /** Gives the request up. */
   readonly signal?: AbortSignal
 }
 
-/** What to do after an event of a stream: read on, or leave it for the reason named. */
-export type StreamStep = { readonly next: 'read' } | { readonly next: 'leave', readonly detail: string }
+/** Why a stream is left before its end. */
+export type LeaveCause =
+  /** Another generation began after the application had got a token. */
+  | 'spliced'
+  /** Tokens are missing. */
+  | 'gap'
+  /** The owner asks for the generation to be resumed through another instance. */
+  | 'handover'
+
+/** A stream was left before its end. */
+export interface LeftStream {
+  readonly type: 'left'
+  readonly cause: LeaveCause
+  readonly detail: string
+}
+
+/** What to do after an event of a stream. */
+export type StreamStep = 'read' | LeftStream
 
 /** Receives the events of a stream. */
 export type StreamObserver = (event: StreamEvent) => StreamStep
@@ -31,6 +49,8 @@
   readonly pool: ConnectionPool
   /** Silence after which a connection is given up, in milliseconds. */
   readonly silenceMs: number
+  /** Longest wait for the first byte of an answer that needs no other instance, in milliseconds. */
+  readonly firstByteMs: number
 }
 
 const checkAddressAnswer = createValidator<AddressAnswer>('caller', 'AddressAnswer')
@@ -60,7 +80,7 @@
    */
   async fetchAddresses (url: string, service: string, workspace: string): Promise<Result<AddressAnswer, ExchangeError>> {
     const query = new URLSearchParams({ service, workspace })
-    return await this.fetchValue({ method: 'GET', url, path: `/v1/addresses?${query.toString()}` }, checkAddressAnswer)
+    return await this.fetchValue({ method: 'GET', url, path: `/v1/addresses?${query.toString()}`, answersAtOnce: true }, checkAddressAnswer)
   }
 
   /**
@@ -69,7 +89,7 @@
    * @param workspace - Name of the workspace.
    */
   async requestLease (url: string, workspace: string): Promise<Result<LeaseGrant, ExchangeError>> {
-    return await this.fetchValue({ method: 'POST', url, path: '/v1/leases', body: JSON.stringify({ workspace }) }, checkLeaseGrant)
+    return await this.fetchValue({ method: 'POST', url, path: '/v1/leases', body: JSON.stringify({ workspace }), answersAtOnce: true }, checkLeaseGrant)
   }
 
   /**
@@ -95,17 +115,17 @@
   }
 
   /**
-   * Reads a stream up to its end event.
+   * Reads a stream up to its end event, or until its observer leaves it.
    * @param streamRequest - Request that is answered by a stream.
    * @param observe - Receives the events before the last.
    */
-  async readStream (streamRequest: InstanceRequest, observe: StreamObserver): Promise<Result<EndEvent, ExchangeError>> {
+  async readStream (streamRequest: InstanceRequest, observe: StreamObserver): Promise<Result<EndEvent | LeftStream, ExchangeError>> {
     return await this.exchange(streamRequest, async (response, timer) => {
       for await (const line of readLines(observeChunks(response.body, timer))) {
         const event = readValue(JSON.parse(line), checkStreamEvent)
         if (event.type === 'end') return event
         const step = observe(event)
-        if (step.next === 'leave') throw new Error(step.detail)
+        if (step !== 'read') return step
       }
       throw new Error('the stream ended without an end event')
     })
@@ -116,11 +136,13 @@
   }
 
   private async exchange<T> (
-    { method, url, path, body, signal }: InstanceRequest,
+    { method, url, path, body, signal, answersAtOnce }: InstanceRequest,
     read: (response: Dispatcher.ResponseData, timer: SilenceTimer) => Promise<T>
   ): Promise<Result<T, ExchangeError>> {
-    const dispatcher = this.options.pool.getDispatcher()
-    const timer = SilenceTimer.create(this.options.clock, this.options.silenceMs, signal)
+    const { clock, pool, silenceMs } = this.options
+    const dispatcher = pool.getDispatcher()
+    const firstByteMs = answersAtOnce === true ? this.options.firstByteMs : silenceMs
+    const timer = SilenceTimer.create({ clock, silenceMs, firstByteMs, signal })
     const headers = body === undefined ? undefined : { 'content-type': 'application/json' }
     let connected = false
     try {
@@ -131,8 +153,8 @@
       return Result.ok(await read(response, timer))
     } catch (cause) {
       if (signal?.aborted === true) return Result.err({ kind: 'aborted', detail: 'given up by the caller' })
-      this.options.pool.replace(dispatcher)
-      if (timer.getSignal().aborted) return Result.err({ kind: 'cut', detail: `silent for ${this.options.silenceMs} ms` })
+      pool.replace(dispatcher)
+      if (timer.getSignal().aborted) return Result.err({ kind: 'cut', detail: `silent for ${connected ? silenceMs : firstByteMs} ms` })
       return Result.err(convertException(cause, connected))
     } finally {
       timer.stop()
--- a/packages/caller/src/http/SilenceTimer.ts
+++ b/packages/caller/src/http/SilenceTimer.ts
@@ -1,15 +1,25 @@
 import { type CancelTimer, type Clock } from '@fescuespoke/common'
 
+/** Options of a silence timer. */
+export interface SilenceTimerOptions {
+  readonly clock: Clock
+  /** Longest wait for the first byte in milliseconds. */
+  readonly firstByteMs: number
+  /** Longest silence after it in milliseconds. */
+  readonly silenceMs: number
+  /** Aborts the request early. */
+  readonly signal?: AbortSignal
+}
+
 /** Aborts a request once nothing has arrived for some time, or once its caller gives it up. */
 export class SilenceTimer {
   /**
    * Creates a running timer.
    * @param clock - Clock that it runs on.
-   * @param silenceMs - Longest silence in milliseconds.
-   * @param signal - Aborts the request early.
+   * @param options - Options of the timer.
    */
-  static create (clock: Clock, silenceMs: number, signal?: AbortSignal): SilenceTimer {
-    return new SilenceTimer(clock, silenceMs, signal)
+  static create (options: SilenceTimerOptions): SilenceTimer {
+    return new SilenceTimer(options)
   }
 
   private readonly controller = new AbortController()
@@ -17,10 +27,11 @@
   private cancelTimer: CancelTimer
 
   /** @internal */
-  private constructor (private readonly clock: Clock, private readonly silenceMs: number, private readonly outer?: AbortSignal) {
-    this.cancelTimer = this.clock.startTimer(silenceMs, this.abort)
-    if (outer?.aborted === true) this.abort()
-    outer?.addEventListener('abort', this.abort)
+  private constructor (private readonly options: SilenceTimerOptions) {
+    const { clock, firstByteMs, signal } = options
+    this.cancelTimer = clock.startTimer(firstByteMs, this.abort)
+    if (signal?.aborted === true) this.abort()
+    signal?.addEventListener('abort', this.abort)
   }
 
   /** Gets the signal that aborts the request. */
@@ -31,12 +42,12 @@
   /** Starts the silence anew because something has arrived. */
   restart (): void {
     this.cancelTimer()
-    this.cancelTimer = this.clock.startTimer(this.silenceMs, this.abort)
+    this.cancelTimer = this.options.clock.startTimer(this.options.silenceMs, this.abort)
   }
 
   /** Stops the timer. */
   stop (): void {
     this.cancelTimer()
-    this.outer?.removeEventListener('abort', this.abort)
+    this.options.signal?.removeEventListener('abort', this.abort)
   }
 }
--- a/packages/caller/src/leases/LeaseBook.ts
+++ b/packages/caller/src/leases/LeaseBook.ts
@@ -14,8 +14,8 @@
 
 /** Options of a lease book. */
 export interface LeaseBookOptions {
-  readonly client: InstanceClient
-  readonly addresses: AddressBook
+  readonly client: Pick<InstanceClient, 'requestLease'>
+  readonly addresses: Pick<AddressBook, 'listUrls' | 'excludeUrl'>
   readonly clock: Clock
   readonly workspace: string
 }
@@ -63,7 +63,7 @@
    * @param slot - Slot under the lease.
    */
   removeLease (slot: RequestSlot): void {
-    this.options.addresses.avoidUrl(slot.ownerUrl)
+    this.options.addresses.excludeUrl(slot.ownerUrl)
     for (const [service, held] of this.leases) {
       if (held.lease === slot.lease) this.leases.delete(service)
     }
@@ -87,7 +87,7 @@
         return Result.ok(held)
       }
       lastError = granted.error
-      this.options.addresses.avoidUrl(url)
+      this.options.addresses.excludeUrl(url)
     }
     return Result.err(lastError)
   }
--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -1,17 +1,22 @@
 import { type EndEvent, type ErrorBody, type SubmitRequest } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
-import { type AnswerResult, type AnswerReason } from '../answer/AnswerResult.js'
+import { type AnswerReason } from '../answer/AnswerResult.js'
 import { type ExchangeError, type RefusedError } from '../http/ExchangeError.js'
+import { type LeaveCause, type LeftStream } from '../http/InstanceClient.js'
 import { type RequestSlot } from '../leases/LeaseBook.js'
 import { type RequestContext } from './RequestContext.js'
 import { computeBackoffMs } from './computeBackoffMs.js'
-import { getEndMeaning, type EndMeaning, type SubmissionEnd } from './SubmissionEnd.js'
-
-type StreamEnd = Result<EndEvent, ExchangeError>
+import { getEndMeaning, type EndMeaning, type Sequel, type SubmissionEnd } from './SubmissionEnd.js'
 
 /** Where the next attempt goes: to the owner, through another instance to the owner, or past a lost owner to the engine. */
 type Route = 'owner' | 'forward' | 'resume'
 
+/** How an attempt ended. */
+type AttemptEnd = Result<EndEvent | LeftStream, ExchangeError>
+
+/** What follows an attempt: nothing where another attempt does. */
+type AttemptSequel = SubmissionEnd | 'cancelled' | undefined
+
 /** Options of a submission. */
 export interface SubmissionOptions {
   readonly context: RequestContext
@@ -19,7 +24,11 @@
   readonly input: SubmitRequest
 }
 
-const REFUSAL_IS_TEMPORARY: Record<ErrorBody['error'], boolean> = {
+/** Attempts at the owner, on new connections, before other instances are asked. */
+const OWNER_ATTEMPTS = 2
+
+/** Whether an HTTP error may go away by itself. */
+const TEMPORARY_ERRORS: Record<ErrorBody['error'], boolean> = {
   invalidInput: false,
   tooLarge: false,
   notFound: false,
@@ -43,10 +52,11 @@
   private readonly path: string
   private readonly body: string
   private route: Route = 'owner'
+  /** Attempts since the last one that brought a token. */
   private failures = 0
   private mayHaveArrived = false
-  private ownerLost = false
-  private lastError = 'no attempt was made'
+  private ownerUnreachable = false
+  private lastDetail = 'no attempt was made'
 
   /** @internal */
   private constructor (private readonly options: SubmissionOptions) {
@@ -63,19 +73,25 @@
   /** Runs attempts until the request has ended, nothing more can be learnt, or the application cancels. */
   async run (): Promise<SubmissionEnd | 'cancelled'> {
     const { services, buffer, cancelSignal } = this.options.context
-    while (this.failures < services.maxAttempts) {
+    while (this.canTry()) {
       await services.clock.sleep(computeBackoffMs(services.random, this.failures), cancelSignal)
       if (cancelSignal.aborted) return 'cancelled'
       const offset = buffer.getOffset()
-      const end = await this.attach()
+      const end = await this.sendAttempt()
       this.failures = buffer.getOffset() > offset ? 1 : this.failures + 1
-      const submissionEnd = this.settleAttempt(end)
-      if (submissionEnd !== undefined) return submissionEnd
+      const sequel = end.isOk ? this.settleStream(end.value) : this.settleError(end.error)
+      if (sequel !== undefined) return sequel
     }
-    return this.giveUp()
+    return this.settleNothingLearnt()
+  }
+
+  private canTry (): boolean {
+    const { services, deadlineAtMs } = this.options.context
+    if (this.failures === 0) return true
+    return this.failures < services.maxAttempts && services.clock.nowMs() < deadlineAtMs
   }
 
-  private async attach (): Promise<StreamEnd> {
+  private async sendAttempt (): Promise<AttemptEnd> {
     const { services, buffer, cancelSignal: signal } = this.options.context
     const offset = buffer.getOffset()
     const url = await this.pickUrl()
@@ -86,7 +102,8 @@
       return await services.client.readStream({ method: 'POST', url, path: '/v1/resumes', body, signal }, observe)
     }
     const path = `${this.path}?offset=${offset}`
-    return await services.client.readStream({ method: 'PUT', url, path, body: this.body, signal }, observe)
+    const answersAtOnce = this.route === 'owner'
+    return await services.client.readStream({ method: 'PUT', url, path, body: this.body, signal, answersAtOnce }, observe)
   }
 
   private async pickUrl (): Promise<string> {
@@ -98,117 +115,134 @@
     return others[this.failures % Math.max(1, others.length)] ?? ownerUrl
   }
 
-  private settleAttempt (end: StreamEnd): SubmissionEnd | 'cancelled' | undefined {
-    const { buffer } = this.options.context
-    if (buffer.isSpliced()) return this.fail('generationLost', 'the generation was lost after some of it had been delivered')
-    if (end.isOk) {
-      this.mayHaveArrived = true
-      return this.settleEnd(end.value)
+  private settleStream (end: EndEvent | LeftStream): AttemptSequel {
+    const isFirstCopy = !this.mayHaveArrived
+    this.mayHaveArrived = true
+    return end.type === 'left' ? this.settleLeft(end) : this.settleEnd(end, isFirstCopy)
+  }
+
+  private settleLeft ({ cause, detail }: LeftStream): AttemptSequel {
+    this.lastDetail = detail
+    const handlers: Record<LeaveCause, () => AttemptSequel> = {
+      spliced: () => createFailure('generationLost', detail),
+      gap: () => this.pickNextRoute(),
+      handover: () => this.settleHandover(detail)
     }
-    this.lastError = end.error.detail
-    return this.settleError(end.error)
+    return handlers[cause]()
+  }
+
+  private settleHandover (detail: string): AttemptSequel {
+    if (this.options.context.buffer.getResumeToken() === undefined) return this.settleLostGeneration('draining', detail)
+    this.route = 'resume'
+    return undefined
   }
 
-  private settleError (error: ExchangeError): SubmissionEnd | 'cancelled' | undefined {
-    const handlers: { [K in ExchangeError['kind']]: () => SubmissionEnd | 'cancelled' | undefined } = {
+  private settleError (error: ExchangeError): AttemptSequel {
+    this.lastDetail = error.detail
+    const handlers: { [K in ExchangeError['kind']]: () => AttemptSequel } = {
       aborted: () => {
         this.mayHaveArrived = true
         return 'cancelled'
       },
-      notSent: () => {
-        if (!this.mayHaveArrived) return this.resubmit('ownerUnreachable', error.detail)
-        return this.changeRoute()
-      },
+      notSent: () => this.settleNotSent(error.detail),
       cut: () => {
         this.mayHaveArrived = true
-        return this.settleCut()
+        return this.pickNextRoute()
       },
       refused: () => this.settleRefusal(error as RefusedError)
     }
     return handlers[error.kind]()
   }
 
-  /** Tries the owner again on a new connection before it goes through another instance. */
-  private settleCut (): undefined {
-    if (this.route === 'owner' && this.failures <= 1) return undefined
-    return this.changeRoute()
+  /** A request that has never left may go to another owner at once. */
+  private settleNotSent (detail: string): AttemptSequel {
+    if (!this.mayHaveArrived) return createRetry('moveOn', 'ownerUnreachable', detail)
+    this.failures = Math.max(this.failures, OWNER_ATTEMPTS)
+    return this.pickNextRoute()
   }
 
-  private settleRefusal ({ error, detail }: RefusedError): SubmissionEnd | undefined {
-    if (this.route === 'resume') {
-      return REFUSAL_IS_TEMPORARY[error] ? undefined : this.loseGeneration('generationLost', detail)
-    }
-    if (REFUSAL_IS_TEMPORARY[error]) {
-      const isCertain = !this.mayHaveArrived && error !== 'internal'
-      if (!isCertain) this.mayHaveArrived = true
-      return isCertain ? this.resubmit(error, detail) : this.changeRoute()
+  private settleRefusal ({ error, detail }: RefusedError): AttemptSequel {
+    const isTemporary = TEMPORARY_ERRORS[error]
+    if (this.route === 'resume') return isTemporary ? undefined : this.settleLostGeneration('generationLost', detail)
+    if (isTemporary && error !== 'internal' && !this.mayHaveArrived) return createRetry('moveOn', error, detail)
+    if (!isTemporary) {
+      const outcome = this.mayHaveArrived ? 'unknown' : 'notRun'
+      return { result: { outcome, reason: error, detail }, sequel: 'none' }
     }
-    if (!this.mayHaveArrived) return { result: { outcome: 'notRun', reason: error, detail }, sequel: 'none' }
-    return { result: { outcome: 'unknown', reason: error, detail }, sequel: 'none' }
+    this.mayHaveArrived = true
+    return this.pickNextRoute()
   }
 
-  private settleEnd (end: EndEvent): SubmissionEnd | undefined {
-    const handlers: Record<EndMeaning, () => SubmissionEnd | undefined> = {
-      final: () => this.finish(end),
-      notRun: () => this.resubmit(end.reason, end.detail ?? '', end.retryAfterMs),
+  private settleEnd (end: EndEvent, isFirstCopy: boolean): AttemptSequel {
+    const { reason, detail = '', retryAfterMs } = end
+    const handlers: Record<EndMeaning, () => AttemptSequel> = {
+      final: () => this.settleFinal(end),
+      moveOn: () => createRetry('moveOn', reason, detail, retryAfterMs),
+      tryLater: () => createRetry('tryLater', reason, detail, retryAfterMs),
       ownerUnreachable: () => this.settleOwnerUnreachable(),
-      ownerGone: () => this.settleOwnerGone(end),
-      generationLost: () => this.loseGeneration(end.reason, end.detail ?? '')
+      ownerGone: () => this.settleOwnerGone(end, isFirstCopy),
+      generationLost: () => this.settleLostGeneration(reason, detail)
     }
     return handlers[getEndMeaning(end)]()
   }
 
-  private finish (end: EndEvent): SubmissionEnd | undefined {
+  private settleFinal ({ outcome, reason, detail = '', retryAfterMs, tokens }: EndEvent): AttemptSequel {
     const { buffer, kind } = this.options.context
-    const { outcome, reason, detail = '', retryAfterMs } = end
     if (outcome !== 'complete') return { result: { outcome, reason, detail, retryAfterMs }, sequel: 'none' }
-    const isWhole = kind === 'call' ? buffer.getReply() !== undefined : end.tokens === undefined || end.tokens === buffer.getOffset()
-    if (!isWhole) return this.changeRoute()
-    return { result: { outcome, reason, tokens: buffer.getTokens(), reply: buffer.getReply() }, sequel: 'none' }
+    const reply = buffer.getReply()
+    const isWhole = kind === 'call' ? reply !== undefined : (tokens ?? buffer.getOffset()) === buffer.getOffset()
+    if (isWhole) return { result: { outcome, reason, tokens: buffer.getTokens(), reply }, sequel: 'none' }
+    this.lastDetail = 'the answer ended before all of it had arrived'
+    return this.pickNextRoute()
   }
 
-  private settleOwnerUnreachable (): SubmissionEnd | undefined {
-    this.lastError = 'no instance reaches the owner of the request'
-    this.ownerLost = true
-    return this.changeRoute()
+  private settleOwnerUnreachable (): AttemptSequel {
+    this.lastDetail = 'no instance reaches the owner of the request'
+    this.ownerUnreachable = true
+    return this.pickNextRoute()
   }
 
-  private settleOwnerGone (end: EndEvent): SubmissionEnd | undefined {
+  /** A process that does not know the lease has taken the only copy, so the owner never got the request. */
+  private settleOwnerGone (end: EndEvent, isFirstCopy: boolean): AttemptSequel {
     const { buffer, kind } = this.options.context
-    if (kind === 'call') return this.finish(end)
-    if (this.route !== 'resume' && buffer.getResumeToken() !== undefined) {
-      this.route = 'resume'
-      return undefined
+    if (isFirstCopy) return createRetry('moveOn', end.reason, end.detail ?? '')
+    if (kind === 'call') return this.settleFinal(end)
+    if (this.route === 'resume' || buffer.getResumeToken() === undefined) {
+      return this.settleLostGeneration(end.reason, end.detail ?? '')
     }
-    return this.loseGeneration(end.reason, end.detail ?? '')
+    this.route = 'resume'
+    return undefined
   }
 
-  private changeRoute (): undefined {
+  /** The owner first, then the owner through other instances, then past it where a generation can be resumed. */
+  private pickNextRoute (): undefined {
     const { buffer, kind } = this.options.context
-    const canResume = this.ownerLost && kind === 'generation' && buffer.getResumeToken() !== undefined
-    const next: Record<Route, Route> = { owner: 'forward', forward: canResume ? 'resume' : 'owner', resume: 'resume' }
-    this.route = next[this.route]
+    if (this.route === 'owner' && this.failures < OWNER_ATTEMPTS) return undefined
+    const canResume = this.ownerUnreachable && kind === 'generation' && buffer.getResumeToken() !== undefined
+    const routes: Record<Route, Route> = { owner: 'forward', forward: canResume ? 'resume' : 'owner', resume: 'resume' }
+    this.route = routes[this.route]
     return undefined
   }
 
-  private resubmit (reason: AnswerReason, detail: string, retryAfterMs?: number): SubmissionEnd {
-    return { result: { outcome: 'notRun', reason, detail, retryAfterMs }, sequel: 'resubmit', retryAfterMs }
-  }
-
-  private loseGeneration (reason: AnswerReason, detail: string): SubmissionEnd {
+  private settleLostGeneration (reason: AnswerReason, detail: string): SubmissionEnd {
     const { buffer, kind } = this.options.context
-    if (kind === 'call' || buffer.isDelivered()) return this.fail(reason, detail)
-    return { ...this.fail(reason, detail), sequel: 'startAnew' }
+    const failure = createFailure(reason, detail)
+    const canStartAnew = kind === 'generation' && !buffer.isDelivered()
+    return canStartAnew ? { ...failure, sequel: 'startAnew' } : failure
   }
 
-  private fail (reason: AnswerReason, detail: string): SubmissionEnd {
-    return { result: { outcome: 'failed', reason, detail }, sequel: 'none' }
+  private settleNothingLearnt (): SubmissionEnd {
+    const { kind, services, deadlineAtMs } = this.options.context
+    const reason = services.clock.nowMs() < deadlineAtMs ? 'ownerUnreachable' : 'deadlineExceeded'
+    if (kind === 'generation') return this.settleLostGeneration(reason, this.lastDetail)
+    return { result: { outcome: 'unknown', reason, detail: this.lastDetail }, sequel: 'none' }
   }
+}
 
-  private giveUp (): SubmissionEnd {
-    const { kind } = this.options.context
-    if (kind === 'generation') return this.loseGeneration('ownerUnreachable', this.lastError)
-    const result: AnswerResult = { outcome: 'unknown', reason: 'ownerUnreachable', detail: this.lastError }
-    return { result, sequel: 'none' }
-  }
+function createRetry (sequel: Sequel, reason: AnswerReason, detail: string, retryAfterMs?: number): SubmissionEnd {
+  return { result: { outcome: 'notRun', reason, detail, retryAfterMs }, sequel, retryAfterMs }
+}
+
+function createFailure (reason: AnswerReason, detail: string): SubmissionEnd {
+  return { result: { outcome: 'failed', reason, detail }, sequel: 'none' }
 }
--- a/packages/caller/src/requests/SubmissionEnd.ts
+++ b/packages/caller/src/requests/SubmissionEnd.ts
@@ -5,8 +5,10 @@
 export type Sequel =
   /** The result is final. */
   | 'none'
-  /** The request has not run, and may be made again under a new lease. */
-  | 'resubmit'
+  /** The request has not run, and another owner may take it at once. */
+  | 'moveOn'
+  /** The request has not run for want of capacity, and may be made again after a wait. */
+  | 'tryLater'
   /** A generation is lost of which the application has got nothing, and may be started anew. */
   | 'startAnew'
 
@@ -19,7 +21,7 @@
 }
 
 /** What an end event says about the owner's part in the request. */
-export type EndMeaning = 'final' | 'ownerUnreachable' | 'ownerGone' | 'notRun' | 'generationLost'
+export type EndMeaning = 'final' | 'ownerUnreachable' | 'ownerGone' | 'moveOn' | 'tryLater' | 'generationLost'
 
 /** Reasons of `unknown` that another instance gives in place of the owner. */
 const UNKNOWN_MEANINGS: Partial<Record<Reason, EndMeaning>> = {
@@ -38,13 +40,13 @@
 
 /** Reasons of `notRun` that do not lie in the request, so that another owner may do better at once. */
 const NOT_RUN_MEANINGS: Partial<Record<Reason, EndMeaning>> = {
-  draining: 'notRun',
-  leaseExpired: 'notRun',
-  leaseUnknown: 'notRun',
-  ownerRestarted: 'notRun',
-  ownerUnreachable: 'notRun',
-  targetLost: 'notRun',
-  viewStale: 'notRun'
+  draining: 'moveOn',
+  leaseExpired: 'moveOn',
+  leaseUnknown: 'moveOn',
+  ownerRestarted: 'moveOn',
+  ownerUnreachable: 'moveOn',
+  targetLost: 'moveOn',
+  viewStale: 'moveOn'
 }
 
 const MEANINGS: Record<EndEvent['outcome'], Partial<Record<Reason, EndMeaning>>> = {
@@ -55,11 +57,15 @@
   failed: FAILED_MEANINGS
 }
 
+/** Reasons of `notRun` that invite another try when a waiting time comes with them. */
+const LOAD_REASONS: ReadonlySet<Reason> = new Set(['queueFull', 'overloaded', 'noTarget'])
+
 /**
- * Gets what an end event means for the next step. An overloaded owner that names a waiting time invites another try.
+ * Gets what an end event means for the next step.
  * @param end - The end event.
  */
 export function getEndMeaning (end: EndEvent): EndMeaning {
-  if (end.outcome === 'notRun' && end.retryAfterMs !== undefined) return 'notRun'
+  const isInvited = end.retryAfterMs !== undefined && LOAD_REASONS.has(end.reason)
+  if (end.outcome === 'notRun' && isInvited) return 'tryLater'
   return MEANINGS[end.outcome][end.reason] ?? 'final'
 }
--- a/packages/caller/src/requests/cancelSubmission.ts
+++ b/packages/caller/src/requests/cancelSubmission.ts
@@ -3,6 +3,7 @@
 import { type RequestSlot } from '../leases/LeaseBook.js'
 import { computeBackoffMs } from './computeBackoffMs.js'
 import { type RequestContext } from './RequestContext.js'
+import { getEndMeaning } from './SubmissionEnd.js'
 
 /**
  * Cancels a request at its owner, and its generation through another instance when the owner is lost. The result is
@@ -19,7 +20,9 @@
     await clock.sleep(computeBackoffMs(random, failures))
     const url = urls[failures % urls.length] as string
     const end = await client.cancelRequest(url, path)
-    if (end.isOk && end.value.reason !== 'ownerUnreachable') return convertEnd(end.value)
+    const meaning = end.isOk ? getEndMeaning(end.value) : 'ownerUnreachable'
+    if (meaning === 'ownerGone') break
+    if (end.isOk && meaning !== 'ownerUnreachable') return convertEnd(end.value)
   }
   return await cancelWithoutOwner(context, others)
 }
--- a/packages/caller/src/requests/runRequest.ts
+++ b/packages/caller/src/requests/runRequest.ts
@@ -28,7 +28,7 @@
       replaces = context.buffer.getResumeToken() ?? replaces
       context.buffer.restart()
     }
-    if (slot.isOk) services.leases.removeLease(slot.value)
+    if (slot.isOk && !isOwnerUsable(end)) services.leases.removeLease(slot.value)
     const waitMs = Math.max(end.retryAfterMs ?? 0, computeBackoffMs(services.random, submissions))
     await services.clock.sleep(waitMs, cancelSignal)
     if (cancelSignal.aborted) return CANCELLED_BEFORE_SENDING
@@ -59,7 +59,14 @@
   if (end.sequel === 'none' || cancelSignal.aborted) return false
   if (submissions >= services.maxSubmissions) return false
   if (services.clock.nowMs() + (end.retryAfterMs ?? 0) >= deadlineAtMs) return false
-  return services.budget.takeRetry()
+  return end.sequel === 'moveOn' || services.budget.takeRetry()
+}
+
+/** Reasons that lie with a target, after which the owner still takes requests. */
+const TARGET_REASONS: ReadonlySet<AnswerReason> = new Set(['targetLost', 'generationLost', 'viewStale'])
+
+function isOwnerUsable (end: SubmissionEnd): boolean {
+  return end.sequel === 'tryLater' || TARGET_REASONS.has(end.result.reason)
 }
 
 const LEASE_REASONS: Record<ExchangeError['kind'], AnswerReason> = {
@@ -73,5 +80,5 @@
   const reason = error.kind === 'refused' ? error.error : LEASE_REASONS[error.kind]
   const isFinal = reason === 'invalidInput' || reason === 'forbidden' || reason === 'notFound'
   const result: AnswerResult = { outcome: 'notRun', reason, detail: `no lease was granted: ${error.detail}` }
-  return { result, sequel: isFinal ? 'none' : 'resubmit' }
+  return { result, sequel: isFinal ? 'none' : 'moveOn' }
 }
--- a/packages/caller/test/Caller.test.ts
+++ b/packages/caller/test/Caller.test.ts
@@ -1,110 +1,86 @@
 import { describe, expect, it } from 'vitest'
 import { type Scripts } from './support/FakeInstance.js'
-import { accept, begin, type CallerTest, complete, doCallerTest, produce } from './support/doCallerTest.js'
+import {
+  callOnce, type CallerScenario, createAccepted, createComplete, createGeneration, createTokens, doCallerTest, generateOnce, readOnce
+} from './support/doCallerTest.js'
 
-async function doTest (scripts: readonly Scripts[], run: (test: CallerTest) => Promise<unknown> = generate): Promise<unknown> {
+async function doTest (scripts: readonly Scripts[], run?: CallerScenario): Promise<string[]> {
   return await doCallerTest({ scripts }, run)
 }
 
-async function generate ({ caller }: CallerTest): Promise<unknown> {
-  return await caller.generate({ service: 's', prompt: 'p' }).wait()
-}
-
-const ANSWER = [accept(), begin('g'), produce('g', 0, 'x', 'y'), produce('g', 2, 'z'), complete(3)]
+const ANSWER = [createAccepted(), createGeneration('g'), createTokens('g', 0, 'x', 'y'), createTokens('g', 2, 'z'), createComplete(3)]
+const REPLY = { type: 'reply', status: 200, body: { gate: 'open' } } as const
 
 describe('Caller', () => {
   it('returns the whole answer of a generation', async () => {
     expect(await doTest([{ 'PUT requests': [ANSWER] }])).toMatchInlineSnapshot(`
-      {
-        "log": [
-          "a: POST /v1/leases {"workspace":"w"}",
-          "a: PUT /v1/requests/A/1?offset=0 {"service":"s","prompt":"p"}",
-        ],
-        "result": {
-          "outcome": "complete",
-          "reason": "finished",
-          "reply": undefined,
-          "tokens": [
-            "x",
-            "y",
-            "z",
-          ],
-        },
-      }
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "complete finished: x y z",
+      ]
     `)
   })
 
   it('returns the reply of a call', async () => {
-    const script = [accept('whole'), { type: 'reply', status: 200, body: { gate: 'open' } } as const, complete()]
-    expect(await doTest([{ 'PUT requests': [script] }], async ({ caller }) => {
-      return await caller.call({ service: 's', body: { open: 1 } }).wait()
-    })).toMatchInlineSnapshot(`
-      {
-        "log": [
-          "a: POST /v1/leases {"workspace":"w"}",
-          "a: PUT /v1/requests/A/1?offset=0 {"service":"s","body":{"open":1}}",
-        ],
-        "result": {
-          "outcome": "complete",
-          "reason": "finished",
-          "reply": {
-            "body": {
-              "gate": "open",
-            },
-            "status": 200,
-          },
-          "tokens": [],
-        },
-      }
+    const script = [createAccepted('whole'), REPLY, createComplete()]
+    expect(await doTest([{ 'PUT requests': [script] }], callOnce)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "complete finished: {"status":200,"body":{"gate":"open"}}",
+      ]
+    `)
+  })
+
+  it('hands out tokens as they arrive', async () => {
+    expect(await doTest([{ 'PUT requests': [ANSWER] }], readOnce)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "read x y z",
+        "complete finished: x y z",
+      ]
     `)
   })
 
-  it('resumes by offset after a cut stream', async () => {
-    const cut = [accept(), begin('g'), produce('g', 0, 'x', 'y'), 'cut'] as const
-    const rest = [accept(), begin('g'), produce('g', 2, 'z'), complete(3)]
-    expect(await doTest([{ 'PUT requests': [cut, rest] }])).toMatchInlineSnapshot(`
-      {
-        "log": [
-          "a: POST /v1/leases {"workspace":"w"}",
-          "a: PUT /v1/requests/A/1?offset=0 {"service":"s","prompt":"p"}",
-          "a: PUT /v1/requests/A/1?offset=2 {"service":"s","prompt":"p"}",
-        ],
-        "result": {
-          "outcome": "complete",
-          "reason": "finished",
-          "reply": undefined,
-          "tokens": [
-            "x",
-            "y",
-            "z",
-          ],
-        },
-      }
+  it('uses one lease for many requests', async () => {
+    expect(await doTest([{ 'PUT requests': [ANSWER] }], async test => {
+      await Promise.all([generateOnce(test), generateOnce(test)])
+      return await generateOnce(test)
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/2?offset=0",
+        "a: PUT /requests/A/3?offset=0",
+        "complete finished: x y z",
+      ]
     `)
   })
 
-  it('iterates over tokens and uses one lease for many requests', async () => {
-    expect(await doTest([{ 'PUT requests': [ANSWER] }], async ({ caller }) => {
-      const tokens: string[] = []
-      for await (const token of caller.generate({ service: 's', prompt: 'p' })) tokens.push(token)
-      for await (const token of caller.generate({ service: 's', prompt: 'q' })) tokens.push(token)
-      return tokens
+  it('names the request for operators', async () => {
+    expect(await doTest([{ 'PUT requests': [ANSWER] }], async test => {
+      const { request } = await generateOnce(test)
+      return [`request ${request}`]
     })).toMatchInlineSnapshot(`
-      {
-        "log": [
-          "a: POST /v1/leases {"workspace":"w"}",
-          "a: PUT /v1/requests/A/1?offset=0 {"service":"s","prompt":"p"}",
-          "a: PUT /v1/requests/A/2?offset=0 {"service":"s","prompt":"q"}",
-        ],
-        "result": [
-          "x",
-          "y",
-          "z",
-          "x",
-          "y",
-          "z",
-        ],
-      }
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "request r",
+      ]
+    `)
+  })
+
+  it('holds a whole answer back until it is complete', async () => {
+    const lost = [createAccepted('whole'), createGeneration('g'), createTokens('g', 0, 'x'), { type: 'end', outcome: 'failed', reason: 'rejectedByTarget' } as const]
+    expect(await doTest([{ 'PUT requests': [lost] }], readOnce)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "read ",
+        "failed rejectedByTarget: ",
+      ]
     `)
   })
 })
--- /dev/null
+++ b/packages/caller/test/requests/cancelSubmission.test.ts
@@ -0,0 +1,112 @@
+import { describe, expect, it } from 'vitest'
+import { type AnswerResult } from '../../src/index.js'
+import { type Scripts, type Step } from '../support/FakeInstance.js'
+import { type CallerScenario, type CallerTest, createAccepted, createComplete, createGeneration, createTokens, doCallerTest } from '../support/doCallerTest.js'
+
+async function doTest (scripts: readonly Scripts[], run: CallerScenario): Promise<string[]> {
+  return await doCallerTest({ scripts }, run)
+}
+
+const START: readonly Step[] = [createAccepted(), createGeneration('g'), createTokens('g', 0, 'x')]
+const CANCELLED: readonly Step[] = [{ status: 200, body: { type: 'end', outcome: 'cancelled', reason: 'cancelledByCaller' } }]
+const UNREACHABLE: readonly Step[] = [{ status: 200, body: { type: 'end', outcome: 'unknown', reason: 'ownerUnreachable' } }]
+const RESTARTED: readonly Step[] = [{ status: 200, body: { type: 'end', outcome: 'unknown', reason: 'ownerRestarted' } }]
+const COMPLETE: readonly Step[] = [{ status: 200, body: { type: 'end', outcome: 'complete', reason: 'finished' } }]
+
+async function cancelGeneration ({ caller, waitForSilence }: CallerTest): Promise<AnswerResult> {
+  const answer = caller.generate({ service: 's', prompt: 'p' })
+  await waitForSilence()
+  await answer[Symbol.asyncIterator]().next()
+  answer.cancel()
+  return await answer.wait()
+}
+
+async function cancelCall ({ caller, waitForSilence }: CallerTest): Promise<AnswerResult> {
+  const answer = caller.call({ service: 's', body: 1 })
+  await waitForSilence()
+  answer.cancel()
+  return await answer.wait()
+}
+
+describe('cancelSubmission', () => {
+  it('cancels a generation at its owner', async () => {
+    expect(await doTest([{ 'PUT requests': [[...START, 'silence']], 'DELETE requests': [CANCELLED] }], cancelGeneration)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: DELETE /requests/A/1",
+        "cancelled cancelledByCaller: ",
+      ]
+    `)
+  })
+
+  it('sends nothing for a request that is cancelled at once', async () => {
+    expect(await doTest([{}], async ({ caller }) => {
+      const answer = caller.generate({ service: 's', prompt: 'p' })
+      answer.cancel()
+      return await answer.wait()
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "cancelled cancelledByCaller: nothing was sent",
+      ]
+    `)
+  })
+
+  it('returns an answer that was complete before', async () => {
+    expect(await doTest([{
+      'PUT requests': [[...START, 'silence'], [createAccepted(), createGeneration('g'), createTokens('g', 1, 'y'), createComplete(2)]],
+      'DELETE requests': [COMPLETE]
+    }], cancelGeneration)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: DELETE /requests/A/1",
+        "a: PUT /requests/A/1?offset=1",
+        "complete finished: x y",
+      ]
+    `)
+  })
+
+  it('cancels a generation through another instance when its owner has restarted', async () => {
+    expect(await doTest([{ 'PUT requests': [[...START, 'silence']], 'DELETE requests': [RESTARTED] }, {}], cancelGeneration)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: DELETE /requests/A/1",
+        "b: DELETE /resumes/token-g",
+        "cancelled cancelledByCaller: the owner of the request could not be reached",
+      ]
+    `)
+  })
+
+  it('leaves a cancelled call unknown when its owner is gone', async () => {
+    expect(await doTest([
+      { 'PUT requests': [[createAccepted('whole'), 'silence']], 'DELETE requests': [['stop']] },
+      { 'DELETE requests': [UNREACHABLE] }
+    ], cancelCall)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
+        "unknown ownerUnreachable: the owner of the request could not be reached",
+      ]
+    `)
+  })
+
+  it('tells that a cancelled call has not run', async () => {
+    const notRun: readonly Step[] = [{ status: 200, body: { type: 'end', outcome: 'notRun', reason: 'cancelledByCaller' } }]
+    expect(await doTest([{ 'PUT requests': [['silence']], 'DELETE requests': [notRun] }], cancelCall)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: DELETE /requests/A/1",
+        "notRun cancelledByCaller: ",
+      ]
+    `)
+  })
+})
--- /dev/null
+++ b/packages/caller/test/requests/runRequest.test.ts
@@ -0,0 +1,139 @@
+import { describe, expect, it } from 'vitest'
+import { type CallerOptions } from '../../src/index.js'
+import { type Scripts, type Step } from '../support/FakeInstance.js'
+import { callOnce, type CallerScenario, createAccepted, createComplete, createRefusal, describeResult, doCallerTest } from '../support/doCallerTest.js'
+
+async function doTest (scripts: readonly Scripts[], run: CallerScenario = callOnce, callerOptions?: Partial<CallerOptions>): Promise<string[]> {
+  return await doCallerTest({ scripts, callerOptions }, run)
+}
+
+const REPLIED: readonly Step[] = [createAccepted('whole'), { type: 'reply', status: 200, body: 'done' }, createComplete()]
+const QUEUE_FULL: readonly Step[] = [{ type: 'end', outcome: 'notRun', reason: 'queueFull', retryAfterMs: 500, detail: 'the queue is full' }]
+const DRAINING: readonly Step[] = [{ type: 'end', outcome: 'notRun', reason: 'draining' }]
+
+describe('runRequest', () => {
+  it('asks another instance for a lease when the first one drains', async () => {
+    expect(await doTest([{ 'POST leases': [createRefusal(503, 'draining')] }, { 'PUT requests': [REPLIED] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('moves to another owner when the owner drains', async () => {
+    expect(await doTest([{ 'PUT requests': [DRAINING] }, { 'PUT requests': [REPLIED] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('moves to another owner on an HTTP refusal to take the request', async () => {
+    expect(await doTest([{ 'PUT requests': [createRefusal(503, 'notReady')] }, { 'PUT requests': [REPLIED] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('waits as long as an overloaded owner asks for', async () => {
+    expect(await doTest([{ 'PUT requests': [QUEUE_FULL, REPLIED] }], async test => {
+      const result = await callOnce(test)
+      return [describeResult(result), `waited ${test.clock.nowMs()} ms`]
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/2?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+        "waited 500 ms",
+      ]
+    `)
+  })
+
+  it('bounds the submissions of one request', async () => {
+    expect(await doTest([{ 'PUT requests': [QUEUE_FULL] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/2?offset=0",
+        "a: PUT /requests/A/3?offset=0",
+        "a: PUT /requests/A/4?offset=0",
+        "notRun queueFull: the queue is full",
+      ]
+    `)
+  })
+
+  it('bounds retries under load over all requests', async () => {
+    expect(await doTest([{ 'PUT requests': [QUEUE_FULL] }], async test => {
+      await callOnce(test)
+      await callOnce(test)
+      return await callOnce(test)
+    }, { retryBurst: 1, retryRatio: 0.5 })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/2?offset=0",
+        "a: PUT /requests/A/3?offset=0",
+        "a: PUT /requests/A/4?offset=0",
+        "a: PUT /requests/A/5?offset=0",
+        "notRun queueFull: the queue is full",
+      ]
+    `)
+  })
+
+  it('does not retry beyond the deadline', async () => {
+    expect(await doTest([{ 'PUT requests': [QUEUE_FULL] }], async ({ caller }) => {
+      return await caller.call({ service: 's', body: 1, deadlineMs: 400 }).wait()
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "notRun queueFull: the queue is full",
+      ]
+    `)
+  })
+
+  it('takes a request as not run when no instance grants a lease', async () => {
+    expect(await doTest([{ 'POST leases': [createRefusal(503, 'notReady')] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: POST /leases",
+        "a: POST /leases",
+        "a: POST /leases",
+        "notRun notReady: no lease was granted: notReady",
+      ]
+    `)
+  })
+
+  it('does not repeat a refused workspace', async () => {
+    expect(await doTest([{ 'POST leases': [createRefusal(403, 'forbidden')] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "notRun forbidden: no lease was granted: forbidden",
+      ]
+    `)
+  })
+
+  it('takes a request as not run when no instance answers', async () => {
+    expect(await doTest([{}], async ({ caller, fakes }) => {
+      await fakes[0]?.stop()
+      return await caller.call({ service: 's', body: 1 }).wait()
+    })).toMatchInlineSnapshot(`
+      [
+        "notRun ownerUnreachable: no lease was granted: no address is known",
+      ]
+    `)
+  })
+})
--- a/packages/caller/test/support/FakeInstance.ts
+++ b/packages/caller/test/support/FakeInstance.ts
@@ -49,7 +49,7 @@
     const url = request.url ?? ''
     const [, , kind] = url.split(/[/?]/)
     const key = `${request.method} ${kind}`
-    if (kind !== 'addresses') this.options.log.push(`${this.options.name}: ${request.method} ${url}${body === '' ? '' : ` ${body}`}`)
+    if (kind !== 'addresses') this.options.log.push(`${this.options.name}: ${request.method} ${url.slice(3)}${describeBody(body)}`)
     const script = this.scripts[key] ?? [[{ status: 500, body: {} }]]
     const turn = this.asked.get(key) ?? 0
     this.asked.set(key, turn + 1)
@@ -71,9 +71,16 @@
     if (typeof step === 'string') return await faults[step]?.()
     if ('status' in step && !('type' in step)) {
       response.writeHead(step.status, { 'content-type': 'application/json' })
-      response.end(JSON.stringify(step.body))
+      response.end(step.status === 204 ? undefined : JSON.stringify(step.body))
       return
     }
     await new Promise<void>(resolve => { response.write(`${JSON.stringify(step)}\n`, () => resolve()) })
   }
 }
+
+/** Describes the fields of a body that say how a request came about. */
+function describeBody (body: string): string {
+  const { replaces, resumeToken, offset } = body === '' ? {} : JSON.parse(body)
+  const fields = Object.entries({ replaces, resumeToken, offset }).filter(([, value]) => value !== undefined)
+  return fields.map(([name, value]) => ` ${name}=${value}`).join('')
+}
--- a/packages/caller/test/support/TestClock.ts
+++ b/packages/caller/test/support/TestClock.ts
@@ -30,7 +30,7 @@
   }
 
   /** Runs every timer that has been started and not cancelled. */
-  fireTimers (): void {
+  runTimers (): void {
     for (const handler of [...this.timers]) handler()
     this.timers.clear()
   }
--- a/packages/caller/test/support/doCallerTest.ts
+++ b/packages/caller/test/support/doCallerTest.ts
@@ -1,6 +1,6 @@
 import { SeededRandom } from '@fescuespoke/common'
 import { type StreamEvent } from '@fescuespoke/schema'
-import { Caller, type CallerOptions } from '../../src/index.js'
+import { type AnswerResult, Caller, type CallerOptions } from '../../src/index.js'
 import { FakeInstance, type Scripts, type Step } from './FakeInstance.js'
 import { TestClock } from './TestClock.js'
 
@@ -18,10 +18,38 @@
   readonly callerOptions?: Partial<CallerOptions>
 }
 
+/** Uses a caller; its result follows the requests in the lines of the test. */
+export type CallerScenario = (test: CallerTest) => Promise<AnswerResult | string[]>
+
+/** Waits for one generation without reading its tokens before the end. */
+export async function generateOnce ({ caller }: CallerTest): Promise<AnswerResult> {
+  return await caller.generate({ service: 's', prompt: 'p' }).wait()
+}
+
+/** Waits for one call. */
+export async function callOnce ({ caller }: CallerTest): Promise<AnswerResult> {
+  return await caller.call({ service: 's', body: {} }).wait()
+}
+
+/** Reads one generation token by token. */
+export async function readOnce ({ caller }: CallerTest): Promise<string[]> {
+  const answer = caller.generate({ service: 's', prompt: 'p' })
+  const tokens: string[] = []
+  for await (const token of answer) tokens.push(token)
+  return [`read ${tokens.join(' ')}`, describeResult(await answer.wait())]
+}
+
+/** Describes a result in one line. */
+export function describeResult (result: AnswerResult): string {
+  const { outcome, reason } = result
+  if (result.outcome !== 'complete') return `${outcome} ${reason}: ${result.detail.replace(/127[.0-9]+:[0-9]+/g, 'HOST')}`
+  return `${outcome} ${reason}: ${result.reply === undefined ? result.tokens.join(' ') : JSON.stringify(result.reply)}`
+}
+
 /**
  * Runs a caller against scripted instances and returns what it got, with the requests that arrived.
  */
-export async function doCallerTest (options: CallerTestOptions, run: (test: CallerTest) => Promise<unknown>): Promise<unknown> {
+export async function doCallerTest (options: CallerTestOptions, run: CallerScenario = generateOnce): Promise<string[]> {
   const log: string[] = []
   let observeSilence = (): void => {}
   const silence = new Promise<void>(resolve => { observeSilence = resolve })
@@ -33,6 +61,7 @@
     const lease = 'abcdef'.charAt(index).toUpperCase()
     fake.scripts = {
       'GET addresses': [[{ status: 200, body: { addresses, validForMs: 10_000, revision: 1 } }]],
+      'DELETE resumes': [[{ status: 204, body: {} }]],
       'POST leases': [[{ status: 200, body: { lease, instance: lease, incarnation: 'i', validForMs: 60_000, revision: 1 } }]],
       ...options.scripts[index]
     }
@@ -41,7 +70,7 @@
   const caller = Caller.create({ bootstrapUrls, workspace: 'w', clock, random: SeededRandom.create(1), ...options.callerOptions })
   try {
     const result = await run({ caller, clock, fakes, waitForSilence: async () => await silence })
-    return { result, log }
+    return [...log, ...(Array.isArray(result) ? result : [describeResult(result)])]
   } finally {
     await caller.close()
     await Promise.all(fakes.map(async fake => await fake.stop()))
@@ -49,26 +78,26 @@
 }
 
 /** Makes the event that opens a stream. */
-export function accept (delivery: 'stream' | 'whole' = 'stream'): StreamEvent {
+export function createAccepted (delivery: 'stream' | 'whole' = 'stream'): StreamEvent {
   return { type: 'accepted', request: 'r', delivery }
 }
 
 /** Makes the event that names a generation. */
-export function begin (generation: string): StreamEvent {
+export function createGeneration (generation: string): StreamEvent {
   return { type: 'generation', generation, resumeToken: `token-${generation}` }
 }
 
 /** Makes the event that carries tokens. */
-export function produce (generation: string, offset: number, ...tokens: string[]): StreamEvent {
+export function createTokens (generation: string, offset: number, ...tokens: string[]): StreamEvent {
   return { type: 'tokens', generation, offset, tokens }
 }
 
 /** Makes the end of a complete answer. */
-export function complete (tokens?: number): StreamEvent {
+export function createComplete (tokens?: number): StreamEvent {
   return { type: 'end', outcome: 'complete', reason: 'finished', tokens }
 }
 
 /** Makes the steps of an HTTP error. */
-export function refuse (status: number, error: string): readonly Step[] {
+export function createRefusal (status: number, error: string): readonly Step[] {
   return [{ status, body: { error, message: error } }]
 }
