Forget ended generations without timers and read events without HTTP

Cause: a timer for each ended generation kept processes alive for the retention time; options set to undefined hid defaults. Conclusion: a closed stand-in leaves nothing running.

--- a/packages/standins/src/engine/EngineCore.ts
+++ b/packages/standins/src/engine/EngineCore.ts
@@ -29,6 +29,11 @@
   readonly lastArrivalAfterLeavingMs: number
 }
 
+interface RetainedGeneration {
+  readonly id: string
+  readonly endMs: number
+}
+
 const INCARNATION_BYTES = 8
 
 /** A model engine with continuous batching, limited cache memory and preemption. */
@@ -44,6 +49,7 @@
   /** Name of this run of the engine. */
   readonly incarnation: string
   private readonly generations = new Map<string, Generation>()
+  private readonly retained: RetainedGeneration[] = []
   private readonly waiting = WaitingQueue.create()
   private readonly batch: Batch
   private readonly cacheEvents: CacheEventLog
@@ -90,7 +96,7 @@
    */
   startGeneration (id: string, spec: GenerationSpec): Result<StartOutcome, StandinRefusal> {
     if (this.isStopped) return Result.err({ status: 503, error: 'stopped' })
-    if (this.generations.has(id)) return Result.ok('attached')
+    if (this.hasGeneration(id)) return Result.ok('attached')
     if (this.leavingSinceMs !== undefined) {
       this.counts.receivedAfterLeaving++
       this.counts.lastArrivalAfterLeavingMs = this.settings.clock.nowMs() - this.leavingSinceMs
@@ -115,6 +121,7 @@
    * @param listener - Receives the events.
    */
   subscribe (id: string, offset: number, listener: GenerationListener): Maybe<() => void> {
+    this.pruneRetained()
     const generation = this.generations.get(id)
     if (generation === undefined) return Maybe.nothing()
     const subscription: Subscription = { listener, nextOffset: Math.max(offset, generation.produced), isFresh: true }
@@ -130,6 +137,7 @@
    * @param id - Id of the generation.
    */
   cancel (id: string): boolean {
+    this.pruneRetained()
     const generation = this.generations.get(id)
     if (generation === undefined) return false
     if (generation.endReason === undefined) this.end(generation, 'cancelled')
@@ -169,11 +177,13 @@
    * @param id - Id of the generation.
    */
   hasGeneration (id: string): boolean {
+    this.pruneRetained()
     return this.generations.has(id)
   }
 
   /** Lists the generations that can be read. */
   listGenerations (): GenerationStatus[] {
+    this.pruneRetained()
     return [...this.generations.values()].map(({ id, state, produced }) => ({ id, state, tokens: produced }))
   }
 
@@ -297,8 +307,8 @@
 
   private end (generation: Generation, reason: EndReason): void {
     if (generation.endReason !== undefined) return
-    this.batch.remove(generation)
-    this.waiting.remove(generation)
+    if (generation.state === 'running') this.batch.remove(generation)
+    else this.waiting.remove(generation)
     generation.state = 'ended'
     generation.endReason = reason
     this.openCount--
@@ -306,7 +316,16 @@
     sendEvent(generation, { type: 'end', reason, tokens: generation.produced })
     generation.subscriptions.clear()
     this.recordLoad()
-    this.settings.clock.startTimer(this.settings.retentionMs, () => this.generations.delete(generation.id))
+    this.retained.push({ id: generation.id, endMs: this.settings.clock.nowMs() + this.settings.retentionMs })
+  }
+
+  /** Forgets the generations whose retention time is over. */
+  private pruneRetained (): void {
+    const nowMs = this.settings.clock.nowMs()
+    for (let first = this.retained[0]; first !== undefined && first.endMs <= nowMs; first = this.retained[0]) {
+      this.retained.shift()
+      this.generations.delete(first.id)
+    }
   }
 
   private failGenerations (model: string): void {
--- a/packages/standins/src/engine/EngineOptions.ts
+++ b/packages/standins/src/engine/EngineOptions.ts
@@ -96,11 +96,12 @@
 }
 
 /**
- * Merges options with the defaults.
+ * Merges options with the defaults; an option that is `undefined` counts as absent.
  * @param options - Options of an engine.
  */
 export function mergeEngineDefaults (options: EngineOptions): EngineSettings {
-  return { ...DEFAULTS, ...options }
+  const given = Object.entries(options).filter(([, value]) => value !== undefined)
+  return { ...DEFAULTS, ...Object.fromEntries(given) as unknown as EngineOptions }
 }
 
 function countPromptTokens (spec: GenerationSpec): number {
--- a/packages/standins/src/engine/EngineServer.ts
+++ b/packages/standins/src/engine/EngineServer.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type CancelTimer, type Clock } from '@fescuespoke/common'
 import { createValidator, type GenerationSpec, type Order } from '@fescuespoke/schema'
 import { type Exchange, HttpHost, type Route } from '../http/HttpHost.js'
 import { parseBody } from '../http/parseBody.js'
@@ -33,6 +33,8 @@
     return server
   }
 
+  private cancelReclaim: CancelTimer | undefined
+
   /** @internal */
   private constructor (private currentCore: EngineCore, private readonly clock: Clock, readonly host: HttpHost) {}
 
@@ -61,6 +63,7 @@
 
   /** Stops the engine, closes the port and destroys all connections. */
   kill (): void {
+    this.cancelReclaim?.()
     this.core.kill()
     this.host.kill()
   }
@@ -71,7 +74,8 @@
    */
   reclaim (noticeMs: number): void {
     this.core.setLeaving()
-    this.clock.startTimer(noticeMs, () => this.kill())
+    this.cancelReclaim?.()
+    this.cancelReclaim = this.clock.startTimer(noticeMs, () => this.kill())
   }
 
   /**
@@ -86,6 +90,7 @@
 
   /** Stops the engine and closes the port and all connections. */
   async close (): Promise<void> {
+    this.cancelReclaim?.()
     this.core.kill()
     await this.host.close()
   }
--- /dev/null
+++ b/packages/standins/src/engine/readEvents.ts
@@ -0,0 +1,33 @@
+import { type EngineEvent } from '@fescuespoke/schema'
+import { type EngineCore } from './EngineCore.js'
+
+/**
+ * Reads the events of a generation one after another, without HTTP; ends after the `end` event, or at once when the
+ * generation is not known.
+ * @param core - The engine.
+ * @param id - Id of the generation.
+ * @param offset - Number of tokens that the reader already has.
+ * @param signal - Ends the reading early.
+ */
+export async function * readEvents (core: EngineCore, id: string, offset: number, signal?: AbortSignal): AsyncGenerator<EngineEvent> {
+  const queue: EngineEvent[] = []
+  let wake = (): void => {}
+  const unsubscribe = core.subscribe(id, offset, event => {
+    queue.push(event)
+    wake()
+  })
+  if (unsubscribe.isNothing) return
+  const stop = (): void => wake()
+  signal?.addEventListener('abort', stop)
+  try {
+    while (signal?.aborted !== true) {
+      const event = queue.shift()
+      if (event !== undefined) yield event
+      if (event?.type === 'end') return
+      if (queue.length === 0) await new Promise<void>(resolve => { wake = resolve })
+    }
+  } finally {
+    signal?.removeEventListener('abort', stop)
+    unsubscribe.value()
+  }
+}
--- a/packages/standins/src/http/HttpHost.ts
+++ b/packages/standins/src/http/HttpHost.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo, createServer as createListener, type Server as Listener, type Socket } from 'node:net'
-import { type Clock } from '@fescuespoke/common'
+import { type CancelTimer, type Clock } from '@fescuespoke/common'
 import { ConnectionGate } from './ConnectionGate.js'
 
 /** One request with what is needed to answer it. */
@@ -59,6 +59,7 @@
   }
 
   private readonly gates = new Map<Socket, ConnectionGate>()
+  private readonly stalls = new Set<CancelTimer>()
   private readonly server: Server
   private listener: Listener | undefined
   private port = 0
@@ -93,7 +94,11 @@
   stall (durationMs: number): void {
     const stalled = [...this.gates.values()].filter(gate => gate.isOpen())
     for (const gate of stalled) gate.setState('stalled')
-    this.options.clock.startTimer(durationMs, () => stalled.forEach(gate => gate.setState('open')))
+    const cancel = this.options.clock.startTimer(durationMs, () => {
+      this.stalls.delete(cancel)
+      stalled.forEach(gate => gate.setState('open'))
+    })
+    this.stalls.add(cancel)
   }
 
   /** Refuses new connections; present ones go on. */
@@ -112,6 +117,8 @@
     this.refuseConnects()
     for (const socket of this.gates.keys()) socket.destroy()
     this.gates.clear()
+    for (const cancel of this.stalls) cancel()
+    this.stalls.clear()
   }
 
   /** Closes the port and all connections and waits until that is done. */
--- a/packages/standins/src/platform/Deployment.ts
+++ b/packages/standins/src/platform/Deployment.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Random, SeededRandom } from '@fescuespoke/common'
 import { type ListedEntry } from '@fescuespoke/schema'
+import { type Result } from 'true-myth'
 import { ConfigurationCore } from '../configuration/ConfigurationCore.js'
 import { EngineCore } from '../engine/EngineCore.js'
 import { type EngineOptions } from '../engine/EngineOptions.js'
@@ -69,13 +70,13 @@
   }
 
   /**
-   * Publishes the records of the deployment and lists its targets.
+   * Lists the targets, publishes the records of the deployment and returns their revision.
    * @param getUrl - Gets the URL of a target by its name.
    */
-  publish (getUrl: (target: string) => string): void {
+  publish (getUrl: (target: string) => string): Result<number, string> {
     const placed = this.targets.map(target => ({ ...target, url: getUrl(target.name) }))
-    this.configuration.publish(createRecordValues(this.shape, placed))
     this.instances.setEntries(placed.map(createEntry))
+    return this.configuration.publish(createRecordValues(this.shape, placed))
   }
 
   /**
