Merge the evidence of targets from list, peers and the targets themselves

Cause: an instance that was paused or cut off from the list could not tell whether a target still takes work. Change: leaving wins from any source; a target's own report counts by itself only when nobody within reach has a younger list. An instance asked by a peer after a pause reads the list first. With an old view three peers are asked at once, in turn, and a silent one holds up nobody.

--- a/packages/configuration/src/spread/ConfigurationExchange.ts
+++ b/packages/configuration/src/spread/ConfigurationExchange.ts
@@ -14,7 +14,7 @@
 }
 
 /** Longest wait for a part of a peer's answer, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 1000
+const ANSWER_TIMEOUT_MS = 2000
 
 /** Size of the values in one part of an answer, in characters; one value more may follow. */
 const PART_CHARACTERS = 1_500_000
--- a/packages/configuration/src/spread/InstanceListFollower.ts
+++ b/packages/configuration/src/spread/InstanceListFollower.ts
@@ -35,11 +35,14 @@
 }
 
 /** Longest wait for a peer's answer, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 1000
+const ANSWER_TIMEOUT_MS = 500
 
 /** Longest wait of a refresh, in milliseconds. */
 const REFRESH_MS = 300
 
+/** Longest wait for the platform before a peer is answered, in milliseconds; shorter than a refresh. */
+const ANSWER_READ_MS = 200
+
 /** Interval at which an old list is looked for, in milliseconds. */
 const SEEK_MS = 800
 
@@ -74,7 +77,7 @@
     const { view, transport, clock, random, audit, self, listPeers, timing, getRevision = () => 0 } = options
     this.timing = { ...DEFAULT_TIMING, ...timing }
     this.monitor = SourceMonitor.create({ audit, subject: 'instance list', getRevision })
-    transport.setHandler('listRequest', message => this.answerList(message))
+    transport.setHandler('listRequest', async message => await this.answerList(message))
     this.follower = ViewFollower.create({
       clock,
       random,
@@ -172,8 +175,12 @@
     this.options.view.offer({ version: answer.version, entries: [...entries.values()] }, `peer ${instance}`, confirmedAtMs)
   }
 
-  private answerList (request: PeerMessageOf<'listRequest'>): ListAnswer | undefined {
-    const { view } = this.options
+  /** Answers a peer; an instance that has just woken up reads the list first, so that the peer is not misled by its age. */
+  private async answerList (request: PeerMessageOf<'listRequest'>): Promise<ListAnswer | undefined> {
+    const { view, clock } = this.options
+    if (view.getAgeMs() > this.timing.silenceMs && !this.monitor.hasProblem()) {
+      await Promise.race([this.readSource(0, this.abort.signal), clock.sleep(ANSWER_READ_MS)])
+    }
     if (view.getVersion() === 0) return undefined
     const version = view.getVersion()
     const answer = { type: 'listAnswer' as const, version, ageMs: Math.ceil(Math.min(view.getAgeMs(), Number.MAX_SAFE_INTEGER)) }
--- a/packages/configuration/src/spread/SourceMonitor.ts
+++ b/packages/configuration/src/spread/SourceMonitor.ts
@@ -23,6 +23,11 @@
   /** @internal */
   private constructor (private readonly options: SourceMonitorOptions) {}
 
+  /** Tells whether the last answer was of no use. */
+  hasProblem (): boolean {
+    return this.problem !== undefined
+  }
+
   /**
    * Observes an answer of the source.
    * @param problem - Why the answer is of no use; absent when it is.
--- a/packages/configuration/src/spread/ViewFollower.ts
+++ b/packages/configuration/src/spread/ViewFollower.ts
@@ -50,8 +50,11 @@
 /** Shortest interval between two reads of the platform, in milliseconds. */
 const MIN_READ_MS = 50
 
-/** Number of peers that are asked at once by an instance without any view. */
-const FIRST_PEERS = 3
+/** Longest wait for the answers of peers before others are asked, in milliseconds. */
+const ASK_WAIT_MS = 500
+
+/** Number of peers that are asked at once by an instance whose view is old; some may be out of reach. */
+const URGENT_PEERS = 3
 
 /**
  * Keeps a view up to date from the platform and from peers. Only a few instances of each availability zone read the
@@ -68,6 +71,7 @@
 
   private readonly abort = new AbortController()
   private tasks: Array<Promise<void>> = []
+  private turns: string[] = []
 
   /** @internal */
   private constructor (private readonly options: ViewFollowerOptions) {}
@@ -95,7 +99,7 @@
   async refresh (options: RefreshOptions = {}): Promise<void> {
     const { maxAgeMs = 0, waitMs = DEFAULT_REFRESH_MS } = options
     const { clock, readSource, askPeer, getAgeMs } = this.options
-    const asked = [readSource(0, this.abort.signal), ...this.pickPeers(FIRST_PEERS).map(askPeer)]
+    const asked = [readSource(0, this.abort.signal), ...this.pickPeers(URGENT_PEERS).map(askPeer)]
     await new Promise<void>(resolve => {
       const cancelTimer = clock.startTimer(waitMs, resolve)
       const finish = (): void => {
@@ -128,16 +132,24 @@
     const { clock, random, timing, askPeer, getAgeMs } = this.options
     let isAnswered = true
     while (!this.abort.signal.aborted) {
-      const count = getAgeMs() === Infinity ? FIRST_PEERS : 1
       const isOld = getAgeMs() > timing.silenceMs
-      const peers: string[] = isOld || !isAnswered ? this.pickPeers(count) : this.pickHelpers()
-      const answers: boolean[] = await Promise.all(peers.map(askPeer))
-      isAnswered = answers.includes(true)
+      const peers: string[] = isOld || !isAnswered ? this.pickPeers(URGENT_PEERS) : this.pickHelpers()
+      isAnswered = await this.waitAnswers(peers.map(askPeer))
       const intervalMs = isOld || !isAnswered ? timing.urgentAskMs : timing.askMs
       await clock.sleep(addJitter(random, intervalMs), this.abort.signal)
     }
   }
 
+  /** Waits for answers, but not for longer than a peer within reach takes; the rest go on by themselves. */
+  private async waitAnswers (asked: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+    const finished = new AbortController()
+    const answers = Promise.all(asked).then(list => list.includes(true))
+    const timeout = this.options.clock.sleep(ASK_WAIT_MS, finished.signal).then(() => false)
+    const isAnswered = await Promise.race([answers, timeout])
+    finished.abort()
+    return isAnswered
+  }
+
   private isReadDue (): boolean {
     return this.isWatcher() || this.options.getAgeMs() > this.options.timing.silenceMs
   }
@@ -159,8 +171,16 @@
     return this.pickFrom(watchers, 1)
   }
 
+  /** Picks peers in turn, each once in random order before any is picked again, so that all are tried in a small fleet. */
   private pickPeers (count: number): string[] {
-    return this.pickFrom(this.options.listPeers().map(peer => peer.instance), count)
+    const names = new Set(this.options.listPeers().map(peer => peer.instance))
+    const picked = new Set<string>()
+    while (picked.size < Math.min(count, names.size)) {
+      if (this.turns.length === 0) this.turns = this.pickFrom([...names], names.size)
+      const name = this.turns.pop() as string
+      if (names.has(name)) picked.add(name)
+    }
+    return [...picked]
   }
 
   private pickFrom (names: readonly string[], count: number): string[] {
--- /dev/null
+++ b/packages/configuration/src/targets/ReportLog.ts
@@ -0,0 +1,58 @@
+import { type TargetState } from '@fescuespoke/schema'
+
+/** What a target has reported of itself. */
+export interface TargetReport {
+  readonly state: TargetState['state']
+  /** Reading of the clock when the request for the report was sent. */
+  readonly sentAtMs: number
+  /** Reading of the clock up to which requests may still be answered with an older state. */
+  readonly leavingUntilMs: number
+}
+
+/** Holds the latest report of each target. Leaving wins over an active report whose request was sent before it was known. */
+export class ReportLog {
+  /** Creates an empty log. */
+  static create (): ReportLog {
+    return new ReportLog()
+  }
+
+  private readonly reports = new Map<string, TargetReport>()
+
+  /** @internal */
+  private constructor () {}
+
+  /**
+   * Finds the report of a target.
+   * @param target - Name of the target.
+   */
+  findReport (target: string): TargetReport | undefined {
+    return this.reports.get(target)
+  }
+
+  /**
+   * Takes note of a report. Reports may arrive in another order than they were asked for.
+   * @param target - Name of the target.
+   * @param state - What the target says of itself.
+   * @param sentAtMs - Reading of the clock when the request was sent.
+   * @param nowMs - Reading of the clock.
+   */
+  recordReport (target: string, state: TargetState['state'], sentAtMs: number, nowMs: number): void {
+    const known = this.reports.get(target)
+    if (state === 'leaving') {
+      this.reports.set(target, { state, sentAtMs: Math.max(sentAtMs, known?.sentAtMs ?? sentAtMs), leavingUntilMs: nowMs })
+      return
+    }
+    const isEarlier = known !== undefined && (sentAtMs < known.sentAtMs || (known.state === 'leaving' && sentAtMs <= known.leavingUntilMs))
+    if (!isEarlier) this.reports.set(target, { state, sentAtMs, leavingUntilMs: -Infinity })
+  }
+
+  /**
+   * Forgets the targets that are no longer in force.
+   * @param names - Names of those that are.
+   */
+  prune (names: { readonly has: (name: string) => boolean }): void {
+    for (const name of this.reports.keys()) {
+      if (!names.has(name)) this.reports.delete(name)
+    }
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/targets/index.ts
@@ -0,0 +1,2 @@
+export * from './TargetEvidence.js'
+export * from './TargetReader.js'
--- /dev/null
+++ b/packages/configuration/test/targets/TargetEvidence.test.ts
@@ -0,0 +1,103 @@
+import { type ListedEntry, type TargetState } from '@fescuespoke/schema'
+import { type Target } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { TargetEvidence } from '../../src/index.js'
+import { TestFleet, type TestInstance } from '../support/TestFleet.js'
+
+const TARGET: Target = { name: 'a', url: 'http://a', availabilityZone: 'z0', region: 'r', fencing: 'ignored' }
+const LIVE: ListedEntry[] = ['a', 'b', 'c'].map(id => ({ id, role: 'target', state: 'live' }))
+const LEAVING = LIVE.map(entry => entry.id === 'a' ? { ...entry, state: 'leaving' as const } : entry)
+
+describe('TargetEvidence', () => {
+  let fleet: TestFleet
+  let instance: TestInstance
+  let evidence: TargetEvidence
+  let report: TargetState['state'] | undefined
+
+  beforeEach(async () => {
+    fleet = TestFleet.create()
+    fleet.platform.publishList(1, LIVE)
+    report = undefined
+    instance = await fleet.startInstance('i0', 'z0')
+    await fleet.startInstance('i1', 'z1')
+    await fleet.clock.advance(3000)
+    evidence = TargetEvidence.create({
+      clock: fleet.clock,
+      audit: instance.audit,
+      list: instance.list,
+      seeker: instance.listFollower,
+      reader: {
+        fetchState: async () => {
+          await fleet.clock.sleep(2)
+          return report === undefined ? Result.err('unreachable') : Result.ok({ target: 'a', incarnation: '1', state: report })
+        }
+      }
+    })
+  })
+
+  afterEach(async () => { await fleet.stop() })
+
+  async function doTest (...steps: Array<() => void | Promise<void>>): Promise<string> {
+    for (const step of steps) await step()
+    const isFresh = evidence.isFreshFor('a')
+    const confirmation = evidence.confirm(TARGET)
+    await fleet.clock.advance(400)
+    const confirmed = await confirmation
+    return `${isFresh ? 'fresh' : 'old'}, then ${confirmed.isOk ? confirmed.value : confirmed.error}`
+  }
+
+  const cutOff = () => { fleet.platform.isUpFor = reader => reader !== 'i0' }
+  const cutAll = () => { fleet.platform.isUpFor = () => false }
+  const isolate = () => fleet.network.split(['i0'], ['i1'])
+  const markLeaving = () => fleet.platform.publishList(2, LEAVING)
+  const wait = async (): Promise<void> => await fleet.clock.advance(2500)
+  const pause = () => fleet.clock.jump(60_000)
+  const answer = (state: TargetState['state']) => () => { report = state }
+
+  it('takes the list alone for enough', async () => expect(await doTest()).toBe('fresh, then active'))
+
+  it('learns from the list that a target leaves', async () =>
+    expect(await doTest(markLeaving, wait, answer('active'))).toBe('old, then leaving'))
+
+  it('learns it through peers when cut off from the list', async () =>
+    expect(await doTest(cutOff, markLeaving, wait)).toBe('old, then leaving'))
+
+  it('learns it after a pause before giving any work', async () =>
+    expect(await doTest(async () => { fleet.platform.publishList(2, LEAVING); pause() }, answer('active'))).toBe('old, then leaving'))
+
+  it('learns it after a pause through peers when cut off from the list', async () =>
+    expect(await doTest(cutOff, markLeaving, pause, answer('active'))).toBe('old, then leaving'))
+
+  it('refuses when neither list, peers nor target answer', async () =>
+    expect(await doTest(cutAll, wait)).toBe('old, then unreachable'))
+
+  it('goes by the targets themselves while the list is down for all', async () =>
+    expect(await doTest(cutAll, answer('active'), wait)).toBe('old, then active'))
+
+  it('goes by the target itself when isolated from the list and all peers', async () =>
+    expect(await doTest(cutOff, isolate, answer('active'), wait, wait)).toBe('old, then active'))
+
+  it('does not go by a report alone before the list has been sought', async () => {
+    await doTest(answer('active'))
+    fleet.clock.jump(60_000)
+    evidence.observeReport('a', 'active', fleet.clock.nowMs())
+    expect([evidence.getAgeMs('a'), evidence.isFreshFor('a')]).toEqual([0, false])
+  })
+
+  it('lets the target itself say that it leaves', async () => {
+    expect(await doTest(answer('leaving'))).toBe('fresh, then leaving')
+    expect(instance.audit.getPage(0).events.filter(event => event.kind === 'targetLeaving').map(event => event.cause)).toEqual(['reported by the target itself'])
+  })
+
+  it('keeps a target leaving when an active report asked for earlier arrives late', async () => {
+    const sentAtMs = fleet.clock.nowMs()
+    await fleet.clock.advance(100)
+    evidence.observeReport('a', 'leaving', sentAtMs)
+    evidence.observeReport('a', 'active', sentAtMs + 50)
+    expect(evidence.getState('a')).toBe('leaving')
+    await fleet.clock.advance(100)
+    evidence.observeReport('a', 'active', fleet.clock.nowMs())
+    expect(evidence.getState('a')).toBe('active')
+  })
+})
