--- a/packages/standins/src/configuration/ConfigurationCore.ts
+++ b/packages/standins/src/configuration/ConfigurationCore.ts
@@ -59,6 +59,11 @@
     return this.revision
   }
 
+  /** Gets the number of watches that wait. */
+  getWaitingCount (): number {
+    return this.signal.getWaitingCount()
+  }
+
   /** Gets the number of calls so far. */
   getCallCount (): number {
     return this.limiter.getCallCount()
--- a/packages/standins/test/engine/EngineServer.test.ts
+++ b/packages/standins/test/engine/EngineServer.test.ts
@@ -1,7 +1,8 @@
-import { SeededRandom, SystemClock } from '@fescuespoke/common'
+import { SeededRandom, SystemClock, VirtualClock } from '@fescuespoke/common'
 import { afterEach, describe, expect, it } from 'vitest'
-import { request } from 'undici'
+import { Agent, request } from 'undici'
 import { EngineCore, type EngineOptions, EngineServer } from '../../src/index.js'
+import { createTestEngine } from './support.js'
 
 describe('EngineServer', () => {
   const servers: EngineServer[] = []
@@ -86,4 +87,57 @@
     expect(await call(server, 'GET', '/v1/generations')).toMatchInlineSnapshot('"200 []"')
     expect(server.core.incarnation).not.toBe(core.incarnation)
   })
+
+  describe('a stream that was cut', () => {
+    interface Stream {
+      readonly text: () => string
+      readonly done: Promise<unknown>
+    }
+
+    async function startStream (server: EngineServer, path: string): Promise<Stream> {
+      const { body } = await request(`${server.url}${path}`, { method: 'PUT', body: JSON.stringify(SPEC), dispatcher: new Agent() })
+      let text = ''
+      body.on('data', chunk => { text += String(chunk) })
+      const done = new Promise(resolve => body.on('close', resolve).on('error', resolve))
+      return { text: () => text, done }
+    }
+
+    async function createManualServer (): Promise<{ clock: VirtualClock, server: EngineServer }> {
+      const clock = VirtualClock.create()
+      const core = createTestEngine(clock, { computeOutputTokens: () => 4, stepBaseMs: 10, stepSequenceMs: 0, prefillTokenMs: 0 })
+      const server = await EngineServer.create({ core, clock })
+      servers.push(server)
+      return { clock, server }
+    }
+
+    it('silently goes on at its offset over another connection', async () => {
+      const { clock, server } = await createManualServer()
+      const first = await startStream(server, '/v1/generations/g')
+      await clock.advance(20)
+      await expect.poll(first.text).toContain('g:1')
+      server.freezeConnections()
+      await clock.advance(1000)
+      const second = await startStream(server, '/v1/generations/g?offset=2')
+      await second.done
+      expect(second.text()).toMatchInlineSnapshot(`
+        "{"type":"tokens","offset":2,"tokens":["g:2","g:3"]}
+        {"type":"end","reason":"stop","tokens":4}
+        "
+      `)
+      expect(first.text()).not.toContain('g:2')
+    })
+
+    it('by the death of the engine ends without an end event', async () => {
+      const { clock, server } = await createManualServer()
+      const stream = await startStream(server, '/v1/generations/g')
+      await clock.advance(20)
+      await expect.poll(stream.text).toContain('g:1')
+      server.reclaim(5)
+      expect(server.core.getState().state).toBe('leaving')
+      await clock.advance(5)
+      await stream.done
+      expect(stream.text()).not.toContain('end')
+      await expect(call(server, 'GET', '/v1/state')).rejects.toThrow('ECONNREFUSED')
+    })
+  })
 })
