Add the operators' command line

Cause: operators need to check records before publishing and to see what instances report, without a way to change anything.

--- /dev/null
+++ b/packages/cli/src/commands/showMetrics.ts
@@ -0,0 +1,62 @@
+import { type MetricReading, type MetricSeriesReading } from '@fescuespoke/schema'
+import { type CliContext } from '../CliContext.js'
+import { type ExitStatus } from '../ExitStatus.js'
+import { type Column, formatTable } from '../output/formatTable.js'
+import { checkConnection, type ConnectionArgs, printFailure } from './connection.js'
+
+/** What was given on the command line. */
+export interface MetricsArgs extends ConnectionArgs {
+  readonly json?: boolean
+}
+
+interface Row {
+  readonly metric: MetricReading
+  readonly series: MetricSeriesReading
+}
+
+const NAME_COLUMNS: ReadonlyArray<Column<Row>> = [
+  { heading: 'metric', getCell: ({ metric }) => metric.name },
+  { heading: 'labels', getCell: ({ series }) => Object.entries(series.labels).map(([name, value]) => `${name}=${value}`).join(' ') }
+]
+
+const VALUE_COLUMNS: ReadonlyArray<Column<Row>> = [
+  ...NAME_COLUMNS,
+  { heading: 'value', getCell: ({ series }) => formatNumber(series.value) }
+]
+
+const HISTOGRAM_COLUMNS: ReadonlyArray<Column<Row>> = [
+  ...NAME_COLUMNS,
+  { heading: 'values', getCell: ({ series }) => series.count },
+  { heading: 'recent', getCell: ({ series }) => series.recent?.count },
+  { heading: 'p50 ms', getCell: ({ series }) => series.recent?.p50 },
+  { heading: 'p95 ms', getCell: ({ series }) => series.recent?.p95 },
+  { heading: 'p99 ms', getCell: ({ series }) => series.recent?.p99 },
+  { heading: 'p99.9 ms', getCell: ({ series }) => series.recent?.p999 },
+  { heading: 'max ms', getCell: ({ series }) => series.recent?.max }
+]
+
+/**
+ * Shows the metrics of one instance.
+ * @param context - What commands work with.
+ * @param args - What was given.
+ */
+export async function showMetrics (context: CliContext, args: MetricsArgs): Promise<ExitStatus> {
+  const { url, createClient } = checkConnection(context, args)
+  const read = await createClient(url).fetchMetrics()
+  if (read.isErr) return printFailure(context, url, read.error)
+  if (args.json === true) context.print(JSON.stringify(read.value, null, 2))
+  else printMetrics(context, read.value.metrics)
+  return 'ok'
+}
+
+function printMetrics ({ print }: CliContext, metrics: readonly MetricReading[]): void {
+  const rows = metrics.flatMap(metric => metric.series.map(series => ({ metric, series })))
+  const histograms = rows.filter(({ metric }) => metric.kind === 'histogram')
+  const values = rows.filter(({ metric }) => metric.kind !== 'histogram')
+  if (histograms.length > 0) print(`${formatTable(HISTOGRAM_COLUMNS, histograms)}\n`)
+  print(formatTable(VALUE_COLUMNS, values))
+}
+
+function formatNumber (value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value * 100) / 100
+}
