Add the demo with real daemons under failures

Cause: the whole path had not been run as separate processes. Change: the demo starts the stand-ins, six daemons in three availability zones and callers of every workspace, kills, pauses and drains daemons, kills an engine, marks one as leaving, amends a record, and checks every answer.

--- /dev/null
+++ b/packages/bench/src/demo/runDemo.ts
@@ -0,0 +1,147 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { type InstanceStatus } from '@fescuespoke/schema'
+import { type DeploymentName, type Platform, startPlatform } from '@fescuespoke/standins'
+import { request } from 'undici'
+import { DaemonProcess } from './DaemonProcess.js'
+import { Load, readAnswerTokens } from './Load.js'
+import { Tally, type TallyCounts } from './Tally.js'
+
+/** Number of daemons, spread evenly over the availability zones. */
+const DAEMONS = 6
+
+/** Time between the failures that the demo causes, in milliseconds. */
+const STEP_MS = 1500
+
+/** Longest wait for a revision to be in force everywhere, in milliseconds. */
+const MAX_SPREAD_MS = 30_000
+
+/** Result of one demo. */
+export interface DemoResult extends TallyCounts {
+  /** Time until an amended record was in force at every running instance, in seconds. */
+  readonly configurationSeconds: number
+  readonly faults: readonly string[]
+}
+
+/** What the steps of a demo work with. */
+interface DemoStage {
+  readonly platform: Platform
+  readonly daemons: readonly DaemonProcess[]
+}
+
+/**
+ * Runs one deployment with real daemons while daemons and targets fail.
+ * @param shape - Name of the deployment.
+ */
+export async function runDemo (shape: DeploymentName): Promise<DemoResult> {
+  const folder = await mkdtemp(join(tmpdir(), 'fescuespoke-'))
+  const platform = await startPlatform({ shape, engine: { computeOutputTokens: spec => readAnswerTokens(spec.prompt) } })
+  const daemons = await startDaemons(platform, folder)
+  try {
+    return await runStages({ platform, daemons })
+  } finally {
+    for (const daemon of daemons) daemon.sendSignal('SIGKILL')
+    await Promise.all(daemons.map(async daemon => await daemon.waitForExit()))
+    await platform.close()
+    await rm(folder, { recursive: true })
+  }
+}
+
+async function startDaemons (platform: Platform, folder: string): Promise<DaemonProcess[]> {
+  const { availabilityZones, region } = platform.deployment.shape
+  const daemons = await Promise.all(Array.from({ length: DAEMONS }, async (_, index) => await DaemonProcess.start({
+    folder,
+    settings: {
+      instance: {
+        id: `entry-${index + 1}`,
+        availabilityZone: availabilityZones[index % availabilityZones.length],
+        region,
+        fleet: 'demo',
+        fleetKey: 'key of the demo fleet'
+      },
+      platform: { configurationUrl: platform.configuration.url, instanceListUrl: platform.instances.url },
+      requests: { addressValidityMs: 1000 }
+    }
+  })))
+  platform.deployment.instances.setEntries(daemons.map(({ name, addresses }, index) => ({
+    id: name,
+    role: 'entry',
+    state: 'live',
+    url: addresses.url,
+    peerAddress: addresses.peerAddress,
+    availabilityZone: availabilityZones[index % availabilityZones.length],
+    region
+  })))
+  await Promise.all(daemons.map(waitUntilReady))
+  return daemons
+}
+
+async function runStages (stage: DemoStage): Promise<DemoResult> {
+  const tally = Tally.create()
+  const { platform, daemons } = stage
+  const bootstrapUrls = daemons.map(({ addresses }) => addresses.url)
+  const load = Load.start({ shape: platform.deployment.shape, bootstrapUrls, tally, seed: 1, requestsPerWorkspace: 4 })
+  for (const step of DEMO_STEPS) {
+    await waitMs(STEP_MS)
+    await step(stage)
+  }
+  const configurationSeconds = await amendRecord(stage)
+  await load.stop()
+  const counts = tally.computeCounts(listRanCalls(platform))
+  return { ...counts, configurationSeconds, faults: tally.listFaults() }
+}
+
+/** Failures that the demo causes, in order. */
+const DEMO_STEPS: ReadonlyArray<(stage: DemoStage) => Promise<void>> = [
+  async ({ daemons }) => daemons[0]?.sendSignal('SIGKILL'),
+  async ({ daemons }) => {
+    daemons[1]?.sendSignal('SIGSTOP')
+    await waitMs(2 * STEP_MS)
+    daemons[1]?.sendSignal('SIGCONT')
+  },
+  async ({ platform }) => await [...platform.engines.values()][0]?.kill(),
+  async ({ platform }) => platform.deployment.setLeaving([...platform.engines.keys()][1] ?? ''),
+  async ({ platform, daemons }) => {
+    platform.deployment.instances.setState(daemons[2]?.name ?? '', 'leaving')
+    daemons[2]?.sendSignal('SIGTERM')
+    await daemons[2]?.waitForExit()
+  }
+]
+
+/** Amends a record and returns the seconds until every running daemon has accepted the revision. */
+async function amendRecord ({ platform, daemons }: DemoStage): Promise<number> {
+  const revision = platform.deployment.configuration.amend('demo/added', JSON.stringify({
+    schemaVersion: 2,
+    kind: 'workspace',
+    name: 'added',
+    weight: 1
+  }))
+  const startMs = performance.now()
+  const running = daemons.filter(daemon => daemon.isRunning())
+  const wanted = revision.unwrapOr(0)
+  while (performance.now() - startMs < MAX_SPREAD_MS) {
+    const statuses = await Promise.all(running.map(fetchStatus))
+    if (statuses.every(status => status.revision >= wanted)) return Math.round(performance.now() - startMs) / 1000
+    await waitMs(20)
+  }
+  return MAX_SPREAD_MS / 1000
+}
+
+async function waitUntilReady (daemon: DaemonProcess): Promise<void> {
+  while ((await fetchStatus(daemon)).phase !== 'ready') await waitMs(20)
+}
+
+async function fetchStatus ({ addresses }: DaemonProcess): Promise<InstanceStatus> {
+  const response = await request(`${addresses.operatorUrl}/v1/status`)
+  return await response.body.json() as InstanceStatus
+}
+
+function listRanCalls (platform: Platform): string[] {
+  const services = [...platform.deployment.plainServices.values()]
+  return services.flatMap(service => service.listCalls().map(({ body }) => (body as { name: string }).name))
+}
+
+async function waitMs (durationMs: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, durationMs))
+}
