Split the engine into a registry of generations and a loop of steps

Change: GenerationRegistry holds, retains and sends heartbeats; StepLoop times steps and stalls; both stop for good on a kill.

--- a/packages/standins/src/engine/EngineCore.ts
+++ b/packages/standins/src/engine/EngineCore.ts
@@ -1,14 +1,15 @@
-import { type CancelTimer } from '@fescuespoke/common'
 import { type CacheEvent, type GenerationSpec, type GenerationStatus, type Order, type OrderAnswer, type TargetState } from '@fescuespoke/schema'
 import { Maybe, Result } from 'true-myth'
 import { type StandinRefusal } from '../http/StandinRefusal.js'
-import { Batch, type StepPlan } from './Batch.js'
+import { Batch } from './Batch.js'
 import { CacheEventLog } from './CacheEventLog.js'
 import { type EngineOptions, type EngineSettings, mergeEngineDefaults } from './EngineOptions.js'
 import { type EndReason, type Generation, type GenerationListener, listTokens, sendEvent, sendLatestToken, type Subscription } from './Generation.js'
+import { GenerationRegistry } from './GenerationRegistry.js'
 import { LoadReports } from './LoadReports.js'
 import { formatModel, ModelShelf } from './ModelShelf.js'
 import { PrefixCache } from './PrefixCache.js'
+import { StepLoop } from './StepLoop.js'
 import { WaitingQueue } from './WaitingQueue.js'
 
 /** How a generation was started: anew, or known already by its id. */
@@ -29,11 +30,6 @@
   readonly lastArrivalAfterLeavingMs: number
 }
 
-interface RetainedGeneration {
-  readonly id: string
-  readonly endMs: number
-}
-
 const INCARNATION_BYTES = 8
 
 /** A model engine with continuous batching, limited cache memory and preemption. */
@@ -48,22 +44,16 @@
 
   /** Name of this run of the engine. */
   readonly incarnation: string
-  private readonly generations = new Map<string, Generation>()
-  private readonly retained: RetainedGeneration[] = []
+  private readonly registry: GenerationRegistry
   private readonly waiting = WaitingQueue.create()
   private readonly batch: Batch
+  private readonly loop: StepLoop
   private readonly cacheEvents: CacheEventLog
   private readonly reports: LoadReports
   private readonly shelf: ModelShelf
-  private readonly counts = { steps: 0, tokens: 0, started: 0, ended: 0, preemptions: 0, recomputedTokens: 0, receivedAfterLeaving: 0, lastArrivalAfterLeavingMs: 0 }
-  private slowFactor = 1
-  private stepMs = 0
-  private stalledUntilMs = 0
+  private readonly counts = { tokens: 0, started: 0, ended: 0, preemptions: 0, recomputedTokens: 0, receivedAfterLeaving: 0, lastArrivalAfterLeavingMs: 0 }
   private leavingSinceMs: number | undefined
-  private openCount = 0
   private isStopped = false
-  private cancelStep: CancelTimer | undefined
-  private cancelHeartbeat: CancelTimer | undefined
 
   /** @internal */
   private constructor (private readonly settings: EngineSettings) {
@@ -82,6 +72,13 @@
       observePreemption: generation => this.observePreemption(generation),
       observeOverflow: generation => this.end(generation, 'failed')
     })
+    this.loop = StepLoop.create({
+      settings,
+      batch: this.batch,
+      observeToken: generation => this.observeToken(generation),
+      observeStep: () => this.recordLoad()
+    })
+    this.registry = GenerationRegistry.create({ settings, canSend: () => !this.loop.isStalled() })
   }
 
   /** Gets the name of the target. */
@@ -105,12 +102,11 @@
     if (!this.shelf.isReady(spec)) return Result.err({ status: 409, error: 'modelNotLoaded' })
     const generation = this.createGeneration(id, spec)
     if (generation.promptTokens >= this.settings.capacityTokens) return Result.err({ status: 413, error: 'promptTooLong' })
-    this.generations.set(id, generation)
+    this.registry.add(generation)
     this.waiting.add(generation)
-    this.openCount++
     this.counts.started++
     this.recordLoad()
-    this.startLoop()
+    this.loop.start()
     return Result.ok('started')
   }
 
@@ -121,8 +117,7 @@
    * @param listener - Receives the events.
    */
   subscribe (id: string, offset: number, listener: GenerationListener): Maybe<() => void> {
-    this.pruneRetained()
-    const generation = this.generations.get(id)
+    const generation = this.registry.get(id)
     if (generation === undefined) return Maybe.nothing()
     const subscription: Subscription = { listener, nextOffset: Math.max(offset, generation.produced), isFresh: true }
     if (generation.endReason === undefined) generation.subscriptions.add(subscription)
@@ -137,8 +132,7 @@
    * @param id - Id of the generation.
    */
   cancel (id: string): boolean {
-    this.pruneRetained()
-    const generation = this.generations.get(id)
+    const generation = this.registry.get(id)
     if (generation === undefined) return false
     if (generation.endReason === undefined) this.end(generation, 'cancelled')
     return true
@@ -164,7 +158,7 @@
 
   /** Gets the counts since the start, without lag. */
   getCounts (): EngineCounts {
-    return { ...this.counts }
+    return { steps: this.loop.getSteps(), ...this.counts }
   }
 
   /** Gets the cache memory in use, in tokens, without lag. */
@@ -177,14 +171,12 @@
    * @param id - Id of the generation.
    */
   hasGeneration (id: string): boolean {
-    this.pruneRetained()
-    return this.generations.has(id)
+    return this.registry.get(id) !== undefined
   }
 
   /** Lists the generations that can be read. */
   listGenerations (): GenerationStatus[] {
-    this.pruneRetained()
-    return [...this.generations.values()].map(({ id, state, produced }) => ({ id, state, tokens: produced }))
+    return this.registry.listStates()
   }
 
   /** Lists the orders carried out so far. */
@@ -213,7 +205,7 @@
    * @param factor - Factor; 1 for the usual speed.
    */
   setSlow (factor: number): void {
-    this.slowFactor = factor
+    this.loop.setSlow(factor)
   }
 
   /**
@@ -221,7 +213,7 @@
    * @param durationMs - Duration in milliseconds.
    */
   stall (durationMs: number): void {
-    this.stalledUntilMs = Math.max(this.stalledUntilMs, this.settings.clock.nowMs() + durationMs)
+    this.loop.stall(durationMs)
   }
 
   /** Publishes from now on that the engine is leaving. */
@@ -232,10 +224,9 @@
   /** Stops for good; readers hear nothing more. */
   kill (): void {
     this.isStopped = true
-    this.cancelStep?.()
-    this.cancelHeartbeat?.()
+    this.loop.stop()
+    this.registry.stop()
     this.shelf.stop()
-    for (const generation of this.generations.values()) generation.subscriptions.clear()
   }
 
   private createGeneration (id: string, spec: GenerationSpec): Generation {
@@ -258,41 +249,7 @@
     }
   }
 
-  private startLoop (): void {
-    const { clock, heartbeatMs } = this.settings
-    this.cancelStep ??= clock.startTimer(0, () => this.startStep())
-    this.cancelHeartbeat ??= clock.startTimer(heartbeatMs, () => this.sendHeartbeats())
-  }
-
-  private startStep (): void {
-    const plan = this.batch.startStep()
-    if (plan.decoding.length === 0 && plan.prefillTokens === 0) {
-      this.cancelStep = undefined
-      this.recordLoad()
-      return
-    }
-    const { clock, stepBaseMs, stepSequenceMs, prefillTokenMs, speed } = this.settings
-    const workMs = stepBaseMs + stepSequenceMs * this.batch.getCount() + prefillTokenMs * plan.prefillTokens
-    this.stepMs = workMs * this.slowFactor / speed
-    this.recordLoad()
-    this.cancelStep = clock.startTimer(this.stepMs, () => this.finishStep(plan))
-  }
-
-  private finishStep (plan: StepPlan): void {
-    const remainingMs = this.stalledUntilMs - this.settings.clock.nowMs()
-    if (remainingMs > 0) {
-      this.cancelStep = this.settings.clock.startTimer(remainingMs, () => this.finishStep(plan))
-      return
-    }
-    this.counts.steps++
-    for (const generation of plan.decoding) {
-      if (generation.state === 'running') this.produceToken(generation)
-    }
-    if (!this.isStopped) this.startStep()
-  }
-
-  private produceToken (generation: Generation): void {
-    this.batch.recordToken(generation)
+  private observeToken (generation: Generation): void {
     this.counts.tokens++
     sendLatestToken(generation)
     if (generation.produced >= generation.spec.maxTokens) this.end(generation, 'length')
@@ -309,56 +266,23 @@
     if (generation.endReason !== undefined) return
     if (generation.state === 'running') this.batch.remove(generation)
     else this.waiting.remove(generation)
-    generation.state = 'ended'
-    generation.endReason = reason
-    this.openCount--
     this.counts.ended++
-    sendEvent(generation, { type: 'end', reason, tokens: generation.produced })
-    generation.subscriptions.clear()
+    this.registry.recordEnd(generation, reason)
     this.recordLoad()
-    this.retained.push({ id: generation.id, endMs: this.settings.clock.nowMs() + this.settings.retentionMs })
-  }
-
-  /** Forgets the generations whose retention time is over. */
-  private pruneRetained (): void {
-    const nowMs = this.settings.clock.nowMs()
-    for (let first = this.retained[0]; first !== undefined && first.endMs <= nowMs; first = this.retained[0]) {
-      this.retained.shift()
-      this.generations.delete(first.id)
-    }
   }
 
   private failGenerations (model: string): void {
-    for (const generation of this.generations.values()) {
+    for (const generation of this.registry.listOpen()) {
       if (formatModel(generation.spec) === model) this.end(generation, 'failed')
     }
   }
 
-  private sendHeartbeats (): void {
-    const { clock, heartbeatMs } = this.settings
-    if (this.openCount === 0) {
-      this.cancelHeartbeat = undefined
-      return
-    }
-    if (clock.nowMs() >= this.stalledUntilMs) this.sendDueHeartbeats()
-    this.cancelHeartbeat = clock.startTimer(heartbeatMs, () => this.sendHeartbeats())
-  }
-
-  private sendDueHeartbeats (): void {
-    for (const generation of this.generations.values()) {
-      for (const subscription of generation.subscriptions) {
-        if (!subscription.isFresh) subscription.listener({ type: 'heartbeat' })
-        subscription.isFresh = false
-      }
-    }
-  }
-
   private recordLoad (): void {
     this.reports.record({
       running: this.batch.getCount(),
       waiting: this.waiting.getCount(),
       usedTokens: this.batch.getUsedTokens(),
-      stepMs: this.stepMs,
+      stepMs: this.loop.getStepMs(),
       preemptions: this.counts.preemptions
     })
   }
--- /dev/null
+++ b/packages/standins/src/engine/GenerationRegistry.ts
@@ -0,0 +1,117 @@
+import { type CancelTimer } from '@fescuespoke/common'
+import { type GenerationStatus } from '@fescuespoke/schema'
+import { type EngineSettings } from './EngineOptions.js'
+import { type EndReason, type Generation, sendEvent } from './Generation.js'
+
+/** Options of a registry. */
+export interface GenerationRegistryOptions {
+  readonly settings: EngineSettings
+  /** Tells whether heartbeats may be sent now. */
+  readonly canSend: () => boolean
+}
+
+interface RetainedGeneration {
+  readonly id: string
+  readonly endMs: number
+}
+
+/** Holds the generations of an engine until the end of their retention time and sends their heartbeats. */
+export class GenerationRegistry {
+  /**
+   * Creates an empty registry.
+   * @param options - Options of the registry.
+   */
+  static create (options: GenerationRegistryOptions): GenerationRegistry {
+    return new GenerationRegistry(options)
+  }
+
+  private readonly generations = new Map<string, Generation>()
+  private readonly retained: RetainedGeneration[] = []
+  private openCount = 0
+  private isStopped = false
+  private cancelHeartbeat: CancelTimer | undefined
+
+  /** @internal */
+  private constructor (private readonly options: GenerationRegistryOptions) {}
+
+  /**
+   * Gets a generation, if it can be read.
+   * @param id - Its id.
+   */
+  get (id: string): Generation | undefined {
+    this.prune()
+    return this.generations.get(id)
+  }
+
+  /** Lists the generations that have not ended. */
+  listOpen (): Generation[] {
+    return [...this.generations.values()].filter(generation => generation.endReason === undefined)
+  }
+
+  /** Lists the states of all generations that can be read. */
+  listStates (): GenerationStatus[] {
+    this.prune()
+    return [...this.generations.values()].map(({ id, state, produced }) => ({ id, state, tokens: produced }))
+  }
+
+  /**
+   * Adds a generation.
+   * @param generation - The generation.
+   */
+  add (generation: Generation): void {
+    this.generations.set(generation.id, generation)
+    this.openCount++
+    this.startHeartbeats()
+  }
+
+  /**
+   * Records the end of a generation and tells its readers.
+   * @param generation - The generation.
+   * @param reason - Why it ended.
+   */
+  recordEnd (generation: Generation, reason: EndReason): void {
+    const { clock, retentionMs } = this.options.settings
+    generation.state = 'ended'
+    generation.endReason = reason
+    this.openCount--
+    this.retained.push({ id: generation.id, endMs: clock.nowMs() + retentionMs })
+    sendEvent(generation, { type: 'end', reason, tokens: generation.produced })
+    generation.subscriptions.clear()
+  }
+
+  /** Stops heartbeats and drops all readers without a word. */
+  stop (): void {
+    this.isStopped = true
+    this.cancelHeartbeat?.()
+    for (const generation of this.generations.values()) generation.subscriptions.clear()
+  }
+
+  private prune (): void {
+    const nowMs = this.options.settings.clock.nowMs()
+    for (let first = this.retained[0]; first !== undefined && first.endMs <= nowMs; first = this.retained[0]) {
+      this.retained.shift()
+      this.generations.delete(first.id)
+    }
+  }
+
+  private startHeartbeats (): void {
+    const { clock, heartbeatMs } = this.options.settings
+    this.cancelHeartbeat ??= clock.startTimer(heartbeatMs, () => this.sendHeartbeats())
+  }
+
+  private sendHeartbeats (): void {
+    this.cancelHeartbeat = undefined
+    if (this.openCount === 0 || this.isStopped) return
+    if (this.options.canSend()) this.sendDueHeartbeats()
+    if (!this.isStopped) this.startHeartbeats()
+  }
+
+  private sendDueHeartbeats (): void {
+    for (const generation of this.listOpen()) {
+      for (const subscription of generation.subscriptions) {
+        if (!subscription.isFresh) subscription.listener({ type: 'heartbeat' })
+        subscription.isFresh = false
+      }
+    }
+  }
+}
--- a/packages/standins/test/engine/EngineCore.test.ts
+++ b/packages/standins/test/engine/EngineCore.test.ts
@@ -289,6 +289,20 @@
       expect(engine.startGeneration('b', createSpec())).toMatchObject({ error: { status: 503 } })
     })
 
+    it('can be killed by a reader', async () => {
+      const ownClock = VirtualClock.create()
+      const engine = createTestEngine(ownClock, { heartbeatMs: 1 })
+      const heard: string[] = []
+      engine.startGeneration('a', createSpec())
+      engine.subscribe('a', 0, event => {
+        heard.push(event.type)
+        engine.kill()
+      })
+      await ownClock.advance(1000)
+      expect(heard).toEqual(['heartbeat'])
+      expect(engine.getCounts().tokens).toBe(0)
+    })
+
     it('counts new work that arrives while leaving', async () => {
       const engine = createEngine()
       engine.setLeaving()
