Decide by projected memory and credits, and add the measuring command

Cause: least in flight under a static bound neither knows the memory that answers will take nor what other instances place. Change: learned output lengths give the memory of each generation at a row of horizons, conditional on what it has produced; a coordinator for each target lends its room for 1.5 s; requests wait in a start-time fair queue and are refused once waiting cannot succeed; slow, failing and silent targets are excluded and tried out with few requests; retries have a budget; prompt prefixes draw requests to targets that hold them. npm run measure compares policies on the same arrivals over the engine stand-in in virtual time.

--- /dev/null
+++ b/packages/bench/src/measure/SimulatedCallers.ts
@@ -0,0 +1,79 @@
+import { pickIndex, type Clock, type Random, type Snapshot } from '@fescuespoke/common'
+import { rankAddresses, type RankedMember } from '@fescuespoke/scheduling'
+import { type Arrival } from './arrivals.js'
+import { type SimulatedInstance } from './SimulatedInstance.js'
+
+/** Options of the callers. */
+export interface SimulatedCallersOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly snapshot: Snapshot
+  readonly instances: readonly SimulatedInstance[]
+  /** Lists the instances as the membership sees them. */
+  readonly listMembers: () => readonly RankedMember[]
+  /** Whether callers are told ranked addresses; otherwise they use any instance. */
+  readonly ranksAddresses: boolean
+  readonly availabilityZones: readonly string[]
+}
+
+interface KeptAnswer {
+  readonly instances: readonly string[]
+  readonly untilMs: number
+}
+
+/** How long callers keep an address answer. */
+const ANSWER_MS = 10_000
+
+/** Callers, who keep an address answer for a while and go to the first instance of it that they can reach. */
+export class SimulatedCallers {
+  /**
+   * Creates callers.
+   * @param options - Options.
+   */
+  static create (options: SimulatedCallersOptions): SimulatedCallers {
+    return new SimulatedCallers(options)
+  }
+
+  private readonly answers = new Map<string, KeptAnswer>()
+
+  /** @internal */
+  private constructor (private readonly options: SimulatedCallersOptions) {}
+
+  /**
+   * Picks the instance that a request is sent to.
+   * @param arrival - The request.
+   */
+  pickInstance (arrival: Arrival): SimulatedInstance | undefined {
+    const key = `${arrival.workspace} ${arrival.caller} ${arrival.service.name}`
+    const kept = this.answers.get(key)
+    const nowMs = this.options.clock.nowMs()
+    const answer = kept !== undefined && nowMs < kept.untilMs ? kept : { instances: this.rankInstances(arrival), untilMs: nowMs + ANSWER_MS }
+    this.answers.set(key, answer)
+    const reached = this.findReachable(answer.instances)
+    if (reached === undefined) this.answers.delete(key)
+    return reached ?? this.findReachable(this.options.instances.map(({ name }) => name))
+  }
+
+  private rankInstances (arrival: Arrival): string[] {
+    const { random, instances, snapshot, availabilityZones } = this.options
+    if (!this.options.ranksAddresses) return [instances[pickIndex(random, instances.length)]?.name ?? '']
+    const addresses = rankAddresses({
+      service: arrival.service.name,
+      workspace: `w${arrival.workspace}`,
+      members: this.options.listMembers(),
+      snapshot,
+      availabilityZone: availabilityZones[arrival.caller % availabilityZones.length],
+      region: 'r',
+      turn: arrival.caller
+    })
+    return addresses.map(({ instance }) => instance)
+  }
+
+  private findReachable (names: readonly string[]): SimulatedInstance | undefined {
+    for (const name of names) {
+      const instance = this.options.instances.find(candidate => candidate.name === name)
+      if (instance?.isReachable() === true) return instance
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measure/main.ts
@@ -0,0 +1,37 @@
+import { POLICIES } from '@fescuespoke/scheduling'
+import { defineCommand, runMain } from 'citty'
+import { formatScenario } from './formatScenario.js'
+import { measureScenario, type MeasuredScenario } from './measureScenario.js'
+import { SCENARIOS } from './scenarios.js'
+
+const DEFAULT_POLICIES = 'default,random,leastInFlight,powerOfTwo'
+
+const command = defineCommand({
+  meta: { name: 'measure', description: 'Measures policies on the same arrivals of a scenario, in virtual time' },
+  args: {
+    scenario: { type: 'string', default: 'steady-95', description: `all, or one of ${Object.keys(SCENARIOS).join(', ')}` },
+    seed: { type: 'string', default: '1', description: 'Seed of arrivals and random numbers' },
+    policy: { type: 'string', default: DEFAULT_POLICIES, description: `all, or some of ${Object.keys(POLICIES).join(', ')}` },
+    json: { type: 'boolean', default: false, description: 'Prints one JSON document' }
+  },
+  run: async ({ args }) => {
+    const scenarios = listNames(args.scenario, SCENARIOS)
+    const policies = listNames(args.policy, POLICIES)
+    const measured: MeasuredScenario[] = []
+    for (const scenario of scenarios) {
+      const result = await measureScenario({ scenario, seed: Number(args.seed), policies })
+      measured.push(result)
+      if (!args.json) process.stdout.write(`${formatScenario(result)}\n`)
+    }
+    if (args.json) process.stdout.write(`${JSON.stringify(measured.length === 1 ? measured[0] : measured)}\n`)
+  }
+})
+
+function listNames (text: string, known: Readonly<Record<string, unknown>>): string[] {
+  const names = text === 'all' ? Object.keys(known) : text.split(',')
+  const unknown = names.filter(name => known[name] === undefined)
+  if (unknown.length > 0) throw new Error(`unknown: ${unknown.join(', ')}; known are ${Object.keys(known).join(', ')}`)
+  return names
+}
+
+await runMain(command)
--- /dev/null
+++ b/packages/bench/src/measure/measureScenario.ts
@@ -0,0 +1,46 @@
+import { SeededRandom } from '@fescuespoke/common'
+import { type MeasuredRow } from './AnswerStatistics.js'
+import { generateArrivals } from './arrivals.js'
+import { computeCapacity } from './deployments.js'
+import { measurePolicy } from './measurePolicy.js'
+import { SCENARIOS, type MeasuredSpan } from './scenarios.js'
+
+/** Longest decode step that admission plans for. */
+export const TOKEN_INTERVAL_MS = 43
+
+/** What is measured. */
+export interface MeasureScenarioOptions {
+  /** Name of the scenario. */
+  readonly scenario: string
+  /** Seed of the arrivals and of all random numbers. */
+  readonly seed: number
+  /** Names of the policies. */
+  readonly policies: readonly string[]
+  /** Parts of the run, in place of the scenario's own. */
+  readonly span?: MeasuredSpan
+}
+
+/** Rows of all policies on the same arrivals. */
+export interface MeasuredScenario {
+  readonly scenario: string
+  readonly seed: number
+  readonly rows: readonly MeasuredRow[]
+}
+
+/**
+ * Measures policies on the same arrivals of one scenario.
+ * @param options - What is measured.
+ */
+export async function measureScenario (options: MeasureScenarioOptions): Promise<MeasuredScenario> {
+  const known = SCENARIOS[options.scenario]
+  if (known === undefined) throw new Error(`no scenario ${options.scenario}`)
+  const { seed, policies } = options
+  const scenario = { ...known, span: options.span ?? known.span }
+  const capacity = computeCapacity(scenario.deployment, scenario.services, TOKEN_INTERVAL_MS)
+  const arrivals = generateArrivals(scenario, capacity.requestsPerSecond * scenario.load, SeededRandom.create(seed))
+  const rows: MeasuredRow[] = []
+  for (const policy of policies) {
+    rows.push(await measurePolicy({ scenario, policy, seed, arrivals, capacity, tokenIntervalMs: TOKEN_INTERVAL_MS }))
+  }
+  return { scenario: options.scenario, seed, rows }
+}
--- a/packages/scheduling/src/TargetScheduler.ts
+++ b/packages/scheduling/src/TargetScheduler.ts
@@ -1,15 +1,15 @@
 import { type AuditEntry, type CancelTimer, type Clock, type PeerTransport, type Random, type Snapshot, type Target } from '@fescuespoke/common'
 import { type CacheEvent, type SchedulingSettings, type TargetState, type TargetStatus } from '@fescuespoke/schema'
 import { type Maybe, Result } from 'true-myth'
-import { type Placement, type PlacementRefusal, type PlacementRequest, type Scheduler } from './Scheduler.js'
-import { TargetDirectory, type TargetEvidence } from './targets/TargetDirectory.js'
-
-/** An instance that is thought to be alive. */
-export interface AliveInstance {
-  readonly instance: string
-  readonly availabilityZone: string
-  readonly region: string
-}
+import { MAX_OUTPUT_TOKENS } from './lengths/LengthTable.js'
+import { type AliveInstance } from './credits/findCoordinator.js'
+import { type Candidate, type PlacementNeed } from './placement/Candidate.js'
+import { type PickedTarget } from './placement/TargetPicker.js'
+import { type WaitingRequest } from './queue/WaitingRequests.js'
+import { type Placement, type PlacementEnd, type PlacementRefusal, type PlacementRequest, type Scheduler } from './Scheduler.js'
+import { createSchedulerParts, type SchedulerParts } from './SchedulerParts.js'
+import { type SchedulerCounters } from './SchedulerCounters.js'
+import { type TargetEvidence } from './targets/TargetDirectory.js'
 
 /** Options of a scheduler. */
 export interface TargetSchedulerOptions {
@@ -20,25 +20,38 @@
   readonly clock: Clock
   readonly random: Random
   readonly transport: PeerTransport
-  /** Lists the instances that are thought to be alive, this one included. */
+  /** Lists the instances that are thought to be alive, this one included; the same array while nothing changes. */
   readonly listAliveInstances: () => readonly AliveInstance[]
-  readonly settings?: SchedulingSettings
+  readonly settings?: Partial<SchedulingSettings>
+  /** Requests of one target that policies with a fixed division allow for all instances together. */
+  readonly fixedSequences?: number
   /** Records a change in the audit trail. */
   readonly recordAudit?: (entry: AuditEntry) => void
 }
 
-/** Sequences that one instance runs at one target when the target does not tell its largest batch. */
-const DEFAULT_MAX_SEQUENCES = 32
+/** Interval at which credits are renewed and waiting requests tried again. */
+const TICK_MS = 100
 
-/** Wait after which a refused caller may try again. */
-const RETRY_AFTER_MS = 1000
+/** Targets asked at once for the first waiting request. */
+const ASKED_AT_ONCE = 2
 
-interface WaitingRequest {
-  readonly request: PlacementRequest
-  readonly settle: (result: Result<Placement, PlacementRefusal>) => void
-}
+/** Waiting requests of one service that a credit is asked for at once. */
+const ASKED_REQUESTS = 4
+
+/** Peers asked for learned lengths, and longest wait for each. */
+const LENGTHS_PEERS = 3
+const LENGTHS_TIMEOUT_MS = 1000
+
+/** Time from dispatch to the first token, assumed for the expected duration. */
+const ASSUMED_FIRST_TOKEN_MS = 200
+
+/** Wait after which a caller without any usable target may try again. */
+const NO_TARGET_RETRY_MS = 2000
+
+/** Tokens in good pace after which a request counts as a success. */
+const SUCCESS_TOKENS = 32
 
-/** Chooses targets for the requests of one instance. */
+/** Chooses targets for the requests of one instance, admits, queues and refuses. */
 export class TargetScheduler implements Scheduler {
   /**
    * Creates a scheduler.
@@ -48,29 +61,49 @@
     return new TargetScheduler(options)
   }
 
-  private readonly directory = TargetDirectory.create()
-  private readonly inFlight = new Map<string, number>()
-  private waiting: WaitingRequest[] = []
+  private readonly parts: SchedulerParts
+  private cancelTick: CancelTimer | undefined
+  private isPlacing = false
 
   /** @internal */
-  private constructor (private readonly options: TargetSchedulerOptions) {}
+  private constructor (private readonly options: TargetSchedulerOptions) {
+    this.parts = createSchedulerParts(options, () => this.placeWaiting())
+    options.transport.setHandler('creditRequest', (message, from) => this.parts.coordinator.answerRequest(from, message))
+    options.transport.setHandler('lengthsRequest', () => ({ type: 'lengthsAnswer', histograms: this.parts.lengths.encodeHistograms() }))
+  }
 
   /** Starts the background tasks. */
-  start (): void {}
+  start (): void {
+    this.cancelTick ??= this.options.clock.startTimer(TICK_MS, () => this.runTick())
+    this.fetchLengths()
+  }
 
   /** Stops the background tasks; waiting requests stay until their own end. */
-  stop (): void {}
+  stop (): void {
+    this.cancelTick?.()
+    this.cancelTick = undefined
+  }
 
   /**
    * Waits until a target is admitted for a request, or refuses it as soon as waiting cannot succeed.
    * @param request - The request.
    */
   async acquirePlacement (request: PlacementRequest): Promise<Result<Placement, PlacementRefusal>> {
-    if (this.listUsableTargets(request).length === 0) return refuse('noTarget', 'no target of the service is usable')
-    const placed = this.takeTarget(request)
+    const { waiting, picker, retries, counters } = this.parts
+    if (request.signal.aborted) return this.refuse({ reason: 'cancelledByCaller', detail: 'cancelled before placement' })
+    if (picker.listUsable(request).length === 0) return this.refuse({ reason: 'noTarget', detail: 'no target of the service is usable', retryAfterMs: NO_TARGET_RETRY_MS })
+    if (request.failedTargets.length > 0 && !retries.takeRetry(request.service.name)) {
+      return this.refuse({ reason: 'overloaded', detail: 'the retry budget of the service is spent', retryAfterMs: NO_TARGET_RETRY_MS })
+    }
+    const item = this.createWaiting(request)
+    const limit = waiting.checkWait(item)
+    if (limit.isErr) return this.refuse(limit.error)
+    const placed = waiting.hasBefore(item) ? undefined : this.takeTarget(item)
     if (placed !== undefined) return Result.ok(placed)
-    if (this.waiting.length >= (this.options.settings?.maxQueued ?? 1000)) return refuse('queueFull', 'the queue is full')
-    return await this.waitForTarget(request)
+    counters.queued++
+    const wait = waiting.waitForPlacement(item, limit.value)
+    this.placeWaiting()
+    return (await wait).mapErr(refusal => this.countRefusal(refusal))
   }
 
   /**
@@ -80,116 +113,204 @@
    * @param sentAtMs - Reading of the clock when the question was sent.
    */
   observeTargetState (target: string, report: TargetState, sentAtMs: number): void {
-    this.directory.observeReport(target, report, sentAtMs)
-    this.placeWaiting()
+    const { directory, capacities, health, prefixes } = this.parts
+    const before = directory.getEvidence(target)
+    directory.observeReport(target, report, sentAtMs)
+    capacities.observeReport(target, report)
+    health.observeAnswer(target)
+    if (before.isJust && before.value.report.incarnation !== report.incarnation) prefixes.remove(target)
   }
 
   /**
    * Observes that a target did not answer a question for its state.
    * @param target - Name of the target.
    */
-  observeTargetSilence (target: string): void {}
+  observeTargetSilence (target: string): void {
+    this.parts.health.observeSilence(target)
+  }
 
   /**
    * Observes cache events of a target, in the order in which they were read.
    * @param target - Name of the target.
    * @param events - The events.
    */
-  observeCacheEvents (target: string, events: readonly CacheEvent[]): void {}
+  observeCacheEvents (target: string, events: readonly CacheEvent[]): void {
+    this.parts.prefixes.observeEvents(target, events)
+  }
 
   /**
    * Gets the latest evidence of a target.
    * @param target - Name of the target.
    */
   getEvidence (target: string): Maybe<TargetEvidence> {
-    return this.directory.getEvidence(target)
+    return this.parts.directory.getEvidence(target)
   }
 
   /**
-   * Lists the targets whose state this instance has to ask for.
+   * Lists the targets whose state this instance has to ask for: those it considers and those it coordinates.
    * @param snapshot - Snapshot in force.
    */
   listObservedTargets (snapshot: Snapshot): Target[] {
-    const names = new Set([...snapshot.services.values()].flatMap(service => service.targets))
-    return [...names].sort().flatMap(name => snapshot.targets.get(name) ?? [])
+    return this.parts.subsets.listObserved(snapshot, target => this.parts.keeper.getCoordinator(target) === this.options.instance)
   }
 
-  /** Lists what is known of each target, for operators. */
+  /** Lists what is known of each observed target, for operators. */
   listTargetStatus (): TargetStatus[] {
-    return []
+    return this.parts.listStatus()
   }
 
   /** Counts the requests that wait for a target. */
   countQueued (): number {
-    return this.waiting.length
+    return this.parts.waiting.count()
+  }
+
+  /** Gets the counters since the start. */
+  getCounters (): SchedulerCounters {
+    return { ...this.parts.counters, creditRequests: this.parts.ledger.getRequestCount(), bypasses: this.parts.ledger.getBypassCount() }
   }
 
-  private listUsableTargets (request: PlacementRequest): Target[] {
-    return request.service.targets
-      .filter(name => !request.failedTargets.includes(name) && !this.directory.isLeaving(name))
-      .flatMap(name => request.snapshot.targets.get(name) ?? [])
+  /** Fetches learned lengths from a few peers; nothing changes when none answers. */
+  async fetchLengths (): Promise<void> {
+    const peers = this.options.listAliveInstances().map(({ instance }) => instance).filter(instance => instance !== this.options.instance)
+    for (const peer of peers.slice(0, LENGTHS_PEERS)) {
+      const answer = await this.options.transport.request<'lengthsAnswer'>(peer, { type: 'lengthsRequest' }, LENGTHS_TIMEOUT_MS)
+      if (answer.isOk) this.parts.lengths.acceptHistograms(answer.value.histograms)
+    }
+  }
+
+  private runTick (): void {
+    if (this.parts.policy.division === 'credits') this.parts.keeper.renewCredits()
+    this.placeWaiting()
+    this.cancelTick = this.options.clock.startTimer(TICK_MS, () => this.runTick())
+  }
+
+  private createWaiting (request: PlacementRequest): WaitingRequest {
+    const lengths = this.parts.lengths.getTable(request.service.name, request.workspace)
+    const outputTokens = request.service.kind === 'call' ? 0 : lengths.estimateRemaining(0, request.maxTokens)
+    return {
+      request,
+      workspace: request.workspace,
+      priority: request.priority,
+      weight: request.snapshot.workspaces.get(request.workspace)?.weight ?? 1,
+      cost: Math.max(1, request.promptTokens + outputTokens),
+      expectedMs: ASSUMED_FIRST_TOKEN_MS + outputTokens * this.parts.tokenIntervalMs,
+      enqueuedMs: this.options.clock.nowMs()
+    }
+  }
+
+  private createNeed (request: PlacementRequest): PlacementNeed {
+    return {
+      priority: request.priority,
+      shape: {
+        promptTokens: request.promptTokens,
+        maxTokens: request.maxTokens ?? MAX_OUTPUT_TOKENS,
+        lengths: this.parts.lengths.getTable(request.service.name, request.workspace),
+        isHighPriority: request.priority === 'high'
+      }
+    }
   }
 
-  private takeTarget (request: PlacementRequest): Placement | undefined {
-    const candidates = this.listUsableTargets(request).filter(target => this.getInFlight(target.name) < this.getBound(target.name))
-    candidates.sort((a, b) => this.getInFlight(a.name) - this.getInFlight(b.name))
-    const target = candidates[0]
-    return target === undefined ? undefined : this.createPlacement(target)
+  private takeTarget (item: WaitingRequest): Placement | undefined {
+    const need = this.createNeed(item.request)
+    const picked = this.parts.picker.pickTarget(item.request, need)
+    if (picked === undefined) return undefined
+    this.parts.waiting.observePlaced(item)
+    return this.createPlacement(item.request, need, picked)
   }
 
-  private createPlacement (target: Target): Placement {
-    const before = this.getInFlight(target.name)
-    this.inFlight.set(target.name, before + 1)
-    let released = false
+  private createPlacement (request: PlacementRequest, need: PlacementNeed, picked: PickedTarget): Placement {
+    const { keeper, prefixes, health, counters } = this.parts
+    const { target, own, needTokens } = picked.candidate
+    const ownRequest = own.add(need.shape)
+    keeper.observePlaced(target, needTokens)
+    if (request.prefix !== undefined) prefixes.observeSent(target.name, request.prefix)
+    counters.placed++
+    let lastTokenMs: number | undefined
+    let isReleased = false
     return {
       target,
-      detail: `fewest requests in flight (${before})`,
-      observeTokens: () => {},
-      observePreemption: () => {},
-      release: () => {
-        if (released) return
-        released = true
-        this.inFlight.set(target.name, this.getInFlight(target.name) - 1)
+      detail: picked.detail,
+      observeTokens: totalTokens => {
+        const nowMs = this.options.clock.nowMs()
+        const added = totalTokens - ownRequest.producedTokens
+        if (added <= 0) return
+        if (lastTokenMs !== undefined) health.observeTokenGap(target.name, (nowMs - lastTokenMs) / added)
+        lastTokenMs = nowMs
+        if (totalTokens === SUCCESS_TOKENS) health.observeSuccess(target.name)
+        const isFirst = ownRequest.producedTokens === 0
+        own.observeTokens(ownRequest, totalTokens)
+        if (isFirst) this.placeWaiting()
+      },
+      observePreemption: () => {
+        counters.preemptions++
+        lastTokenMs = undefined
+      },
+      release: end => {
+        if (isReleased) return
+        isReleased = true
+        own.remove(ownRequest)
+        this.handleEnd(end, target.name, request, ownRequest.producedTokens)
         this.placeWaiting()
       }
     }
   }
 
-  private async waitForTarget (request: PlacementRequest): Promise<Result<Placement, PlacementRefusal>> {
-    return await new Promise(resolve => {
-      let cancelTimer: CancelTimer = () => {}
-      const settle = (result: Result<Placement, PlacementRefusal>): void => {
-        cancelTimer()
-        this.waiting = this.waiting.filter(entry => entry !== waiting)
-        request.signal.removeEventListener('abort', abort)
-        resolve(result)
-      }
-      const abort = (): void => settle(refuse('cancelledByCaller', 'cancelled while waiting'))
-      const waiting: WaitingRequest = { request, settle }
-      const leftMs = request.deadlineMs - this.options.clock.nowMs()
-      cancelTimer = this.options.clock.startTimer(leftMs, () => settle(refuse('deadlineExceeded', 'deadline passed while waiting')))
-      request.signal.addEventListener('abort', abort)
-      this.waiting.push(waiting)
-    })
+  private handleEnd (end: PlacementEnd, target: string, request: PlacementRequest, tokens: number): void {
+    const { health, lengths, retries } = this.parts
+    const handlers: Record<PlacementEnd, () => void> = {
+      complete: () => {
+        health.observeSuccess(target)
+        retries.observeSuccess(request.service.name)
+        if (tokens > 0) lengths.observeLength(request.service.name, request.workspace, tokens)
+      },
+      cancelled: () => {},
+      targetFailed: () => health.observeFailure(target, false),
+      targetUnreachable: () => health.observeFailure(target, true),
+      rejected: () => health.observeFailure(target, false)
+    }
+    handlers[end]()
   }
 
+  /** Places waiting requests in order; once one of a service finds no room, later ones of it wait too. */
   private placeWaiting (): void {
-    for (const waiting of [...this.waiting]) {
-      const placed = this.takeTarget(waiting.request)
-      if (placed !== undefined) waiting.settle(Result.ok(placed))
+    if (this.isPlacing) return
+    this.isPlacing = true
+    const blocked = new Set<string>()
+    for (const item of this.parts.waiting.list()) {
+      const service = item.request.service.name
+      if (blocked.has(service)) continue
+      const placement = this.takeTarget(item)
+      if (placement !== undefined) {
+        this.parts.waiting.settle(item, placement)
+        continue
+      }
+      if (item.request.failedTargets.length === 0) blocked.add(service)
+      this.requestCredits(item)
     }
+    this.isPlacing = false
   }
 
-  private getInFlight (target: string): number {
-    return this.inFlight.get(target) ?? 0
+  private requestCredits (item: WaitingRequest): void {
+    const { picker, keeper } = this.parts
+    if (picker.getDivision(item.request) !== 'credits') return
+    const ranked = picker.rankCandidates(item.request, this.createNeed(item.request))
+    const asked = ranked.filter(({ target }) => keeper.canAsk(target)).slice(0, ASKED_AT_ONCE)
+    for (const candidate of asked) this.requestCreditFor(item, candidate)
   }
 
-  private getBound (target: string): number {
-    const sequences = this.directory.getEvidence(target).map(evidence => evidence.report.maxSequences ?? DEFAULT_MAX_SEQUENCES).unwrapOr(DEFAULT_MAX_SEQUENCES)
-    return Math.max(1, Math.ceil(sequences / Math.max(1, this.options.listAliveInstances().length)))
+  private requestCreditFor (item: WaitingRequest, candidate: Candidate): void {
+    const service = item.request.service.name
+    const sequences = Math.min(ASKED_REQUESTS, this.parts.waiting.countOf(service))
+    this.parts.keeper.requestCredit(candidate.target, { tokens: candidate.needTokens * sequences, sequences })
   }
-}
 
-function refuse (reason: PlacementRefusal['reason'], detail: string): Result<Placement, PlacementRefusal> {
-  return Result.err({ reason, detail, retryAfterMs: RETRY_AFTER_MS })
+  private refuse (refusal: PlacementRefusal): Result<Placement, PlacementRefusal> {
+    return Result.err(this.countRefusal(refusal))
+  }
+
+  private countRefusal (refusal: PlacementRefusal): PlacementRefusal {
+    const { refused } = this.parts.counters
+    refused[refusal.reason] = (refused[refusal.reason] ?? 0) + 1
+    return refusal
+  }
 }
--- /dev/null
+++ b/packages/scheduling/src/admission/MemoryProfile.ts
@@ -0,0 +1,70 @@
+import { type LengthTable } from '../lengths/LengthTable.js'
+
+/** Decode steps ahead of now at which memory is projected. */
+export const HORIZON_STEPS: readonly number[] = [0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192]
+
+/** Expected memory of generations at each horizon, in tokens, and its variance. */
+export interface MemoryProfile {
+  readonly mean: Float64Array
+  readonly variance: Float64Array
+}
+
+/** One generation as the projection sees it. */
+export interface ProjectedGeneration {
+  readonly promptTokens: number
+  readonly producedTokens: number
+  /** Upper bound of the output. */
+  readonly maxTokens: number
+  readonly lengths: LengthTable
+}
+
+/** Creates a profile without any generation. */
+export function createEmptyProfile (): MemoryProfile {
+  return { mean: new Float64Array(HORIZON_STEPS.length), variance: new Float64Array(HORIZON_STEPS.length) }
+}
+
+/**
+ * Estimates the memory of one generation at each horizon: prompt and tokens so far and to come, weighted with the
+ * probability that it still runs then, given what it has produced.
+ * @param generation - The generation.
+ */
+export function estimateProfile (generation: ProjectedGeneration): MemoryProfile {
+  const { promptTokens, producedTokens, maxTokens, lengths } = generation
+  const present = lengths.estimateSurvival(producedTokens)
+  const profile = createEmptyProfile()
+  HORIZON_STEPS.forEach((steps, index) => {
+    const produced = producedTokens + steps
+    const survives = produced >= maxTokens && steps > 0 ? 0 : lengths.estimateSurvival(produced) / present
+    const tokens = promptTokens + produced
+    profile.mean[index] = tokens * survives
+    profile.variance[index] = tokens * tokens * survives * (1 - survives)
+  })
+  return profile
+}
+
+/**
+ * Adds one profile to another in place.
+ * @param sum - Profile that is changed.
+ * @param profile - What is added.
+ * @param sign - 1 adds, -1 takes away.
+ */
+export function addProfile (sum: MemoryProfile, profile: MemoryProfile, sign: 1 | -1 = 1): void {
+  for (let index = 0; index < HORIZON_STEPS.length; index++) {
+    sum.mean[index] = (sum.mean[index] as number) + sign * (profile.mean[index] as number)
+    sum.variance[index] = (sum.variance[index] as number) + sign * (profile.variance[index] as number)
+  }
+}
+
+/**
+ * Computes the highest memory over all horizons, with a margin in standard deviations.
+ * @param profile - The profile.
+ * @param deviations - Number of standard deviations added to the mean.
+ */
+export function computePeak (profile: MemoryProfile, deviations: number): number {
+  let peak = 0
+  for (let index = 0; index < HORIZON_STEPS.length; index++) {
+    const margin = deviations * Math.sqrt(Math.max(0, profile.variance[index] as number))
+    peak = Math.max(peak, (profile.mean[index] as number) + margin)
+  }
+  return peak
+}
--- /dev/null
+++ b/packages/scheduling/src/credits/CreditCoordinator.ts
@@ -0,0 +1,174 @@
+import { type Clock } from '@fescuespoke/common'
+import { type CreditAnswer, type CreditRequest } from '@fescuespoke/schema'
+import { addProfile, computePeak, createEmptyProfile, HORIZON_STEPS, type MemoryProfile } from '../admission/MemoryProfile.js'
+import { type TargetCapacity } from '../targets/TargetCapacities.js'
+
+/** Options of a coordinator. */
+export interface CreditCoordinatorOptions {
+  readonly clock: Clock
+  /** Gets what a target can take. */
+  readonly getCapacity: (target: string) => TargetCapacity
+}
+
+interface Holder {
+  profile: MemoryProfile
+  heldTokens: number
+  heldSequences: number
+  wantTokens: number
+  wantSequences: number
+  /** Room granted beyond what was held. */
+  grantedTokens: number
+  grantedSequences: number
+  grantedUntilMs: number
+  seenMs: number
+}
+
+/** Life of a credit. */
+export const CREDIT_MS = 1500
+
+/** Time after which a silent holder's generations are no longer counted. */
+const HOLDER_MS = 10_000
+
+/** Margin of the projected memory, in standard deviations. */
+export const MEMORY_DEVIATIONS = 2
+
+/** Share of a target kept free for requests of high priority. */
+export const HIGH_PRIORITY_SHARE = 0.05
+
+/** Share of its holding that a holder above its fair share gives back with each renewal while others want more. */
+const GIVE_BACK_SHARE = 0.1
+
+/** Part of the free room that is lent to one holder beyond what it wants. */
+const SPARE_ROOM_DIVISOR = 2
+
+interface Room {
+  readonly tokens: number
+  readonly sequences: number
+}
+
+/** Divides the targets that this instance coordinates among the instances that ask. */
+export class CreditCoordinator {
+  /**
+   * Creates a coordinator without holders.
+   * @param options - Options.
+   */
+  static create (options: CreditCoordinatorOptions): CreditCoordinator {
+    return new CreditCoordinator(options)
+  }
+
+  private readonly targets = new Map<string, Map<string, Holder>>()
+
+  /** @internal */
+  private constructor (private readonly options: CreditCoordinatorOptions) {}
+
+  /**
+   * Answers a request for a share of a target.
+   * @param asker - Name of the instance that asks.
+   * @param request - The request.
+   */
+  answerRequest (asker: string, request: CreditRequest): CreditAnswer {
+    const holders = this.getHolders(request.target)
+    this.pruneHolders(holders)
+    const holder = this.createHolder(request)
+    holders.set(asker, holder)
+    const capacity = this.options.getCapacity(request.target)
+    const total = computeTotal(holders)
+    const room = this.computeRoom(asker, holders, capacity, total)
+    const granted = computeGrant(holder, holders, room)
+    holder.grantedTokens = Math.max(0, granted.tokens)
+    holder.grantedSequences = Math.max(0, granted.sequences)
+    holder.grantedUntilMs = this.options.clock.nowMs() + CREDIT_MS
+    return {
+      type: 'creditAnswer',
+      target: request.target,
+      tokens: Math.floor(request.heldTokens + granted.tokens),
+      sequences: Math.floor(request.heldSequences + granted.sequences),
+      validForMs: CREDIT_MS,
+      totalTokens: Math.ceil(computePeak(total, 0)),
+      totalSequences: countSequences(holders)
+    }
+  }
+
+  private createHolder (request: CreditRequest): Holder {
+    return {
+      profile: readProfile(request),
+      heldTokens: request.heldTokens,
+      heldSequences: request.heldSequences,
+      wantTokens: request.wantTokens,
+      wantSequences: request.wantSequences,
+      grantedTokens: 0,
+      grantedSequences: 0,
+      grantedUntilMs: 0,
+      seenMs: this.options.clock.nowMs()
+    }
+  }
+
+  /** Computes what is left of a target beside all holdings and the credits lent to others. */
+  private computeRoom (asker: string, holders: ReadonlyMap<string, Holder>, capacity: TargetCapacity, total: MemoryProfile): Room {
+    const nowMs = this.options.clock.nowMs()
+    const lent = [...holders].filter(([name, holder]) => name !== asker && holder.grantedUntilMs > nowMs).map(([, holder]) => holder)
+    const lentTokens = sumOf(lent, holder => holder.grantedTokens)
+    const lentSequences = sumOf(lent, holder => holder.grantedSequences)
+    const usable = 1 - HIGH_PRIORITY_SHARE
+    const unknownTokens = Math.max(0, capacity.usedTokens - (total.mean[0] as number))
+    const tokens = capacity.capacityTokens * usable - computePeak(total, MEMORY_DEVIATIONS) - unknownTokens / 2 - lentTokens
+    return { tokens, sequences: capacity.maxSequences * usable - countSequences(holders) - lentSequences }
+  }
+
+  private pruneHolders (holders: Map<string, Holder>): void {
+    const nowMs = this.options.clock.nowMs()
+    for (const [name, holder] of holders) {
+      const lifeMs = holder.heldSequences === 0 ? CREDIT_MS : HOLDER_MS
+      if (nowMs - holder.seenMs > lifeMs) holders.delete(name)
+    }
+  }
+
+  private getHolders (target: string): Map<string, Holder> {
+    const known = this.targets.get(target)
+    if (known !== undefined) return known
+    const holders = new Map<string, Holder>()
+    this.targets.set(target, holders)
+    return holders
+  }
+}
+
+/** Grants what is wanted up to the asker's share of the room by want; above its share of the whole it gives some back. */
+function computeGrant (holder: Holder, holders: ReadonlyMap<string, Holder>, room: Room): Room {
+  const all = [...holders.values()]
+  return {
+    tokens: computeGrantOf(holder.heldTokens, holder.wantTokens, sumOf(all, other => other.wantTokens), sumOf(all, other => other.heldTokens), room.tokens, all.length),
+    sequences: computeGrantOf(holder.heldSequences, holder.wantSequences, sumOf(all, other => other.wantSequences), sumOf(all, other => other.heldSequences), room.sequences, all.length)
+  }
+}
+
+function computeGrantOf (held: number, want: number, allWant: number, allHeld: number, room: number, holders: number): number {
+  const othersWant = allWant - want
+  const isAboveShare = held > (allHeld / holders) * (1 + GIVE_BACK_SHARE)
+  if (room <= 0) return othersWant > 0 && isAboveShare ? -held * GIVE_BACK_SHARE : Math.max(room, -held * GIVE_BACK_SHARE)
+  const share = allWant > room ? room * want / allWant : want
+  const spare = Math.max(0, room - allWant) / (SPARE_ROOM_DIVISOR * holders)
+  return Math.min(room, share + spare)
+}
+
+function readProfile (request: CreditRequest): MemoryProfile {
+  const profile = createEmptyProfile()
+  HORIZON_STEPS.forEach((_, index) => {
+    profile.mean[index] = request.heldMean?.[index] ?? request.heldTokens
+    profile.variance[index] = (request.heldDeviation?.[index] ?? 0) ** 2
+  })
+  return profile
+}
+
+function computeTotal (holders: ReadonlyMap<string, Holder>): MemoryProfile {
+  const total = createEmptyProfile()
+  for (const holder of holders.values()) addProfile(total, holder.profile)
+  return total
+}
+
+function countSequences (holders: ReadonlyMap<string, Holder>): number {
+  return sumOf([...holders.values()], holder => holder.heldSequences)
+}
+
+function sumOf<T> (items: readonly T[], read: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + read(item), 0)
+}
--- /dev/null
+++ b/packages/scheduling/src/credits/findCoordinator.ts
@@ -0,0 +1,20 @@
+import { rankByRendezvous, type Target } from '@fescuespoke/common'
+
+/** An instance that is thought to be alive. */
+export interface AliveInstance {
+  readonly instance: string
+  readonly availabilityZone: string
+  readonly region: string
+}
+
+/**
+ * Finds the coordinator of a target: the first by rendezvous hashing over the alive instances nearest to it.
+ * @param target - The target.
+ * @param instances - Instances thought to be alive.
+ */
+export function findCoordinator (target: Target, instances: readonly AliveInstance[]): string | undefined {
+  const inZone = instances.filter(({ availabilityZone, region }) => availabilityZone === target.availabilityZone && region === target.region)
+  const inRegion = instances.filter(({ region }) => region === target.region)
+  const nearest = [inZone, inRegion, instances].find(list => list.length > 0) ?? []
+  return rankByRendezvous(target.name, nearest.map(({ instance }) => instance))[0]
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,8 @@
 export * from './addresses/rankAddresses.js'
 export * from './createScheduler.js'
+export { type AliveInstance } from './credits/findCoordinator.js'
+export * from './policies/policies.js'
 export * from './Scheduler.js'
+export * from './SchedulerCounters.js'
 export * from './targets/TargetDirectory.js'
 export * from './TargetScheduler.js'
--- a/packages/scheduling/src/targets/TargetDirectory.ts
+++ b/packages/scheduling/src/targets/TargetDirectory.ts
@@ -40,6 +40,11 @@
     return Maybe.of(this.evidence.get(target))
   }
 
+  /** Lists the names of the targets that evidence is held of, sorted. */
+  listTargets (): string[] {
+    return [...this.evidence.keys()].sort()
+  }
+
   /**
    * Checks whether a target said that it is leaving.
    * @param target - Name of the target.
