Test the caller library against instances

Cause: the scripted fake shows what the library does, not that the daemon does what the fake assumes. Change: three instances with the platform's stand-ins in one process; the owner dies and drains in mid-stream, an engine dies after tokens were delivered, a generation is cancelled. Answers name their request for operators. Conclusion: a generation survives the loss and the drain of its owner with every token once, in order, from one generation.

--- a/packages/caller/src/answer/Answer.ts
+++ b/packages/caller/src/answer/Answer.ts
@@ -35,6 +35,11 @@
     return await this.options.result
   }
 
+  /** Gets the id of the request for operators, once an owner has accepted it. */
+  getRequest (): string | undefined {
+    return this.options.buffer.getRequest()
+  }
+
   /** Cancels the request. The result tells what became of it, which may still be `complete`. */
   cancel (): void {
     this.options.cancel()
--- /dev/null
+++ b/packages/caller/test/integration/caller.integration.test.ts
@@ -0,0 +1,68 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { type Answer, type AnswerResult } from '../../src/index.js'
+import { type Fleet, OUTPUT_TOKENS, startFleet } from './startFleet.js'
+
+let fleet: Fleet
+
+beforeEach(async () => { fleet = await startFleet() })
+afterEach(async () => await fleet.stop())
+
+/** Reads an answer and does something at its tenth token; describes what was read and how it ended. */
+async function doTest (answer: Answer, act: (request: string) => void = () => {}): Promise<string> {
+  const tokens: string[] = []
+  for await (const token of answer) {
+    tokens.push(token)
+    if (tokens.length === 10) act(answer.getRequest() ?? '')
+  }
+  return `${describeTokens(tokens)}, ${describeResult(await answer.wait())}`
+}
+
+/** The stand-in's tokens name their generation and offset. */
+function describeTokens (tokens: readonly string[]): string {
+  const generations = new Set(tokens.map(token => token.split(':')[0]))
+  const inOrder = tokens.every((token, index) => token.endsWith(`:${index}`))
+  return `${tokens.length} of ${OUTPUT_TOKENS} tokens ${inOrder ? 'in order' : 'out of order'} from ${generations.size} generation`
+}
+
+function describeResult (result: AnswerResult): string {
+  return `${result.outcome} ${result.reason}`
+}
+
+describe('Caller with instances', () => {
+  it('gets a whole generation', async () => {
+    expect(await doTest(fleet.caller.generate({ service: 'draft', prompt: 'p' }))).toMatchInlineSnapshot('"120 of 120 tokens in order from 1 generation, complete finished"')
+  })
+
+  it('gets the reply of a call', async () => {
+    const result = await fleet.caller.call({ service: 'gate', body: { gate: 1 } }).wait()
+    expect(result).toMatchObject({ outcome: 'complete', reply: { status: 200 } })
+    expect([...fleet.platform.deployment.plainServices.values()].flatMap(service => service.listCalls())).toHaveLength(1)
+  })
+
+  it('gets a whole generation when its owner dies in mid-stream', async () => {
+    const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
+    expect(await doTest(answer, request => { fleet.findOwner(request).stop() })).toMatchInlineSnapshot('"120 of 120 tokens in order from 1 generation, complete finished"')
+  })
+
+  it('gets a whole generation when its owner drains in mid-stream', async () => {
+    const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
+    let drained: Promise<void> | undefined
+    expect(await doTest(answer, request => { drained = fleet.findOwner(request).drain() })).toMatchInlineSnapshot('"120 of 120 tokens in order from 1 generation, complete finished"')
+    await drained
+  })
+
+  it('fails a generation whose engine dies after tokens were delivered', async () => {
+    const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
+    const printed = await doTest(answer, () => { for (const engine of fleet.platform.engines.values()) engine.kill() })
+    expect(printed).toMatch(/^\d+ of 120 tokens in order from 1 generation, failed targetLost$/)
+  })
+
+  it('cancels a generation at its engine', async () => {
+    const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
+    expect(await doTest(answer, () => answer.cancel())).toMatch(/^\d+ of 120 tokens in order from 1 generation, cancelled cancelledByCaller$/)
+  })
+
+  it('does not run what the workspace may not use', async () => {
+    expect(await doTest(fleet.caller.generate({ service: 'none', prompt: 'p' }))).toMatchInlineSnapshot('"0 of 120 tokens in order from 0 generation, notRun notConfigured"')
+  })
+})
--- /dev/null
+++ b/packages/caller/test/integration/startFleet.ts
@@ -0,0 +1,74 @@
+import { Instance, parseSettings } from '@fescuespoke/daemon'
+import { type DeploymentShape, type Platform, startPlatform } from '@fescuespoke/standins'
+import { Caller } from '../../src/index.js'
+
+/** Tokens of each generation. */
+export const OUTPUT_TOKENS = 120
+
+const SHAPE: DeploymentShape = {
+  region: 'r',
+  availabilityZones: ['z1', 'z2', 'z3'],
+  pools: [
+    { name: 'engines', kind: 'engine', targets: 2, schemaVersion: 2 },
+    { name: 'gates', kind: 'plain', targets: 1, schemaVersion: 1 }
+  ],
+  services: [
+    { name: 'draft', pool: 'engines', schemaVersion: 2, runs: { model: 'm' }, priority: 'normal', idempotent: true, delivery: 'stream', deadlineMs: 60_000 },
+    { name: 'gate', pool: 'gates', schemaVersion: 1, priority: 'high', idempotent: false, delivery: 'whole', deadlineMs: 10_000 }
+  ],
+  workspaces: [{ name: 'garage-1', weight: 1, schemaVersion: 2 }]
+}
+
+/** Some instances of one fleet with the platform and a caller. */
+export interface Fleet {
+  readonly platform: Platform
+  readonly instances: readonly Instance[]
+  readonly caller: Caller
+  /** Finds the instance that owns a request, by the id of the request. */
+  readonly findOwner: (request: string) => Instance
+  readonly stop: () => Promise<void>
+}
+
+/** Starts three instances, one in each availability zone. */
+export async function startFleet (): Promise<Fleet> {
+  const platform = await startPlatform({ shape: SHAPE, engine: { stepBaseMs: 4, computeOutputTokens: () => OUTPUT_TOKENS } })
+  const instances = SHAPE.availabilityZones.map((zone, index) => createInstance(platform, `i${index + 1}`, zone))
+  for (const instance of instances) await instance.start()
+  platform.deployment.instances.setEntries(instances.map((instance, index) => ({
+    id: `i${index + 1}`,
+    role: 'entry',
+    state: 'live',
+    url: instance.getUrl(),
+    peerAddress: instance.getPeerAddress(),
+    availabilityZone: SHAPE.availabilityZones[index],
+    region: SHAPE.region
+  })))
+  for (const instance of instances) await instance.waitUntilReady()
+  const caller = Caller.create({ bootstrapUrls: instances.map(instance => instance.getUrl()), workspace: 'garage-1' })
+  const stop = async (): Promise<void> => {
+    await caller.close()
+    for (const instance of instances) await instance.stop()
+    await platform.close()
+  }
+  const findOwner = (request: string): Instance => instances[Number(request.charAt(1)) - 1] as Instance
+  return { platform, instances, caller, findOwner, stop }
+}
+
+function createInstance (platform: Platform, id: string, availabilityZone: string): Instance {
+  const settings = parseSettings([
+    '[instance]',
+    `id = ${id}`,
+    `availabilityZone = ${availabilityZone}`,
+    'region = r',
+    'fleet = test',
+    'fleetKey = 0123456789abcdef',
+    '[platform]',
+    `configurationUrl = ${platform.configuration.url}`,
+    `instanceListUrl = ${platform.instances.url}`,
+    '[requests]',
+    'addressValidityMs = 100',
+    'drainMs = 0'
+  ].join('\n'))
+  if (settings.isErr) throw new Error(settings.error.join('; '))
+  return Instance.create({ settings: settings.value })
+}
