Follow platform and peers, confirm targets and record metrics in the daemon

Cause: the daemon read the platform with a loop of its own, asked no peer, and measured nothing. Change: the followers and the evidence of the configuration package replace the daemon's own; revisions and list versions arrive with probes; request metrics and gauges stand behind the registry, read at /v1/metrics and /metrics.

--- a/packages/daemon/src/dispatch/RequestRunner.ts
+++ b/packages/daemon/src/dispatch/RequestRunner.ts
@@ -22,18 +22,29 @@
 
 /** Receives what happens to requests. */
 export interface RequestObserver {
+  /**
+   * Observes that a target was chosen.
+   * @param entry - The request.
+   */
+  observePlacement(entry: RequestEntry): void
   /**
    * Observes tokens as they arrive from a target.
    * @param entry - The request.
+   * @param tokens - Number of tokens.
    * @param gapMs - Time since the tokens before them, or since arrival for the first ones, in milliseconds.
    * @param isFirst - Whether they are the first ones.
    */
-  observeTokens(entry: RequestEntry, gapMs: number, isFirst: boolean): void
+  observeTokens(entry: RequestEntry, tokens: number, gapMs: number, isFirst: boolean): void
   /**
    * Observes a preemption reported by a target.
    * @param entry - The request.
    */
   observePreemption(entry: RequestEntry): void
+  /**
+   * Observes that a generation is replaced by a new one.
+   * @param entry - The request.
+   */
+  observeRestart(entry: RequestEntry): void
   /**
    * Observes the outcome of a request.
    * @param entry - The request.
@@ -77,6 +88,7 @@
     const placed = await tools.scheduler.acquirePlacement(describePlacement(entry, failedTargets))
     if (placed.isErr) return placed
     const { target, detail } = placed.value
+    tools.observer.observePlacement(entry)
     entry.recordStep('placed', `${target.name}: ${detail}`)
     if (tools.targetGate.isOpen(target) || await tools.targetGate.confirmOpen(target)) return placed
     entry.recordStep('closed', `${target.name} takes no new work or cannot be confirmed`)
--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -45,6 +45,7 @@
     releasePlacement(placed.value, end)
     if (!endEntry(entry, end)) {
       failedTargets.push(placed.value.target.name)
+      tools.observer.observeRestart(entry)
       continue
     }
     return
@@ -119,16 +120,16 @@
 }
 
 interface TokenMeter {
-  observe(): void
+  observe(tokens: number): void
   observePreemption(): void
 }
 
 function createTokenMeter (entry: RequestEntry, placement: Placement, tools: RunnerTools): TokenMeter {
   let lastMs = entry.tokens.getEndOffset() === 0 ? entry.getArrivedMs() : tools.clock.nowMs()
   return {
-    observe: () => {
+    observe: tokens => {
       const nowMs = tools.clock.nowMs()
-      tools.observer.observeTokens(entry, nowMs - lastMs, lastMs === entry.getArrivedMs())
+      tools.observer.observeTokens(entry, tokens, nowMs - lastMs, lastMs === entry.getArrivedMs())
       lastMs = nowMs
       placement.observeTokens(entry.tokens.getEndOffset())
     },
@@ -147,7 +148,7 @@
   tokens: (entry, event, meter) => {
     if (event.offset > entry.tokens.getEndOffset()) return 'malformed'
     entry.addTokens(event.offset, event.tokens)
-    meter.observe()
+    meter.observe(event.tokens.length)
     return undefined
   },
   preempted: (entry, _event, meter) => {
--- a/packages/daemon/src/http/createOperatorRoutes.ts
+++ b/packages/daemon/src/http/createOperatorRoutes.ts
@@ -1,4 +1,4 @@
-import { type AuditTrail } from '@fescuespoke/common'
+import { type AuditTrail, type MetricsRegistry } from '@fescuespoke/common'
 import { type Explanation, type InstanceStatus } from '@fescuespoke/schema'
 import { type Maybe } from 'true-myth'
 import { type HttpRoute } from './HttpRoute.js'
@@ -8,6 +8,7 @@
 export interface OperatorRoutesOptions {
   readonly getStatus: () => InstanceStatus
   readonly audit: AuditTrail
+  readonly metrics: MetricsRegistry
   readonly findExplanation: (request: string) => Maybe<Explanation>
 }
 
@@ -16,7 +17,7 @@
  * @param options - What the routes work with.
  */
 export function createOperatorRoutes (options: OperatorRoutesOptions): HttpRoute[] {
-  const { getStatus, audit, findExplanation } = options
+  const { getStatus, audit, metrics, findExplanation } = options
   return [
     {
       method: 'GET',
@@ -32,6 +33,15 @@
       path: '/v1/audit',
       handle: ({ outgoing, query }) => sendJson(outgoing, 200, audit.getPage(Number(query.get('after') ?? '0') || 0))
     },
+    { method: 'GET', path: '/v1/metrics', handle: ({ outgoing }) => sendJson(outgoing, 200, metrics.getReading()) },
+    {
+      method: 'GET',
+      path: '/metrics',
+      handle: async ({ outgoing }) => {
+        outgoing.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+        outgoing.end(await metrics.formatText())
+      }
+    },
     {
       method: 'GET',
       path: '/v1/explanations/*',
--- a/packages/daemon/src/instance/Instance.ts
+++ b/packages/daemon/src/instance/Instance.ts
@@ -3,9 +3,10 @@
 import { createCallerRoutes } from '../http/createCallerRoutes.js'
 import { createOperatorRoutes } from '../http/createOperatorRoutes.js'
 import { HttpServer } from '../http/HttpServer.js'
-import { closeParts, createParts, type InstanceParts } from './createParts.js'
+import { closeParts, createParts, type InstanceParts, startParts } from './createParts.js'
 import { describeInstance, findExplanation } from './describeInstance.js'
 import { type InstanceOptions } from './InstanceOptions.js'
+import { addStateMetrics } from '../metrics/addStateMetrics.js'
 import { runDrain } from './runDrain.js'
 
 /** Life of an instance. */
@@ -36,6 +37,7 @@
   /** @internal */
   private constructor (options: InstanceOptions) {
     this.parts = createParts(options, { isRefusing: () => this.refusing })
+    addStateMetrics(this.parts)
     this.callerServer = this.createCallerServer()
     this.operatorServer = this.createOperatorServer()
   }
@@ -122,10 +124,8 @@
   }
 
   private startTasks (): void {
-    const { configuration, follower, pauses, scheduler, poller } = this.parts
-    follower.start()
-    scheduler.start()
-    pauses.run()
+    const { configuration, poller } = this.parts
+    startParts(this.parts)
     configuration.addListener(() => {
       poller.refreshTargets()
       this.observeReadiness()
@@ -143,10 +143,11 @@
   }
 
   private async runUpkeep (): Promise<void> {
-    const { clock, leases, poller } = this.parts
+    const { clock, leases, poller, evidence, configuration } = this.parts
     while (!this.stopping.signal.aborted) {
       await clock.sleep(PRUNE_INTERVAL_MS, this.stopping.signal)
       leases.pruneLeases()
+      evidence.prune(configuration.getSnapshot().targets)
       poller.refreshTargets()
     }
   }
@@ -176,10 +177,11 @@
   }
 
   private createOperatorServer (): HttpServer {
-    const { settings, audit, leases } = this.parts
+    const { settings, audit, metrics, leases } = this.parts
     const routes = createOperatorRoutes({
       getStatus: () => this.getStatus(),
       audit,
+      metrics,
       findExplanation: request => findExplanation(leases, request)
     })
     const { operatorHost, operatorPort } = settings.instance
--- a/packages/daemon/src/peers/PeerGroup.ts
+++ b/packages/daemon/src/peers/PeerGroup.ts
@@ -80,16 +80,16 @@
     return this.address
   }
 
-  /** Lists the names of the instances thought to be alive, this one included. */
-  listAlive (): string[] {
-    return this.listAliveInstances().map(({ instance }) => instance)
-  }
-
   /** Lists the instances thought to be alive, this one included. */
   listAliveInstances (): AliveInstance[] {
     return this.listRanked().filter(({ state }) => state === 'alive')
   }
 
+  /** Lists the other instances thought to be alive. */
+  listOthers (): AliveInstance[] {
+    return this.listAliveInstances().filter(({ instance }) => instance !== this.options.settings.instance.id)
+  }
+
   /** Lists all members for operators. */
   listMemberStatus (): MemberStatus[] {
     return this.listRanked().map(({ instance, state, availabilityZone, url }) => ({ instance, state, availabilityZone, url }))
--- a/packages/daemon/src/targets/TargetPoller.ts
+++ b/packages/daemon/src/targets/TargetPoller.ts
@@ -1,4 +1,5 @@
 import { addJitter, type Clock, type Random, type Snapshot, type Target } from '@fescuespoke/common'
+import { type TargetEvidence } from '@fescuespoke/configuration'
 import { type TargetScheduler } from '@fescuespoke/scheduling'
 import { type TargetClient } from './TargetClient.js'
 
@@ -8,6 +9,7 @@
   readonly random: Random
   readonly scheduler: TargetScheduler
   readonly targetClient: TargetClient
+  readonly evidence: TargetEvidence
   readonly getSnapshot: () => Snapshot
   /** Interval in milliseconds at which each target is asked. */
   readonly intervalMs: number
@@ -69,11 +71,15 @@
   }
 
   private async askState (target: Target): Promise<void> {
-    const { clock, scheduler, targetClient } = this.options
+    const { clock, scheduler, targetClient, evidence } = this.options
     const sentAtMs = clock.nowMs()
     const report = await targetClient.fetchState(target)
-    if (report.isOk) scheduler.observeTargetState(target.name, report.value, sentAtMs)
-    else scheduler.observeTargetSilence(target.name)
+    if (report.isErr) {
+      scheduler.observeTargetSilence(target.name)
+      return
+    }
+    evidence.observeReport(target.name, report.value.state, sentAtMs)
+    scheduler.observeTargetState(target.name, report.value, sentAtMs)
   }
 
   private async askCacheEvents (target: Target, after: number): Promise<number> {
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -1,8 +1,9 @@
-import { type Service, type Snapshot, type Target, VirtualClock, type Random, SeededRandom } from '@fescuespoke/common'
+import { MetricsRegistry, type Service, type Snapshot, type Target, VirtualClock, type Random, SeededRandom } from '@fescuespoke/common'
 import { type StreamEvent, type SubmitRequest } from '@fescuespoke/schema'
 import { type Placement, type PlacementRefusal, type PlacementRequest, type Scheduler } from '@fescuespoke/scheduling'
 import { Result } from 'true-myth'
 import { type Lease, LeaseRegistry, RequestService, ResumeTokens, type RunnerTools } from '../../src/index.js'
+import { RequestMetrics } from '../../src/metrics/RequestMetrics.js'
 import { readEvents } from '../../src/requests/readEvents.js'
 import { FakeTargetClient } from './FakeTargetClient.js'
 
@@ -85,7 +86,7 @@
     targetClient,
     targetGate: { isOpen: ({ name }) => open.has(name), confirmOpen: async ({ name }) => flags.confirms && open.add(name).has(name) },
     resumeTokens: ResumeTokens.create({ fleetKey: 'key-of-this-test' }),
-    observer: { observeTokens: () => undefined, observePreemption: () => undefined, observeEnd: () => undefined },
+    observer: RequestMetrics.create({ metrics: MetricsRegistry.create({ clock }), clock, tokenIntervalMs: 43 }),
     createGenerationName: () => `g${++generations}`,
     maxBufferedTokens: 8
   }
