Give orders to engines with fencing numbers and load permits

Cause: nothing brought models, adapters and versions onto the engines that the records name. Change: placement is a pure function of records and live targets; one order giver for each target by rendezvous in its availability zone; fencing numbers from the revision and the taking over; loads before unloads, held until an amendment has settled; every instance lends its share of the weight store's rate to one granter at a time.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,5 @@
 export * from './list/index.js'
+export * from './orders/index.js'
 export * from './records/index.js'
 export * from './sources/index.js'
 export * from './spread/index.js'
--- /dev/null
+++ b/packages/configuration/src/orders/LoadPermits.ts
@@ -0,0 +1,112 @@
+import { addJitter, type Clock, type PeerTransport, type Random, rankByRendezvous } from '@fescuespoke/common'
+import { ShareLedger } from './ShareLedger.js'
+
+/** Options of load permits. */
+export interface LoadPermitsOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly transport: PeerTransport
+  /** Name of this instance. */
+  readonly self: string
+  /** Lists the names of the other instances thought alive. */
+  readonly listPeers: () => readonly string[]
+  /** Gets the number of entry instances in the last good instance list; 0 before the first. */
+  readonly getFleetSize: () => number
+  /** Rate of the weight store in loads a minute, over all instances. */
+  readonly loadsPerMinute: number
+}
+
+/** Time for which an instance lends its share of the rate, in milliseconds. */
+const LEND_MS = 30_000
+
+/** Time after which a share is lent to another instance, in milliseconds; it may have reached the one before it late. */
+const STAY_MS = 2 * LEND_MS
+
+/** Interval at which a share is lent again, in milliseconds. */
+const RENEW_MS = 5_000
+
+const ANSWER_TIMEOUT_MS = 500
+
+/** Obtains permits for weight loads, so that all instances together keep to the rate of the weight store. */
+export class LoadPermits {
+  /**
+   * Creates permits and answers peers from now on; nothing is lent before the start.
+   * @param options - Options of the permits.
+   */
+  static create (options: LoadPermitsOptions): LoadPermits {
+    return new LoadPermits(options)
+  }
+
+  private readonly ledger: ShareLedger
+  private readonly abort = new AbortController()
+  private task: Promise<void> | undefined
+  private granter: string | undefined
+  /** Until then the share may still be in use by the granter so far, or by that of an earlier incarnation. */
+  private boundUntilMs: number
+
+  /** @internal */
+  private constructor (private readonly options: LoadPermitsOptions) {
+    const { clock, transport, loadsPerMinute, getFleetSize } = options
+    this.ledger = ShareLedger.create({ clock, loadsPerMinute, getFleetSize, lendMs: LEND_MS })
+    this.boundUntilMs = clock.nowMs() + LEND_MS
+    transport.setHandler('loadPermitRequest', ({ wants }, from) => ({
+      type: 'loadPermitAnswer',
+      granted: this.ledger.requestPermit(from, wants)
+    }))
+  }
+
+  /** Starts to lend this instance's share. */
+  start (): void {
+    this.task = this.runLending()
+  }
+
+  /** Stops lending and waits for the end of the task. */
+  async stop (): Promise<void> {
+    this.abort.abort()
+    await this.task
+  }
+
+  /**
+   * Asks for the permit of one load, to be ordered at once.
+   * @returns False when the rate allows no load now, or nobody who could tell is within reach.
+   */
+  async requestPermit (): Promise<boolean> {
+    return await this.lendShare(true)
+  }
+
+  /** Counts the shares that other instances have lent to this one. */
+  countShares (): number {
+    return this.ledger.countShares()
+  }
+
+  private async runLending (): Promise<void> {
+    const { clock, random } = this.options
+    while (!this.abort.signal.aborted) {
+      await this.lendShare(false)
+      await clock.sleep(addJitter(random, RENEW_MS), this.abort.signal)
+    }
+  }
+
+  private async lendShare (wants: boolean): Promise<boolean> {
+    const granter = this.pickGranter()
+    if (granter === undefined) return false
+    const { self, clock, transport } = this.options
+    if (granter === self) {
+      this.boundUntilMs = clock.nowMs() + STAY_MS
+      return this.ledger.requestPermit(self, wants)
+    }
+    const message = { type: 'loadPermitRequest' as const, wants }
+    const answer = await transport.request<'loadPermitAnswer'>(granter, message, ANSWER_TIMEOUT_MS)
+    this.boundUntilMs = clock.nowMs() + STAY_MS
+    return answer.isOk && answer.value.granted
+  }
+
+  private pickGranter (): string | undefined {
+    const { self, listPeers, clock } = this.options
+    const [first] = rankByRendezvous('weight loads', [self, ...listPeers()])
+    if (first === this.granter) return first
+    if (clock.nowMs() < this.boundUntilMs) return undefined
+    this.granter = first
+    return first
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/orders/OrderSession.ts
@@ -0,0 +1,90 @@
+import { type ModelReference } from '@fescuespoke/common'
+import { computeFenceRevision, computeTakeoverFence } from './FencingNumber.js'
+import { formatModel } from './formatModel.js'
+
+/** What the fencing number that a target reports means for an order giver. */
+export type FenceOutcome = 'usable' | 'higherRevision' | 'takenOver'
+
+/** What one order giver remembers of one target since it has taken it over. */
+export class OrderSession {
+  /**
+   * Creates a session that begins now.
+   * @param nowMs - Reading of the clock.
+   */
+  static create (nowMs: number): OrderSession {
+    return new OrderSession(nowMs)
+  }
+
+  private fence: number | undefined
+  private held = new Set<string>()
+  private readonly loadsAtMs = new Map<string, number>()
+
+  /** @internal */
+  private constructor (private sinceMs: number) {}
+
+  /**
+   * Gets the time since the target was taken over, or since this giver last had a reason to doubt that it still is the one.
+   * @param nowMs - Reading of the clock.
+   */
+  getAgeMs (nowMs: number): number {
+    return nowMs - this.sinceMs
+  }
+
+  /** Gets the fencing number for orders. */
+  getFence (): number {
+    return this.fence ?? 0
+  }
+
+  /**
+   * Begins anew, as after a pause of the process.
+   * @param nowMs - Reading of the clock.
+   */
+  restart (nowMs: number): void {
+    this.sinceMs = nowMs
+    this.fence = undefined
+  }
+
+  /**
+   * Compares the fencing number that the target reports with this giver's own, and chooses one for the next order.
+   * @param revision - Accepted configuration revision.
+   * @param reported - Highest number that the target has accepted; absent when it reports none.
+   */
+  observeFence (revision: number, reported: number | undefined): FenceOutcome {
+    if (reported !== undefined && computeFenceRevision(reported) > revision) return 'higherRevision'
+    const isCurrent = this.fence !== undefined && computeFenceRevision(this.fence) === revision
+    if (isCurrent && (reported ?? 0) > (this.fence as number)) return 'takenOver'
+    if (!isCurrent) this.fence = computeTakeoverFence(revision, reported)
+    return 'usable'
+  }
+
+  /**
+   * Takes note of the models that the target holds, and lists the wanted ones that have disappeared since the last report.
+   * @param held - Models that it holds or loads.
+   * @param wanted - Models that it should hold.
+   */
+  observeModels (held: readonly ModelReference[], wanted: readonly ModelReference[]): ModelReference[] {
+    const keys = new Set(held.map(formatModel))
+    const lost = wanted.filter(model => this.held.has(formatModel(model)) && !keys.has(formatModel(model)))
+    for (const model of lost) this.loadsAtMs.delete(formatModel(model))
+    this.held = keys
+    return lost
+  }
+
+  /**
+   * Takes note of an ordered load.
+   * @param model - The model.
+   * @param nowMs - Reading of the clock.
+   */
+  recordLoad (model: ModelReference, nowMs: number): void {
+    this.loadsAtMs.set(formatModel(model), nowMs)
+  }
+
+  /**
+   * Gets the time since a load of a model was ordered; infinite when none was.
+   * @param model - The model.
+   * @param nowMs - Reading of the clock.
+   */
+  getOrderedMs (model: ModelReference, nowMs: number): number {
+    return nowMs - (this.loadsAtMs.get(formatModel(model)) ?? -Infinity)
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/orders/ReadyCopies.ts
@@ -0,0 +1,43 @@
+import { type ModelReference, type Service, type Snapshot } from '@fescuespoke/common'
+import { type TargetState } from '@fescuespoke/schema'
+import { listModels, rankTargets } from './computePlacement.js'
+import { formatModel } from './formatModel.js'
+import { type OrderClient } from './OrderClient.js'
+
+/** Greatest number of targets that are asked for each service. */
+const MAX_ASKED = 16
+
+/** Options of the check of ready copies. */
+export interface ReadyCopiesOptions {
+  readonly client: OrderClient
+  readonly snapshot: Snapshot
+  readonly liveTargets: ReadonlySet<string>
+}
+
+/**
+ * Tells whether each service that a target belongs to has enough copies of its models ready by fresh reports: at least
+ * half of the targets that should hold them, and at least one.
+ * @param target - Name of the target.
+ * @param options - Options of the check.
+ */
+export async function hasReadyCopies (target: string, options: ReadyCopiesOptions): Promise<boolean> {
+  const services = [...options.snapshot.services.values()].filter(service => service.runs !== undefined && service.targets.includes(target))
+  const checks = await Promise.all(services.map(async service => await isServiceReady(service, options)))
+  return checks.every(Boolean)
+}
+
+async function isServiceReady (service: Service, { client, snapshot, liveTargets }: ReadyCopiesOptions): Promise<boolean> {
+  const names = rankTargets(service, liveTargets).slice(0, MAX_ASKED)
+  const targets = names.flatMap(name => snapshot.targets.get(name) ?? [])
+  const reports = await Promise.all(targets.map(async target => await client.fetchState(target)))
+  const models = listModels(service)
+  const ready = reports.filter(report => report.isOk && isReadyFor(report.value, models)).length
+  return ready >= Math.max(1, Math.ceil(targets.length / 2))
+}
+
+function isReadyFor ({ state, models }: TargetState, wanted: readonly ModelReference[]): boolean {
+  if (state !== 'active') return false
+  if (models === undefined) return true
+  const ready = new Set(models.filter(model => model.state === 'ready').map(formatModel))
+  return wanted.every(model => ready.has(formatModel(model)))
+}
--- /dev/null
+++ b/packages/configuration/src/orders/TargetAssignments.ts
@@ -0,0 +1,65 @@
+import { rankByRendezvous, type Snapshot, type Target } from '@fescuespoke/common'
+import { type FleetMember } from '../spread/FleetMember.js'
+
+/** Options of the assignment of targets to order givers. */
+export interface TargetAssignmentsOptions {
+  /** This instance. */
+  readonly self: FleetMember
+  /** Lists the other instances thought alive. */
+  readonly listPeers: () => readonly FleetMember[]
+  readonly getSnapshot: () => Snapshot
+}
+
+/**
+ * Finds the targets that this instance gives orders to: by rendezvous hashing over the instances thought alive in the
+ * target's availability zone, or over all when the zone has none.
+ */
+export class TargetAssignments {
+  /**
+   * Creates assignments.
+   * @param options - Options of the assignments.
+   */
+  static create (options: TargetAssignmentsOptions): TargetAssignments {
+    return new TargetAssignments(options)
+  }
+
+  private snapshot: Snapshot | undefined
+  private fleet = ''
+  private assigned: ReadonlyMap<string, Target> = new Map()
+
+  /** @internal */
+  private constructor (private readonly options: TargetAssignmentsOptions) {}
+
+  /** Lists the engines that this instance gives orders to, by name. It is computed anew only after a change. */
+  listAssigned (): ReadonlyMap<string, Target> {
+    const snapshot = this.options.getSnapshot()
+    const members = [this.options.self, ...this.options.listPeers()]
+    const fleet = members.map(member => `${member.instance} ${member.availabilityZone}`).sort().join('\n')
+    if (snapshot !== this.snapshot || fleet !== this.fleet) {
+      this.assigned = this.computeAssigned(snapshot, members)
+      this.snapshot = snapshot
+      this.fleet = fleet
+    }
+    return this.assigned
+  }
+
+  private computeAssigned (snapshot: Snapshot, members: readonly FleetMember[]): Map<string, Target> {
+    const engines = listEngines(snapshot)
+    const assigned = engines.filter(target => this.isAssigned(target, members))
+    return new Map(assigned.map(target => [target.name, target]))
+  }
+
+  private isAssigned (target: Target, members: readonly FleetMember[]): boolean {
+    const { self } = this.options
+    const near = members.filter(member => member.availabilityZone === target.availabilityZone)
+    if (near.length > 0 && self.availabilityZone !== target.availabilityZone) return false
+    const candidates = near.length > 0 ? near : members
+    return rankByRendezvous(`orders/${target.name}`, candidates.map(member => member.instance))[0] === self.instance
+  }
+}
+
+function listEngines (snapshot: Snapshot): Target[] {
+  const generations = [...snapshot.services.values()].filter(service => service.runs !== undefined)
+  const names = new Set(generations.flatMap(service => service.targets))
+  return [...names].sort().flatMap(name => snapshot.targets.get(name) ?? [])
+}
--- /dev/null
+++ b/packages/configuration/src/orders/index.ts
@@ -0,0 +1,6 @@
+export * from './computePlacement.js'
+export * from './HttpOrderClient.js'
+export * from './LoadPermits.js'
+export * from './OrderClient.js'
+export * from './OrderGiver.js'
+export { computeDividedRate } from './ShareLedger.js'
--- /dev/null
+++ b/packages/configuration/test/orders/computePlacement.test.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from 'vitest'
+import { computePlacement, convertRecords } from '../../src/index.js'
+import { computeFenceRevision, computeFirstFence, computeTakeoverFence } from '../../src/orders/FencingNumber.js'
+import { createServiceItem, createTargetItem, createValues } from '../support/records.js'
+
+const NAMES = Array.from({ length: 10 }, (_, index) => `t${index}`)
+
+function doTest (service: object, live: readonly string[] = NAMES): Record<string, string> {
+  const values = createValues({ targets: NAMES.map(name => createTargetItem(name)), service: createServiceItem('s', service) })
+  const placement = computePlacement(convertRecords(values, 1).snapshot, new Set(live))
+  return Object.fromEntries([...placement].map(([target, models]) =>
+    [target, models.map(({ model, adapter = '', version = '' }) => `${model}|${adapter}|${version}`).join(' ')]))
+}
+
+describe('computePlacement', () => {
+  it('places the models of the service and of its workspaces on the same targets', () => {
+    expect(doTest({ copies: 2, workspaces: [{ workspace: 'w', adapter: 'a' }] })).toMatchInlineSnapshot(`
+      {
+        "t3": "m1|a| m1||",
+        "t4": "m1|a| m1||",
+      }
+    `)
+  })
+
+  it('keeps the targets when the version changes', () => {
+    const [first, second] = ['1', '2'].map(version => Object.keys(doTest({ copies: 4, runs: { model: 'm', version } })))
+    expect(second).toEqual(first)
+  })
+
+  it('moves only the copies of a target that is gone', () => {
+    const before = Object.keys(doTest({ copies: 4 }))
+    const after = Object.keys(doTest({ copies: 4 }, NAMES.filter(name => name !== before[0])))
+    expect(after.filter(name => before.includes(name))).toEqual(before.slice(1))
+  })
+
+  it('adds copies without moving any', () => {
+    const before = Object.keys(doTest({ copies: 3 }))
+    expect(Object.keys(doTest({ copies: 5 })).slice(0, 3)).toEqual(before)
+  })
+
+  it('places nothing for plain services', () => {
+    expect(doTest({ runs: undefined })).toEqual({})
+  })
+})
+
+describe('fencing numbers', () => {
+  it('grow with the revision and with each taking over', () => {
+    const first = computeFirstFence(5)
+    expect([first, computeTakeoverFence(5, undefined), computeTakeoverFence(5, 7), computeTakeoverFence(5, first)])
+      .toEqual([first, first, first, first + 1])
+  })
+
+  it('never reach those of the next revision', () => {
+    expect(computeFenceRevision(computeTakeoverFence(5, computeFirstFence(6) - 1))).toBe(5)
+  })
+})
