Grant credits in whole requests

Cause: at full load the room was split by want among all askers; shares smaller than one request, and fractions of a sequence, lay idle until they expired. Change: a grant is at least one whole request when there is room for one, otherwise nothing.

--- a/packages/scheduling/src/credits/CreditCoordinator.ts
+++ b/packages/scheduling/src/credits/CreditCoordinator.ts
@@ -132,22 +132,32 @@
   }
 }
 
-/** Grants what is wanted up to the asker's share of the room by want; above its share of the whole it gives some back. */
+/**
+ * Grants what is wanted up to the asker's share of the room by want, in whole requests: a share that is too small for
+ * one request would lie idle. Above its share of the whole the asker gives some back.
+ */
 function computeGrant (holder: Holder, holders: ReadonlyMap<string, Holder>, room: Room): Room {
   const all = [...holders.values()]
+  const unit = { tokens: holder.wantTokens / Math.max(1, holder.wantSequences), sequences: 1 }
+  const hasRoom = room.tokens >= unit.tokens && room.sequences >= unit.sequences
+  const grantOf = (read: (room: Room) => number, held: (holder: Holder) => number, want: (holder: Holder) => number): number => {
+    const allWant = sumOf(all, want)
+    if (!hasRoom) return computeReturn(held(holder), sumOf(all, held) / all.length, allWant - want(holder), read(room))
+    const share = want(holder) * Math.min(1, read(room) / Math.max(1, allWant))
+    const spare = Math.max(0, read(room) - allWant) / (SPARE_ROOM_DIVISOR * all.length)
+    return Math.min(read(room), Math.max(Math.min(read(unit), want(holder)), share) + spare)
+  }
   return {
-    tokens: computeGrantOf(holder.heldTokens, holder.wantTokens, sumOf(all, other => other.wantTokens), sumOf(all, other => other.heldTokens), room.tokens, all.length),
-    sequences: computeGrantOf(holder.heldSequences, holder.wantSequences, sumOf(all, other => other.wantSequences), sumOf(all, other => other.heldSequences), room.sequences, all.length)
+    tokens: grantOf(({ tokens }) => tokens, other => other.heldTokens, other => other.wantTokens),
+    sequences: Math.ceil(grantOf(({ sequences }) => Math.floor(sequences), other => other.heldSequences, other => other.wantSequences))
   }
 }
 
-function computeGrantOf (held: number, want: number, allWant: number, allHeld: number, room: number, holders: number): number {
-  const othersWant = allWant - want
-  const isAboveShare = held > (allHeld / holders) * (1 + GIVE_BACK_SHARE)
-  if (room <= 0) return othersWant > 0 && isAboveShare ? -held * GIVE_BACK_SHARE : Math.max(room, -held * GIVE_BACK_SHARE)
-  const share = allWant > room ? room * want / allWant : want
-  const spare = Math.max(0, room - allWant) / (SPARE_ROOM_DIVISOR * holders)
-  return Math.min(room, share + spare)
+/** Computes what a holder gives back, as a number below zero, when there is no room for one more request. */
+function computeReturn (held: number, meanHeld: number, othersWant: number, room: number): number {
+  const isAboveShare = held > meanHeld * (1 + GIVE_BACK_SHARE)
+  if (othersWant > 0 && isAboveShare) return -held * GIVE_BACK_SHARE
+  return Math.max(Math.min(0, room), -held * GIVE_BACK_SHARE)
 }
 
 function readProfile (request: CreditRequest): MemoryProfile {
