Account for memory that prefixes share

Cause: the projection counts a shared prefix once for each generation, so the coordinator left memory unused. Change: the coordinator learns by how much reported memory stays below what its askers know and adds that to the room; work that no asker knows of makes it negative.

--- a/packages/scheduling/src/credits/CreditCoordinator.ts
+++ b/packages/scheduling/src/credits/CreditCoordinator.ts
@@ -38,6 +38,10 @@
 /** Share of its holding that a holder above its fair share gives back with each renewal while others want more. */
 const GIVE_BACK_SHARE = 0.1
 
+/** Weight of the latest report in the mean of shared memory, and largest part of the known memory that may be shared. */
+const SHARED_WEIGHT = 0.05
+const MAX_SHARED_SHARE = 0.3
+
 /** Part of the free room that is lent to one holder beyond what it wants. */
 const SPARE_ROOM_DIVISOR = 2
 
@@ -57,6 +61,7 @@
   }
 
   private readonly targets = new Map<string, Map<string, Holder>>()
+  private readonly sharedTokens = new Map<string, number>()
 
   /** @internal */
   private constructor (private readonly options: CreditCoordinatorOptions) {}
@@ -73,7 +78,8 @@
     holders.set(asker, holder)
     const capacity = this.options.getCapacity(request.target)
     const total = computeTotal(holders)
-    const room = this.computeRoom(asker, holders, capacity, total)
+    const sharedTokens = this.observeShared(request.target, total.mean[0] as number, capacity.usedTokens)
+    const room = this.computeRoom(asker, holders, capacity, computePeak(total, MEMORY_DEVIATIONS) - sharedTokens)
     const granted = computeGrant(holder, holders, room)
     holder.grantedTokens = Math.max(0, granted.tokens)
     holder.grantedSequences = Math.max(0, granted.sequences)
@@ -104,15 +110,28 @@
   }
 
   /** Computes what is left of a target beside all holdings and the credits lent to others. */
-  private computeRoom (asker: string, holders: ReadonlyMap<string, Holder>, capacity: TargetCapacity, total: MemoryProfile): Room {
+  private computeRoom (asker: string, holders: ReadonlyMap<string, Holder>, capacity: TargetCapacity, peakTokens: number): Room {
     const nowMs = this.options.clock.nowMs()
     const lent = [...holders].filter(([name, holder]) => name !== asker && holder.grantedUntilMs > nowMs).map(([, holder]) => holder)
     const lentTokens = sumOf(lent, holder => holder.grantedTokens)
     const lentSequences = sumOf(lent, holder => holder.grantedSequences)
     const usable = 1 - HIGH_PRIORITY_SHARE
-    const unknownTokens = Math.max(0, capacity.usedTokens - (total.mean[0] as number))
-    const tokens = capacity.capacityTokens * usable - computePeak(total, MEMORY_DEVIATIONS) - unknownTokens / 2 - lentTokens
-    return { tokens, sequences: capacity.maxSequences * usable - countSequences(holders) - lentSequences }
+    return {
+      tokens: capacity.capacityTokens * usable - peakTokens - lentTokens,
+      sequences: capacity.maxSequences * usable - countSequences(holders) - lentSequences
+    }
+  }
+
+  /**
+   * Observes by how much the reported memory stays below the sum of what the holders know, since prefixes are shared;
+   * below zero when the target holds work that no holder knows of.
+   */
+  private observeShared (target: string, knownTokens: number, usedTokens: number): number {
+    const before = this.sharedTokens.get(target) ?? 0
+    const limit = knownTokens * MAX_SHARED_SHARE
+    const shared = Math.min(limit, before + SHARED_WEIGHT * (knownTokens - usedTokens - before))
+    this.sharedTokens.set(target, shared)
+    return shared
   }
 
   private pruneHolders (holders: Map<string, Holder>): void {
