Let low priority share a queue with normal, and block by pool

Cause: requests of low priority waited while a target was above 85% of its load, so at full load nearly all were refused though they need 2% of the tokens; and small requests of one service overtook blocked large ones of another that compete for the same targets. Change: low priority shares the fair queue with normal at a quarter of the weight; once a request finds no room, later ones that compete for the same set of targets wait behind it; waits are estimated for the set.

--- a/packages/scheduling/src/TargetScheduler.ts
+++ b/packages/scheduling/src/TargetScheduler.ts
@@ -191,6 +191,7 @@
       request,
       workspace: request.workspace,
       priority: request.priority,
+      pool: request.service.targets.join(' '),
       weight: request.snapshot.workspaces.get(request.workspace)?.weight ?? 1,
       cost: Math.max(1, request.promptTokens + outputTokens),
       expectedMs: ASSUMED_FIRST_TOKEN_MS + outputTokens * this.parts.tokenIntervalMs,
@@ -271,20 +272,19 @@
     handlers[end]()
   }
 
-  /** Places waiting requests in order; once one of a service finds no room, later ones of it wait too. */
+  /** Places waiting requests in order; once one finds no room, later ones of its pool wait too, so that small ones do not overtake large ones. */
   private placeWaiting (): void {
     if (this.isPlacing) return
     this.isPlacing = true
     const blocked = new Set<string>()
     for (const item of this.parts.waiting.list()) {
-      const service = item.request.service.name
-      if (blocked.has(service)) continue
+      if (blocked.has(item.pool)) continue
       const placement = this.takeTarget(item)
       if (placement !== undefined) {
         this.parts.waiting.settle(item, placement)
         continue
       }
-      if (item.request.failedTargets.length === 0) blocked.add(service)
+      if (item.request.failedTargets.length === 0) blocked.add(item.pool)
       this.requestCredits(item)
     }
     this.isPlacing = false
@@ -299,8 +299,7 @@
   }
 
   private requestCreditFor (item: WaitingRequest, candidate: Candidate): void {
-    const service = item.request.service.name
-    const sequences = Math.min(ASKED_REQUESTS, this.parts.waiting.countOf(service))
+    const sequences = Math.min(ASKED_REQUESTS, this.parts.waiting.countOf(item.pool))
     this.parts.keeper.requestCredit(candidate.target, { tokens: candidate.needTokens * sequences, sequences })
   }
 
--- a/packages/scheduling/src/placement/admission.ts
+++ b/packages/scheduling/src/placement/admission.ts
@@ -1,7 +1,7 @@
 import { HIGH_PRIORITY_SHARE } from '../credits/CreditCoordinator.js'
 import { type CreditLedger } from '../credits/CreditLedger.js'
 import { type Division } from '../policies/policies.js'
-import { type Candidate, computeLoadShare, type PlacementNeed } from './Candidate.js'
+import { type Candidate, type PlacementNeed } from './Candidate.js'
 
 /** What admission asks beside the candidate. */
 export interface AdmissionContext {
@@ -15,9 +15,6 @@
 /** Prompt tokens that this instance lets a target compute at once. */
 const MAX_PREFILL_TOKENS = 1024
 
-/** Load share above which requests of low priority wait. */
-const LOW_PRIORITY_SHARE = 0.85
-
 /** Requests of high priority that one instance may have at a target without credit. */
 const MAX_OVERDRAFT_SEQUENCES = 2
 
@@ -38,7 +35,6 @@
   if (candidate.own.count() >= candidate.allowance) return false
   if (division === 'fixed') return canAdmitFixed(candidate, need, context)
   if (need.priority === 'high' && canOverdraw(candidate)) return true
-  if (need.priority === 'low' && computeLoadShare(candidate) > LOW_PRIORITY_SHARE) return false
   const prefillTokens = candidate.own.getPrefillTokens()
   if (prefillTokens > 0 && prefillTokens + need.shape.promptTokens > MAX_PREFILL_TOKENS) return false
   return ADMISSIONS[division](candidate, need, context)
--- a/packages/scheduling/src/queue/FairQueue.ts
+++ b/packages/scheduling/src/queue/FairQueue.ts
@@ -16,14 +16,18 @@
   readonly order: number
 }
 
-/** Classes in the order in which they are served. */
-export const PRIORITIES: readonly Priority[] = ['high', 'normal', 'low']
+/** Class of each priority; a lower class is served first. */
+const CLASSES: Record<Priority, number> = { high: 0, normal: 1, low: 1 }
+const CLASS_COUNT = 2
+
+/** Factor of a workspace's weight for each priority; low priority shares its class with normal, with a smaller weight. */
+const WEIGHT_FACTORS: Record<Priority, number> = { high: 1, normal: 1, low: 0.25 }
 
 /** Order of entries within one priority. */
 export type QueueOrder = 'fair' | 'arrival'
 
 /**
- * Orders waiting items by priority, and within one priority by start-time fair queueing over the workspaces.
+ * Orders waiting items: high priority first, the rest by start-time fair queueing over workspaces and priorities.
  * Source: P. Goyal, H. Vin and H. Cheng, "Start-time fair queueing", 1996.
  */
 export class FairQueue<T extends QueuedItem> {
@@ -35,7 +39,7 @@
     return new FairQueue<T>(order)
   }
 
-  private readonly classes = new Map<Priority, Entry<T>[]>(PRIORITIES.map(priority => [priority, []]))
+  private readonly classes: ReadonlyArray<Array<Entry<T>>> = Array.from({ length: CLASS_COUNT }, () => [])
   private readonly finishTags = new Map<string, number>()
   private virtualTime = 0
   private nextOrder = 0
@@ -71,12 +75,12 @@
 
   /** Lists the items in the order in which they would be served. */
   list (): T[] {
-    return PRIORITIES.flatMap(priority => (this.classes.get(priority) ?? []).map(entry => entry.item))
+    return this.classes.flatMap(entries => entries.map(entry => entry.item))
   }
 
   /** Counts the items. */
   count (): number {
-    return PRIORITIES.reduce((sum, priority) => sum + (this.classes.get(priority)?.length ?? 0), 0)
+    return this.classes.reduce((sum, entries) => sum + entries.length, 0)
   }
 
   /**
@@ -86,28 +90,25 @@
    */
   estimateWorkBefore (item: QueuedItem, isCounted: (other: T) => boolean): number {
     const startTag = this.order === 'arrival' ? Infinity : this.computeStartTag(item)
-    const rank = PRIORITIES.indexOf(item.priority)
+    const rank = CLASSES[item.priority]
     let work = 0
-    for (const entry of this.iterate()) {
-      const otherRank = PRIORITIES.indexOf(entry.item.priority)
-      const isBefore = otherRank < rank || (otherRank === rank && entry.startTag <= startTag)
-      if (isBefore && isCounted(entry.item)) work += entry.item.cost
-    }
+    this.classes.slice(0, rank + 1).forEach((entries, otherRank) => {
+      for (const entry of entries) {
+        const isBefore = otherRank < rank || entry.startTag <= startTag
+        if (isBefore && isCounted(entry.item)) work += entry.item.cost
+      }
+    })
     return work
   }
 
-  private * iterate (): Generator<Entry<T>> {
-    for (const entries of this.classes.values()) yield * entries
-  }
-
-  private getClass (item: QueuedItem): Entry<T>[] {
-    return this.classes.get(item.priority) as Entry<T>[]
+  private getClass (item: QueuedItem): Array<Entry<T>> {
+    return this.classes[CLASSES[item.priority]] as Array<Entry<T>>
   }
 
   private takeStartTag (item: QueuedItem): number {
     if (this.order === 'arrival') return 0
     const startTag = this.computeStartTag(item)
-    this.finishTags.set(formatFlow(item), startTag + item.cost / item.weight)
+    this.finishTags.set(formatFlow(item), startTag + item.cost / (item.weight * WEIGHT_FACTORS[item.priority]))
     return startTag
   }
 
--- a/packages/scheduling/src/queue/WaitingRequests.ts
+++ b/packages/scheduling/src/queue/WaitingRequests.ts
@@ -4,12 +4,14 @@
 import { type Policy } from '../policies/policies.js'
 import { type Placement, type PlacementRefusal, type PlacementRequest } from '../Scheduler.js'
 import { FairQueue, type QueuedItem } from './FairQueue.js'
-import { ServiceRates } from './ServiceRates.js'
+import { PoolRates } from './PoolRates.js'
 
 /** One request that waits for a target. */
 export interface WaitingRequest extends QueuedItem {
   readonly request: PlacementRequest
   readonly priority: Priority
+  /** Name of the set of targets that it competes for. */
+  readonly pool: string
   /** Expected time from dispatch to the complete answer, in milliseconds. */
   readonly expectedMs: number
   readonly enqueuedMs: number
@@ -50,12 +52,12 @@
 
   private readonly queue: FairQueue<WaitingRequest>
   private readonly waits = new Map<WaitingRequest, Wait>()
-  private readonly rates: ServiceRates
+  private readonly rates: PoolRates
 
   /** @internal */
   private constructor (private readonly options: WaitingRequestsOptions) {
     this.queue = FairQueue.create(options.policy.order)
-    this.rates = ServiceRates.create(options.clock)
+    this.rates = PoolRates.create(options.clock)
   }
 
   /** Counts the waiting requests. */
@@ -69,21 +71,20 @@
   }
 
   /**
-   * Counts the waiting requests of a service.
-   * @param service - Name of the service.
+   * Counts the waiting requests of a pool.
+   * @param pool - Name of the pool.
    */
-  countOf (service: string): number {
-    return this.list().filter(item => item.request.service.name === service).length
+  countOf (pool: string): number {
+    return this.list().filter(item => item.pool === pool).length
   }
 
   /**
-   * Checks whether requests of the same service wait that are served before this one.
+   * Checks whether requests of the same pool wait that are served before this one.
    * @param item - The request.
    */
   hasBefore (item: WaitingRequest): boolean {
     if (this.count() === 0) return false
-    const { service } = item.request
-    return this.queue.estimateWorkBefore(item, other => other.request.service.name === service.name) > 0
+    return this.queue.estimateWorkBefore(item, other => other.pool === item.pool) > 0
   }
 
   /**
@@ -91,7 +92,7 @@
    * @param item - The request.
    */
   observePlaced (item: WaitingRequest): void {
-    this.rates.observeServed(item.request.service.name, item.cost)
+    this.rates.observeServed(item.pool, item.cost)
   }
 
   /**
@@ -159,9 +160,8 @@
   }
 
   private estimateWaitMs (item: WaitingRequest): number {
-    const service = item.request.service.name
-    const work = this.queue.estimateWorkBefore(item, other => other.request.service.name === service)
-    return work === 0 ? 0 : work / this.rates.getCostPerMs(service)
+    const work = this.queue.estimateWorkBefore(item, other => other.pool === item.pool)
+    return work === 0 ? 0 : work / this.rates.getCostPerMs(item.pool)
   }
 
   private createRefusal (reason: Reason, item: WaitingRequest, detail: string): PlacementRefusal {
