Record durations without reading the clock each time

Cause: recording a duration cost 278 ns, of which 115 ns were the clock, and finding its series by label 160 ns more; at 28,600 tokens a second, a node's share of the peak, two of these a token come to 1.9% of a core. Change: a histogram that fills quickly checks its window every 32 values; the value of a single label is the key of its series; gauges that are not finite read -1, since JSON has no infinity.

--- a/packages/common/src/metrics/MetricFamily.ts
+++ b/packages/common/src/metrics/MetricFamily.ts
@@ -24,9 +24,12 @@
   }
 
   private readonly series = new Map<string, S>()
+  private readonly labelNames: readonly string[]
 
   /** @internal */
-  private constructor (private readonly options: MetricFamilyOptions<S>) {}
+  private constructor (private readonly options: MetricFamilyOptions<S>) {
+    this.labelNames = options.definition.labels
+  }
 
   /**
    * Gets the series for a set of labels, made when absent. Beyond the bound, open labels read `other`.
@@ -61,7 +64,9 @@
     return { ...labels, ...Object.fromEntries(replaced) }
   }
 
+  /** Most metrics have one label, whose value is a key as it is. */
   private formatKey (labels: Readonly<Record<string, string>>): string {
-    return this.options.definition.labels.map(label => labels[label]).join('\u0000')
+    if (this.labelNames.length === 1) return labels[this.labelNames[0] as string] as string
+    return this.labelNames.map(label => labels[label]).join('\u0000')
   }
 }
--- a/packages/common/src/metrics/MetricSeries.ts
+++ b/packages/common/src/metrics/MetricSeries.ts
@@ -29,6 +29,9 @@
   }
 }
 
+/** Reading of a gauge whose value is not finite, such as the age of what has never been seen. */
+const NOT_KNOWN = -1
+
 /** A value that rises and falls. */
 export class GaugeSeries implements MetricSeries {
   private present = 0
@@ -46,13 +49,19 @@
 
   /** Gets the present value. */
   getReading (): MetricSeriesReading {
-    return { labels: this.labels, value: this.present }
+    return { labels: this.labels, value: Number.isFinite(this.present) ? this.present : NOT_KNOWN }
   }
 }
 
 /** Time after which a window of a histogram is replaced, in milliseconds. */
 export const HISTOGRAM_WINDOW_MS = 60_000
 
+/** Values in a window from which on it counts as filling quickly. */
+const BUSY_WINDOW_RECORDS = 256
+
+/** Values recorded between two checks of a window that fills quickly. */
+const RECORDS_PER_CHECK = 32
+
 /** Highest duration that a histogram tells from longer ones, in milliseconds. */
 export const HIGHEST_HISTOGRAM_MS = 3_600_000
 
@@ -67,6 +76,7 @@
   private current = createHistogram()
   private previous = createHistogram()
   private windowEndMs: number
+  private recordsUntilCheck = 0
   private count = 0
   private sum = 0
 
@@ -81,7 +91,7 @@
    */
   record (durationMs: number): void {
     if (!(durationMs >= 0)) return
-    this.replaceWindow()
+    if (this.recordsUntilCheck-- <= 0) this.checkWindow()
     this.count++
     this.sum += durationMs
     this.current.recordValue(Math.min(HIGHEST_HISTOGRAM_MS, Math.round(durationMs)))
@@ -114,6 +124,12 @@
     return this.current.estimatedFootprintInBytes + this.previous.estimatedFootprintInBytes
   }
 
+  /** Reading the clock costs more than recording a value, so a window that fills quickly is checked less often. */
+  private checkWindow (): void {
+    this.replaceWindow()
+    this.recordsUntilCheck = this.current.totalCount < BUSY_WINDOW_RECORDS ? 0 : RECORDS_PER_CHECK
+  }
+
   private replaceWindow (): void {
     const overdueMs = this.clock.nowMs() - this.windowEndMs
     if (overdueMs < 0) return
--- a/packages/common/test/metrics/MetricsRegistry.test.ts
+++ b/packages/common/test/metrics/MetricsRegistry.test.ts
@@ -175,6 +175,34 @@
     `)
   })
 
+  it('replaces the window of a quick series within 32 values', () => {
+    const { registry, clock } = createTest()
+    const series = registry.getHistogram('tokenInterval', { service: 's' })
+    for (let value = 0; value < 1000; value++) series.record(10)
+    clock.jump(HISTOGRAM_WINDOW_MS)
+    for (let value = 0; value < 1000; value++) series.record(20)
+    clock.jump(HISTOGRAM_WINDOW_MS)
+    const { recent } = series.getReading()
+    expect(recent?.count).toBeGreaterThanOrEqual(1000 - 32)
+    expect(recent?.count).toBeLessThanOrEqual(1000)
+    expect(recent?.p50).toBe(20)
+  })
+
+  it('reads an age that is not known as -1', () => {
+    expect(doTest('viewAge', ({ registry }) => {
+      registry.getGauge('viewAge', { view: 'instanceList' }).set(Number.POSITIVE_INFINITY)
+    })).toMatchInlineSnapshot(`
+      [
+        {
+          "labels": {
+            "view": "instanceList",
+          },
+          "value": -1,
+        },
+      ]
+    `)
+  })
+
   it('collects further services under other', () => {
     expect(doTest('preemptions', ({ registry }) => {
       for (let index = 0; index < 18; index++) registry.getCounter('preemptions', { service: `s${index}` }).add()
