Read lines of JSON in one place

Cause: the caller library had a line reader of its own beside the one in common. Change: the caller library uses readJsonLines. Conclusion: one reader, with a bound on the length of a line.

--- a/packages/caller/src/http/InstanceClient.ts
+++ b/packages/caller/src/http/InstanceClient.ts
@@ -1,10 +1,9 @@
-import { type Clock } from '@fescuespoke/common'
+import { type Clock, readJsonLines } from '@fescuespoke/common'
 import { createValidator, type AddressAnswer, type EndEvent, type ErrorBody, type LeaseGrant, type StreamEvent, type Validator } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
 import { type Dispatcher, request } from 'undici'
 import { type ConnectionPool } from './ConnectionPool.js'
 import { convertException, type ExchangeError, type RefusedError } from './ExchangeError.js'
-import { readLines } from './readLines.js'
 import { SilenceTimer } from './SilenceTimer.js'
 
 /** One HTTP request to one instance. */
@@ -53,6 +52,9 @@
   readonly firstByteMs: number
 }
 
+/** Longest event that is accepted, in characters. */
+const MAX_LINE_CHARACTERS = 16 * 1024 * 1024
+
 const checkAddressAnswer = createValidator<AddressAnswer>('caller', 'AddressAnswer')
 const checkLeaseGrant = createValidator<LeaseGrant>('caller', 'LeaseGrant')
 const checkEndEvent = createValidator<EndEvent>('caller', 'EndEvent')
@@ -121,8 +123,8 @@
    */
   async readStream (streamRequest: InstanceRequest, observe: StreamObserver): Promise<Result<EndEvent | LeftStream, ExchangeError>> {
     return await this.exchange(streamRequest, async (response, timer) => {
-      for await (const line of readLines(observeChunks(response.body, timer))) {
-        const event = readValue(JSON.parse(line), checkStreamEvent)
+      for await (const value of readJsonLines(observeChunks(response.body, timer), MAX_LINE_CHARACTERS)) {
+        const event = readValue(value, checkStreamEvent)
         if (event.type === 'end') return event
         const step = observe(event)
         if (step !== 'read') return step
