--- a/packages/cli/src/commands/connection.ts
+++ b/packages/cli/src/commands/connection.ts
@@ -14,7 +14,8 @@
 
 /** Checked options of a command that asks instances. */
 export interface Connection {
-  readonly url: string
+  /** Base URLs that were given; one unless the fleet is meant. */
+  readonly urls: readonly [string, ...string[]]
   readonly createClient: (url: string) => OperatorClient
 }
 
@@ -41,7 +42,8 @@
   if (url === undefined) throw new WrongUseError('say which instance to ask, for instance --instance http://127.0.0.1:7002')
   if (args.instance !== undefined && args.fleet !== undefined) throw new WrongUseError('--instance and --fleet exclude one another')
   const createClient = (base: string): OperatorClient => OperatorClient.create({ url: base, clock, dispatcher, timeoutMs })
-  return { url: checkUrl(url), createClient }
+  const [first = '', ...others] = args.instance === undefined ? url.split(',') : [url]
+  return { urls: [checkUrl(first), ...others.map(checkUrl)], createClient }
 }
 
 /**
--- a/packages/cli/src/commands/explainRequest.ts
+++ b/packages/cli/src/commands/explainRequest.ts
@@ -2,10 +2,10 @@
 import { Result } from 'true-myth'
 import { type CliContext } from '../CliContext.js'
 import { type ExitStatus } from '../ExitStatus.js'
-import { findOperatorUrl } from '../operator/FleetView.js'
+import { findMemberUrl } from '../operator/FleetView.js'
 import { type OperatorError } from '../operator/OperatorClient.js'
 import { type Column, formatTable, formatText } from '../output/formatTable.js'
-import { checkConnection, type Connection, type ConnectionArgs, printFailure } from './connection.js'
+import { checkConnection, type ConnectionArgs, printFailure } from './connection.js'
 
 /** What was given on the command line. */
 export interface ExplainArgs extends ConnectionArgs {
@@ -30,8 +30,10 @@
  */
 export async function explainRequest (context: CliContext, args: ExplainArgs): Promise<ExitStatus> {
   const connection = checkConnection(context, args)
-  const owner = args.fleet === undefined ? Result.ok<string, OperatorError>(connection.url) : await findOwnerUrl(connection, args.request)
-  if (owner.isErr) return printFailure(context, connection.url, owner.error)
+  const [url] = connection.urls
+  const [instance = ''] = args.request.split(ID_SEPARATOR)
+  const owner = args.fleet === undefined ? Result.ok<string, OperatorError>(url) : await findMemberUrl(connection, instance)
+  if (owner.isErr) return printFailure(context, url, owner.error)
   const read = await connection.createClient(owner.value).fetchExplanation(args.request)
   if (read.isErr) return printFailure(context, owner.value, read.error)
   if (args.json === true) context.print(JSON.stringify(read.value, null, 2))
@@ -39,17 +41,6 @@
   return 'ok'
 }
 
-async function findOwnerUrl ({ url, createClient }: Connection, request: string): Promise<Result<string, OperatorError>> {
-  const [owner = ''] = request.split(ID_SEPARATOR)
-  const read = await createClient(url).fetchStatus()
-  if (read.isErr) return read.cast()
-  const { instance, members } = read.value
-  if (instance === owner) return Result.ok(url)
-  const member = members.find(one => one.instance === owner)
-  const found = member === undefined ? undefined : findOperatorUrl(member, url)
-  return found === undefined ? Result.err({ kind: 'notFound', detail: `${instance} knows no address of the owner ${JSON.stringify(owner)}` }) : Result.ok(found)
-}
-
 function printExplanation ({ print }: CliContext, explanation: Explanation): void {
   const { request, service, workspace, revision, outcome, reason, steps } = explanation
   print(formatText(`request ${request}: service ${service}, workspace ${workspace}, revision ${revision}`))
--- a/packages/cli/src/commands/showAudit.ts
+++ b/packages/cli/src/commands/showAudit.ts
@@ -34,7 +34,7 @@
  * @param args - What was given.
  */
 export async function showAudit (context: CliContext, args: AuditArgs): Promise<ExitStatus> {
-  const { url, createClient } = checkConnection(context, args)
+  const { urls: [url], createClient } = checkConnection(context, args)
   const after = Number(args.after)
   if (!Number.isInteger(after) || after < 0) throw new WrongUseError(`--after: got ${args.after}, allowed is a whole number`)
   const client = createClient(url)
--- a/packages/cli/src/commands/showMetrics.ts
+++ b/packages/cli/src/commands/showMetrics.ts
@@ -41,7 +41,7 @@
  * @param args - What was given.
  */
 export async function showMetrics (context: CliContext, args: MetricsArgs): Promise<ExitStatus> {
-  const { url, createClient } = checkConnection(context, args)
+  const { urls: [url], createClient } = checkConnection(context, args)
   const read = await createClient(url).fetchMetrics()
   if (read.isErr) return printFailure(context, url, read.error)
   if (args.json === true) context.print(JSON.stringify(read.value, null, 2))
--- a/packages/cli/src/commands/showStatus.ts
+++ b/packages/cli/src/commands/showStatus.ts
@@ -67,7 +67,7 @@
   return await show(context, connection, args.json === true)
 }
 
-async function showInstance (context: CliContext, { url, createClient }: Connection, json: boolean): Promise<ExitStatus> {
+async function showInstance (context: CliContext, { urls: [url], createClient }: Connection, json: boolean): Promise<ExitStatus> {
   const read = await createClient(url).fetchStatus()
   if (read.isErr) return printFailure(context, url, read.error)
   const status = read.value
@@ -92,9 +92,9 @@
   print(formatTable(columns, rows))
 }
 
-async function showFleet (context: CliContext, { url, createClient }: Connection, json: boolean): Promise<ExitStatus> {
-  const read = await readFleet({ url, createClient })
-  if (read.isErr) return printFailure(context, url, read.error)
+async function showFleet (context: CliContext, connection: Connection, json: boolean): Promise<ExitStatus> {
+  const read = await readFleet(connection)
+  if (read.isErr) return printFailure(context, connection.urls[0], read.error)
   const fleet = read.value
   if (json) context.print(JSON.stringify(fleet, null, 2))
   else printFleet(context, fleet)
--- a/packages/cli/src/createCommand.ts
+++ b/packages/cli/src/createCommand.ts
@@ -12,7 +12,7 @@
 export type StatusReceiver = (status: ExitStatus) => void
 
 const FLEET_ARG = {
-  fleet: { type: 'string', description: 'Base URL of the operator interface of any instance; all its members are asked', valueHint: 'url' }
+  fleet: { type: 'string', description: 'Base URLs of the operator interfaces of some instances, with commas; all their members are asked', valueHint: 'urls' }
 } as const
 
 /**
--- a/packages/cli/test/commands/explainRequest.test.ts
+++ b/packages/cli/test/commands/explainRequest.test.ts
@@ -76,7 +76,7 @@
 
   it('says that the owner is not known', async () => {
     expect(await doTest([REQUEST, '--fleet', '$0'], ([fake]) => fake?.setAnswers('/v1/status', createStatus()))).toMatchInlineSnapshot(`
-      "error: $0: notFound: i1 knows no address of the owner "i2"
+      "error: $0: notFound: the fleet has no address of instance "i2"
       exit 1"
     `)
   })
--- a/packages/cli/test/commands/showStatus.test.ts
+++ b/packages/cli/test/commands/showStatus.test.ts
@@ -200,4 +200,25 @@
       exit 1"
     `)
   })
+
+  it('asks several instances for the fleet, some of which do not answer', async () => {
+    expect(await doTest(['--fleet', '$0,$1,http://127.0.0.1:1'], ([a, b]) => {
+      const members = [{ instance: 'i2', state: 'alive' as const, availabilityZone: 'z2', url: 'http://127.0.0.1:7001' }]
+      a?.setAnswers('/v1/status', createStatus({ availabilityZone: 'z1', members }))
+      b?.setAnswers('/v1/status', createStatus({ instance: 'i2', availabilityZone: 'z2' }))
+    }, 2)).toMatchInlineSnapshot(`
+      "instance  availability zone  seen as  phase      revision  list  records  requests  queued  targets        refused  error
+      -         -                  asked    no answer  -         -     -        -         -       -              -        http://127.0.0.1:1: unreachable: connect ECONNREFUSED 127.0.0.1:1
+      i1        z1                 asked    ready      7         3     1.5 s    2         1       0 of 0 active  0        -
+      i2        z2                 asked    ready      7         3     1.5 s    2         1       0 of 0 active  0        -
+      exit 1"
+    `)
+  })
+
+  it('says that no instance of the fleet is reachable', async () => {
+    expect(await doTest(['--fleet', 'http://127.0.0.1:1,http://127.0.0.1:2'], () => {}, 0)).toMatchInlineSnapshot(`
+      "error: http://127.0.0.1:1: unreachable: connect ECONNREFUSED 127.0.0.1:1
+      exit 3"
+    `)
+  })
 })
--- a/packages/cli/test/runCli.test.ts
+++ b/packages/cli/test/runCli.test.ts
@@ -37,7 +37,7 @@
 
       OPTIONS
 
-            --fleet=<url>    Base URL of the operator interface of any instance; all its members are asked
+           --fleet=<urls>    Base URLs of the operator interfaces of some instances, with commas; all their members are asked
          --instance=<url>    Base URL of one instance's operator interface
         --timeout-ms=<ms>    Longest wait for one instance (Default: 2000)
                    --json    Print JSON for programs
--- a/packages/cli/test/support/doCliTest.ts
+++ b/packages/cli/test/support/doCliTest.ts
@@ -27,7 +27,7 @@
     text.replaceAll(url, `$${index}`).replaceAll(url.slice('http://'.length), `$${index}`), line)
   try {
     await options.prepare?.({ fakes, interrupt: () => interruption.abort() })
-    const status = await runCli(options.args.map(arg => arg.replace(/\$(\d)/, (_, index) => fakes[Number(index)]?.url ?? '')), {
+    const status = await runCli(options.args.map(arg => arg.replace(/\$(\d)/g, (_, index) => fakes[Number(index)]?.url ?? '')), {
       print: line => { lines.push(line) },
       printError: line => { lines.push(`error: ${line}`) },
       clock: options.clock ?? SystemClock.create(),
