Measure the cost of membership at several fleet sizes

Cause: the cost of membership for a node was not known. Change: measureMembership runs fleets in virtual time over the memory network with encoded messages; SlopePoint.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './slopes/measureMembership.js'
+export * from './slopes/SlopePoint.js'
--- /dev/null
+++ b/packages/bench/src/slopes/measureMembership.ts
@@ -0,0 +1,91 @@
+import { SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { MemoryNetwork, Membership, type MemoryPeer } from '@fescuespoke/peers'
+import { type ListedEntry } from '@fescuespoke/schema'
+import { measureHeap } from './measureHeap.js'
+import { type SlopePoint } from './SlopePoint.js'
+
+/** Virtual time before the measurement, in which the members find each other and the news of it is used up. */
+const SETTLE_MS = 30_000
+const SETTLE_MS_FOR_EACH_NODE = 1500
+
+/** Virtual time of the measurement. */
+const MEASURED_MS = 60_000
+
+/** Size of a fleet that is measured first and left out, so that compiling the code counts nowhere. */
+const WARM_UP_SIZE = 4
+
+const INCARNATION_BYTES = 8
+
+interface Node {
+  readonly peer: MemoryPeer
+  readonly membership: Membership
+}
+
+/**
+ * Measures what membership costs a node in fleets of several sizes, in virtual time, with messages that are encoded,
+ * decoded and checked as on TCP. Processor time includes that of the simulated network.
+ * @param sizes - Numbers of nodes.
+ * @param seed - Seed of the random numbers.
+ */
+export async function measureMembership (sizes: number[], seed: number): Promise<SlopePoint[]> {
+  const points: SlopePoint[] = []
+  await measureFleet(WARM_UP_SIZE, seed)
+  for (const size of sizes) points.push(await measureFleet(size, seed))
+  return points
+}
+
+async function measureFleet (size: number, seed: number): Promise<SlopePoint> {
+  const heapBefore = measureHeap()
+  const clock = VirtualClock.create()
+  const network = MemoryNetwork.create({ clock, random: SeededRandom.create(seed), encodes: true })
+  const names = Array.from({ length: size }, (_, index) => `entry-${1000 + index}`)
+  const listed = names.map(createEntry)
+  const nodes = names.map((name, index) => startNode(network, name, listed, SeededRandom.create(seed + 1 + index)))
+  await clock.advance(SETTLE_MS + SETTLE_MS_FOR_EACH_NODE * size)
+  const heapBytes = (measureHeap() - heapBefore) / size
+  const trafficBefore = countTraffic(nodes)
+  const cpuBefore = process.cpuUsage()
+  await clock.advance(MEASURED_MS)
+  const cpu = process.cpuUsage(cpuBefore)
+  const traffic = countTraffic(nodes)
+  await Promise.all(nodes.map(async ({ membership }) => { await membership.stop() }))
+  const nodeSeconds = size * MEASURED_MS / 1000
+  return {
+    size,
+    messagesPerSecond: (traffic.messages - trafficBefore.messages) / nodeSeconds,
+    bytesPerSecond: (traffic.bytes - trafficBefore.bytes) / nodeSeconds,
+    cpuMsPerSecond: (cpu.user + cpu.system) / 1000 / nodeSeconds,
+    heapBytes
+  }
+}
+
+function startNode (network: MemoryNetwork, instance: string, listed: readonly ListedEntry[], random: SeededRandom): Node {
+  const peer = network.createPeer(instance)
+  const membership = Membership.create({
+    instance,
+    incarnation: random.nextText(INCARNATION_BYTES),
+    url: 'http://10.1.22.12:8080',
+    peerAddress: '10.1.22.12:7000',
+    availabilityZone: 'region1-az1',
+    region: 'region1',
+    transport: peer,
+    clock: peer.clock,
+    random,
+    getNews: () => ({ revision: 123_456, listVersion: 4567, listAgeMs: 1234 }),
+    observeNews: () => {}
+  })
+  membership.setListed(listed)
+  membership.start()
+  return { peer, membership }
+}
+
+function createEntry (id: string): ListedEntry {
+  return { id, role: 'entry', state: 'live', peerAddress: '10.1.22.12:7000', availabilityZone: 'region1-az1', region: 'region1' }
+}
+
+function countTraffic (nodes: readonly Node[]): { messages: number, bytes: number } {
+  const counters = nodes.map(({ peer }) => peer.getCounters())
+  const messages = counters.reduce((sum, { framesOut }) => sum + framesOut, 0)
+  const bytes = counters.reduce((sum, { bytesIn, bytesOut }) => sum + bytesIn + bytesOut, 0)
+  return { messages, bytes }
+}
--- a/packages/peers/src/framing/FrameDecoder.ts
+++ b/packages/peers/src/framing/FrameDecoder.ts
@@ -76,13 +76,13 @@
 
   private readBody (bytes: Buffer, offset: number): number {
     const available = Math.min(bytes.length - offset, this.bodyLength - this.bodyFilled)
-    this.growBody(this.bodyFilled + available)
+    this.acquireRoom(this.bodyFilled + available)
     bytes.copy(this.body, this.bodyFilled, offset, offset + available)
     this.bodyFilled += available
     return available
   }
 
-  private growBody (neededBytes: number): void {
+  private acquireRoom (neededBytes: number): void {
     if (neededBytes <= this.body.length) return
     const doubled = Math.max(FIRST_BODY_BYTES, this.body.length * 2, neededBytes)
     const grown = Buffer.allocUnsafe(Math.min(doubled, this.bodyLength))
--- a/packages/peers/src/membership/Membership.ts
+++ b/packages/peers/src/membership/Membership.ts
@@ -146,7 +146,7 @@
   }
 
   private async runRound (): Promise<void> {
-    this.expireSuspects()
+    this.settleSuspects()
     this.table.pruneDead(this.computeForgetMs())
     const suspects = pickSome(this.options.random, this.listStates(['suspect']), this.limits.indirectProbes)
     const next = this.order.takeNext(name => this.isPresent(name), () => this.listStates(['alive', 'leaving', 'suspect']))
@@ -154,7 +154,7 @@
     await Promise.all([
       ...probed.map(async name => { await this.probeMember(name) }),
       ...[...suspects, ...this.takeSearched()].map(async name => { await this.sendPing(name) }),
-      this.syncMembers()
+      this.fetchMembers()
     ])
   }
 
@@ -192,7 +192,7 @@
     await Promise.all(told.map(async name => { await this.sendPing(name) }))
   }
 
-  private async syncMembers (): Promise<void> {
+  private async fetchMembers (): Promise<void> {
     const { clock, random, transport } = this.options
     if (clock.nowMs() - this.lastSyncMs < this.limits.syncMs) return
     const [peer] = pickSome(random, this.listStates(['alive']), 1)
@@ -264,7 +264,7 @@
     for (const listener of this.listeners) listener(change)
   }
 
-  private expireSuspects (): void {
+  private settleSuspects (): void {
     const { clock } = this.options
     const timeoutMs = this.limits.suspicionMs * Math.max(1, Math.log10(this.table.countPresent() + 1))
     for (const { instance, state, changedAtMs } of this.table.list()) {
--- a/packages/peers/src/memory/MemoryNetwork.ts
+++ b/packages/peers/src/memory/MemoryNetwork.ts
@@ -111,10 +111,10 @@
 
   private sendRequest (from: MemoryPeer, to: string, message: AnyPeerMessage, settle: (outcome: PeerOutcome) => void): void {
     const envelope = this.encode(from, { kind: 'request', id: 0, message })
-    this.carry(from.instance, to, () => {
+    this.sendMessage(from.instance, to, () => {
       const receiver = this.peers.get(to)
       if (receiver === undefined || receiver.isClosed()) {
-        this.carry(to, from.instance, () => from.pausableClock.runOrHold(() => settle(Result.err('unreachable'))))
+        this.sendMessage(to, from.instance, () => from.pausableClock.runOrHold(() => settle(Result.err('unreachable'))))
         return
       }
       receiver.pausableClock.runOrHold(() => { this.deliverRequest(from, receiver, envelope, settle) })
@@ -126,21 +126,21 @@
     const answer = await receiver.answerRequest(this.decode(receiver, envelope), from.instance)
     if (answer === undefined || receiver.isClosed()) return
     const encoded = this.encode(receiver, { kind: 'answer', id: 0, message: answer })
-    this.carry(receiver.instance, from.instance, () => {
+    this.sendMessage(receiver.instance, from.instance, () => {
       from.pausableClock.runOrHold(() => {
         if (!from.isClosed()) settle(Result.ok(this.decode(from, encoded)))
       })
     })
   }
 
-  private carry (from: string, to: string, deliver: () => void): void {
+  private sendMessage (from: string, to: string, deliver: () => void): void {
     const { random } = this.options
     if (this.faults.lossRate > 0 && random.nextFloat() < this.faults.lossRate) return
-    this.carryCopy(from, to, deliver)
-    if (this.faults.duplicateRate > 0 && random.nextFloat() < this.faults.duplicateRate) this.carryCopy(from, to, deliver)
+    this.sendCopy(from, to, deliver)
+    if (this.faults.duplicateRate > 0 && random.nextFloat() < this.faults.duplicateRate) this.sendCopy(from, to, deliver)
   }
 
-  private carryCopy (from: string, to: string, deliver: () => void): void {
+  private sendCopy (from: string, to: string, deliver: () => void): void {
     const { random, clock } = this.options
     const { latencyMs, jitterMs, delayRate, delayMs } = this.faults
     const lateMs = delayRate > 0 && random.nextFloat() < delayRate ? delayMs : 0
@@ -158,11 +158,11 @@
     return bytes
   }
 
-  private decode (receiver: MemoryPeer, carried: Envelope | Uint8Array): AnyPeerMessage {
+  private decode (receiver: MemoryPeer, sent: Envelope | Uint8Array): AnyPeerMessage {
     receiver.counters.framesIn++
-    if (!(carried instanceof Uint8Array)) return carried.message
-    receiver.counters.bytesIn += carried.length + FRAME_HEADER_BYTES
-    const decoded = this.codec?.decodeEnvelope(carried)
+    if (!(sent instanceof Uint8Array)) return sent.message
+    receiver.counters.bytesIn += sent.length + FRAME_HEADER_BYTES
+    const decoded = this.codec?.decodeEnvelope(sent)
     if (decoded?.isOk !== true) throw new Error('a message that was encoded here cannot be decoded')
     return decoded.value.message
   }
