Send field names of peer messages as numbers

Cause: more than half of each probe were names of fields. Change: the codec maps the names of an append-only list to numbers (keyMap of cbor-x).

--- a/packages/peers/src/framing/MessageCodec.ts
+++ b/packages/peers/src/framing/MessageCodec.ts
@@ -2,6 +2,7 @@
 import { createValidator, peerSchema, type Validator } from '@fescuespoke/schema'
 import { Decoder, Encoder } from 'cbor-x'
 import { Result } from 'true-myth'
+import { MESSAGE_KEYS } from './messageKeys.js'
 
 /** What a frame is for. */
 export type EnvelopeKind = 'request' | 'answer' | 'handshake'
@@ -14,7 +15,8 @@
   readonly message: AnyPeerMessage
 }
 
-const CODEC_OPTIONS = { useRecords: false, mapsAsObjects: true, structuredClone: false }
+const KEY_NUMBERS = Object.fromEntries(MESSAGE_KEYS.map((key, index) => [key, index + 1]))
+const CODEC_OPTIONS = { useRecords: false, mapsAsObjects: true, keyMap: KEY_NUMBERS }
 const KINDS: ReadonlySet<unknown> = new Set<EnvelopeKind>(['request', 'answer', 'handshake'])
 
 /** Encodes and decodes messages as CBOR (RFC 8949) and checks what was decoded against the schema. */
