Stop at the first mistake in messages between instances

Cause: a probe with 500,000 bad members (a frame of 0.5 MB) blocked the process for more than ten minutes, since the validator lists every mistake and joins the lists of referenced definitions at a quadratic cost. Change: the validators of the peer schema stop at the first mistake.

--- a/packages/schema/src/validation/createValidator.ts
+++ b/packages/schema/src/validation/createValidator.ts
@@ -31,6 +31,9 @@
 const COERCED_SCHEMAS: ReadonlySet<SchemaName> = new Set(['settings'])
 const DEFAULTED_SCHEMAS: ReadonlySet<SchemaName> = new Set(['settings', 'records1', 'records2'])
 
+/** Schemas of messages between programs: only the first mistake is found, so that a long bad message costs little. */
+const FIRST_MISTAKE_SCHEMAS: ReadonlySet<SchemaName> = new Set(['peer'])
+
 const compilers = new Map<SchemaName, Ajv>()
 
 /**
@@ -59,7 +62,7 @@
   const known = compilers.get(schema)
   if (known !== undefined) return known
   const compiler = new Ajv({
-    allErrors: true,
+    allErrors: !FIRST_MISTAKE_SCHEMAS.has(schema),
     strict: false,
     verbose: true,
     coerceTypes: COERCED_SCHEMAS.has(schema),
--- a/packages/schema/test/validation/createValidator.test.ts
+++ b/packages/schema/test/validation/createValidator.test.ts
@@ -48,4 +48,13 @@
       ]
     `)
   })
+
+  it('finds only the first mistake in a message between instances', () => {
+    const news = { members: Array(100).fill(0), revision: 1, listVersion: 1, listAgeMs: 1 }
+    expect(doTest('peer', 'Ping', { type: 'ping', news })).toMatchInlineSnapshot(`
+      [
+        "news.members.0: got 0, allowed is must be object",
+      ]
+    `)
+  })
 })
