Read only changed values again when a revision is accepted

Cause: accepting a revision with 5,400 targets and 2,200 workspaces took longer than a token interval and blocked the process. The assignment at the full size still takes most of a token interval, once for each change of membership.

--- a/packages/configuration/src/orders/TargetAssignments.ts
+++ b/packages/configuration/src/orders/TargetAssignments.ts
@@ -44,16 +44,15 @@
   }
 
   private computeAssigned (snapshot: Snapshot, members: readonly FleetMember[]): Map<string, Target> {
-    const engines = listEngines(snapshot)
-    const assigned = engines.filter(target => this.isAssigned(target, members))
+    const assigned = listEngines(snapshot).filter(target => this.isAssigned(target, members))
     return new Map(assigned.map(target => [target.name, target]))
   }
 
   private isAssigned (target: Target, members: readonly FleetMember[]): boolean {
     const { self } = this.options
-    const near = members.filter(member => member.availabilityZone === target.availabilityZone)
-    if (near.length > 0 && self.availabilityZone !== target.availabilityZone) return false
-    const candidates = near.length > 0 ? near : members
+    const isNear = self.availabilityZone === target.availabilityZone
+    if (!isNear && members.some(member => member.availabilityZone === target.availabilityZone)) return false
+    const candidates = isNear ? members.filter(member => member.availabilityZone === target.availabilityZone) : members
     return rankByRendezvous(`orders/${target.name}`, candidates.map(member => member.instance))[0] === self.instance
   }
 }
--- a/packages/configuration/src/orders/computePlacement.ts
+++ b/packages/configuration/src/orders/computePlacement.ts
@@ -40,8 +40,19 @@
  */
 export function rankTargets (service: Service, liveTargets: ReadonlySet<string>): string[] {
   if (service.runs === undefined) return []
-  const live = service.targets.filter(name => liveTargets.has(name))
-  return rankByRendezvous(service.runs.model, live).slice(0, service.copies)
+  const live = rankAllTargets(service, service.runs).filter(name => liveTargets.has(name))
+  return live.slice(0, service.copies)
+}
+
+/** Rankings of whole services; leaving targets out of one does not change the order of the others. */
+const rankings = new WeakMap<Service, readonly string[]>()
+
+function rankAllTargets (service: Service, runs: ModelReference): readonly string[] {
+  const known = rankings.get(service)
+  if (known !== undefined) return known
+  const ranked = rankByRendezvous(runs.model, service.targets)
+  rankings.set(service, ranked)
+  return ranked
 }
 
 function createOverride (runs: ModelReference, { adapter, version }: { readonly adapter?: string, readonly version?: string }): ModelReference {
--- a/packages/configuration/src/records/AcceptedRecords.ts
+++ b/packages/configuration/src/records/AcceptedRecords.ts
@@ -1,5 +1,6 @@
 import { EMPTY_SNAPSHOT, type Service, type Snapshot, type Target, type Workspace } from '@fescuespoke/common'
 import { type KeptRecord, type RefusedRecord } from '@fescuespoke/schema'
+import { type PublishedValue } from './readValues.js'
 
 /** Kind of a record. */
 export type RecordKind = 'service' | 'target' | 'workspace'
@@ -59,6 +60,8 @@
   readonly refused: readonly RefusedRecord[]
   readonly kept: readonly KeptRecord[]
   readonly snapshot: Snapshot
+  /** Each published value of the revision as it was read. */
+  readonly published: ReadonlyMap<string, PublishedValue>
 }
 
 /** Nothing in force. */
@@ -67,7 +70,8 @@
   records: new Map(),
   refused: [],
   kept: [],
-  snapshot: EMPTY_SNAPSHOT
+  snapshot: EMPTY_SNAPSHOT,
+  published: new Map()
 }
 
 /**
--- a/packages/configuration/src/records/convertRecords.ts
+++ b/packages/configuration/src/records/convertRecords.ts
@@ -11,7 +11,7 @@
 } from './AcceptedRecords.js'
 import { convertRecord } from './convertRecord.js'
 import { type PublishedRecord, type ReadValues, readValues } from './readValues.js'
-import { findReferredTargets, resolveReferences } from './resolveReferences.js'
+import { computePools, findReferredTargets, resolveReferences } from './resolveReferences.js'
 
 /**
  * Converts the published values of one revision. A record that cannot be accepted is refused alone, and its
@@ -25,7 +25,7 @@
   revision: number,
   previous: AcceptedRecords = NO_ACCEPTED_RECORDS
 ): AcceptedRecords {
-  const published = readValues(values)
+  const published = readValues(values, previous.published)
   const records = new Map<string, AcceptedRecord>()
   const refused: RefusedRecord[] = []
   for (const record of published.records) {
@@ -40,7 +40,8 @@
     records: resolved.records,
     refused: [...refused, ...resolved.refused],
     kept: listKept(resolved.records, published),
-    snapshot: createSnapshot(revision, resolved.records)
+    snapshot: createSnapshot(revision, resolved.records),
+    published: published.values
   }
 }
 
@@ -50,6 +51,7 @@
  * @param kept - Records that the peer keeps.
  */
 export function mergeKept (accepted: AcceptedRecords, kept: readonly KeptRecord[]): AcceptedRecords {
+  if (kept.length === 0) return accepted
   const records = new Map(accepted.records)
   for (const record of kept) {
     const content = parseKept(record)
@@ -105,9 +107,10 @@
 }
 
 function resolveNames (records: ReadonlyMap<string, AcceptedRecord>): Map<string, AcceptedRecord> {
+  const pools = computePools(records)
   const entries = [...records].map(([id, record]): [string, AcceptedRecord] => {
     if (record.content.kind !== 'service' || record.resolvedTargets !== undefined) return [id, record]
-    return [id, { ...record, resolvedTargets: findReferredTargets(record.content.reference, records) }]
+    return [id, { ...record, resolvedTargets: findReferredTargets(record.content.reference, pools) }]
   })
   return new Map(entries)
 }
--- a/packages/configuration/src/records/readValues.ts
+++ b/packages/configuration/src/records/readValues.ts
@@ -20,8 +20,16 @@
   readonly content: Result<RecordContent, string[]>
 }
 
+/** One published value as it was read. */
+export interface PublishedValue {
+  readonly text: string
+  readonly records: readonly PublishedRecord[]
+}
+
 /** All records of the published values, and the keys whose values cannot be read in full. */
 export interface ReadValues {
+  /** Each value by its key. */
+  readonly values: ReadonlyMap<string, PublishedValue>
   readonly records: readonly PublishedRecord[]
   readonly unreadableKeys: ReadonlySet<string>
 }
@@ -29,12 +37,18 @@
 /**
  * Reads every record of the published values, each checked by itself.
  * @param values - JSON text by key.
+ * @param known - Values that have been read before; those with the same text are not read again.
  */
-export function readValues (values: Readonly<Record<string, string>>): ReadValues {
-  const keys = Object.keys(values).sort()
-  const records = refuseDuplicates(keys.flatMap(key => readValue(key, values[key] as string)))
+export function readValues (values: Readonly<Record<string, string>>, known: ReadonlyMap<string, PublishedValue>): ReadValues {
+  const read = new Map<string, PublishedValue>()
+  for (const key of Object.keys(values).sort()) {
+    const text = values[key] as string
+    const before = known.get(key)
+    read.set(key, before?.text === text ? before : { text, records: readValue(key, text) })
+  }
+  const records = refuseDuplicates([...read.values()].flatMap(value => value.records))
   const unreadableKeys = new Set(records.filter(record => record.id === undefined).map(record => record.key))
-  return { records, unreadableKeys }
+  return { values: read, records, unreadableKeys }
 }
 
 function readValue (key: string, text: string): PublishedRecord[] {
@@ -85,7 +99,10 @@
 function refuseDuplicates (records: readonly PublishedRecord[]): PublishedRecord[] {
   const byId = new Map<string, PublishedRecord[]>()
   for (const record of records) {
-    if (record.id !== undefined) byId.set(record.id, [...byId.get(record.id) ?? [], record])
+    if (record.id === undefined) continue
+    const same = byId.get(record.id)
+    if (same === undefined) byId.set(record.id, [record])
+    else same.push(record)
   }
   return records.flatMap(record => {
     const same = record.id === undefined ? [record] : byId.get(record.id) ?? [record]
--- a/packages/configuration/src/records/resolveReferences.ts
+++ b/packages/configuration/src/records/resolveReferences.ts
@@ -31,27 +31,42 @@
  */
 export function resolveReferences (options: ResolveOptions): ResolvedRecords {
   const work: Work = { ...options, records: new Map(options.records), refused: [] }
+  const pools = computePools(work.records)
   const services = listOfKind(work.records, 'service')
   const unresolved = services
-    .filter(([id, record]) => !resolveService(work, id, record))
+    .filter(([id, record]) => !resolveService(work, pools, id, record))
     .map(([id, record]) => ({ id, record, problems: listServiceProblems(work, record) }))
   for (const { id, record, problems } of unresolved) refuseService(work, id, record, problems)
   for (const [id, record] of listOfKind(work.records, 'workspace')) resolveWorkspace(work, id, record)
   return { records: work.records, refused: work.refused }
 }
 
+/** Names of targets by the pool that they belong to, sorted. */
+export type TargetPools = ReadonlyMap<string, readonly string[]>
+
+/**
+ * Groups the targets of all records by their pools.
+ * @param records - Records by kind and name.
+ */
+export function computePools (records: ReadonlyMap<string, AcceptedRecord>): TargetPools {
+  const pools = new Map<string, string[]>()
+  for (const { content } of records.values()) {
+    if (content.kind !== 'target' || content.pool === undefined) continue
+    const names = pools.get(content.pool)
+    if (names === undefined) pools.set(content.pool, [content.name])
+    else names.push(content.name)
+  }
+  for (const names of pools.values()) names.sort()
+  return pools
+}
+
 /**
  * Finds the names of the targets that a reference means, sorted; a name may have no record.
  * @param reference - The reference.
- * @param records - Records by kind and name.
+ * @param pools - Targets by their pools.
  */
-export function findReferredTargets (reference: TargetReference, records: ReadonlyMap<string, AcceptedRecord>): string[] {
-  if (reference.by === 'names') return [...reference.targets]
-  const targets = listOfKind(records, 'target').map(([, record]) => record.content)
-  return targets
-    .filter(content => content.kind === 'target' && content.pool === reference.pool)
-    .map(content => content.name)
-    .sort()
+export function findReferredTargets (reference: TargetReference, pools: TargetPools): readonly string[] {
+  return reference.by === 'names' ? reference.targets : pools.get(reference.pool) ?? []
 }
 
 interface Work extends ResolveOptions {
@@ -63,9 +78,9 @@
   return [...records].filter(([, record]) => record.content.kind === kind).sort(([a], [b]) => a < b ? -1 : 1)
 }
 
-function resolveService (work: Work, id: string, record: AcceptedRecord): boolean {
+function resolveService (work: Work, pools: TargetPools, id: string, record: AcceptedRecord): boolean {
   if (record.content.kind !== 'service') return false
-  const names = findReferredTargets(record.content.reference, work.records)
+  const names = findReferredTargets(record.content.reference, pools)
   const isResolved = names.length > 0 && names.every(name => work.records.has(formatRecordId('target', name)))
   if (isResolved) work.records.set(id, { ...record, resolvedTargets: names })
   return isResolved
