Explore models of the core protocol and their mutants

Cause: the safety of leases, dispatch, resume, drain, accepted revisions, fencing numbers and evidence of targets was argued in notes and tests only. A small exploration is written here because the package lists hold no npm library that explores all states of a model.

--- /dev/null
+++ b/packages/model/src/explore/models.ts
@@ -0,0 +1,9 @@
+import { configurationModel } from '../configuration/configurationModel.js'
+import { ordersModel } from '../orders/ordersModel.js'
+import { repliesModel } from '../replies/repliesModel.js'
+import { requestsModel } from '../requests/requestsModel.js'
+import { targetsModel } from '../targets/targetsModel.js'
+import { type Model } from './Model.js'
+
+/** All models, each with states of its own. */
+export const MODELS: ReadonlyArray<Model<any>> = [requestsModel, repliesModel, configurationModel, ordersModel, targetsModel]
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export * from './configuration/configurationModel.js'
+export * from './explore/checkModels.js'
+export * from './explore/exploreModel.js'
+export * from './explore/Model.js'
+export * from './explore/models.js'
+export * from './explore/replayTrace.js'
+export * from './orders/ordersModel.js'
+export * from './replies/repliesModel.js'
+export * from './requests/requestsModel.js'
+export * from './requests/RequestsState.js'
+export * from './targets/targetsModel.js'
