Let a new instance wait until its fleet has been heard

Cause: with a stale service a new instance was ready with records that its peers had already replaced. Change: a wait for the first answers of service and peers, bounded when nobody knows the fleet.

--- a/packages/configuration/src/spread/ConfigurationFollower.ts
+++ b/packages/configuration/src/spread/ConfigurationFollower.ts
@@ -32,6 +32,11 @@
   maxBackoffMs: 1500
 }
 
+/** Longest wait for the instance list before peers are asked, in milliseconds. */
+const MAX_FLEET_WAIT_MS = 2000
+
+const FLEET_CHECK_MS = 50
+
 /** Follows the published records through the configuration service and through peers. */
 export class ConfigurationFollower {
   /**
@@ -90,6 +95,18 @@
     await this.follower.refresh(options)
   }
 
+  /**
+   * Waits until the service and a few peers have been asked once, so that a new instance does not begin with records
+   * that its fleet has already replaced.
+   * @param isFleetKnown - Tells whether the instance list has been read, so that peers can be asked.
+   */
+  async waitUntilHeard (isFleetKnown: () => boolean): Promise<void> {
+    const { clock } = this.options
+    const endMs = clock.nowMs() + MAX_FLEET_WAIT_MS
+    while (!isFleetKnown() && clock.nowMs() < endMs) await clock.sleep(FLEET_CHECK_MS)
+    await this.follower.refresh()
+  }
+
   /**
    * Observes a revision that a peer, a request lease or a target has named, and fetches it when it is higher.
    * @param revision - The revision named.
--- a/packages/configuration/test/spread/ConfigurationFollower.test.ts
+++ b/packages/configuration/test/spread/ConfigurationFollower.test.ts
@@ -86,6 +86,23 @@
       .toBe('i0:2 i2:2 i1:2')
   })
 
+  it('lets a new instance wait until its peers have been heard when the service is stale', async () => {
+    await doTest(3, publish(2, DELETED), () => fleet.platform.serveState(1))
+    const { follower, configuration, list } = await fleet.startInstance('i9', 'z1')
+    const heard = follower.waitUntilHeard(() => list.getVersion() > 0)
+    await fleet.clock.advance(600)
+    await heard
+    expect(configuration.getRevision()).toBe(2)
+  })
+
+  it('does not wait for a fleet that nobody knows for ever', async () => {
+    fleet.platform.isUpFor = () => false
+    const { follower } = await fleet.startInstance('i9', 'z1')
+    const heard = follower.waitUntilHeard(() => false)
+    await fleet.clock.advance(3000)
+    await heard
+  })
+
   it('gives a new instance everything from its peers when the service is down', async () => {
     expect(await doTest(2, publish(2, AMENDED), () => { fleet.platform.isUpFor = () => false }, async () => await fleet.startInstance('i9', 'z1')))
       .toBe('i0:2 i1:2 i9:2')
