Know that a request has not left, and give up silent connections sooner

Cause: whether a byte had left was guessed from a list of error codes, so a connection that was given up while it was being made counted as sent and a call ended unknown; a pooled connection that had gone silent cost a call a second. Change: the dispatcher tells when a request starts to be written; everything before is notSent, whatever the error; idle connections are kept for 1 s; first byte within 800 ms, connection within 500 ms; a stateful fake fleet with cuts, restarts, refusals and stopped instances checks how often calls ran; a link freezes connections to real instances.

--- a/packages/caller/src/Caller.ts
+++ b/packages/caller/src/Caller.ts
@@ -14,8 +14,8 @@
 
 const DEFAULTS = {
   silenceMs: 3000,
-  firstByteMs: 1000,
-  connectTimeoutMs: 1000,
+  firstByteMs: 800,
+  connectTimeoutMs: 500,
   avoidMs: 10_000,
   maxSubmissions: 4,
   maxAttempts: 8,
--- a/packages/caller/src/http/ConnectionPool.ts
+++ b/packages/caller/src/http/ConnectionPool.ts
@@ -1,5 +1,8 @@
 import { Agent, type Dispatcher } from 'undici'
 
+/** Time in milliseconds for which an idle connection is kept; the longer it is idle, the likelier it has fallen silent. */
+const IDLE_CONNECTION_MS = 1000
+
 /** Makes a dispatcher with connections of its own. */
 export type DispatcherFactory = () => Dispatcher
 
@@ -56,5 +59,12 @@
 }
 
 function createAgent (connectTimeoutMs: number): Dispatcher {
-  return new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  return new Agent({
+    connect: { timeout: connectTimeoutMs },
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    keepAliveMaxTimeout: IDLE_CONNECTION_MS
+  })
 }
--- a/packages/caller/src/http/ExchangeError.ts
+++ b/packages/caller/src/http/ExchangeError.ts
@@ -12,9 +12,11 @@
   readonly detail: string
 }
 
-/** The request was given up on this side; it may have arrived. */
+/** The request was given up on this side. */
 export interface AbortedError {
   readonly kind: 'aborted'
+  /** Whether a byte of it may have arrived. */
+  readonly mayHaveArrived: boolean
   readonly detail: string
 }
 
@@ -29,19 +31,11 @@
 /** Why an exchange with an instance brought no result. */
 export type ExchangeError = NotSentError | CutError | AbortedError | RefusedError
 
-/** Codes of errors that only occur before a connection stands. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
-])
-
 /**
- * Converts an exception of the HTTP library.
+ * Describes an exception of the HTTP library.
  * @param cause - What was thrown.
- * @param connected - Whether a response had begun.
  */
-export function convertException (cause: unknown, connected: boolean): ExchangeError {
+export function describeException (cause: unknown): string {
   const { code, message } = cause as { code?: string, message?: string }
-  const detail = message === undefined || message === '' ? String(code ?? cause) : message
-  const isNotSent = !connected && code !== undefined && NOT_SENT_CODES.has(code)
-  return { kind: isNotSent ? 'notSent' : 'cut', detail }
+  return message === undefined || message === '' ? String(code ?? cause) : message
 }
--- a/packages/caller/src/http/InstanceClient.ts
+++ b/packages/caller/src/http/InstanceClient.ts
@@ -3,7 +3,8 @@
 import { Result } from 'true-myth'
 import { type Dispatcher, request } from 'undici'
 import { type ConnectionPool } from './ConnectionPool.js'
-import { convertException, type ExchangeError, type RefusedError } from './ExchangeError.js'
+import { describeException, type ExchangeError, type RefusedError } from './ExchangeError.js'
+import { observeSending } from './observeSending.js'
 import { SilenceTimer } from './SilenceTimer.js'
 
 /** One HTTP request to one instance. */
@@ -146,24 +147,36 @@
     const firstByteMs = answersAtOnce === true ? this.options.firstByteMs : silenceMs
     const timer = SilenceTimer.create({ clock, silenceMs, firstByteMs, signal })
     const headers = body === undefined ? undefined : { 'content-type': 'application/json' }
-    let connected = false
+    const progress: Progress = { hasLeft: false, limitMs: firstByteMs }
     try {
-      const response = await request(url + path, { dispatcher, method, body, headers, signal: timer.getSignal() })
-      connected = true
+      const observed = observeSending(dispatcher, () => { progress.hasLeft = true })
+      const response = await request(url + path, { dispatcher: observed, method, body, headers, signal: timer.getSignal() })
+      progress.limitMs = silenceMs
       timer.restart()
       if (response.statusCode >= 400) return Result.err(await readRefusal(response))
       return Result.ok(await read(response, timer))
     } catch (cause) {
-      if (signal?.aborted === true) return Result.err({ kind: 'aborted', detail: 'given up by the caller' })
+      if (signal?.aborted === true) return Result.err({ kind: 'aborted', mayHaveArrived: progress.hasLeft, detail: 'given up by the caller' })
       pool.replace(dispatcher)
-      if (timer.getSignal().aborted) return Result.err({ kind: 'cut', detail: `silent for ${connected ? silenceMs : firstByteMs} ms` })
-      return Result.err(convertException(cause, connected))
+      return Result.err(describeFailure(cause, timer, progress))
     } finally {
       timer.stop()
     }
   }
 }
 
+interface Progress {
+  /** Whether a byte of the request may have left. */
+  hasLeft: boolean
+  /** Longest silence at this point, in milliseconds. */
+  limitMs: number
+}
+
+function describeFailure (cause: unknown, timer: SilenceTimer, { hasLeft, limitMs }: Progress): ExchangeError {
+  const detail = timer.getSignal().aborted ? `silent for ${limitMs} ms` : describeException(cause)
+  return { kind: hasLeft ? 'cut' : 'notSent', detail }
+}
+
 async function * observeChunks (chunks: AsyncIterable<Uint8Array>, timer: SilenceTimer): AsyncGenerator<Uint8Array> {
   for await (const chunk of chunks) {
     timer.restart()
--- /dev/null
+++ b/packages/caller/src/http/observeSending.ts
@@ -0,0 +1,19 @@
+import { type Dispatcher } from 'undici'
+
+/**
+ * Tells when a request starts to be written to a connection; before that no byte of it has left.
+ * @param dispatcher - Dispatcher of the request.
+ * @param onSend - Called right before the first byte is written.
+ */
+export function observeSending (dispatcher: Dispatcher, onSend: () => void): Dispatcher {
+  return dispatcher.compose(dispatch => (options, handler) => dispatch(options, {
+    onRequestStart: (controller, context) => {
+      onSend()
+      handler.onRequestStart?.(controller, context)
+    },
+    onResponseStart: (controller, status, headers, message) => handler.onResponseStart?.(controller, status, headers, message),
+    onResponseData: (controller, chunk) => handler.onResponseData?.(controller, chunk),
+    onResponseEnd: (controller, trailers) => handler.onResponseEnd?.(controller, trailers),
+    onResponseError: (controller, error) => handler.onResponseError?.(controller, error)
+  }))
+}
--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -1,7 +1,7 @@
 import { type EndEvent, type ErrorBody, type SubmitRequest } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type AnswerReason } from '../answer/AnswerResult.js'
-import { type ExchangeError, type RefusedError } from '../http/ExchangeError.js'
+import { type AbortedError, type ExchangeError, type RefusedError } from '../http/ExchangeError.js'
 import { type LeaveCause, type LeftStream } from '../http/InstanceClient.js'
 import { type RequestSlot } from '../leases/LeaseBook.js'
 import { type RequestContext } from './RequestContext.js'
@@ -141,7 +141,7 @@
     this.lastDetail = error.detail
     const handlers: { [K in ExchangeError['kind']]: () => AttemptSequel } = {
       aborted: () => {
-        this.mayHaveArrived = true
+        this.mayHaveArrived ||= (error as AbortedError).mayHaveArrived
         return 'cancelled'
       },
       notSent: () => this.settleNotSent(error.detail),
--- a/packages/caller/test/integration/caller.integration.test.ts
+++ b/packages/caller/test/integration/caller.integration.test.ts
@@ -51,6 +51,28 @@
     await drained
   })
 
+  it('gets a whole generation when its connections fall silent for good', async () => {
+    const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
+    expect(await doTest(answer, () => fleet.link.freeze())).toMatchInlineSnapshot('"120 of 120 tokens in order from 1 generation, complete finished"')
+  })
+
+  it('makes calls once when connections fall silent for good between them', async () => {
+    const outcomes: string[] = []
+    for (let gate = 0; gate < 3; gate++) {
+      outcomes.push(describeResult(await fleet.caller.call({ service: 'gate', body: { gate } }).wait()))
+      fleet.link.freeze()
+    }
+    const calls = [...fleet.platform.deployment.plainServices.values()].flatMap(service => service.listCalls())
+    expect([...outcomes, `${calls.length} calls ran`]).toMatchInlineSnapshot(`
+      [
+        "complete finished",
+        "complete finished",
+        "complete finished",
+        "3 calls ran",
+      ]
+    `)
+  })
+
   it('fails a generation whose engine dies after tokens were delivered', async () => {
     const answer = fleet.caller.generate({ service: 'draft', prompt: 'p' })
     const printed = await doTest(answer, () => { for (const engine of fleet.platform.engines.values()) engine.kill() })
--- a/packages/caller/test/integration/startFleet.ts
+++ b/packages/caller/test/integration/startFleet.ts
@@ -1,6 +1,8 @@
 import { Instance, parseSettings } from '@fescuespoke/daemon'
 import { type DeploymentShape, type Platform, startPlatform } from '@fescuespoke/standins'
+import { type Dispatcher } from 'undici'
 import { Caller } from '../../src/index.js'
+import { FreezableLink } from './FreezableLink.js'
 
 /** Tokens of each generation. */
 export const OUTPUT_TOKENS = 120
@@ -23,6 +25,8 @@
 export interface Fleet {
   readonly platform: Platform
   readonly instances: readonly Instance[]
+  /** Between the caller and the instances. */
+  readonly link: FreezableLink
   readonly caller: Caller
   /** Finds the instance that owns a request, by the id of the request. */
   readonly findOwner: (request: string) => Instance
@@ -44,14 +48,18 @@
     region: SHAPE.region
   })))
   for (const instance of instances) await instance.waitUntilReady()
-  const caller = Caller.create({ bootstrapUrls: instances.map(instance => instance.getUrl()), workspace: 'garage-1' })
+  const bootstrapUrls = instances.map(instance => instance.getUrl())
+  const link = FreezableLink.create()
+  const createDispatcher = (): Dispatcher => link.createDispatcher()
+  const caller = Caller.create({ bootstrapUrls, workspace: 'garage-1', silenceMs: 300, createDispatcher })
   const stop = async (): Promise<void> => {
     await caller.close()
+    await link.stop()
     for (const instance of instances) await instance.stop()
     await platform.close()
   }
   const findOwner = (request: string): Instance => instances[Number(request.charAt(1)) - 1] as Instance
-  return { platform, instances, caller, findOwner, stop }
+  return { platform, instances, link, caller, findOwner, stop }
 }
 
 function createInstance (platform: Platform, id: string, availabilityZone: string): Instance {
@@ -67,6 +75,7 @@
     `instanceListUrl = ${platform.instances.url}`,
     '[requests]',
     'addressValidityMs = 100',
+    'heartbeatMs = 50',
     'drainMs = 0'
   ].join('\n'))
   if (settings.isErr) throw new Error(settings.error.join('; '))
--- a/packages/caller/test/requests/Submission.test.ts
+++ b/packages/caller/test/requests/Submission.test.ts
@@ -1,4 +1,4 @@
-import { Agent } from 'undici'
+import { Agent, buildConnector } from 'undici'
 import { describe, expect, it } from 'vitest'
 import { type Scripts, type Step } from '../support/FakeInstance.js'
 import {
@@ -286,6 +286,32 @@
     `)
   })
 
+  it('moves a call to another owner when its connection never stood, whatever the error', async () => {
+    const connectSocket = buildConnector({})
+    let failingPort = ''
+    const createDispatcher = (): Agent => new Agent({
+      pipelining: 0,
+      connect: (options, callback) => {
+        if (options.port === failingPort) callback(new Error('no answer'), null)
+        else connectSocket(options, callback)
+      }
+    })
+    const scripts = [{ 'PUT requests': [REPLIED] }, { 'PUT requests': [REPLIED] }]
+    expect(await doCallerTest({ scripts, callerOptions: { createDispatcher } }, async test => {
+      await callOnce(test)
+      failingPort = new URL(test.fakes[0]?.url ?? '').port
+      return await callOnce(test)
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
   it('moves a call to another owner when its only copy met a restarted one', async () => {
     expect(await doTest([{ 'PUT requests': [OWNER_RESTARTED] }, { 'PUT requests': [REPLIED] }], callOnce)).toMatchInlineSnapshot(`
       [
@@ -322,6 +348,17 @@
     `)
   })
 
+  it('leaves a call unknown when its repetition is refused', async () => {
+    expect(await doTest([{ 'PUT requests': [['cut'], createRefusal(413, 'tooLarge')] }], callOnce)).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "unknown tooLarge: tooLarge",
+      ]
+    `)
+  })
+
   it('gives a final answer at once', async () => {
     const end = { type: 'end', outcome: 'unknown', reason: 'replyLost', detail: 'the reply was lost' } as const
     expect(await doTest([{ 'PUT requests': [[createAccepted(), end]] }], callOnce)).toMatchInlineSnapshot(`
--- /dev/null
+++ b/packages/caller/test/requests/atMostOnce.test.ts
@@ -0,0 +1,48 @@
+import { SeededRandom } from '@fescuespoke/common'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { Caller } from '../../src/index.js'
+import { type ExchangeFault, FakeFleet } from '../support/FakeFleet.js'
+import { TestClock } from '../support/TestClock.js'
+
+const CALLS = 3
+
+const faults = fc.array(fc.constantFrom<ExchangeFault>(
+  'none', 'none', 'none', 'cutBefore', 'cutAfter', 'cutAfter', 'refuse', 'queueFull', 'restartBefore', 'restartAfter', 'stopAfter'
+), { maxLength: 24 })
+
+/** Times that a call of each outcome may have run. */
+const ALLOWED_RUNS: Readonly<Record<string, readonly number[]>> = {
+  complete: [1],
+  notRun: [0],
+  unknown: [0, 1],
+  failed: [],
+  cancelled: []
+}
+
+/** Makes calls one after the other and describes those that ran more or less often than their outcome says. */
+async function doTest (instances: number, exchangeFaults: readonly ExchangeFault[]): Promise<string[]> {
+  const fleet = await FakeFleet.start({ instances, faults: exchangeFaults })
+  const caller = Caller.create({ bootstrapUrls: fleet.urls, workspace: 'w', clock: TestClock.create(), random: SeededRandom.create(1) })
+  const wrong: string[] = []
+  try {
+    for (let call = 0; call < CALLS; call++) {
+      const body = `call ${call}`
+      const { outcome } = await caller.call({ service: 's', body }).wait()
+      const runs = fleet.runs.get(body) ?? 0
+      if (ALLOWED_RUNS[outcome]?.includes(runs) !== true) wrong.push(`${body}: ${outcome}, but ran ${runs} times`)
+    }
+  } finally {
+    await caller.close()
+    await fleet.stop()
+  }
+  return wrong
+}
+
+describe('Calls under faults', () => {
+  it('run at most once, and as often as their outcome says', async () => {
+    await fc.assert(fc.asyncProperty(fc.integer({ min: 1, max: 3 }), faults, async (instances, exchangeFaults) => {
+      expect(await doTest(instances, exchangeFaults)).toEqual([])
+    }), { seed: 31, numRuns: 120 })
+  })
+})
