Raise the load of the measured fault scenarios

Cause: the faults came at loads at which no policy was under pressure, so all rows were alike. Change: faults come at a load that leaves the rest of the fleet at about 95% of its capacity.

--- a/packages/bench/src/measure/scenarios.ts
+++ b/packages/bench/src/measure/scenarios.ts
@@ -69,25 +69,25 @@
     ? { ...service, deadlineMs: 1_800_000, output: { meanTokens: 500, sigma: 1.5, maxTokens: 20_000 } }
     : service)
 
-/** Scenarios by name. */
+/** Scenarios by name. Faults come at a load that leaves the rest of the fleet at about 95% of its capacity. */
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
   'steady-60': createScenario('association', 0.6),
   'steady-80': createScenario('association', 0.8),
   'steady-95': createScenario('association', 0.95),
   'steady-120': createScenario('association', 1.2),
   'heavy-tail': createScenario('association', 0.95, { services: HEAVY_TAIL_SERVICES, span: LONG_SPAN }),
-  burst: createScenario('association', 0.7, { burst: { workspace: 5, factor: 10, fromMs: FAULT_MS, toMs: FAULT_MS + 20_000 } }),
-  'slow-target': createScenario('association', 0.7, { faults: [createFault('slowEngine', 2)] }),
-  'target-killed': createScenario('association', 0.75, { faults: [createFault('killEngine', 3)] }),
-  'target-reclaimed': createScenario('association', 0.75, {
+  burst: createScenario('association', 0.75, { burst: { workspace: 5, factor: 10, fromMs: FAULT_MS, toMs: FAULT_MS + 20_000 } }),
+  'slow-target': createScenario('association', 0.8, { faults: [createFault('slowEngine', 2)] }),
+  'target-killed': createScenario('association', 0.85, { faults: [createFault('killEngine', 3)] }),
+  'target-reclaimed': createScenario('association', 0.77, {
     faults: [createFault('reclaimEngine', 1), createFault('reclaimEngine', 4, undefined, RECLAIM_REPEAT_MS)]
   }),
-  'zone-lost': createScenario('association', 0.6, { faults: [createFault('loseZone', 1)] }),
-  'cache-events-lost': createScenario('association', 0.8, { eventLossRate: 0.3 }),
-  'load-lag': createScenario('association', 0.9, { loadLagMs: LATE_LOAD_LAG_MS }),
-  'instance-paused': createScenario('association', 0.8, {
+  'zone-lost': createScenario('association', 0.66, { faults: [createFault('loseZone', 1)] }),
+  'cache-events-lost': createScenario('association', 0.95, { eventLossRate: 0.3 }),
+  'load-lag': createScenario('association', 0.95, { loadLagMs: LATE_LOAD_LAG_MS }),
+  'instance-paused': createScenario('association', 0.9, {
     faults: [createFault('pauseInstance', 0, 5000), createFault('pauseInstance', 3, 8000, 10_000)]
   }),
-  split: createScenario('association', 0.8, { faults: [createFault('splitInstances', 0, 30_000)] }),
-  mixed: createScenario('loVerde', 0.85)
+  split: createScenario('association', 0.95, { faults: [createFault('splitInstances', 0, 30_000)] }),
+  mixed: createScenario('loVerde', 0.95)
 }
