Hold requests back at a paused instance in the measuring command

Cause: requests reached the scheduler of an instance in the middle of its pause. Change: each request takes the way from its caller on the instance's own clock.

--- a/packages/bench/src/measure/SimulatedInstance.ts
+++ b/packages/bench/src/measure/SimulatedInstance.ts
@@ -94,13 +94,14 @@
    */
   async runRequest (arrival: Arrival): Promise<void> {
     this.open.add(arrival.id)
-    const { statistics, clock } = this.options
+    const { statistics, clock, latencyMs } = this.options
+    await clock.sleep(latencyMs)
     const failedTargets: string[] = []
     const deadlineMs = arrival.atMs + arrival.service.deadlineMs
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const placed = await this.scheduler.acquirePlacement(this.createRequest(arrival, deadlineMs, failedTargets))
       if (placed.isErr) break
-      await clock.sleep(this.options.latencyMs)
+      await clock.sleep(latencyMs)
       const result = await this.useTarget(arrival, placed.value, attempt)
       placed.value.release(result.end)
       if (result.end === 'complete') {
