Measure a pool's rate only while work waits for it

Cause: the rate that estimates a wait was that of arrivals while nothing waited, and near zero after a pause, so that requests which could have succeeded were refused. Change: cost and time count only while the pool is backlogged, a step counts at most 500 ms, and no estimate is used before 1 s of backlog.

--- a/packages/scheduling/src/queue/PoolRates.ts
+++ b/packages/scheduling/src/queue/PoolRates.ts
@@ -1,17 +1,23 @@
 import { type Clock } from '@fescuespoke/common'
 
-/** Span over which the rate of a pool is measured. */
-const WINDOW_MS = 5000
-const BUCKET_MS = 500
-const BUCKETS = WINDOW_MS / BUCKET_MS
+/** Backlogged time over which a rate is averaged, and that is needed before it is used. */
+const AVERAGE_MS = 5000
+const MIN_BACKLOGGED_MS = 1000
 
-interface Window {
-  readonly startedMs: number
-  readonly buckets: Float64Array
-  latest: number
+/** Longest time between two observations that counts; a longer one is a pause of the process. */
+const MAX_STEP_MS = 500
+
+/** Time without a backlog after which a rate is forgotten. */
+const FORGET_MS = 30_000
+
+interface Rate {
+  cost: number
+  backloggedMs: number
+  observedMs: number
+  wasBacklogged: boolean
 }
 
-/** Measures the work placed in each pool of targets over the last seconds. */
+/** Measures how fast each pool of targets takes work while some waits; without a backlog the rate is only that of arrivals. */
 export class PoolRates {
   /**
    * Creates empty rates.
@@ -21,44 +27,47 @@
     return new PoolRates(clock)
   }
 
-  private readonly windows = new Map<string, Window>()
+  private readonly rates = new Map<string, Rate>()
 
   /** @internal */
   private constructor (private readonly clock: Clock) {}
 
   /**
-   * Observes work that was placed.
+   * Observes a pool after work was placed or its backlog changed.
    * @param pool - Name of the pool.
-   * @param cost - Its work in tokens.
+   * @param isBacklogged - Whether work waits from now on.
+   * @param cost - Work that was placed, in tokens.
    */
-  observeServed (pool: string, cost: number): void {
-    const window = this.getWindow(pool)
-    const index = window.latest % BUCKETS
-    window.buckets[index] = (window.buckets[index] as number) + cost
+  observePool (pool: string, isBacklogged: boolean, cost = 0): void {
+    const rate = this.getRate(pool)
+    const nowMs = this.clock.nowMs()
+    const passedMs = nowMs - rate.observedMs
+    if (rate.wasBacklogged) addSpan(rate, Math.min(passedMs, MAX_STEP_MS), cost)
+    else if (passedMs > FORGET_MS) rate.backloggedMs = 0
+    rate.observedMs = nowMs
+    rate.wasBacklogged = isBacklogged
   }
 
   /**
-   * Gets the work placed for each millisecond; Infinity before any was measured long enough.
+   * Gets the work that a pool takes each millisecond; Infinity while it is unknown.
    * @param pool - Name of the pool.
    */
   getCostPerMs (pool: string): number {
-    const window = this.getWindow(pool)
-    const spanMs = Math.min(WINDOW_MS, this.clock.nowMs() - window.startedMs)
-    const sum = window.buckets.reduce((total, cost) => total + cost, 0)
-    return spanMs < WINDOW_MS / 2 || sum === 0 ? Infinity : sum / spanMs
+    const { cost, backloggedMs } = this.getRate(pool)
+    return backloggedMs < MIN_BACKLOGGED_MS ? Infinity : cost / backloggedMs
   }
 
-  private getWindow (pool: string): Window {
-    const bucket = Math.floor(this.clock.nowMs() / BUCKET_MS)
-    const known = this.windows.get(pool)
-    if (known === undefined) {
-      const window = { startedMs: this.clock.nowMs(), buckets: new Float64Array(BUCKETS), latest: bucket }
-      this.windows.set(pool, window)
-      return window
-    }
-    const passed = Math.min(BUCKETS, bucket - known.latest)
-    for (let step = 1; step <= passed; step++) known.buckets[(bucket - passed + step) % BUCKETS] = 0
-    known.latest = bucket
-    return known
+  private getRate (pool: string): Rate {
+    const known = this.rates.get(pool)
+    if (known !== undefined) return known
+    const rate: Rate = { cost: 0, backloggedMs: 0, observedMs: this.clock.nowMs(), wasBacklogged: false }
+    this.rates.set(pool, rate)
+    return rate
   }
 }
+
+function addSpan (rate: Rate, spanMs: number, cost: number): void {
+  const kept = Math.exp(-spanMs / AVERAGE_MS)
+  rate.cost = rate.cost * kept + cost
+  rate.backloggedMs = rate.backloggedMs * kept + spanMs
+}
--- a/packages/scheduling/src/queue/WaitingRequests.ts
+++ b/packages/scheduling/src/queue/WaitingRequests.ts
@@ -92,7 +92,7 @@
    * @param item - The request.
    */
   observePlaced (item: WaitingRequest): void {
-    this.rates.observeServed(item.pool, item.cost)
+    this.rates.observePool(item.pool, this.countOf(item.pool) > 0, item.cost)
   }
 
   /**
@@ -122,6 +122,7 @@
         cancelTimer()
         signal.removeEventListener('abort', abort)
         this.queue.remove(item, wasServed)
+        this.rates.observePool(item.pool, this.countOf(item.pool) > 0)
         resolve(result)
       }
       const abort = (): void => end(Result.err({ reason: 'cancelledByCaller', detail: 'cancelled while waiting' }), false)
@@ -129,6 +130,7 @@
       signal.addEventListener('abort', abort)
       this.waits.set(item, { item, end })
       this.queue.add(item)
+      this.rates.observePool(item.pool, true)
       this.refuseOverflow()
     })
   }
