--- a/packages/model/src/configuration/configurationModel.ts
+++ b/packages/model/src/configuration/configurationModel.ts
@@ -1,3 +1,4 @@
+import { createSet } from '../explore/createSet.js'
 import { type Model, type Step } from '../explore/Model.js'
 
 /** What one instance holds of the published records. */
@@ -90,9 +91,7 @@
   .map(instance => ({ name: `restart ${instance}`, next: setView(state, instance, EMPTY_VIEW) }))
 
 function addMessage (state: ConfigurationState, message: ValuesMessage): ConfigurationState {
-  const keys = new Map([...state.messages, message].map(other => [JSON.stringify(other), other]))
-  const messages = [...keys].sort(([a], [b]) => a < b ? -1 : 1).map(([, other]) => other)
-  return { ...state, messages }
+  return { ...state, messages: createSet([...state.messages, message]) }
 }
 
 function setView (state: ConfigurationState, instance: number, view: RecordsView): ConfigurationState {
--- a/packages/model/src/orders/ordersModel.ts
+++ b/packages/model/src/orders/ordersModel.ts
@@ -1,3 +1,4 @@
+import { createSet } from '../explore/createSet.js'
 import { type Model, type Step } from '../explore/Model.js'
 
 /** An order that is planned, or on its way. */
@@ -78,7 +79,7 @@
         ...state,
         publishedTicks: Math.min(LONG_PUBLISHED_TICKS, state.publishedTicks + 1),
         givers: state.givers.map(giver => ({ ...giver, ageTicks: addTick(giver.ageTicks), planned: giver.planned.map(ageOrder) })),
-        orders: sortOrders(state.orders.map(ageOrder))
+        orders: createSet(state.orders.map(ageOrder))
       }
     }]
 
@@ -135,7 +136,7 @@
   const isFresh = order.ageTicks <= STEP_TICKS || !guards.has('stepAge')
   const cleared = setGiver(state, index, { planned: [] })
   if (!isFresh || order.revision !== giver.revision) return [{ name: `drop ${index}`, next: cleared }]
-  return [{ name: `send ${index}`, next: { ...cleared, orders: sortOrders([...state.orders, { ...order, ageTicks: 0 }]) } }]
+  return [{ name: `send ${index}`, next: { ...cleared, orders: createSet([...state.orders, { ...order, ageTicks: 0 }]) } }]
 })
 
 /** An order arrives at the target, which refuses it, or carries it out. */
@@ -155,11 +156,6 @@
   return { ...next, hasLateOrder: state.hasLateOrder || isLate }
 }
 
-function sortOrders (orders: readonly ModelOrder[]): ModelOrder[] {
-  const keys = new Map(orders.map(order => [JSON.stringify(order), order]))
-  return [...keys].sort(([a], [b]) => a < b ? -1 : 1).map(([, order]) => order)
-}
-
 function getGiver (state: OrdersState, index: number): ModelGiver {
   return state.givers[index] as ModelGiver
 }
--- /dev/null
+++ b/packages/model/src/quint/parseItf.ts
@@ -0,0 +1,30 @@
+import { createSet } from '../explore/createSet.js'
+
+/** A value of a trace in the Informal Trace Format. */
+type ItfValue = string | boolean | number | ItfValue[] | { readonly [field: string]: ItfValue }
+
+type ValueParser = (value: never) => unknown
+
+const TAGGED_PARSERS: Record<string, ValueParser> = {
+  '#bigint': (text: string) => Number(text),
+  '#set': (items: ItfValue[]) => createSet(items.map(parseValue)),
+  '#tup': (items: ItfValue[]) => items.map(parseValue)
+}
+
+/**
+ * Parses a trace into the values of its variable `state`; sets become sorted lists.
+ * @param text - JSON text in the Informal Trace Format.
+ */
+export function parseItf (text: string): unknown[] {
+  const { states } = JSON.parse(text) as { states: Array<{ state: ItfValue }> }
+  return states.map(({ state }) => parseValue(state))
+}
+
+function parseValue (value: ItfValue): unknown {
+  if (Array.isArray(value)) return value.map(parseValue)
+  if (typeof value !== 'object') return value
+  for (const [tag, parse] of Object.entries(TAGGED_PARSERS)) {
+    if (tag in value) return parse(value[tag] as never)
+  }
+  return Object.fromEntries(Object.entries(value).map(([field, part]) => [field, parseValue(part)]))
+}
--- a/packages/model/src/replies/repliesModel.ts
+++ b/packages/model/src/replies/repliesModel.ts
@@ -1,3 +1,4 @@
+import { createSet } from '../explore/createSet.js'
 import { type Model, type Step } from '../explore/Model.js'
 
 /** One of two calls that run at the same target. */
@@ -39,7 +40,7 @@
   .filter(call => getCall(state, call).connection !== 0 && !state.replies.some(other => other.call === call))
   .map(call => {
     const replies = [...state.replies, { connection: getCall(state, call).connection, call }]
-    return { name: `reply ${call}`, next: { ...state, replies: replies.sort((a, b) => a.call - b.call) } }
+    return { name: `reply ${call}`, next: { ...state, replies: createSet(replies) } }
   })
 
 /** A call is given up by its deadline; its connection stays open for a late reply. */
--- a/packages/model/src/requests/RequestsState.ts
+++ b/packages/model/src/requests/RequestsState.ts
@@ -1,3 +1,5 @@
+import { createSet } from '../explore/createSet.js'
+
 /** How a request is served: two ways of delivering a generation, and calls that may or may not be repeated. */
 export type RequestKind = 'streamed' | 'held' | 'lookup' | 'charge'
 
@@ -137,7 +139,7 @@
  */
 export function addAnswer (state: RequestsState, outcome: ModelOutcome): RequestsState {
   if (state.answers.includes(outcome)) return state
-  return { ...state, answers: [...state.answers, outcome].sort() }
+  return { ...state, answers: createSet([...state.answers, outcome]) }
 }
 
 /**
@@ -149,5 +151,5 @@
 export function addToken (state: RequestsState, generation: number, offset: number): RequestsState {
   const token = generation * GENERATION_FACTOR + offset
   if (state.sentTokens.includes(token)) return state
-  return { ...state, sentTokens: [...state.sentTokens, token].sort((a, b) => a - b) }
+  return { ...state, sentTokens: createSet([...state.sentTokens, token]) }
 }
--- a/packages/model/src/targets/targetsModel.ts
+++ b/packages/model/src/targets/targetsModel.ts
@@ -1,3 +1,4 @@
+import { createSet } from '../explore/createSet.js'
 import { type Model, type Step } from '../explore/Model.js'
 
 /** An answer about a target on its way, with its age since the question was sent. */
@@ -58,7 +59,7 @@
     leavingTicks: state.leavingTicks === 0 ? 0 : Math.min(LONG_LEAVING_TICKS, state.leavingTicks + 1),
     list: { ...state.list, ageTicks: addTick(state.list.ageTicks) },
     report: { ...state.report, ageTicks: addTick(state.report.ageTicks) },
-    answers: sortAnswers(state.answers.map(answer => ({ ...answer, ageTicks: addTick(answer.ageTicks) })))
+    answers: createSet(state.answers.map(answer => ({ ...answer, ageTicks: addTick(answer.ageTicks) })))
   }
   return [{ name: 'tick', next }]
 }
@@ -74,12 +75,7 @@
 ]
 
 function addStateAnswer (state: TargetsState, answer: StateAnswer): TargetsState {
-  return { ...state, answers: sortAnswers([...state.answers, answer]) }
-}
-
-function sortAnswers (answers: readonly StateAnswer[]): StateAnswer[] {
-  const keys = new Map(answers.map(answer => [JSON.stringify(answer), answer]))
-  return [...keys].sort(([a], [b]) => a < b ? -1 : 1).map(([, answer]) => answer)
+  return { ...state, answers: createSet([...state.answers, answer]) }
 }
 
 const receive: Action = (state, guards) => state.answers.map(answer => {
