Check every promise over several daemons under mixed failures

Cause: the promises had been shown for one owner and by a demo, not for a fleet in which failures meet. Change: a simulated fleet in the tests joins the real parts of four daemons over a virtual clock, a memory network, links that can be cut and the cores of the stand-ins; thirteen situations by name and a seeded mixture of them check delivery, notRun, calls at most once, leaving targets, drains and revisions. Locating a lease is a module of its own. Ruled out: two reports of the first runs were faults of the harness (a copy's end taken for the main stream's, a garbage list handed over unchecked, forwarding to a dead process that hung).

--- a/packages/configuration/src/sources/index.ts
+++ b/packages/configuration/src/sources/index.ts
@@ -1,3 +1,4 @@
+export { checkList } from './checkList.js'
 export * from './ConfigurationSource.js'
 export * from './HttpConfigurationSource.js'
 export * from './HttpInstanceListSource.js'
--- a/packages/daemon/src/http/createCallerRoutes.ts
+++ b/packages/daemon/src/http/createCallerRoutes.ts
@@ -7,6 +7,7 @@
 import { FORWARDED_HEADER, forwardRequest } from '../forwarding/forwardRequest.js'
 import { type LeaseName, parseLease } from '../leases/LeaseName.js'
 import { type Lease, type LeaseRegistry } from '../leases/LeaseRegistry.js'
+import { describeUnknown, locateLease } from '../leases/locateLease.js'
 import { readEvents } from '../requests/readEvents.js'
 import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type RequestService } from '../requests/RequestService.js'
@@ -53,12 +54,6 @@
   readonly offset: number
 }
 
-/** Where the requests of a lease are. */
-type LeaseLocation =
-  | { readonly at: 'here', readonly lease: Lease }
-  | { readonly at: 'elsewhere', readonly url: string }
-  | { readonly at: 'nowhere', readonly end: EndEvent }
-
 type RequestHandler = (context: RouteContext, path: RequestPath, lease: Lease, text: string | undefined) => Promise<void>
 
 /**
@@ -130,9 +125,10 @@
     sendError(context.outgoing, 400, describeBadPath(context))
     return
   }
-  const location = locateLease(options, context, path)
+  const isForwarded = context.incoming.headers[FORWARDED_HEADER] !== undefined
+  const location = locateLease(path.name, path.leaseText, { ...options, isForwarded })
   if (location.at === 'here') await handle(context, path, location.lease, text)
-  else if (location.at === 'elsewhere') await forwardToOwner(options, context, location.url, text)
+  else if (location.at === 'elsewhere') await forwardToOwner(options, context, location.instance, text)
   else await sendEnd(context, location.end)
 }
 
@@ -152,23 +148,11 @@
   return { error: 'invalidInput', message: 'the path does not name a request', problems }
 }
 
-function locateLease (options: CallerRoutesOptions, { incoming }: RouteContext, { name, leaseText }: RequestPath): LeaseLocation {
-  if (name.instance !== options.instance) {
-    const url = incoming.headers[FORWARDED_HEADER] === undefined ? options.findInstanceUrl(name.instance) : undefined
-    return url === undefined ? { at: 'nowhere', end: describeUnknown('ownerUnreachable') } : { at: 'elsewhere', url }
-  }
-  if (name.incarnation !== options.incarnation) return { at: 'nowhere', end: describeUnknown('ownerRestarted') }
-  const lease = options.leases.findLease(leaseText).unwrapOr(undefined)
-  return lease === undefined ? { at: 'nowhere', end: describeUnknown('leaseUnknown') } : { at: 'here', lease }
-}
-
-function describeUnknown (reason: EndEvent['reason']): EndEvent {
-  return { type: 'end', outcome: 'unknown', reason }
-}
-
-async function forwardToOwner (options: CallerRoutesOptions, context: RouteContext, ownerUrl: string, body: string | undefined): Promise<void> {
+async function forwardToOwner (options: CallerRoutesOptions, context: RouteContext, owner: string, body: string | undefined): Promise<void> {
   const { incoming, outgoing } = context
-  const result = await forwardRequest({ incoming, outgoing, body, ownerUrl, dispatcher: options.dispatcher })
+  const ownerUrl = options.findInstanceUrl(owner)
+  const { dispatcher } = options
+  const result = ownerUrl === undefined ? 'ownerUnreachable' : await forwardRequest({ incoming, outgoing, body, ownerUrl, dispatcher })
   if (result === 'ownerUnreachable') await sendEnd(context, describeUnknown('ownerUnreachable'))
   if (result === 'cut') outgoing.destroy()
 }
--- a/packages/daemon/test/dispatch/runGeneration.test.ts
+++ b/packages/daemon/test/dispatch/runGeneration.test.ts
@@ -177,6 +177,39 @@
     `)
   })
 
+  it('has failed, and is not called not run, when no target is left for a generation that began', async () => {
+    const lost: ScriptStep[][] = [[createTokens(0, 5), 'cut'], ['notFound']]
+    expect(await doTest('held', { t1: lost })).toMatchInlineSnapshot(`
+      [
+        "accepted i~n~1~1 whole",
+        "generation g1",
+        "generation g2",
+        "generation g3",
+        "end failed targetLost",
+        "target: start g1 at t1 from 0",
+        "target: attach g1 at t1 from 5",
+        "target: cancel g1 at t1",
+        "target: start g2 at t2 from 0",
+        "target: start g3 at t3 from 0",
+      ]
+    `)
+  })
+
+  it('is not run when no target could be connected', async () => {
+    expect(await doTest('held', {})).toMatchInlineSnapshot(`
+      [
+        "accepted i~n~1~1 whole",
+        "generation g1",
+        "generation g2",
+        "generation g3",
+        "end notRun targetLost",
+        "target: start g1 at t1 from 0",
+        "target: start g2 at t2 from 0",
+        "target: start g3 at t3 from 0",
+      ]
+    `)
+  })
+
   it('refuses at once what the scheduler gives up on', async () => {
     const arrange = (owner: Owner): void => { owner.scheduler.refusal = { reason: 'overloaded', retryAfterMs: 700, detail: 'full' } }
     expect(await doTest('streamed', {}, arrange)).toMatchInlineSnapshot(`
--- /dev/null
+++ b/packages/daemon/test/fleet/CoreTargetClient.ts
@@ -0,0 +1,143 @@
+import { type Clock, type Target } from '@fescuespoke/common'
+import { type CacheEvent, type EngineEvent, type TargetState } from '@fescuespoke/schema'
+import { type Deployment } from '@fescuespoke/standins'
+import { Result } from 'true-myth'
+import {
+  type CallError, type CallOptions, type CallReply, type GenerationEvents, type GenerationOptions, type TargetClient, type TargetError
+} from '../../src/index.js'
+import { type Connection, type Links } from './Links.js'
+
+const LATENCY_MS = 1
+const CONNECT_TIMEOUT_MS = 500
+const SILENCE_MS = 1500
+
+export interface CoreTargetClientOptions {
+  readonly instance: string
+  /** Clock of the instance's process. */
+  readonly clock: Clock
+  /** Clock that no pause stops. */
+  readonly worldClock: Clock
+  readonly links: Links
+  readonly deployment: Deployment
+  /** Targets whose processes have ended. */
+  readonly deadTargets: ReadonlySet<string>
+  /** Targets that run calls and lose their replies. */
+  readonly silentTargets: ReadonlySet<string>
+  /** Targets that run calls and reset the connection instead of replying. */
+  readonly resettingTargets: ReadonlySet<string>
+}
+
+/** Reaches the cores of stand-ins without HTTP, over links that can be cut. */
+export class CoreTargetClient implements TargetClient {
+  constructor (private readonly options: CoreTargetClientOptions) {}
+
+  async * openGeneration (target: Target, options: GenerationOptions): GenerationEvents {
+    const connection = await this.connect(target)
+    const refusal = connection === undefined ? 'unreachable' : this.startGeneration(target, options)
+    if (connection === undefined || refusal !== undefined) yield Result.err(refusal ?? 'unreachable')
+    else yield * this.readGeneration(target, options, connection)
+  }
+
+  async cancelGeneration (target: Target, generation: string): Promise<Result<null, TargetError>> {
+    if (await this.connect(target) === undefined) return Result.err('unreachable')
+    this.options.deployment.engines.get(target.name)?.cancel(generation)
+    return Result.ok(null)
+  }
+
+  async sendCall (target: Target, options: CallOptions): Promise<Result<CallReply, CallError>> {
+    const connection = await this.connect(target)
+    if (connection === undefined) return Result.err('notSent')
+    if (!options.canSend()) return Result.err('withheld')
+    const core = this.options.deployment.plainServices.get(target.name)
+    const reply = new Promise<Result<CallReply, CallError>>(resolve => {
+      this.options.worldClock.startTimer(LATENCY_MS, async () => {
+        if (core === undefined || !connection.carries() || this.options.deadTargets.has(target.name)) return
+        const ran = await core.runCall(options.request, options.body)
+        const { silentTargets, resettingTargets } = this.options
+        const answer = resettingTargets.has(target.name) ? Result.err<CallReply, CallError>('replyLost') : Result.ok<CallReply, CallError>(ran)
+        if (!silentTargets.has(target.name)) this.carry(connection, () => resolve(answer))
+      })
+    })
+    const lost = this.options.clock.sleep(options.timeoutMs).then(() => Result.err<CallReply, CallError>('replyLost'))
+    return await Promise.race([reply, lost])
+  }
+
+  async fetchState (target: Target): Promise<Result<TargetState, TargetError>> {
+    const connection = await this.connect(target)
+    const { engines, plainServices } = this.options.deployment
+    const state = engines.get(target.name)?.getState() ?? plainServices.get(target.name)?.getState()
+    await this.options.clock.sleep(LATENCY_MS)
+    return connection?.carries() !== true || state === undefined ? Result.err('unreachable') : Result.ok(state)
+  }
+
+  async fetchCacheEvents (): Promise<Result<CacheEvent[], TargetError>> {
+    return Result.ok([])
+  }
+
+  async close (): Promise<void> {}
+
+  private startGeneration (target: Target, options: GenerationOptions): TargetError | undefined {
+    if (options.canSend?.() === false) return 'withheld'
+    const core = this.options.deployment.engines.get(target.name)
+    if (options.spec !== undefined && core?.startGeneration(options.generation, options.spec).isErr === true) return 'refused'
+    return core?.hasGeneration(options.generation) === true ? undefined : 'notFound'
+  }
+
+  private async * readGeneration (target: Target, options: GenerationOptions, connection: Connection): GenerationEvents {
+    const core = this.options.deployment.engines.get(target.name)
+    const queue: EngineEvent[] = []
+    let wake = (): void => undefined
+    const unsubscribe = core?.subscribe(options.generation, options.offset, event => this.carry(connection, () => {
+      queue.push(event)
+      wake()
+    })).unwrapOr(undefined)
+    try {
+      while (!options.signal.aborted) {
+        const event = queue.shift()
+        if (event !== undefined) yield Result.ok(event)
+        if (event?.type === 'end') return
+        if (queue.length === 0 && !await this.waitForEvent(options.signal, run => { wake = run })) {
+          yield Result.err('silent')
+          return
+        }
+      }
+      yield Result.err('aborted')
+    } finally {
+      unsubscribe?.()
+    }
+  }
+
+  private async connect (target: Target): Promise<Connection | undefined> {
+    const { links, instance, clock, deadTargets } = this.options
+    await clock.sleep(LATENCY_MS)
+    if (deadTargets.has(target.name)) return undefined
+    if (links.isOpen(instance, target.name)) {
+      const connection = links.connect(instance, target.name)
+      await clock.sleep(LATENCY_MS)
+      return connection
+    }
+    await clock.sleep(CONNECT_TIMEOUT_MS)
+    return undefined
+  }
+
+  private carry (connection: Connection, deliver: () => void): void {
+    this.options.clock.startTimer(LATENCY_MS, () => {
+      if (connection.carries()) deliver()
+    })
+  }
+
+  /** Waits for an event; tells whether one came before the silence was too long. */
+  private async waitForEvent (signal: AbortSignal, setWake: (wake: () => void) => void): Promise<boolean> {
+    return await new Promise(resolve => {
+      const finish = (isHeard: boolean): void => {
+        cancel()
+        signal.removeEventListener('abort', heard)
+        resolve(isHeard)
+      }
+      const heard = (): void => finish(true)
+      const cancel = this.options.clock.startTimer(SILENCE_MS, () => finish(false))
+      signal.addEventListener('abort', heard)
+      setWake(heard)
+    })
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/fleet/SimulatedCaller.ts
@@ -0,0 +1,142 @@
+import { pickIndex } from '@fescuespoke/common'
+import { type EndEvent, type StreamEvent, type SubmitRequest } from '@fescuespoke/schema'
+import { type FleetWorld, type SimulatedInstance } from './SimulatedInstance.js'
+
+/** Silence after which a stream is given up, in milliseconds. */
+const SILENCE_MS = 2000
+
+/** Time after which the caller gives up altogether, in milliseconds. */
+const PATIENCE_MS = 240_000
+
+/** Pause between attempts, in milliseconds. */
+const RETRY_MS = 300
+
+/** One request as its caller saw it. */
+export interface CallerReport {
+  readonly owner: string
+  /** Public id; empty when the caller never got a lease. */
+  id: string
+  readonly body: SubmitRequest
+  readonly tokens: string[]
+  /** Generations that tokens came from. */
+  readonly generations: Set<string>
+  /** Generations that were announced, whether or not tokens came. */
+  readonly announced: Set<string>
+  /** Every final event seen, on any stream, copies included. */
+  readonly ends: EndEvent[]
+  /** Tokens that left a gap or did not match. */
+  readonly faults: string[]
+  /** Final event of the stream that the tokens came by. */
+  final: EndEvent | undefined
+  resumeToken: string
+  wasHandedOver: boolean
+}
+
+/** Options of one simulated request. */
+export interface CallerOptions {
+  readonly world: FleetWorld
+  readonly listInstances: () => SimulatedInstance[]
+  readonly owner: SimulatedInstance
+  readonly workspace: string
+  readonly number: number
+  readonly body: SubmitRequest
+  /** Copies sent to other instances at the same time. */
+  readonly copies: number
+}
+
+/** Makes one request the way a caller without the library may, and keeps at it until a final event. */
+export async function runCaller (options: CallerOptions): Promise<CallerReport> {
+  const report = createReport(options)
+  const lease = await withTimeout(options.world, options.owner.grantLease(options.workspace))
+  if (lease === undefined) return report
+  report.id = `${lease.split('~').slice(0, 3).join('~')}~${options.number}`
+  for (let copy = 0; copy < options.copies; copy++) sendCopy(options, report, lease)
+  await runAttempts(options, report, lease)
+  return report
+}
+
+function createReport (options: CallerOptions): CallerReport {
+  return {
+    owner: options.owner.options.name, id: '', body: options.body, tokens: [], generations: new Set(), announced: new Set(), ends: [], faults: [], final: undefined, resumeToken: '', wasHandedOver: false
+  }
+}
+
+async function sendCopy (options: CallerOptions, report: CallerReport, lease: string): Promise<void> {
+  const { world, number, body } = options
+  await world.clock.sleep(pickIndex(world.random, 3000))
+  const instance = pickInstance(options)
+  if (instance === undefined) return
+  const end = await readStream(world, instance, instance.openRequest(lease, number, body, 0), () => undefined)
+  if (end !== undefined && end.type === 'end') report.ends.push(end)
+}
+
+async function runAttempts (options: CallerOptions, report: CallerReport, lease: string): Promise<void> {
+  const { world, owner } = options
+  const endMs = world.clock.nowMs() + PATIENCE_MS
+  let instance: SimulatedInstance | undefined = owner
+  let isResuming = false
+  while (world.clock.nowMs() < endMs) {
+    const last = instance === undefined ? undefined : await runAttempt(options, report, lease, instance, isResuming)
+    if (last?.type === 'end' && (last.outcome !== 'unknown' || isResuming || report.resumeToken === '')) return
+    isResuming ||= last !== undefined && report.resumeToken !== ''
+    await world.clock.sleep(RETRY_MS)
+    instance = pickInstance(options)
+  }
+}
+
+async function runAttempt (
+  { world, number, body }: CallerOptions, report: CallerReport, lease: string, instance: SimulatedInstance, isResuming: boolean
+): Promise<StreamEvent | undefined> {
+  const offset = report.tokens.length
+  const events = isResuming ? instance.resumeRequest(report.resumeToken, offset) : instance.openRequest(lease, number, body, offset)
+  const last = await readStream(world, instance, events, event => observeEvent(report, event))
+  if (last?.type === 'end') {
+    report.ends.push(last)
+    report.final = last
+  }
+  return last
+}
+
+/** Reads a stream until its end, a handover, or silence. */
+async function readStream (
+  world: FleetWorld, instance: SimulatedInstance, events: AsyncGenerator<StreamEvent>, observe: (event: StreamEvent) => void
+): Promise<StreamEvent | undefined> {
+  const connection = world.links.connect('caller', instance.options.name)
+  while (true) {
+    const next = await withTimeout(world, events.next())
+    if (next === undefined || next.done === true || !connection.carries() || !instance.isRunning()) return undefined
+    observe(next.value)
+    if (next.value.type === 'end' || next.value.type === 'handover') {
+      await events.return(undefined)
+      return next.value
+    }
+  }
+}
+
+async function withTimeout<T> (world: FleetWorld, wanted: Promise<T>): Promise<T | undefined> {
+  const stop = new AbortController()
+  const timeout = world.clock.sleep(SILENCE_MS, stop.signal).then(() => undefined)
+  const first = await Promise.race([wanted, timeout])
+  stop.abort()
+  return first
+}
+
+function pickInstance ({ world, listInstances }: CallerOptions): SimulatedInstance | undefined {
+  const reachable = listInstances().filter(instance => world.links.isOpen('caller', instance.options.name))
+  return reachable[pickIndex(world.random, reachable.length)]
+}
+
+function observeEvent (report: CallerReport, event: StreamEvent): void {
+  if (event.type === 'handover') report.wasHandedOver = true
+  if (event.type === 'generation') observeGeneration(report, event.generation, event.resumeToken)
+  if (event.type !== 'tokens') return
+  if (event.offset > report.tokens.length) report.faults.push(`gap before ${event.offset}`)
+  report.generations.add(event.generation)
+  for (const token of event.tokens.slice(report.tokens.length - event.offset)) report.tokens.push(token)
+}
+
+function observeGeneration (report: CallerReport, generation: string, resumeToken: string): void {
+  report.announced.add(generation)
+  if (report.tokens.length > 0 && !report.generations.has(generation)) report.faults.push(`generation ${generation} after tokens`)
+  report.resumeToken = resumeToken
+}
