Sort the instance list once for each change

Cause: the entries were sorted at every reading, twice a second for each peer asked and once for each share lent. Change: sorted entries and the confirmed map are kept; the time for which shares are lent is an option.

--- a/packages/configuration/src/list/InstanceListView.ts
+++ b/packages/configuration/src/list/InstanceListView.ts
@@ -48,9 +48,12 @@
 
   private version = 0
   private goodCount = 0
-  private entries = new Map<string, ListedEntry>()
-  /** Names in the list that was confirmed last. */
-  private confirmedNames: ReadonlySet<string> = new Set()
+  private entries: ReadonlyMap<string, ListedEntry> = new Map()
+  /** Entries of the last good list, without those kept from before it. */
+  private confirmed: ReadonlyMap<string, ListedEntry> = new Map()
+  /** Entries in use, sorted by name. */
+  private sorted: readonly ListedEntry[] = []
+  private instances: readonly ListedEntry[] = []
   private confirmedAtMs = -Infinity
   /** Versions of shrunk lists by the target that they called leaving. */
   private readonly leavingMarks = new Map<string, number>()
@@ -74,12 +77,12 @@
 
   /** Lists all entries in use, sorted by name. */
   listEntries (): readonly ListedEntry[] {
-    return [...this.entries.values()].sort((a, b) => a.id < b.id ? -1 : 1)
+    return this.sorted
   }
 
   /** Lists the entry instances, sorted by name. */
   listInstances (): readonly ListedEntry[] {
-    return this.listEntries().filter(entry => entry.role === 'entry')
+    return this.instances
   }
 
   /**
@@ -92,7 +95,7 @@
       return { state: 'leaving', ageMs: this.getAgeMs() }
     }
     if (entry === undefined) return { state: 'unknown', ageMs: Infinity }
-    return { state: 'active', ageMs: this.confirmedNames.has(name) ? this.getAgeMs() : Infinity }
+    return { state: 'active', ageMs: this.confirmed.has(name) ? this.getAgeMs() : Infinity }
   }
 
   /**
@@ -129,13 +132,13 @@
   findDifference (version: number): ListDifference | undefined {
     if (version < this.floorVersion || version > this.version) return undefined
     const names = [...this.changedAt].filter(([, at]) => at > version).map(([name]) => name).sort()
-    const changed = names.flatMap(name => this.confirmedNames.has(name) ? [this.entries.get(name) as ListedEntry] : [])
-    return { changed, removed: names.filter(name => !this.confirmedNames.has(name)) }
+    const changed = names.flatMap(name => this.confirmed.get(name) ?? [])
+    return { changed, removed: names.filter(name => !this.confirmed.has(name)) }
   }
 
-  /** Lists the entries of the last good list, without those kept from before it. */
-  listConfirmed (): readonly ListedEntry[] {
-    return this.listEntries().filter(entry => this.confirmedNames.has(entry.id))
+  /** Gets the entries of the last good list by name, without those kept from before it. The map does not change later. */
+  getConfirmed (): ReadonlyMap<string, ListedEntry> {
+    return this.confirmed
   }
 
   /**
@@ -153,12 +156,11 @@
     this.recordHistory(difference, list.version)
     this.recordDepartures(difference, next)
     this.recordDifference(difference, list.version, origin)
-    this.entries = next
-    this.confirmedNames = new Set(next.keys())
+    this.confirmed = next
     this.version = list.version
     this.goodCount = next.size
     this.confirmedAtMs = sentAtMs
-    this.announce()
+    this.replaceEntries(next)
     return 'accepted'
   }
 
@@ -175,8 +177,7 @@
     const difference = compareLists(this.entries, next)
     if (difference.changed.length === 0) return 'shrunk'
     this.recordDifference(difference, list.version, `${origin}, shrunk list`)
-    this.entries = next
-    this.announce()
+    this.replaceEntries(next)
     return 'shrunk'
   }
 
@@ -226,7 +227,10 @@
     this.options.audit.record({ kind, subject, revision, cause, before: before ?? 'absent', after })
   }
 
-  private announce (): void {
+  private replaceEntries (entries: ReadonlyMap<string, ListedEntry>): void {
+    this.entries = entries
+    this.sorted = [...entries.values()].sort((a, b) => a.id < b.id ? -1 : 1)
+    this.instances = this.sorted.filter(entry => entry.role === 'entry')
     for (const listener of this.listeners) listener(this)
   }
 }
--- a/packages/configuration/src/orders/LoadPermits.ts
+++ b/packages/configuration/src/orders/LoadPermits.ts
@@ -14,16 +14,17 @@
   readonly getFleetSize: () => number
   /** Rate of the weight store in loads a minute, over all instances. */
   readonly loadsPerMinute: number
+  /** Time in milliseconds for which a share is lent. */
+  readonly lendMs?: number
 }
 
-/** Time for which an instance lends its share of the rate, in milliseconds. */
-const LEND_MS = 30_000
+const DEFAULT_LEND_MS = 30_000
 
-/** Time after which a share is lent to another instance, in milliseconds; it may have reached the one before it late. */
-const STAY_MS = 2 * LEND_MS
+/** Number of times that a share is lent again within the time for which it is lent. */
+const RENEWALS = 6
 
-/** Interval at which a share is lent again, in milliseconds. */
-const RENEW_MS = 5_000
+/** Number of lending times after which a share is lent to another instance; it may have reached the one before it late. */
+const LENDINGS_BEFORE_CHANGE = 2
 
 const ANSWER_TIMEOUT_MS = 500
 
@@ -38,6 +39,7 @@
   }
 
   private readonly ledger: ShareLedger
+  private readonly lendMs: number
   private readonly abort = new AbortController()
   private task: Promise<void> | undefined
   private granter: string | undefined
@@ -47,8 +49,9 @@
   /** @internal */
   private constructor (private readonly options: LoadPermitsOptions) {
     const { clock, transport, loadsPerMinute, getFleetSize } = options
-    this.ledger = ShareLedger.create({ clock, loadsPerMinute, getFleetSize, lendMs: LEND_MS })
-    this.boundUntilMs = clock.nowMs() + LEND_MS
+    this.lendMs = options.lendMs ?? DEFAULT_LEND_MS
+    this.ledger = ShareLedger.create({ clock, loadsPerMinute, getFleetSize, lendMs: this.lendMs })
+    this.boundUntilMs = clock.nowMs() + this.lendMs
     transport.setHandler('loadPermitRequest', ({ wants }, from) => ({
       type: 'loadPermitAnswer',
       granted: this.ledger.requestPermit(from, wants)
@@ -83,7 +86,7 @@
     const { clock, random } = this.options
     while (!this.abort.signal.aborted) {
       await this.lendShare(false)
-      await clock.sleep(addJitter(random, RENEW_MS), this.abort.signal)
+      await clock.sleep(addJitter(random, this.lendMs / RENEWALS), this.abort.signal)
     }
   }
 
@@ -92,12 +95,12 @@
     if (granter === undefined) return false
     const { self, clock, transport } = this.options
     if (granter === self) {
-      this.boundUntilMs = clock.nowMs() + STAY_MS
+      this.boundUntilMs = clock.nowMs() + this.lendMs * LENDINGS_BEFORE_CHANGE
       return this.ledger.requestPermit(self, wants)
     }
     const message = { type: 'loadPermitRequest' as const, wants }
     const answer = await transport.request<'loadPermitAnswer'>(granter, message, ANSWER_TIMEOUT_MS)
-    this.boundUntilMs = clock.nowMs() + STAY_MS
+    this.boundUntilMs = clock.nowMs() + this.lendMs * LENDINGS_BEFORE_CHANGE
     return answer.isOk && answer.value.granted
   }
 
--- a/packages/configuration/src/orders/ShareLedger.ts
+++ b/packages/configuration/src/orders/ShareLedger.ts
@@ -16,8 +16,8 @@
 /** Number of parts that a partition may split the fleet into while the rate is still kept in every minute. */
 const MAX_PARTS = 3
 
-/** Time without any call after which the process is taken for paused, in milliseconds. */
-const MAX_GAP_MS = 15_000
+/** Part of the lending time without any call after which the process is taken for paused. */
+const MAX_GAP_SHARE = 0.5
 
 /**
  * Computes the rate that is divided among the instances. Each part of a split fleet may have one permit saved up, so
@@ -73,7 +73,7 @@
     const nowMs = this.options.clock.nowMs()
     const elapsedMs = nowMs - this.lastMs
     this.lastMs = nowMs
-    if (elapsedMs > MAX_GAP_MS) {
+    if (elapsedMs > this.options.lendMs * MAX_GAP_SHARE) {
       this.lentUntilMs.clear()
       this.saved = 0
       return
--- a/packages/configuration/src/spread/InstanceListFollower.ts
+++ b/packages/configuration/src/spread/InstanceListFollower.ts
@@ -155,7 +155,7 @@
   private async askPeer (instance: string): Promise<boolean> {
     const { view, transport, clock } = this.options
     const sentAtMs = clock.nowMs()
-    const base = new Map(view.listConfirmed().map(entry => [entry.id, entry]))
+    const base = view.getConfirmed()
     const request = { type: 'listRequest' as const, haveVersion: view.getVersion() }
     const reply = await transport.request<'listAnswer'>(instance, request, ANSWER_TIMEOUT_MS)
     if (reply.isErr || reply.value.version < Math.max(1, request.haveVersion)) return false
@@ -166,10 +166,10 @@
     return answer.version === view.getVersion()
   }
 
-  private offerAnswer (answer: ListAnswer, base: Map<string, ListedEntry>, confirmedAtMs: number, instance: string): void {
+  private offerAnswer (answer: ListAnswer, base: ReadonlyMap<string, ListedEntry>, confirmedAtMs: number, instance: string): void {
     const checked = checkList({ version: answer.version, entries: answer.entries })
     if (checked.isErr) return
-    const entries = answer.baseVersion === undefined ? new Map<string, ListedEntry>() : base
+    const entries = new Map(answer.baseVersion === undefined ? [] : base)
     for (const entry of checked.value.entries) entries.set(entry.id, entry)
     for (const id of answer.removed ?? []) entries.delete(id)
     this.options.view.offer({ version: answer.version, entries: [...entries.values()] }, `peer ${instance}`, confirmedAtMs)
@@ -186,7 +186,7 @@
     const answer = { type: 'listAnswer' as const, version, ageMs: Math.ceil(Math.min(view.getAgeMs(), Number.MAX_SAFE_INTEGER)) }
     if (request.haveVersion >= version) return { ...answer, entries: [] }
     const difference = view.findDifference(request.haveVersion)
-    if (difference === undefined) return { ...answer, entries: [...view.listConfirmed()] }
+    if (difference === undefined) return { ...answer, entries: [...view.getConfirmed().values()] }
     return { ...answer, entries: [...difference.changed], baseVersion: request.haveVersion, removed: [...difference.removed] }
   }
 }
