Ask another instance after a short silence, and read past a silent owner before going through others

Cause: with the owner of a stream paused (SIGSTOP, a daemon process of its own, two more instances), the stream stood still for 4657 ms, and a call that needed its first addresses asked the paused instance only and ended notRun. Change: addresses and leases are asked for at the next instance after 200 ms without an answer; instances known from other services are asked too, those that failed lately last; a generation is read at its engine before other instances are asked for its owner, since that harms nothing; 12 attempts in place of 8.

--- a/packages/caller/src/Caller.ts
+++ b/packages/caller/src/Caller.ts
@@ -16,9 +16,10 @@
   silenceMs: 3000,
   firstByteMs: 800,
   connectTimeoutMs: 500,
+  hedgeMs: 200,
   avoidMs: 10_000,
   maxSubmissions: 4,
-  maxAttempts: 8,
+  maxAttempts: 12,
   retryRatio: 0.1,
   retryBurst: 20
 }
--- a/packages/caller/src/CallerOptions.ts
+++ b/packages/caller/src/CallerOptions.ts
@@ -22,6 +22,8 @@
   readonly firstByteMs?: number
   /** Longest wait for a connection in milliseconds. */
   readonly connectTimeoutMs?: number
+  /** Time without an answer after which another instance is asked for addresses or a lease as well, in milliseconds. */
+  readonly hedgeMs?: number
   /** How long an instance that failed is ranked last, in milliseconds. */
   readonly avoidMs?: number
   /** Submissions of one request, each under a new id and only after the one before has certainly not run or is lost. */
--- a/packages/caller/src/addresses/AddressBook.ts
+++ b/packages/caller/src/addresses/AddressBook.ts
@@ -1,6 +1,9 @@
 import { type Clock, type Random, pickIndex } from '@fescuespoke/common'
 import { type Address, type AddressAnswer } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { type ExchangeError } from '../http/ExchangeError.js'
 import { type InstanceClient } from '../http/InstanceClient.js'
+import { requestFirst } from '../http/requestFirst.js'
 
 /** Options of an address book. */
 export interface AddressBookOptions {
@@ -12,10 +15,14 @@
   readonly bootstrapUrls: readonly string[]
   /** Availability zone whose instances go first. */
   readonly availabilityZone?: string
+  /** Time in milliseconds without an answer after which another instance is asked as well. */
+  readonly hedgeMs: number
   /** How long an instance that failed is ranked last, in milliseconds. */
   readonly avoidMs: number
 }
 
+const EMPTY_ANSWER: ExchangeError = { kind: 'cut', detail: 'the instance knows no address' }
+
 interface HeldAnswer {
   readonly addresses: readonly Address[]
   readonly validUntilMs: number
@@ -33,7 +40,7 @@
 
   private readonly answers = new Map<string, HeldAnswer>()
   private readonly fetches = new Map<string, Promise<readonly string[]>>()
-  private readonly avoidedUntilMs = new Map<string, number>()
+  private readonly excludedUntilMs = new Map<string, number>()
 
   /** @internal */
   private constructor (private readonly options: AddressBookOptions) {}
@@ -62,19 +69,34 @@
    * @param url - Base URL of the instance.
    */
   excludeUrl (url: string): void {
-    this.avoidedUntilMs.set(url, this.options.clock.nowMs() + this.options.avoidMs)
+    this.excludedUntilMs.set(url, this.options.clock.nowMs() + this.options.avoidMs)
   }
 
   private async fetchUrls (service: string): Promise<readonly string[]> {
-    const known = this.answers.get(service)?.addresses ?? []
-    const bootstrap = rankAtRandom(this.options.random, this.options.bootstrapUrls)
-    for (const url of new Set([...this.rankUrls(known), ...bootstrap])) {
-      const sentMs = this.options.clock.nowMs()
-      const answer = await this.options.client.fetchAddresses(url, service, this.options.workspace)
-      if (answer.isOk && answer.value.addresses.length > 0) return this.acceptAnswer(service, answer.value, sentMs)
-      if (answer.isErr) this.excludeUrl(url)
-    }
-    return this.rankUrls(known)
+    const { clock, client, workspace, hedgeMs } = this.options
+    const sentMs = clock.nowMs()
+    const answer = await requestFirst({
+      clock,
+      hedgeMs,
+      urls: this.listKnownUrls(service),
+      ask: async url => refuseEmptyAnswer(await client.fetchAddresses(url, service, workspace)),
+      onFailure: url => this.excludeUrl(url)
+    })
+    if (answer.isOk) return this.acceptAnswer(service, answer.value.value, sentMs)
+    return this.rankUrls(this.answers.get(service)?.addresses ?? [])
+  }
+
+  /** Any instance answers, so those of other services are asked too; those that failed lately come last. */
+  private listKnownUrls (service: string): string[] {
+    const { random, bootstrapUrls } = this.options
+    const own = this.rankUrls(this.answers.get(service)?.addresses ?? [])
+    const others = [...this.answers.values()].flatMap(({ addresses }) => this.rankUrls(addresses))
+    const urls = [...new Set([...own, ...rankAtRandom(random, bootstrapUrls), ...others])]
+    return [...urls.filter(url => !this.isExcluded(url)), ...urls.filter(url => this.isExcluded(url))]
+  }
+
+  private isExcluded (url: string): boolean {
+    return (this.excludedUntilMs.get(url) ?? 0) > this.options.clock.nowMs()
   }
 
   private acceptAnswer (service: string, answer: AddressAnswer, sentMs: number): readonly string[] {
@@ -83,16 +105,19 @@
   }
 
   private rankUrls (addresses: readonly Address[]): readonly string[] {
-    const nowMs = this.options.clock.nowMs()
     const computePenalty = ({ url, availabilityZone }: Address): number => {
-      const isAvoided = (this.avoidedUntilMs.get(url) ?? 0) > nowMs
       const isFar = this.options.availabilityZone !== undefined && availabilityZone !== this.options.availabilityZone
-      return (isAvoided ? 2 : 0) + (isFar ? 1 : 0)
+      return (this.isExcluded(url) ? 2 : 0) + (isFar ? 1 : 0)
     }
     return [...addresses].sort((a, b) => computePenalty(a) - computePenalty(b)).map(address => address.url)
   }
 }
 
+/** An instance that knows no address is of no use. */
+function refuseEmptyAnswer (answer: Result<AddressAnswer, ExchangeError>): Result<AddressAnswer, ExchangeError> {
+  return answer.andThen(value => value.addresses.length > 0 ? answer : Result.err<AddressAnswer, ExchangeError>(EMPTY_ANSWER))
+}
+
 function rankAtRandom (random: Random, urls: readonly string[]): string[] {
   const left = [...urls]
   const shuffled: string[] = []
--- a/packages/caller/src/leases/LeaseBook.ts
+++ b/packages/caller/src/leases/LeaseBook.ts
@@ -3,6 +3,7 @@
 import { type AddressBook } from '../addresses/AddressBook.js'
 import { type ExchangeError } from '../http/ExchangeError.js'
 import { type InstanceClient } from '../http/InstanceClient.js'
+import { requestFirst } from '../http/requestFirst.js'
 
 /** A request lease and the number that one request uses under it. */
 export interface RequestSlot {
@@ -18,6 +19,8 @@
   readonly addresses: Pick<AddressBook, 'listUrls' | 'excludeUrl'>
   readonly clock: Clock
   readonly workspace: string
+  /** Time in milliseconds without an answer after which another instance is asked as well. */
+  readonly hedgeMs: number
 }
 
 interface HeldLease {
@@ -76,20 +79,21 @@
   }
 
   private async requestLease (service: string): Promise<Result<HeldLease, ExchangeError>> {
-    let lastError: ExchangeError = { kind: 'notSent', detail: 'no address is known' }
-    for (const url of await this.options.addresses.listUrls(service)) {
-      const sentMs = this.options.clock.nowMs()
-      const granted = await this.options.client.requestLease(url, this.options.workspace)
-      if (granted.isOk) {
-        const { lease, validForMs } = granted.value
-        const held = { lease, ownerUrl: url, renewAtMs: sentMs + validForMs * USED_LIFE, nextNumber: 1 }
-        this.leases.set(service, held)
-        return Result.ok(held)
-      }
-      lastError = granted.error
-      this.options.addresses.excludeUrl(url)
-    }
-    return Result.err(lastError)
+    const { clock, client, addresses, workspace, hedgeMs } = this.options
+    const urls = await addresses.listUrls(service)
+    const sentMs = clock.nowMs()
+    const granted = await requestFirst({
+      clock,
+      hedgeMs,
+      urls,
+      ask: async url => await client.requestLease(url, workspace),
+      onFailure: url => addresses.excludeUrl(url)
+    })
+    return granted.map(({ url, value: { lease, validForMs } }) => {
+      const held = { lease, ownerUrl: url, renewAtMs: sentMs + validForMs * USED_LIFE, nextNumber: 1 }
+      this.leases.set(service, held)
+      return held
+    })
   }
 }
 
--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -55,7 +55,7 @@
   /** Attempts since the last one that brought a token. */
   private failures = 0
   private mayHaveArrived = false
-  private ownerUnreachable = false
+  private ownerGone = false
   private lastDetail = 'no attempt was made'
 
   /** @internal */
@@ -133,10 +133,15 @@
 
   private settleHandover (detail: string): AttemptSequel {
     if (this.options.context.buffer.getResumeToken() === undefined) return this.settleLostGeneration('draining', detail)
-    this.route = 'resume'
+    this.resumeElsewhere()
     return undefined
   }
 
+  private resumeElsewhere (): void {
+    this.ownerGone = true
+    this.route = 'resume'
+  }
+
   private settleError (error: ExchangeError): AttemptSequel {
     this.lastDetail = error.detail
     const handlers: { [K in ExchangeError['kind']]: () => AttemptSequel } = {
@@ -163,7 +168,7 @@
 
   private settleRefusal ({ error, detail }: RefusedError): AttemptSequel {
     const isTemporary = TEMPORARY_ERRORS[error]
-    if (this.route === 'resume') return isTemporary ? undefined : this.settleLostGeneration('generationLost', detail)
+    if (this.route === 'resume') return isTemporary ? this.pickNextRoute() : this.settleLostGeneration('generationLost', detail)
     if (isTemporary && error !== 'internal' && !this.mayHaveArrived) return createRetry('moveOn', error, detail)
     if (!isTemporary) {
       const outcome = this.mayHaveArrived ? 'unknown' : 'notRun'
@@ -198,7 +203,6 @@
 
   private settleOwnerUnreachable (): AttemptSequel {
     this.lastDetail = 'no instance reaches the owner of the request'
-    this.ownerUnreachable = true
     return this.pickNextRoute()
   }
 
@@ -210,16 +214,20 @@
     if (this.route === 'resume' || buffer.getResumeToken() === undefined) {
       return this.settleLostGeneration(end.reason, end.detail ?? '')
     }
-    this.route = 'resume'
+    this.resumeElsewhere()
     return undefined
   }
 
-  /** The owner first, then the owner through other instances, then past it where a generation can be resumed. */
+  /** The owner first, then past it where a generation can be read at its engine, then the owner through other instances. */
   private pickNextRoute (): undefined {
-    const { buffer, kind } = this.options.context
+    if (this.route === 'owner') this.options.context.services.addresses.excludeUrl(this.options.slot.ownerUrl)
     if (this.route === 'owner' && this.failures < OWNER_ATTEMPTS) return undefined
-    const canResume = this.ownerUnreachable && kind === 'generation' && buffer.getResumeToken() !== undefined
-    const routes: Record<Route, Route> = { owner: 'forward', forward: canResume ? 'resume' : 'owner', resume: 'resume' }
+    const canResume = this.options.context.buffer.getResumeToken() !== undefined
+    const routes: Record<Route, Route> = {
+      owner: canResume ? 'resume' : 'forward',
+      resume: this.ownerGone ? 'resume' : 'forward',
+      forward: 'owner'
+    }
     this.route = routes[this.route]
     return undefined
   }
--- /dev/null
+++ b/packages/caller/test/requests/SubmissionOfCalls.test.ts
@@ -0,0 +1,142 @@
+import { Agent, buildConnector } from 'undici'
+import { describe, expect, it } from 'vitest'
+import { type Scripts, type Step } from '../support/FakeInstance.js'
+import { callOnce, createAccepted, createComplete, createRefusal, doCallerTest } from '../support/doCallerTest.js'
+
+async function doTest (scripts: readonly Scripts[]): Promise<string[]> {
+  return await doCallerTest({ scripts }, callOnce)
+}
+
+const REPLY = { type: 'reply', status: 200, body: 'done' } as const
+const REPLIED = [createAccepted('whole'), REPLY, createComplete()] as const
+const OWNER_UNREACHABLE: readonly Step[] = [{ type: 'end', outcome: 'unknown', reason: 'ownerUnreachable' }]
+const OWNER_RESTARTED: readonly Step[] = [{ type: 'end', outcome: 'unknown', reason: 'ownerRestarted' }]
+
+describe('Submission of a call', () => {
+  it('repeats a call under the same id only', async () => {
+    expect(await doTest([{ 'PUT requests': [[createAccepted('whole'), 'cut'], ['cut'], REPLIED] }, { 'PUT requests': [['cut']] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('moves a call to another owner when no connection stood', async () => {
+    const callerOptions = { createDispatcher: () => new Agent({ pipelining: 0 }) }
+    const scripts = [{ 'PUT requests': [REPLIED] }, { 'PUT requests': [REPLIED] }]
+    expect(await doCallerTest({ scripts, callerOptions }, async test => {
+      await callOnce(test)
+      await test.fakes[0]?.stop()
+      return await callOnce(test)
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('moves a call to another owner when its connection never stood, whatever the error', async () => {
+    const connectSocket = buildConnector({})
+    let failingPort = ''
+    const createDispatcher = (): Agent => new Agent({
+      pipelining: 0,
+      connect: (options, callback) => {
+        if (options.port === failingPort) callback(new Error('no answer'), null)
+        else connectSocket(options, callback)
+      }
+    })
+    const scripts = [{ 'PUT requests': [REPLIED] }, { 'PUT requests': [REPLIED] }]
+    expect(await doCallerTest({ scripts, callerOptions: { createDispatcher } }, async test => {
+      await callOnce(test)
+      failingPort = new URL(test.fakes[0]?.url ?? '').port
+      return await callOnce(test)
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('moves a call to another owner when its only copy met a restarted one', async () => {
+    expect(await doTest([{ 'PUT requests': [OWNER_RESTARTED] }, { 'PUT requests': [REPLIED] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
+
+  it('leaves a call unknown when the owner restarted after a copy had left', async () => {
+    expect(await doTest([{ 'PUT requests': [['cut'], OWNER_RESTARTED] }, { 'PUT requests': [REPLIED] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "unknown ownerRestarted: ",
+      ]
+    `)
+  })
+
+  it('leaves a call unknown when its owner is gone', async () => {
+    expect(await doTest([{ 'PUT requests': [['stop']] }, { 'PUT requests': [OWNER_UNREACHABLE] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "unknown ownerUnreachable: connect ECONNREFUSED HOST",
+      ]
+    `)
+  })
+
+  it('leaves a call unknown when its repetition is refused', async () => {
+    expect(await doTest([{ 'PUT requests': [['cut'], createRefusal(413, 'tooLarge')] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "unknown tooLarge: tooLarge",
+      ]
+    `)
+  })
+
+  it('gives a final answer at once', async () => {
+    const end = { type: 'end', outcome: 'unknown', reason: 'replyLost', detail: 'the reply was lost' } as const
+    expect(await doTest([{ 'PUT requests': [[createAccepted(), end]] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "unknown replyLost: the reply was lost",
+      ]
+    `)
+  })
+
+  it('takes invalid input as not run', async () => {
+    expect(await doTest([{ 'PUT requests': [createRefusal(400, 'invalidInput')] }])).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "notRun invalidInput: invalidInput",
+      ]
+    `)
+  })
+})
--- a/packages/caller/test/requests/cancelSubmission.test.ts
+++ b/packages/caller/test/requests/cancelSubmission.test.ts
@@ -93,6 +93,8 @@
         "b: DELETE /requests/A/1",
         "b: DELETE /requests/A/1",
         "b: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
+        "b: DELETE /requests/A/1",
         "unknown ownerUnreachable: the owner of the request could not be reached",
       ]
     `)
