Test the scheduler's parts

Cause: lengths, projection, step model, credits, health, retries, queue order and refusals were covered by the measuring command only.

--- /dev/null
+++ b/packages/scheduling/test/TargetScheduler.test.ts
@@ -0,0 +1,221 @@
+import { SeededRandom, VirtualClock, type PeerTransport, type Service, type Snapshot, type Target } from '@fescuespoke/common'
+import { type SchedulingSettings, type TargetState } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { createScheduler, type Placement, type PlacementRequest, type TargetScheduler } from '../src/index.js'
+
+const TARGETS = ['t0', 't1'].map((name): Target => ({ name, url: `http://${name}`, availabilityZone: 'z', region: 'r', fencing: 'ignored' }))
+
+const SERVICE: Service = {
+  name: 's', kind: 'generation', idempotent: true, delivery: 'stream', priority: 'normal', deadlineMs: 60_000, targets: ['t0', 't1'], copies: 2, overrides: new Map()
+}
+
+const SNAPSHOT: Snapshot = {
+  revision: 1, services: new Map([['s', SERVICE]]), targets: new Map(TARGETS.map(target => [target.name, target])), workspaces: new Map()
+}
+
+interface Bed {
+  readonly clock: VirtualClock
+  readonly scheduler: TargetScheduler
+  readonly acquire: (extra?: Partial<PlacementRequest>) => Promise<string>
+  readonly placements: Placement[]
+}
+
+function createState (target: string, extra: Partial<TargetState> = {}): TargetState {
+  return { target, incarnation: 'i', state: 'active', running: 0, waiting: 0, usedTokens: 0, capacityTokens: 4000, maxSequences: 4, stepMs: 20, ...extra }
+}
+
+function createBed (settings: Partial<SchedulingSettings> = {}, states: Partial<TargetState> = {}): Bed {
+  const clock = VirtualClock.create()
+  const transport: PeerTransport = { request: async () => Result.err('unreachable') as never, setHandler: () => {} }
+  const alive = [{ instance: 'me', availabilityZone: 'z', region: 'r' }]
+  const scheduler = createScheduler({
+    instance: 'me', availabilityZone: 'z', region: 'r', clock, random: SeededRandom.create(1), transport, listAliveInstances: () => alive, settings
+  })
+  for (const { name } of TARGETS) scheduler.observeTargetState(name, createState(name, states), 0)
+  scheduler.start()
+  const placements: Placement[] = []
+  let count = 0
+  const acquire = async (extra: Partial<PlacementRequest> = {}): Promise<string> => {
+    const request: PlacementRequest = {
+      request: `r${count++}`,
+      workspace: 'w',
+      service: SERVICE,
+      snapshot: SNAPSHOT,
+      priority: 'normal',
+      promptTokens: 100,
+      maxTokens: 100,
+      deadlineMs: clock.nowMs() + 60_000,
+      failedTargets: [],
+      signal: new AbortController().signal,
+      ...extra
+    }
+    const result = await scheduler.acquirePlacement(request)
+    return result.match({
+      Ok: placement => {
+        placements.push(placement)
+        return placement.target.name
+      },
+      Err: refusal => refusal.reason
+    })
+  }
+  return { clock, scheduler, acquire, placements }
+}
+
+async function doTest (run: (bed: Bed) => Promise<unknown>, settings: Partial<SchedulingSettings> = {}, states: Partial<TargetState> = {}): Promise<unknown> {
+  const bed = createBed(settings, states)
+  const result = await run(bed)
+  bed.scheduler.stop()
+  return result
+}
+
+async function fill (bed: Bed): Promise<void> {
+  for (let index = 0; index < 20; index++) bed.acquire({ workspace: 'filler' })
+  await bed.clock.advance(500)
+}
+
+describe('TargetScheduler', () => {
+  it('spreads requests over idle targets', async () => {
+    expect(await doTest(async ({ acquire }) => [await acquire(), await acquire()].sort())).toEqual(['t0', 't1'])
+  })
+
+  it('explains its choice', async () => {
+    expect(await doTest(async ({ acquire, placements }) => {
+      await acquire()
+      return placements[0]?.detail
+    })).toMatchInlineSnapshot('"projected: 1 of 2 targets had room; requests 0 of 4, memory 0+140 of 3920 tokens"')
+  })
+
+  it('never places more than the targets take', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      return bed.placements.length
+    })).toBe(6)
+  })
+
+  it('never places more than the memory takes', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      return bed.placements.length
+    }, {}, { capacityTokens: 600, maxSequences: 64 })).toMatchInlineSnapshot('6')
+  })
+
+  it('places a waiting request when another ends', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      const before = bed.placements.length
+      bed.placements[0]?.release('complete')
+      await bed.clock.advance(200)
+      return bed.placements.length - before
+    })).toBe(1)
+  })
+
+  it('serves high priority at once from the reserve', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      return ['t0', 't1'].includes(await bed.acquire({ priority: 'high', promptTokens: 10, maxTokens: 10 }))
+    })).toBe(true)
+  })
+
+  it('gives a leaving target nothing', async () => {
+    expect(await doTest(async ({ scheduler, acquire, clock }) => {
+      scheduler.observeTargetState('t0', createState('t0', { state: 'leaving' }), 1)
+      const acquired = Promise.all([acquire(), acquire(), acquire()])
+      await clock.advance(500)
+      return await acquired
+    })).toEqual(['t1', 't1', 't1'])
+  })
+
+  it('does not believe a report that is older than the held one', async () => {
+    expect(await doTest(async ({ scheduler, acquire }) => {
+      scheduler.observeTargetState('t0', createState('t0', { state: 'leaving' }), 2)
+      scheduler.observeTargetState('t0', createState('t0'), 1)
+      return [await acquire(), await acquire()]
+    })).toEqual(['t1', 't1'])
+  })
+
+  it('refuses when all targets are leaving', async () => {
+    expect(await doTest(async ({ scheduler, acquire }) => {
+      for (const { name } of TARGETS) scheduler.observeTargetState(name, createState(name, { state: 'leaving' }), 1)
+      return await acquire()
+    })).toBe('noTarget')
+  })
+
+  it('does not use a target that failed for the request', async () => {
+    expect(await doTest(async ({ acquire }) => await acquire({ failedTargets: ['t0'] }))).toBe('t1')
+  })
+
+  it('refuses retries beyond the budget', async () => {
+    expect(await doTest(async ({ acquire, placements }) => {
+      const reasons = new Set<string>()
+      for (let index = 0; index < 12; index++) {
+        reasons.add(await acquire({ failedTargets: ['t0'] }))
+        placements.pop()?.release('cancelled')
+      }
+      return [...reasons]
+    })).toEqual(['t1', 'overloaded'])
+  })
+
+  it('refuses at once when the answer would come after its deadline', async () => {
+    expect(await doTest(async bed => await bed.acquire({ deadlineMs: 300 }))).toBe('deadlineExceeded')
+  })
+
+  it('refuses a waiting request when its wait can no longer succeed', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      const refused = bed.acquire({ deadlineMs: bed.clock.nowMs() + 10_000 })
+      await bed.clock.advance(4000)
+      return await refused
+    })).toBe('overloaded')
+  })
+
+  it('refuses the last in line when the queue is full', async () => {
+    expect(await doTest(async bed => {
+      for (let round = 0; round < 4; round++) await fill(bed)
+      const reasons: string[] = []
+      for (let index = 0; index < 2; index++) bed.acquire({ workspace: 'filler' }).then(reason => reasons.push(reason))
+      await bed.clock.advance(10)
+      return reasons
+    }, { maxQueued: 3 })).toEqual(['queueFull', 'queueFull'])
+  })
+
+  it('does not refuse a quiet workspace for the backlog of another', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      const quiet = bed.acquire({ workspace: 'quiet' })
+      for (let index = 0; index < 2; index++) bed.placements[index]?.release('complete')
+      await bed.clock.advance(300)
+      return ['t0', 't1'].includes(await quiet)
+    }, { maxQueued: 14 })).toBe(true)
+  })
+
+  it('ends the wait of a cancelled request', async () => {
+    expect(await doTest(async bed => {
+      await fill(bed)
+      const controller = new AbortController()
+      const waiting = bed.acquire({ signal: controller.signal })
+      controller.abort()
+      return await waiting
+    })).toBe('cancelledByCaller')
+  })
+
+  it('prefers the target that holds the prefix', async () => {
+    expect(await doTest(async ({ scheduler, acquire }) => {
+      scheduler.observeCacheEvents('t1', [{ sequence: 1, event: 'stored', prefix: 'p' }])
+      return await acquire({ prefix: 'p' })
+    })).toBe('t1')
+  })
+
+  it('counts a placement once, however often it is released', async () => {
+    expect(await doTest(async ({ acquire, placements, scheduler }) => {
+      await acquire()
+      placements[0]?.release('complete')
+      placements[0]?.release('complete')
+      return scheduler.listTargetStatus().map(({ running }) => running)
+    })).toEqual([0, 0])
+  })
+
+  it('works under a baseline policy', async () => {
+    expect(await doTest(async ({ acquire }) => [await acquire(), await acquire()].sort(), { policy: 'leastInFlight' })).toEqual(['t0', 't1'])
+  })
+})
--- /dev/null
+++ b/packages/scheduling/test/credits/CreditCoordinator.test.ts
@@ -0,0 +1,61 @@
+import { VirtualClock } from '@fescuespoke/common'
+import { type CreditAnswer, type CreditRequest } from '@fescuespoke/schema'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { CreditCoordinator } from '../../src/credits/CreditCoordinator.js'
+import { type TargetCapacity } from '../../src/targets/TargetCapacities.js'
+
+const CAPACITY: TargetCapacity = { capacityTokens: 10_000, maxSequences: 20, usedTokens: 0, reportedSequences: 0, stepMs: 30 }
+
+function createRequest (heldTokens: number, wantTokens: number, extra: Partial<CreditRequest> = {}): CreditRequest {
+  return { type: 'creditRequest', target: 't', heldTokens, heldSequences: Math.ceil(heldTokens / 500), wantTokens, wantSequences: Math.ceil(wantTokens / 500), priority: 'normal', ...extra }
+}
+
+function doTest (requests: ReadonlyArray<readonly [string, number, number]>, capacity = CAPACITY): string {
+  const coordinator = CreditCoordinator.create({ clock: VirtualClock.create(), getCapacity: () => capacity })
+  const describe = (answer: CreditAnswer): string => `${answer.tokens}/${answer.sequences}`
+  return requests.map(([asker, held, want]) => describe(coordinator.answerRequest(asker, createRequest(held, want)))).join(' ')
+}
+
+describe('CreditCoordinator', () => {
+  it('lends more than is wanted while there is room', () => expect(doTest([['a', 0, 500]])).toMatchInlineSnapshot('"5000/10"'))
+  it('lends the rest to the next', () => expect(doTest([['a', 0, 4000], ['b', 0, 8000]])).toMatchInlineSnapshot('"6750/14 1833/4"'))
+  it('lends nothing below one whole request', () => expect(doTest([['a', 9200, 0], ['b', 0, 500]])).toMatchInlineSnapshot('"9200/19 0/0"'))
+  it('takes back from a holder above its share when others want more', () => {
+    expect(doTest([['a', 9400, 500], ['b', 0, 500], ['a', 9400, 500]])).toMatchInlineSnapshot('"9400/19 0/0 8460/18"')
+  })
+
+  it('counts memory that no holder knows of', () => {
+    const busy = { ...CAPACITY, usedTokens: 9000 }
+    const last = doTest(Array.from({ length: 60 }, () => ['a', 0, 500] as const), busy).split(' ').at(-1)
+    expect(last).toMatchInlineSnapshot('"707/10"')
+  })
+
+  it('lends again what has expired', async () => {
+    const clock = VirtualClock.create()
+    const coordinator = CreditCoordinator.create({ clock, getCapacity: () => CAPACITY })
+    coordinator.answerRequest('a', createRequest(0, 9000))
+    const before = coordinator.answerRequest('b', createRequest(0, 5000)).tokens
+    await clock.advance(2000)
+    expect([before, coordinator.answerRequest('b', createRequest(0, 5000)).tokens >= 5000]).toEqual([0, true])
+  })
+
+  it('never lends more than the target has, whatever is asked', () => {
+    const step = fc.record({ asker: fc.constantFrom('a', 'b', 'c', 'd'), spent: fc.double({ min: 0, max: 1, noNaN: true }), want: fc.integer({ min: 0, max: 6000 }) })
+    fc.assert(fc.property(fc.array(step, { minLength: 1, maxLength: 60 }), steps => {
+      const heldBy = new Map<string, number>()
+      const getCapacity = (): TargetCapacity => ({ ...CAPACITY, usedTokens: [...heldBy.values()].reduce((sum, held) => sum + held, 0) })
+      const coordinator = CreditCoordinator.create({ clock: VirtualClock.create(), getCapacity })
+      const bounds = new Map<string, CreditAnswer>()
+      for (const { asker, spent, want } of steps) {
+        const held = Math.floor((bounds.get(asker)?.tokens ?? 0) * spent)
+        const heldSequences = Math.floor((bounds.get(asker)?.sequences ?? 0) * spent)
+        heldBy.set(asker, held)
+        bounds.set(asker, coordinator.answerRequest(asker, createRequest(held, want, { heldSequences })))
+        const lent = [...bounds.values()]
+        expect(lent.reduce((sum, { tokens }) => sum + tokens, 0)).toBeLessThanOrEqual(CAPACITY.capacityTokens)
+        expect(lent.reduce((sum, { sequences }) => sum + sequences, 0)).toBeLessThanOrEqual(CAPACITY.maxSequences)
+      }
+    }), { seed: 1, numRuns: 100 })
+  })
+})
--- /dev/null
+++ b/packages/scheduling/test/credits/CreditLedger.test.ts
@@ -0,0 +1,40 @@
+import { VirtualClock, type PeerTransport } from '@fescuespoke/common'
+import { type CreditAnswer } from '@fescuespoke/schema'
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { createEmptyProfile } from '../../src/admission/MemoryProfile.js'
+import { CreditLedger } from '../../src/credits/CreditLedger.js'
+
+const ANSWER: CreditAnswer = { type: 'creditAnswer', target: 't', tokens: 1000, sequences: 2, validForMs: 1500, totalTokens: 4000, totalSequences: 9 }
+const DEMAND = { profile: createEmptyProfile(), heldSequences: 0, wantTokens: 500, wantSequences: 1 }
+
+async function doTest (latencyMs: number, isAnswered: boolean, waitMs: number): Promise<string> {
+  const clock = VirtualClock.create()
+  const transport: PeerTransport = {
+    request: async () => {
+      await clock.sleep(latencyMs)
+      return (isAnswered ? Result.ok(ANSWER) : Result.err('timeout')) as never
+    },
+    setHandler: () => {}
+  }
+  const ledger = CreditLedger.create({ clock, transport, instance: 'me', answerLocally: () => ({ ...ANSWER, tokens: 7 }), observeExchange: () => {} })
+  ledger.requestCredit('t', 'peer', DEMAND, 5)
+  await clock.advance(waitMs)
+  const { tokens, sequences } = ledger.getBound('t')
+  return `${tokens}/${sequences}${ledger.isBypassed('t') ? ' bypassed' : ''}${ledger.isPending('t') ? ' pending' : ''}`
+}
+
+describe('CreditLedger', () => {
+  it('has nothing before the answer', async () => expect(await doTest(100, true, 50)).toBe('0/0 pending'))
+  it('has the bound after the answer', async () => expect(await doTest(100, true, 100)).toBe('1000/2'))
+  it('counts the life of a credit from the question', async () => expect(await doTest(100, true, 1501)).toBe('0/0'))
+  it('bypasses a silent coordinator', async () => expect(await doTest(5, false, 10)).toBe('0/0 bypassed'))
+  it('tries again after a while', async () => expect(await doTest(5, false, 600)).toBe('0/0'))
+
+  it('asks itself without any message when it coordinates the target', async () => {
+    const transport: PeerTransport = { request: () => { throw new Error('no message is due') }, setHandler: () => {} }
+    const ledger = CreditLedger.create({ clock: VirtualClock.create(), transport, instance: 'me', answerLocally: () => ANSWER, observeExchange: () => {} })
+    await ledger.requestCredit('t', 'me', DEMAND, 5)
+    expect(ledger.getBound('t').tokens).toBe(1000)
+  })
+})
