Give the measured workspaces several prompt prefixes

Cause: each workspace had one prefix for each service, so all prefixes fitted into every engine's cache and affinity could not matter. Change: itineraries and leases begin with one of six prefixes of their workspace.

--- a/packages/bench/src/measure/SimulatedTarget.ts
+++ b/packages/bench/src/measure/SimulatedTarget.ts
@@ -158,9 +158,9 @@
 }
 
 /**
- * Formats the name of the prompt prefix that a workspace's requests of one service share.
+ * Formats the name of the prompt prefix that some of a workspace's requests of one service share.
  * @param arrival - One of the requests.
  */
 export function formatPrefix (arrival: Arrival): string {
-  return `${arrival.service.name}-${arrival.workspace}`
+  return `${arrival.service.name}-${arrival.workspace}-${arrival.prefix}`
 }
--- a/packages/bench/src/measure/arrivals.ts
+++ b/packages/bench/src/measure/arrivals.ts
@@ -1,4 +1,4 @@
-import { type Random } from '@fescuespoke/common'
+import { pickIndex, type Random } from '@fescuespoke/common'
 import { drawOutputLength, type MeasuredService } from './deployments.js'
 import { type Burst, type Scenario } from './scenarios.js'
 
@@ -11,6 +11,8 @@
   readonly promptTokens: number
   /** Length of the answer, which no policy knows. */
   readonly outputTokens: number
+  /** Which of the workspace's prompt prefixes it begins with. */
+  readonly prefix: number
   /** Which of the workspace's callers sends it. */
   readonly caller: number
 }
@@ -62,8 +64,9 @@
     workspace,
     service,
     promptTokens: Math.max(service.prefixTokens + 1, Math.round(service.promptTokens * promptShare)),
+    prefix: pickIndex(random, service.prefixes),
     outputTokens: drawOutputLength(service.output, random),
-    caller: Math.floor(random.nextFloat() * CALLERS_PER_WORKSPACE)
+    caller: pickIndex(random, CALLERS_PER_WORKSPACE)
   }
 }
 
--- a/packages/bench/src/measure/deployments.ts
+++ b/packages/bench/src/measure/deployments.ts
@@ -20,6 +20,8 @@
   readonly promptTokens: number
   /** Length of the prompt prefix that a workspace's prompts share; 0 for none. */
   readonly prefixTokens: number
+  /** Different prefixes of each workspace. */
+  readonly prefixes: number
   readonly output: OutputShape
 }
 
@@ -72,9 +74,9 @@
     engine: ENGINE,
     workspaceShares: WORKSPACE_SHARES,
     services: [
-      { name: 'itinerary', kind: 'generation', priority: 'normal', deadlineMs: 120_000, share: 0.6, promptTokens: 500, prefixTokens: 256, output: { meanTokens: 400, sigma: 0.9, maxTokens: 8000 } },
-      { name: 'classification', kind: 'generation', priority: 'low', deadlineMs: 60_000, share: 0.15, promptTokens: 300, prefixTokens: 128, output: { meanTokens: 40, sigma: 0.5, maxTokens: 400 } },
-      { name: 'confirmation', kind: 'generation', priority: 'high', deadlineMs: 15_000, share: 0.25, promptTokens: 150, prefixTokens: 64, output: { meanTokens: 40, sigma: 0.4, maxTokens: 200 } }
+      { name: 'itinerary', kind: 'generation', priority: 'normal', deadlineMs: 120_000, share: 0.6, promptTokens: 500, prefixTokens: 256, prefixes: 6, output: { meanTokens: 400, sigma: 0.9, maxTokens: 8000 } },
+      { name: 'classification', kind: 'generation', priority: 'low', deadlineMs: 60_000, share: 0.15, promptTokens: 300, prefixTokens: 128, prefixes: 1, output: { meanTokens: 40, sigma: 0.5, maxTokens: 400 } },
+      { name: 'confirmation', kind: 'generation', priority: 'high', deadlineMs: 15_000, share: 0.25, promptTokens: 150, prefixTokens: 64, prefixes: 2, output: { meanTokens: 40, sigma: 0.4, maxTokens: 200 } }
     ]
   },
   loVerde: {
@@ -86,10 +88,10 @@
     engine: ENGINE,
     workspaceShares: WORKSPACE_SHARES,
     services: [
-      { name: 'lease', kind: 'generation', priority: 'normal', deadlineMs: 180_000, share: 0.25, promptTokens: 700, prefixTokens: 384, output: { meanTokens: 800, sigma: 0.8, maxTokens: 8000 } },
-      { name: 'dispute', kind: 'generation', priority: 'normal', deadlineMs: 120_000, share: 0.15, promptTokens: 600, prefixTokens: 256, output: { meanTokens: 250, sigma: 0.7, maxTokens: 4000 } },
-      { name: 'gate', kind: 'generation', priority: 'high', deadlineMs: 5000, share: 0.35, promptTokens: 60, prefixTokens: 32, output: { meanTokens: 12, sigma: 0.3, maxTokens: 48 } },
-      { name: 'barrier', kind: 'call', priority: 'high', deadlineMs: 3000, share: 0.25, promptTokens: 0, prefixTokens: 0, output: { meanTokens: 0, sigma: 0, maxTokens: 1 } }
+      { name: 'lease', kind: 'generation', priority: 'normal', deadlineMs: 180_000, share: 0.25, promptTokens: 700, prefixTokens: 384, prefixes: 6, output: { meanTokens: 800, sigma: 0.8, maxTokens: 8000 } },
+      { name: 'dispute', kind: 'generation', priority: 'normal', deadlineMs: 120_000, share: 0.15, promptTokens: 600, prefixTokens: 256, prefixes: 3, output: { meanTokens: 250, sigma: 0.7, maxTokens: 4000 } },
+      { name: 'gate', kind: 'generation', priority: 'high', deadlineMs: 5000, share: 0.35, promptTokens: 60, prefixTokens: 32, prefixes: 1, output: { meanTokens: 12, sigma: 0.3, maxTokens: 48 } },
+      { name: 'barrier', kind: 'call', priority: 'high', deadlineMs: 3000, share: 0.25, promptTokens: 0, prefixTokens: 0, prefixes: 1, output: { meanTokens: 0, sigma: 0, maxTokens: 1 } }
     ]
   }
 }
@@ -134,7 +136,7 @@
   const steps = sumOf(generations, service => service.share * read(service).tokens) / total
   const prefill = sumOf(generations, service => service.share * service.promptTokens) / total
   const held = sumOf(generations, service => service.share * computeHeldTokens(service, read(service))) / total
-  const prefixes = sumOf(generations, service => service.prefixTokens) * deployment.workspaceShares.length
+  const prefixes = sumOf(generations, service => service.prefixTokens * service.prefixes) * deployment.workspaceShares.length
   const byMemory = (engine.capacityTokens * FULL_MEMORY_SHARE - Math.min(prefixes, engine.prefixCacheTokens)) / (held / steps)
   const byStep = (tokenIntervalMs - engine.stepBaseMs) / engine.stepSequenceMs
   const sequences = Math.floor(Math.min(engine.maxSequences, byMemory, byStep))
