Give orders to targets from the daemon and use only targets that hold the model

Cause: the order giver stood apart, and requests could be sent to a target whose model was not loaded. Change: the daemon starts load permits and the order giver; a placement names its model, with what its workspace gets otherwise, and the scheduler leaves out targets that report not to hold it.

--- a/packages/configuration/src/orders/formatModel.ts
+++ b/packages/common/src/model/formatModel.ts
@@ -1,4 +1,4 @@
-import { type ModelReference } from '@fescuespoke/common'
+import { type ModelReference } from './Snapshot.js'
 
 /**
  * Formats a model with its adapter and version as one text that identifies it.
--- a/packages/configuration/src/orders/OrderSession.ts
+++ b/packages/configuration/src/orders/OrderSession.ts
@@ -1,6 +1,5 @@
-import { type ModelReference } from '@fescuespoke/common'
+import { formatModel, type ModelReference } from '@fescuespoke/common'
 import { computeFenceRevision, computeTakeoverFence } from './FencingNumber.js'
-import { formatModel } from './formatModel.js'
 
 /** What the fencing number that a target reports means for an order giver. */
 export type FenceOutcome = 'usable' | 'higherRevision' | 'takenOver'
--- a/packages/configuration/src/orders/PlacementHistory.ts
+++ b/packages/configuration/src/orders/PlacementHistory.ts
@@ -1,5 +1,4 @@
-import { type ModelReference } from '@fescuespoke/common'
-import { formatModel } from './formatModel.js'
+import { formatModel, type ModelReference } from '@fescuespoke/common'
 
 interface ModelTimes {
   readonly isWanted: boolean
--- a/packages/configuration/src/orders/ReadyCopies.ts
+++ b/packages/configuration/src/orders/ReadyCopies.ts
@@ -1,7 +1,6 @@
-import { type ModelReference, type Service, type Snapshot } from '@fescuespoke/common'
+import { formatModel, type ModelReference, type Service, type Snapshot } from '@fescuespoke/common'
 import { type TargetState } from '@fescuespoke/schema'
 import { listModels, rankTargets } from './computePlacement.js'
-import { formatModel } from './formatModel.js'
 import { type OrderClient } from './OrderClient.js'
 
 /** Greatest number of targets that are asked for each service. */
--- a/packages/configuration/src/orders/computePlacement.ts
+++ b/packages/configuration/src/orders/computePlacement.ts
@@ -1,5 +1,4 @@
-import { type ModelReference, rankByRendezvous, type Service, type Snapshot } from '@fescuespoke/common'
-import { formatModel } from './formatModel.js'
+import { formatModel, type ModelReference, rankByRendezvous, type Service, type Snapshot } from '@fescuespoke/common'
 
 /** Models that each target should hold, by the target's name; sorted and without repetition. */
 export type ModelPlacement = ReadonlyMap<string, readonly ModelReference[]>
--- a/packages/configuration/src/orders/planOrder.ts
+++ b/packages/configuration/src/orders/planOrder.ts
@@ -1,6 +1,5 @@
-import { type ModelReference } from '@fescuespoke/common'
+import { formatModel, type ModelReference } from '@fescuespoke/common'
 import { type LoadedModel } from '@fescuespoke/schema'
-import { formatModel } from './formatModel.js'
 
 /** An order that would bring a target nearer to its placement. */
 export interface PlannedOrder {
--- a/packages/daemon/src/dispatch/RequestRunner.ts
+++ b/packages/daemon/src/dispatch/RequestRunner.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Target } from '@fescuespoke/common'
+import { type Clock, type ModelReference, type Target } from '@fescuespoke/common'
 import { type Reason } from '@fescuespoke/schema'
 import { type Placement, type PlacementRefusal, type PlacementRequest, type Scheduler } from '@fescuespoke/scheduling'
 import { Result } from 'true-myth'
@@ -139,12 +139,28 @@
   entry.setEnd({ outcome: entry.wasDispatched() ? 'failed' : 'notRun', reason })
 }
 
+/**
+ * Gets the model that serves a request, with what its workspace gets otherwise; nothing for calls.
+ * @param entry - The request.
+ */
+export function getModel ({ options }: RequestEntry): ModelReference | undefined {
+  const { service, workspace } = options
+  if (service.runs === undefined) return undefined
+  const override = service.overrides.get(workspace)
+  return {
+    model: service.runs.model,
+    adapter: override?.adapter ?? service.runs.adapter,
+    version: override?.version ?? service.runs.version
+  }
+}
+
 function describePlacement (entry: RequestEntry, failedTargets: readonly string[]): PlacementRequest {
   const { id, workspace, service, snapshot, priority, body, deadlineMs } = entry.options
   return {
     request: id,
     workspace,
     service,
+    runs: getModel(entry),
     snapshot,
     priority,
     promptTokens: Math.ceil((body.prompt ?? '').length / CHARACTERS_PER_TOKEN),
--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -2,7 +2,7 @@
 import { type Placement } from '@fescuespoke/scheduling'
 import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type TargetError } from '../targets/TargetClient.js'
-import { acquireOpenPlacement, endCancelled, endOverdue, MAX_ATTEMPTS, refuseEntry, type RunnerTools } from './RequestRunner.js'
+import { acquireOpenPlacement, endCancelled, endOverdue, getModel, MAX_ATTEMPTS, refuseEntry, type RunnerTools } from './RequestRunner.js'
 
 /** Most output tokens of a request that names no bound. */
 const DEFAULT_MAX_TOKENS = 32_768
@@ -93,12 +93,12 @@
 async function pumpGeneration (
   entry: RequestEntry, placement: Placement, generation: string, tools: RunnerTools
 ): Promise<GenerationEnd> {
-  let end = await readStream(entry, placement, generation, tools, createSpec(entry))
+  let end = await readStream(entry, placement, generation, tools, createSpec(entry, placement))
   for (let reopened = 0; isReopenable(entry, end) && reopened < MAX_REOPENS; reopened++) {
     entry.recordStep('reopened', `${placement.target.name}: ${end}`)
     await tools.clock.sleep(REOPEN_PAUSE_MS, entry.cancellation.signal)
     const before = entry.tokens.getEndOffset()
-    end = await readStream(entry, placement, generation, tools, before === 0 ? createSpec(entry) : undefined)
+    end = await readStream(entry, placement, generation, tools, before === 0 ? createSpec(entry, placement) : undefined)
     if (entry.tokens.getEndOffset() > before) reopened = 0
   }
   return end
@@ -209,13 +209,11 @@
   unreachable: 'targetUnreachable'
 }
 
-function createSpec (entry: RequestEntry): GenerationSpec {
-  const { body, service, workspace, priority } = entry.options
-  const override = service.overrides.get(workspace)
+function createSpec (entry: RequestEntry, { runs }: Placement): GenerationSpec {
+  const { body, priority } = entry.options
   return {
-    model: service.runs?.model ?? '',
-    adapter: override?.adapter ?? service.runs?.adapter,
-    version: override?.version ?? service.runs?.version,
+    model: '',
+    ...(runs ?? getModel(entry)),
     prompt: body.prompt ?? '',
     prefix: body.prefix,
     maxTokens: body.maxTokens ?? DEFAULT_MAX_TOKENS,
--- a/packages/daemon/src/instance/InstanceOptions.ts
+++ b/packages/daemon/src/instance/InstanceOptions.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Logger, type PeerTransport, type Random } from '@fescuespoke/common'
-import { type ConfigurationSource, type InstanceListSource } from '@fescuespoke/configuration'
+import { type ConfigurationSource, type InstanceListSource, type OrderClient } from '@fescuespoke/configuration'
 import { type Settings } from '@fescuespoke/schema'
 import { type Maybe, type Result } from 'true-myth'
 import { type TargetClient } from '../targets/TargetClient.js'
@@ -27,6 +27,8 @@
   readonly logger?: Logger
   /** Speaks to targets. */
   readonly targetClient?: TargetClient
+  /** Gives orders to targets. */
+  readonly orderClient?: OrderClient
   /** Reads the published records. */
   readonly configurationSource?: ConfigurationSource
   /** Reads the published list of instances and targets. */
--- a/packages/daemon/src/instance/createParts.ts
+++ b/packages/daemon/src/instance/createParts.ts
@@ -6,13 +6,14 @@
 import { ResumeService } from '../resume/ResumeService.js'
 import { ResumeTokens } from '../resume/ResumeTokens.js'
 import { type Basis, createBasis } from './Basis.js'
+import { createOrders, type OrderParts } from './createOrders.js'
 import { createTargetParts, type TargetParts } from './createTargetParts.js'
 import { createViews, type Views } from './createViews.js'
 import { type InstanceOptions } from './InstanceOptions.js'
 import { PauseDetector } from './PauseDetector.js'
 
 /** The parts of one instance, joined. */
-export interface InstanceParts extends Basis, Views, TargetParts {
+export interface InstanceParts extends Basis, Views, TargetParts, OrderParts {
   readonly pauses: PauseDetector
   readonly leases: LeaseRegistry
   readonly requests: RequestService
@@ -54,6 +55,7 @@
     ...basis,
     ...views,
     ...targets,
+    ...createOrders(options, basis, views, targets),
     pauses: PauseDetector.create({ clock, onPause: pauseMs => recordPause(basis, configuration.getRevision(), pauseMs) }),
     leases,
     requests,
@@ -67,10 +69,12 @@
  * Starts the tasks that keep the views of an instance up to date.
  * @param parts - Parts of the instance.
  */
-export function startParts ({ configurationFollower, listFollower, scheduler, pauses }: InstanceParts): void {
+export function startParts ({ configurationFollower, listFollower, scheduler, permits, orders, pauses }: InstanceParts): void {
   configurationFollower.start()
   listFollower.start()
   scheduler.start()
+  permits.start()
+  orders.start()
   pauses.run()
 }
 
@@ -82,7 +86,7 @@
   parts.pauses.stop()
   parts.poller.stop()
   parts.scheduler.stop()
-  await Promise.all([parts.configurationFollower.stop(), parts.listFollower.stop()])
+  await Promise.all([parts.orders.stop(), parts.permits.stop(), parts.configurationFollower.stop(), parts.listFollower.stop()])
   await parts.peers.close()
   await parts.dispatcher.destroy()
   await parts.targetClient.close()
--- /dev/null
+++ b/packages/daemon/test/fleet/CoreOrderClient.ts
@@ -0,0 +1,40 @@
+import { type Clock, type Target } from '@fescuespoke/common'
+import { type OrderClient, type OrderError } from '@fescuespoke/configuration'
+import { type Order, type OrderAnswer, type TargetState } from '@fescuespoke/schema'
+import { type Deployment } from '@fescuespoke/standins'
+import { Result } from 'true-myth'
+import { type Links } from './Links.js'
+
+const LATENCY_MS = 1
+const TIMEOUT_MS = 1000
+
+export interface CoreOrderClientOptions {
+  readonly instance: string
+  /** Clock of the instance's process. */
+  readonly clock: Clock
+  readonly links: Links
+  readonly deployment: Deployment
+  readonly deadTargets: ReadonlySet<string>
+}
+
+/** Gives orders to the cores of stand-ins without HTTP, over links that can be cut. */
+export class CoreOrderClient implements OrderClient {
+  constructor (private readonly options: CoreOrderClientOptions) {}
+
+  async giveOrder (target: Target, order: Order): Promise<Result<OrderAnswer, OrderError>> {
+    return await this.exchange(target, name => this.options.deployment.engines.get(name)?.giveOrder(order))
+  }
+
+  async fetchState (target: Target): Promise<Result<TargetState, OrderError>> {
+    return await this.exchange(target, name => this.options.deployment.engines.get(name)?.getState())
+  }
+
+  private async exchange<T> ({ name }: Target, run: (target: string) => T | undefined): Promise<Result<T, OrderError>> {
+    const { links, instance, clock, deadTargets } = this.options
+    const connection = links.connect(instance, name)
+    await clock.sleep(LATENCY_MS)
+    const answer = connection.carries() && !deadTargets.has(name) ? run(name) : undefined
+    await clock.sleep(answer === undefined ? TIMEOUT_MS : LATENCY_MS)
+    return answer === undefined || !connection.carries() ? Result.err('unreachable') : Result.ok(answer)
+  }
+}
--- a/packages/daemon/test/fleet/SimulatedInstance.ts
+++ b/packages/daemon/test/fleet/SimulatedInstance.ts
@@ -9,6 +9,7 @@
 import { parseLease } from '../../src/leases/LeaseName.js'
 import { describeUnknown, locateLease } from '../../src/leases/locateLease.js'
 import { readEvents } from '../../src/requests/readEvents.js'
+import { CoreOrderClient } from './CoreOrderClient.js'
 import { CoreTargetClient } from './CoreTargetClient.js'
 import { type Links } from './Links.js'
 import { createPlatformSources } from './PlatformSources.js'
@@ -60,6 +61,7 @@
       settings: this.createSettings(),
       clock: this.clock,
       random: world.random,
+      orderClient: new CoreOrderClient({ ...world, clock: this.clock, instance: name }),
       targetClient: new CoreTargetClient({ ...world, worldClock: world.clock, clock: this.clock, instance: name }),
       createTransport: () => this.createTransport(),
       ...createPlatformSources({ ...world, clock: this.clock, instance: name })
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -1,4 +1,4 @@
-import { type Service, type Snapshot, type Target } from '@fescuespoke/common'
+import { type ModelReference, type Service, type Snapshot, type Target } from '@fescuespoke/common'
 import { type Priority, type Reason } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 
@@ -8,6 +8,8 @@
   readonly request: string
   readonly workspace: string
   readonly service: Service
+  /** Model of the record in force; absent for calls. */
+  readonly runs?: ModelReference
   /** Snapshot that the request started with. */
   readonly snapshot: Snapshot
   readonly priority: Priority
@@ -39,6 +41,8 @@
 /** The right to use one target for one request; it counts against the target until released. */
 export interface Placement {
   readonly target: Target
+  /** Model that the target runs for the request; during a rollout it may be of the version before. */
+  readonly runs?: ModelReference
   /** Why this target was chosen, for operators. */
   readonly detail: string
   /**
--- a/packages/scheduling/src/TargetScheduler.ts
+++ b/packages/scheduling/src/TargetScheduler.ts
@@ -220,7 +220,7 @@
   }
 
   private createPlacement (request: PlacementRequest, need: PlacementNeed, picked: PickedTarget): Placement {
-    const { keeper, prefixes, health, counters } = this.parts
+    const { picker, keeper, prefixes, health, counters } = this.parts
     const { target, own, needTokens } = picked.candidate
     const ownRequest = own.add(need.shape)
     keeper.observePlaced(target, needTokens)
@@ -230,6 +230,7 @@
     let isReleased = false
     return {
       target,
+      runs: picker.getServingModel(request, target.name),
       detail: picked.detail,
       observeTokens: totalTokens => {
         const nowMs = this.options.clock.nowMs()
--- a/packages/scheduling/src/placement/TargetPicker.ts
+++ b/packages/scheduling/src/placement/TargetPicker.ts
@@ -1,4 +1,4 @@
-import { type Random, type Target } from '@fescuespoke/common'
+import { computeServingModels, type ModelReference, type Random, type Target } from '@fescuespoke/common'
 import { type PrefixViews } from '../affinity/PrefixViews.js'
 import { type CreditLedger } from '../credits/CreditLedger.js'
 import { type TargetHealth } from '../health/TargetHealth.js'
@@ -57,7 +57,18 @@
    */
   listUsable (request: PlacementRequest): Target[] {
     const { directory } = this.options
-    return this.options.listConsidered(request).filter(({ name }) => !request.failedTargets.includes(name) && !directory.isLeaving(name))
+    const serving = this.computeServing(request)
+    return this.options.listConsidered(request).filter(({ name }) =>
+      !request.failedTargets.includes(name) && !directory.isLeaving(name) && (serving === undefined || serving.has(name)))
+  }
+
+  /**
+   * Gets the model that a target runs for a request; nothing for calls.
+   * @param request - The request.
+   * @param target - Name of the target.
+   */
+  getServingModel (request: PlacementRequest, target: string): ModelReference | undefined {
+    return this.computeServing(request)?.get(target)
   }
 
   /**
@@ -95,6 +106,11 @@
     return request.service.kind === 'call' && division !== 'fixed' ? 'staticShares' : division
   }
 
+  private computeServing ({ runs, service }: PlacementRequest): ReadonlyMap<string, ModelReference> | undefined {
+    if (runs === undefined) return undefined
+    return computeServingModels(runs, service.copies, this.options.directory.getHeldModels(service.targets))
+  }
+
   private listCandidates (request: PlacementRequest, need: PlacementNeed): Candidate[] {
     return this.listUsable(request).map(target => this.createCandidate(target, request, need))
   }
--- a/packages/scheduling/src/targets/TargetDirectory.ts
+++ b/packages/scheduling/src/targets/TargetDirectory.ts
@@ -1,3 +1,4 @@
+import { type HeldModels } from '@fescuespoke/common'
 import { type TargetState } from '@fescuespoke/schema'
 import { Maybe } from 'true-myth'
 
@@ -45,6 +46,14 @@
     return [...this.evidence.keys()].sort()
   }
 
+  /**
+   * Gets the models that targets hold, as far as they have told.
+   * @param targets - Names of the targets.
+   */
+  getHeldModels (targets: readonly string[]): HeldModels {
+    return new Map(targets.map(target => [target, this.evidence.get(target)?.report.models]))
+  }
+
   /**
    * Checks whether a target said that it is leaving.
    * @param target - Name of the target.
