Keep further requests from an owner that does not answer

Cause: an owner that had failed was ranked last for new leases, but the lease held at it went on being used, so that each further request had to find out by itself.

--- a/packages/caller/src/answer/AnswerBuffer.ts
+++ b/packages/caller/src/answer/AnswerBuffer.ts
@@ -88,7 +88,7 @@
    */
   settle (result: AnswerResult): void {
     this.result = result
-    this.notifyReaders()
+    this.releaseReaders()
   }
 
   /**
@@ -131,7 +131,7 @@
       return { type: 'left', cause: 'gap', detail: `tokens ${this.tokens.length} to ${offset - 1} are missing` }
     }
     this.tokens.push(...tokens.slice(this.tokens.length - offset))
-    this.notifyReaders()
+    this.releaseReaders()
     return 'read'
   }
 
@@ -140,7 +140,7 @@
     return 'read'
   }
 
-  private notifyReaders (): void {
+  private releaseReaders (): void {
     const waiting = this.waiting
     this.waiting = []
     for (const resolve of waiting) resolve()
--- a/packages/caller/src/http/requestFirst.ts
+++ b/packages/caller/src/http/requestFirst.ts
@@ -33,17 +33,17 @@
   let lastError = NO_ADDRESS
   return await new Promise(resolve => {
     const running = new Set<string>()
-    const askNext = (): void => {
+    const requestNext = (): void => {
       const url = left.shift()
-      if (url !== undefined) askOne(url)
+      if (url !== undefined) requestOne(url)
       else if (running.size === 0) resolve(Result.err(lastError))
     }
-    const askOne = async (url: string): Promise<void> => {
+    const requestOne = async (url: string): Promise<void> => {
       running.add(url)
       let isSlow = false
       const cancelTimer = clock.startTimer(hedgeMs, () => {
         isSlow = true
-        askNext()
+        requestNext()
       })
       const answer = await ask(url)
       cancelTimer()
@@ -55,8 +55,8 @@
       }
       lastError = answer.error
       onFailure(url)
-      if (!isSlow || running.size === 0) askNext()
+      if (!isSlow || running.size === 0) requestNext()
     }
-    askNext()
+    requestNext()
   })
 }
--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -220,7 +220,7 @@
 
   /** The owner first, then past it where a generation can be read at its engine, then the owner through other instances. */
   private pickNextRoute (): undefined {
-    if (this.route === 'owner') this.options.context.services.addresses.excludeUrl(this.options.slot.ownerUrl)
+    if (this.route === 'owner') this.options.context.services.leases.removeLease(this.options.slot)
     if (this.route === 'owner' && this.failures < OWNER_ATTEMPTS) return undefined
     const canResume = this.options.context.buffer.getResumeToken() !== undefined
     const routes: Record<Route, Route> = {
--- a/packages/caller/test/requests/SubmissionOfCalls.test.ts
+++ b/packages/caller/test/requests/SubmissionOfCalls.test.ts
@@ -139,4 +139,22 @@
       ]
     `)
   })
+
+  it('keeps further requests from an owner that does not answer', async () => {
+    const scripts = [{ 'PUT requests': [['cut'], ['cut']] }, { 'PUT requests': [REPLIED] }] as const
+    expect(await doCallerTest({ scripts }, async test => {
+      await callOnce(test)
+      return await callOnce(test)
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "a: PUT /requests/A/1?offset=0",
+        "b: PUT /requests/A/1?offset=0",
+        "b: POST /leases",
+        "b: PUT /requests/B/1?offset=0",
+        "complete finished: {"status":200,"body":"done"}",
+      ]
+    `)
+  })
 })
--- a/packages/cli/src/operator/FleetView.ts
+++ b/packages/cli/src/operator/FleetView.ts
@@ -53,7 +53,7 @@
  * @param options - Where to begin.
  */
 export async function readFleet (options: FleetOptions): Promise<Result<FleetView, OperatorError>> {
-  const asked = await askInstances(options)
+  const asked = await requestInstances(options)
   if (asked.isErr) return asked.cast()
   const { answered, silent } = asked.value
   const others = listOthers(answered)
@@ -69,7 +69,7 @@
  * @param instance - Name of the instance.
  */
 export async function findMemberUrl (options: FleetOptions, instance: string): Promise<Result<string, OperatorError>> {
-  const asked = await askInstances(options)
+  const asked = await requestInstances(options)
   if (asked.isErr) return asked.cast()
   const { answered } = asked.value
   const itself = answered.find(({ status }) => status.instance === instance)
@@ -78,7 +78,7 @@
   return Result.err({ kind: 'notFound', detail: `the fleet has no address of instance ${JSON.stringify(instance)}` })
 }
 
-async function askInstances ({ urls, createClient }: FleetOptions): Promise<Result<AskedInstances, OperatorError>> {
+async function requestInstances ({ urls, createClient }: FleetOptions): Promise<Result<AskedInstances, OperatorError>> {
   const read = await Promise.all(urls.map(async url => ({ url, status: await createClient(url).fetchStatus() })))
   const answered = read.flatMap(({ url, status }) => status.isOk ? [{ url, status: status.value }] : [])
   const silent = read.flatMap(({ url, status }) => status.isErr ? [{ url, error: status.error }] : [])
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -20,7 +20,7 @@
   const command = createCommand(context, received => { status = received })
   const wantsHelp = rawArgs.length === 0 || rawArgs.some(arg => HELP_OPTIONS.has(arg))
   if (wantsHelp) {
-    context.print(await renderHelp(command, rawArgs))
+    context.print(await formatHelp(command, rawArgs))
     return rawArgs.length === 0 ? 'wrongUse' : 'ok'
   }
   try {
@@ -34,7 +34,7 @@
   }
 }
 
-async function renderHelp (command: ReturnType<typeof createCommand>, rawArgs: readonly string[]): Promise<string> {
+async function formatHelp (command: ReturnType<typeof createCommand>, rawArgs: readonly string[]): Promise<string> {
   const subCommands = command.subCommands as Record<string, ReturnType<typeof createCommand>>
   const subCommand = subCommands[rawArgs[0] ?? '']
   const usage = subCommand === undefined ? await renderUsage(command) : await renderUsage(subCommand, command)
