Carry news of up to 16 members on a probe

Cause: the loss of an availability zone is 41 pieces of news at once, and six on a message took seven messages a round. Change: maxNews from 6 to 16.

--- a/packages/peers/src/membership/MembershipOptions.ts
+++ b/packages/peers/src/membership/MembershipOptions.ts
@@ -37,7 +37,7 @@
   searchMs: 5000,
   indirectProbes: 3,
   announceProbes: 3,
-  maxNews: 6
+  maxNews: 16
 }
 
 /** Options of the membership. */
