Close peer connections after ten seconds without a request

Cause: with probes of random members every connection of a large fleet stayed open, and its heartbeats cost more than the probes. Change: idleMs from 60 s to 10 s.

--- a/packages/peers/src/network/PeerLimits.ts
+++ b/packages/peers/src/network/PeerLimits.ts
@@ -34,7 +34,7 @@
   heartbeatMs: 1000,
   silenceMs: 3000,
   frameTimeoutMs: 10_000,
-  idleMs: 60_000,
+  idleMs: 10_000,
   minBackoffMs: 100,
   maxBackoffMs: 3000
 }
