--- a/packages/model/src/requests/ownerSteps.ts
+++ b/packages/model/src/requests/ownerSteps.ts
@@ -61,7 +61,8 @@
 
 /** The deadline of the request passes. */
 export const passDeadline: Action = state => listRunning(state).map(process => {
-  const outcome = isCall(state) ? 'unknown' : 'failed'
+  const isOnItsWay = isCall(state) && getEntry(state, process).attempt !== 0
+  const outcome = isOnItsWay ? 'unknown' : 'failed'
   return { name: `passDeadline ${process}`, next: endUnfinished(state, process, outcome) }
 })
 
@@ -126,6 +127,7 @@
 function settleCut (state: RequestsState, process: number, guards: Guards): RequestsState {
   const isFinal = state.kind === 'charge' && guards.has('noRepeatAfterBytes')
   if (isFinal) return endEntry(state, process, 'unknown')
+  if (getEntry(state, process).delivered !== 0 && guards.has('deliveredFlag')) return endEntry(state, process, 'failed')
   return setEntry(state, process, { attempt: 0 })
 }
 
--- a/packages/model/src/requests/requestsModel.ts
+++ b/packages/model/src/requests/requestsModel.ts
@@ -29,7 +29,7 @@
     drainCutsNothing: state => !state.hasCutWork
   },
   listInitial: () => KINDS.map(createRequestsState),
-  listSteps: (state, guards) => ACTIONS.flatMap(action => action(state, guards)).filter(({ next }) => next !== state)
+  listSteps: (state, guards) => ACTIONS.flatMap(action => action(state, guards))
 }
 
 function isOneGeneration (received: readonly number[]): boolean {
--- a/packages/model/src/targets/targetsModel.ts
+++ b/packages/model/src/targets/targetsModel.ts
@@ -136,5 +136,5 @@
     hasLateWork: false,
     hasHeardWork: false
   }],
-  listSteps: (state, guards) => ACTIONS.flatMap(action => action(state, guards)).filter(({ next }) => next !== state)
+  listSteps: (state, guards) => ACTIONS.flatMap(action => action(state, guards))
 }
