--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -36,6 +36,7 @@
   forbidden: false,
   draining: true,
   notReady: true,
+  overloaded: true,
   internal: true
 }
 
--- a/packages/daemon/src/http/HttpServer.ts
+++ b/packages/daemon/src/http/HttpServer.ts
@@ -12,6 +12,9 @@
 /** Largest size of all headers, in bytes. */
 const MAX_HEADER_BYTES = 16_384
 
+/** Base of the paths in requests. */
+const BASE_URL = 'http://instance'
+
 /** Options of an HTTP server. */
 export interface HttpServerOptions {
   readonly host: string
@@ -74,7 +77,11 @@
   private async handleRequest (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     this.exchanges++
     outgoing.once('close', () => { this.exchanges-- })
-    const url = new URL(incoming.url ?? '/', 'http://instance')
+    const url = parseUrl(incoming)
+    if (url === undefined) {
+      sendError(outgoing, 400, { error: 'invalidInput', message: `the path cannot be read: ${JSON.stringify(incoming.url?.slice(0, 80))}` })
+      return
+    }
     const match = findRoute(this.options.routes, incoming.method ?? '', url.pathname)
     if (match === undefined) {
       sendError(outgoing, 404, { error: 'notFound', message: `no such path: ${incoming.method ?? ''} ${url.pathname}` })
@@ -89,3 +96,8 @@
     }
   }
 }
+
+function parseUrl (incoming: IncomingMessage): URL | undefined {
+  const path = incoming.url ?? '/'
+  return path.startsWith('/') && URL.canParse(path, BASE_URL) ? new URL(path, BASE_URL) : undefined
+}
--- a/packages/daemon/src/http/createCallerRoutes.ts
+++ b/packages/daemon/src/http/createCallerRoutes.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@fescuespoke/common'
 import {
-  type AddressAnswer, createValidator, type EndEvent, type LeaseGrant, type LeaseRequest, type ResumeRequest, type StreamEvent,
+  type AddressAnswer, createValidator, type EndEvent, type ErrorBody, type LeaseGrant, type LeaseRequest, type ResumeRequest, type StreamEvent,
   type SubmitRequest
 } from '@fescuespoke/schema'
 import { type Dispatcher } from 'undici'
@@ -10,7 +10,7 @@
 import { describeUnknown, locateLease } from '../leases/locateLease.js'
 import { readEvents } from '../requests/readEvents.js'
 import { type RequestEntry } from '../requests/RequestEntry.js'
-import { type RequestService } from '../requests/RequestService.js'
+import { type RequestService, type SubmitError } from '../requests/RequestService.js'
 import { type ResumeService } from '../resume/ResumeService.js'
 import { type ResumeTokens } from '../resume/ResumeTokens.js'
 import { type HttpRoute, type RouteContext } from './HttpRoute.js'
@@ -54,6 +54,11 @@
   readonly offset: number
 }
 
+const SUBMIT_ERRORS: Record<SubmitError, { readonly status: number, readonly body: ErrorBody }> = {
+  conflict: { status: 409, body: { error: 'conflict', message: 'the number was used for another body' } },
+  overloaded: { status: 503, body: { error: 'overloaded', message: 'the lease holds too many requests' } }
+}
+
 type RequestHandler = (context: RouteContext, path: RequestPath, lease: Lease, text: string | undefined) => Promise<void>
 
 /**
@@ -96,15 +101,14 @@
     sendError(outgoing, 503, { error, message: `the instance grants no leases while it is ${phase}` })
     return
   }
-  const lease = options.leases.grantLease(body.value.value.workspace)
-  const grant: LeaseGrant = {
-    lease: lease.text,
-    instance: options.instance,
-    incarnation: options.incarnation,
-    validForMs: options.leaseMs,
-    revision: options.getRevision()
-  }
-  sendJson(outgoing, 200, grant)
+  options.leases.grantLease(body.value.value.workspace).match({
+    Just: lease => sendJson(outgoing, 200, describeGrant(options, lease)),
+    Nothing: () => sendError(outgoing, 503, { error: 'overloaded', message: 'the instance remembers too many leases' })
+  })
+}
+
+function describeGrant ({ instance, incarnation, leaseMs, getRevision }: CallerRoutesOptions, lease: Lease): LeaseGrant {
+  return { lease: lease.text, instance, incarnation, validForMs: leaseMs, revision: getRevision() }
 }
 
 async function handleSubmit (options: CallerRoutesOptions, context: RouteContext): Promise<void> {
@@ -174,8 +178,8 @@
     }
     const entry = options.requests.submitRequest(lease, path.number, body)
     if (entry.isErr) {
-      const message = entry.error === 'conflict' ? 'the number was used for another body' : 'the lease holds too many requests'
-      sendError(context.outgoing, entry.error === 'conflict' ? 409 : 503, { error: entry.error === 'conflict' ? 'conflict' : 'notReady', message })
+      const { status, body: error } = SUBMIT_ERRORS[entry.error]
+      sendError(context.outgoing, status, error)
       return
     }
     if (body.replaces !== undefined) options.resumes.cancelGeneration(body.replaces)
--- a/packages/daemon/src/leases/LeaseRegistry.ts
+++ b/packages/daemon/src/leases/LeaseRegistry.ts
@@ -27,6 +27,8 @@
   readonly leaseMs: number
   /** Time after expiry in milliseconds during which requests stay known. */
   readonly retentionMs: number
+  /** Leases remembered at once. */
+  readonly maxLeases: number
 }
 
 /** Holds the leases of one incarnation and, through them, every request that it owns. */
@@ -46,17 +48,18 @@
   private constructor (private readonly options: LeaseRegistryOptions) {}
 
   /**
-   * Grants a lease to a workspace.
+   * Grants a lease to a workspace, or nothing while too many are remembered.
    * @param workspace - Name of the workspace.
    */
-  grantLease (workspace: string): Lease {
-    this.pruneLeases()
+  grantLease (workspace: string): Maybe<Lease> {
+    if (this.leases.size >= this.options.maxLeases) this.pruneLeases()
+    if (this.leases.size >= this.options.maxLeases) return Maybe.nothing()
     const { instance, incarnation, clock, random, leaseMs } = this.options
     const name = { instance, incarnation, serial: this.nextSerial++, secret: random.nextText(SECRET_BYTES) }
     const text = formatLease(name)
     const lease: Lease = { name, text, workspace, expiresMs: clock.nowMs() + leaseMs, requests: new Map() }
     this.leases.set(text, lease)
-    return lease
+    return Maybe.just(lease)
   }
 
   /**
--- a/packages/daemon/test/fleet/SimulatedCaller.ts
+++ b/packages/daemon/test/fleet/SimulatedCaller.ts
@@ -76,7 +76,7 @@
   let instance: SimulatedInstance | undefined = owner
   let isResuming = false
   while (world.clock.nowMs() < endMs) {
-    const last = instance === undefined ? undefined : await runAttempt(options, report, lease, instance, isResuming)
+    const last: StreamEvent | undefined = instance === undefined ? undefined : await runAttempt(options, report, lease, instance, isResuming)
     if (last?.type === 'end' && (last.outcome !== 'unknown' || isResuming || report.resumeToken === '')) return
     isResuming ||= last !== undefined && report.resumeToken !== ''
     await world.clock.sleep(RETRY_MS)
--- a/packages/daemon/test/fleet/SimulatedInstance.ts
+++ b/packages/daemon/test/fleet/SimulatedInstance.ts
@@ -115,7 +115,7 @@
   async grantLease (workspace: string): Promise<string | undefined> {
     await this.arrive()
     if (this.isDraining || this.parts.configuration.getRevision() === 0) return undefined
-    return this.parts.leases.grantLease(workspace).text
+    return this.parts.leases.grantLease(workspace).map(({ text }) => text).unwrapOr(undefined)
   }
 
   /** Submits or attaches to a request, at its owner or through it. */
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -76,7 +76,7 @@
   const targetClient = new FakeTargetClient(clock)
   const scheduler = new FirstTargetScheduler(clock)
   const random: Random = SeededRandom.create(1)
-  const leases = LeaseRegistry.create({ instance: 'i', incarnation: 'n', clock, random, leaseMs: 60_000, retentionMs: 60_000 })
+  const leases = LeaseRegistry.create({ instance: 'i', incarnation: 'n', clock, random, leaseMs: 60_000, retentionMs: 60_000, maxLeases: 10 })
   const open = new Set(TARGET_NAMES)
   const flags = { confirms: false, refusing: false, handingOver: false }
   let generations = 0
@@ -100,7 +100,7 @@
     maxRequests: 100,
     answerRetentionMs: 5000
   })
-  const lease = leases.grantLease('w')
+  const lease = leases.grantLease('w').unwrapOrElse(() => { throw new Error('no lease') })
   const read = (number: number, offset: number): StreamEvent[] => {
     const events: StreamEvent[] = []
     const entry = requests.findRequest(lease, number).unwrapOr(undefined)
--- a/packages/model/test/support/RealOwner.ts
+++ b/packages/model/test/support/RealOwner.ts
@@ -24,10 +24,10 @@
   readonly targets = new ControlledTargets()
   readonly scheduler = new ControlledScheduler(this.clock)
   readonly leases = LeaseRegistry.create({
-    instance: 'i', incarnation: 'n', clock: this.leaseClock, random: SeededRandom.create(1), leaseMs: LEASE_MS, retentionMs: LEASE_MS
+    instance: 'i', incarnation: 'n', clock: this.leaseClock, random: SeededRandom.create(1), leaseMs: LEASE_MS, retentionMs: LEASE_MS, maxLeases: 10
   })
 
-  readonly lease: Lease = this.leases.grantLease('w')
+  readonly lease: Lease = this.leases.grantLease('w').unwrapOrElse(() => { throw new Error('no lease') })
   readonly resumeTokens = ResumeTokens.create({ fleetKey: 'key-of-this-test' })
   private readonly requests: RequestService
   private readonly resumes = ResumeService.create({ clock: this.clock, targetClient: this.targets, resumeTokens: this.resumeTokens })
--- a/packages/model/test/support/replayRequests.ts
+++ b/packages/model/test/support/replayRequests.ts
@@ -9,7 +9,7 @@
   readonly numbers: readonly number[]
 }
 
-type StepHandler = (context: StepContext) => Promise<string | undefined>
+type StepHandler = (context: StepContext) => Promise<string | undefined> | Promise<void>
 
 /** What became of a trace on the real code. */
 export interface ReplayedRequests {
