--- a/packages/configuration/src/sources/readDocument.ts
+++ b/packages/configuration/src/sources/readDocument.ts
@@ -34,11 +34,13 @@
  */
 export async function readDocument<T> (options: ReadOptions<T>): Promise<Result<T, SourceError>> {
   const abort = new AbortController()
-  const cancelTimer = options.clock.startTimer(options.timeoutMs, () => abort.abort())
-  const signal = options.signal === undefined ? abort.signal : AbortSignal.any([abort.signal, options.signal])
+  const endRead = (): void => abort.abort()
+  const cancelTimer = options.clock.startTimer(options.timeoutMs, endRead)
+  options.signal?.addEventListener('abort', endRead)
+  if (options.signal?.aborted === true) endRead()
   try {
     const { dispatcher } = options
-    const response = await request(options.url, { signal, ...(dispatcher === undefined ? {} : { dispatcher }) })
+    const response = await request(options.url, { signal: abort.signal, ...(dispatcher === undefined ? {} : { dispatcher }) })
     const text = await readBody(response.body)
     if (text === undefined) return refuse('badAnswer', `body of more than ${MAX_BODY_BYTES} bytes`)
     if (response.statusCode !== 200) return refuse('refused', `status ${response.statusCode}`)
@@ -47,6 +49,7 @@
     return refuse('unreachable', (error as Error).message)
   } finally {
     cancelTimer()
+    options.signal?.removeEventListener('abort', endRead)
   }
 }
 
--- a/packages/configuration/test/spread/InstanceListFollower.test.ts
+++ b/packages/configuration/test/spread/InstanceListFollower.test.ts
@@ -83,4 +83,24 @@
     await fleet.clock.advance(EVIDENCE_MS)
     expect(listStates()).toEqual(['active fresh', 'active fresh'])
   })
+
+  /** Pauses the process while the answers to a refresh are on their way, and returns what it then holds of target a. */
+  async function pauseDuringRefresh (isUp: boolean): Promise<string[]> {
+    await doTest(2)
+    fleet.platform.isUpFor = () => isUp
+    const refreshed = fleet.instances.get('i0')?.listFollower.refresh()
+    await fleet.clock.advance(1.5)
+    fleet.platform.isUpFor = () => false
+    fleet.platform.publishList(2, createEntries('a-', 'b', 'c'))
+    fleet.clock.jump(60_000)
+    await fleet.clock.advance(1)
+    await refreshed
+    return listStates().slice(0, 1)
+  }
+
+  it('does not take an answer of the platform that waited during a pause for fresh', async () =>
+    expect(await pauseDuringRefresh(true)).toEqual(['active old']))
+
+  it('does not take an answer of a peer that waited during a pause for fresh', async () =>
+    expect(await pauseDuringRefresh(false)).toEqual(['active old']))
 })
