Log a refused peer once and count failed connects

Cause: a peer with another key wrote a log line at every attempt, and a connect that the system refused was not counted. Change: RefusalLog writes a line when the fault of a peer changes; connectFailed counts connections that end during the handshake without another fault. Conclusion: logs show changes of state, counters the rest.

--- a/packages/peers/src/network/PeerConnection.ts
+++ b/packages/peers/src/network/PeerConnection.ts
@@ -36,6 +36,7 @@
   private lastReceivedMs: number
   private lastSentMs: number
   private frameStartedMs: number | undefined
+  private fault: PeerFault | undefined
 
   /** @internal */
   private constructor (private readonly options: PeerConnectionOptions) {
@@ -58,6 +59,11 @@
     return this.ended.signal.aborted
   }
 
+  /** Gets what was counted as the cause of its end. */
+  getFault (): PeerFault | undefined {
+    return this.fault
+  }
+
   /** Gets the number of bytes that wait to be sent. */
   getQueuedBytes (): number {
     return this.options.socket.writableLength
@@ -104,6 +110,7 @@
    */
   close (fault?: PeerFault): void {
     if (this.isClosed()) return
+    this.fault = fault
     if (fault !== undefined) this.options.counters.recordFault(fault)
     this.ended.abort()
     this.options.socket.destroy()
--- a/packages/peers/src/network/PeerNetwork.ts
+++ b/packages/peers/src/network/PeerNetwork.ts
@@ -12,6 +12,7 @@
 import { PeerConnection } from './PeerConnection.js'
 import { CounterSet, type PeerCounters } from './PeerCounters.js'
 import { DEFAULT_PEER_LIMITS, type PeerLimits } from './PeerLimits.js'
+import { RefusalLog } from './RefusalLog.js'
 
 /** Options of a peer network. */
 export interface PeerNetworkOptions extends PeerIdentity {
@@ -48,12 +49,14 @@
   private readonly outgoing = new Map<string, OutgoingPeer>()
   private readonly incoming = new Map<string, OpenedConnection>()
   private readonly connections = new Set<PeerConnection>()
+  private readonly refusals: RefusalLog
   private server: Server | undefined
   private closed = false
 
   /** @internal */
   private constructor (private readonly options: PeerNetworkOptions) {
     this.limits = { ...DEFAULT_PEER_LIMITS, ...options.limits }
+    this.refusals = RefusalLog.create(options.logger)
   }
 
   /** Starts to listen and returns the address, host and port. */
@@ -141,18 +144,21 @@
     const hello = await this.runWithDeadline(connection, async () =>
       await runDialerHandshake({ connection, identity: this.options, random, expectedInstance: instance }))
     if (hello.isErr) return this.refuseConnection(connection, hello.error, instance)
+    this.refusals.recordAcceptance(instance)
     return Result.ok(this.acceptConnection(connection, hello.value))
   }
 
   private async runIncoming (socket: Socket): Promise<void> {
+    const remote = socket.remoteAddress ?? 'unknown'
     const connection = this.createConnection(socket, true)
     const { random } = this.options
     const hello = await this.runWithDeadline(connection, async () =>
       await runAcceptorHandshake({ connection, identity: this.options, random }))
     if (hello.isErr) {
-      this.refuseConnection(connection, hello.error, socket.remoteAddress ?? 'unknown')
+      this.refuseConnection(connection, hello.error, remote)
       return
     }
+    this.refusals.recordAcceptance(remote)
     const opened = this.acceptConnection(connection, hello.value)
     this.replaceIncoming(opened)
     await this.runRequests(opened)
@@ -177,8 +183,10 @@
   }
 
   private refuseConnection (connection: PeerConnection, fault: HandshakeFault, peer: string): Result<never, 'unreachable'> {
+    const endedWithoutFault = connection.isClosed() && connection.getFault() === undefined
+    if (endedWithoutFault && !this.closed) this.counters.recordFault(fault)
     connection.close(fault)
-    if (fault !== 'connectFailed') this.options.logger?.warn({ peer, fault }, 'peer connection refused')
+    if (fault !== 'connectFailed') this.refusals.recordRefusal(peer, fault)
     return Result.err('unreachable')
   }
 
--- a/packages/peers/test/network/PeerNetwork.test.ts
+++ b/packages/peers/test/network/PeerNetwork.test.ts
@@ -35,6 +35,14 @@
     expect(await doTest(a, 'nobody')).toMatchInlineSnapshot('"unreachable"')
   })
 
+  it('counts a connection that is refused by the system', async () => {
+    const a = await createPeer('a')
+    const b = await createPeer('b')
+    await b.close()
+    expect(await doTest(a, 'b')).toMatchInlineSnapshot('"unreachable"')
+    expect(a.getCounters().faults).toEqual({ connectFailed: 1 })
+  })
+
   it('reaches a peer that was restarted under the same name', async () => {
     const a = await createPeer('a')
     const first = await createPeer('b')
