Split membership into prober, news exchange and the loop

Cause: Membership.ts had 314 lines and three jobs. Change: Prober probes and judges, NewsExchange holds the own record and the news of messages, Membership keeps the loop and the interface; a stopped membership answers no request of any kind. Conclusion: behaviour unchanged but for the stopped membership.

--- a/packages/peers/src/membership/MemberTable.ts
+++ b/packages/peers/src/membership/MemberTable.ts
@@ -53,6 +53,23 @@
     return [...this.entries.values()].map(({ member }) => member)
   }
 
+  /**
+   * Lists the names of the members in some states, in no order.
+   * @param states - The states.
+   */
+  listNames (states: readonly MemberState[]): string[] {
+    return this.list().filter(({ state }) => states.includes(state)).map(({ instance }) => instance)
+  }
+
+  /**
+   * Tells whether an instance is known and not dead.
+   * @param instance - Name of the instance.
+   */
+  isPresent (instance: string): boolean {
+    const member = this.get(instance)
+    return member !== undefined && member.state !== 'dead'
+  }
+
   /** Counts the members that are not dead. */
   countPresent (): number {
     let count = 0
--- a/packages/peers/src/membership/Membership.ts
+++ b/packages/peers/src/membership/Membership.ts
@@ -1,24 +1,14 @@
-import { type ListedEntry, type MemberNews, type MemberState, type News, type PingAnswer } from '@fescuespoke/schema'
+import { type ListedEntry } from '@fescuespoke/schema'
 import { Maybe } from 'true-myth'
 import { ListedInstances } from './ListedInstances.js'
 import { convertToNews, type Member, type MemberChange } from './Member.js'
-import { type NewsSource, MemberTable } from './MemberTable.js'
+import { type MemberTable } from './MemberTable.js'
 import { DEFAULT_MEMBERSHIP_LIMITS, type MembershipLimits, type MembershipOptions } from './MembershipOptions.js'
-import { NewsQueue } from './NewsQueue.js'
+import { NewsExchange } from './NewsExchange.js'
 import { pickSome, ProbeOrder } from './ProbeOrder.js'
+import { Prober } from './Prober.js'
 import { recordMemberChange } from './recordMemberChange.js'
 
-interface Judgement {
-  readonly state: MemberState
-  readonly cause: string
-}
-
-/** What is believed of a member that answers no probe, by its state so far. */
-const SILENCE_JUDGEMENTS: Partial<Record<MemberState, Judgement>> = {
-  alive: { state: 'suspect', cause: 'no answer to probes' },
-  leaving: { state: 'dead', cause: 'no answer to probes after it announced that it leaves' }
-}
-
 /** Receives each change of a member. */
 export type MemberListener = (change: MemberChange) => void
 
@@ -38,27 +28,35 @@
   }
 
   private readonly limits: MembershipLimits
+  private readonly exchange: NewsExchange
   private readonly table: MemberTable
+  private readonly prober: Prober
   private readonly listed: ListedInstances
-  private readonly queue = NewsQueue.create()
   private readonly order: ProbeOrder
   private readonly listeners = new Set<MemberListener>()
   private readonly stopped = new AbortController()
   private running: Promise<void> | undefined
-  private own: Member
   private alive: readonly string[] | undefined
-  private passesNewsOn = true
   private lastSyncMs = -Infinity
   private lastSearchMs = -Infinity
 
   /** @internal */
   private constructor (private readonly options: MembershipOptions) {
-    const { instance, incarnation, url, peerAddress, availabilityZone, region, clock, random } = options
+    const { clock, random, instance } = options
     this.limits = { ...DEFAULT_MEMBERSHIP_LIMITS, ...options.limits }
-    this.table = MemberTable.create({ clock, onChange: change => this.handleChange(change) })
+    this.exchange = NewsExchange.create({
+      membership: options,
+      clock,
+      maxNews: this.limits.maxNews,
+      onChange: change => this.handleChange(change),
+      onOwnChange: () => { this.alive = undefined },
+      // An instance found again may bring a whole part of the fleet along.
+      onFound: () => { this.lastSyncMs = Math.min(this.lastSyncMs, clock.nowMs() - this.limits.syncMs) }
+    })
+    this.table = this.exchange.table
+    this.prober = Prober.create({ membership: options, limits: this.limits, exchange: this.exchange, signal: this.stopped.signal })
     this.listed = ListedInstances.create(instance)
     this.order = ProbeOrder.create(random)
-    this.own = { instance, incarnation, url, peerAddress, availabilityZone, region, counter: 0, state: 'alive', changedAtMs: clock.nowMs() }
     this.setHandlers()
   }
 
@@ -69,7 +67,7 @@
 
   /** Stops to probe and to answer. After `announceLeaving` some peers are told first that this instance is gone. */
   async stop (): Promise<void> {
-    const announced = this.own.state === 'leaving'
+    const announced = this.exchange.getOwn().state === 'leaving'
     this.stopped.abort()
     if (announced) await this.sendFarewell()
     await this.running
@@ -77,14 +75,14 @@
 
   /** Announces that this instance drains: it is alive, and nothing new should come to it. */
   announceLeaving (): void {
-    this.setOwn({ state: 'leaving', counter: this.own.counter + 1 })
+    this.exchange.setOwnState('leaving')
     this.announceNews()
   }
 
   /** Announces that what `getNews` gets has changed: probes some members at once, so that it need not wait for the interval. */
   announceNews (): void {
-    const told = pickSome(this.options.random, this.listStates(['alive']), this.limits.announceProbes)
-    for (const instance of told) this.sendPing(instance)
+    const told = pickSome(this.options.random, this.table.listNames(['alive']), this.limits.announceProbes)
+    for (const instance of told) this.prober.sendPing(instance)
   }
 
   /**
@@ -103,7 +101,7 @@
 
   /** Lists all members, the own instance included, sorted by name. */
   listMembers (): Member[] {
-    return [this.own, ...this.table.list()].sort((a, b) => a.instance < b.instance ? -1 : 1)
+    return [this.exchange.getOwn(), ...this.table.list()].sort((a, b) => a.instance < b.instance ? -1 : 1)
   }
 
   /**
@@ -111,7 +109,7 @@
    * @param instance - Name of the instance.
    */
   findMember (instance: string): Maybe<Member> {
-    return Maybe.of(instance === this.own.instance ? this.own : this.table.get(instance))
+    return Maybe.of(instance === this.options.instance ? this.exchange.getOwn() : this.table.get(instance))
   }
 
   /**
@@ -121,8 +119,7 @@
   findPeerAddress (instance: string): Maybe<string> {
     const member = this.table.get(instance)
     const listed = this.listed.getAddress(instance)
-    const isPresent = member !== undefined && member.state !== 'dead'
-    return Maybe.of(isPresent ? member.peerAddress : listed ?? member?.peerAddress)
+    return Maybe.of(this.table.isPresent(instance) ? member?.peerAddress : listed ?? member?.peerAddress)
   }
 
   /**
@@ -138,15 +135,17 @@
     const { transport } = this.options
     transport.setHandler('ping', ({ news }, from) => {
       if (this.stopped.signal.aborted) return undefined
-      this.observeNews(from, news, Maybe.nothing())
-      return { type: 'pingAnswer', news: this.createNews(from, news) }
+      this.exchange.observeNews(from, news, Maybe.nothing())
+      return { type: 'pingAnswer', news: this.exchange.createNews(from, news) }
     })
     transport.setHandler('indirectPing', async ({ instance }) => {
-      const reached = await this.sendPing(instance)
+      if (this.stopped.signal.aborted) return undefined
+      const reached = await this.prober.sendPing(instance)
       return { type: 'indirectPingAnswer', instance, reached }
     })
     transport.setHandler('membersRequest', ({ digest }) => {
-      const isSame = digest === this.table.computeDigest(this.own)
+      if (this.stopped.signal.aborted) return undefined
+      const isSame = digest === this.exchange.computeDigest()
       return { type: 'membersAnswer', members: isSame ? [] : this.listMembers().map(convertToNews) }
     })
   }
@@ -167,124 +166,46 @@
   private async runRound (): Promise<void> {
     this.settleSuspects()
     this.table.pruneDead(this.computeForgetMs())
-    const suspects = pickSome(this.options.random, this.listStates(['suspect']), this.limits.indirectProbes)
-    const next = this.order.takeNext(name => this.isPresent(name), () => this.listStates(['alive', 'leaving', 'suspect']))
+    const suspects = pickSome(this.options.random, this.table.listNames(['suspect']), this.limits.indirectProbes)
+    const next = this.order.takeNext(name => this.table.isPresent(name), () => this.table.listNames(['alive', 'leaving', 'suspect']))
     const probed = next === undefined || suspects.includes(next) ? [] : [next]
     await Promise.all([
-      ...probed.map(async name => { await this.probeMember(name) }),
-      ...[...suspects, ...this.takeSearched()].map(async name => { await this.sendPing(name) }),
+      ...probed.map(async name => { await this.prober.probeMember(name) }),
+      ...[...suspects, ...this.takeSearched()].map(async name => { await this.prober.sendPing(name) }),
       this.fetchMembers()
     ])
   }
 
-  private async probeMember (instance: string): Promise<void> {
-    const startedMs = this.options.clock.nowMs()
-    if (await this.sendPing(instance)) return
-    if (await this.sendIndirectPings(instance)) return
-    const longestMs = 3 * this.limits.probeTimeoutMs
-    // Answers that came during an own pause may wait unread, so nothing is concluded.
-    const wasPaused = this.options.clock.nowMs() - startedMs > longestMs + this.limits.probeTimeoutMs / 2
-    const member = this.table.get(instance)
-    if (member === undefined || wasPaused || this.stopped.signal.aborted) return
-    const judgement = SILENCE_JUDGEMENTS[member.state]
-    if (judgement !== undefined) this.table.setState(instance, judgement.state, judgement.cause)
-  }
-
-  private async sendPing (instance: string): Promise<boolean> {
-    const { transport, clock } = this.options
-    const sentAtMs = clock.nowMs()
-    const answer = await transport.request<'pingAnswer'>(instance, { type: 'ping', news: this.createNews(instance) }, this.limits.probeTimeoutMs)
-    if (answer.isErr || this.stopped.signal.aborted) return answer.isOk
-    this.observeAnswer(instance, answer.value, sentAtMs)
-    return true
-  }
-
-  private async sendIndirectPings (instance: string): Promise<boolean> {
-    const helpers = pickSome(this.options.random, this.listStates(['alive']).filter(name => name !== instance), this.limits.indirectProbes)
-    const answers = await Promise.all(helpers.map(async helper =>
-      await this.options.transport.request<'indirectPingAnswer'>(helper, { type: 'indirectPing', instance }, 2 * this.limits.probeTimeoutMs)))
-    return answers.some(answer => answer.isOk && answer.value.reached)
-  }
-
   private async sendFarewell (): Promise<void> {
-    this.setOwn({ state: 'dead', counter: this.own.counter + 1 })
-    const told = pickSome(this.options.random, this.listStates(['alive']), this.limits.indirectProbes)
-    await Promise.all(told.map(async name => { await this.sendPing(name) }))
+    this.exchange.setOwnState('dead')
+    const told = pickSome(this.options.random, this.table.listNames(['alive']), this.limits.indirectProbes)
+    await Promise.all(told.map(async name => { await this.prober.sendPing(name) }))
   }
 
   private async fetchMembers (): Promise<void> {
     const { clock, random, transport } = this.options
     if (clock.nowMs() - this.lastSyncMs < this.limits.syncMs) return
-    const [peer] = pickSome(random, this.listStates(['alive']), 1)
+    const [peer] = pickSome(random, this.table.listNames(['alive']), 1)
     if (peer === undefined) return
     this.lastSyncMs = clock.nowMs()
-    const digest = this.table.computeDigest(this.own)
+    const digest = this.exchange.computeDigest()
     const answer = await transport.request<'membersAnswer'>(peer, { type: 'membersRequest', digest }, this.limits.probeMs)
     if (answer.isErr) this.lastSyncMs = -Infinity
-    else this.acceptMembers(answer.value.members, peer)
-  }
-
-  private acceptMembers (members: readonly MemberNews[], from: string): void {
-    // The others exchange members as well, so nothing of this is passed on.
-    this.passesNewsOn = false
-    for (const news of members) this.acceptNews(news, from)
-    this.passesNewsOn = true
+    else this.exchange.acceptMembers(answer.value.members, peer)
   }
 
   private takeSearched (): string[] {
     const { clock, random } = this.options
-    const isAlone = this.listStates(['alive']).length === 0
+    const isAlone = this.table.listNames(['alive']).length === 0
     if (!isAlone && clock.nowMs() - this.lastSearchMs < this.limits.searchMs) return []
     this.lastSearchMs = clock.nowMs()
-    const absent = new Set([...this.listed.listNames(), ...this.listStates(['dead'])].filter(name => !this.isPresent(name)))
+    const absent = new Set([...this.listed.listNames(), ...this.table.listNames(['dead'])].filter(name => !this.table.isPresent(name)))
     return pickSome(random, [...absent], isAlone ? this.limits.indirectProbes : 1)
   }
 
-  private observeAnswer (from: string, { news }: PingAnswer, sentAtMs: number): void {
-    this.observeNews(from, news, Maybe.just(sentAtMs))
-  }
-
-  private observeNews (from: string, { members, ...fleetNews }: News, sentAtMs: Maybe<number>): void {
-    const wasAbsent = !this.isPresent(from)
-    for (const news of members) this.acceptNews(news, from)
-    // An instance found again may bring a whole part of the fleet along.
-    if (wasAbsent && this.isPresent(from)) this.lastSyncMs = Math.min(this.lastSyncMs, this.options.clock.nowMs() - this.limits.syncMs)
-    this.options.observeNews(from, fleetNews, sentAtMs)
-  }
-
-  private acceptNews (news: MemberNews, from: string): void {
-    const source: NewsSource = news.instance === from ? 'itself' : 'another'
-    if (news.instance === this.own.instance) this.answerNewsOfOwn(news)
-    else this.table.acceptNews(news, source, source === 'itself' ? 'told by itself' : `told by ${from}`)
-  }
-
-  private answerNewsOfOwn (news: MemberNews): void {
-    if (news.counter < this.own.counter) return
-    const agrees = news.incarnation === this.own.incarnation && news.state === this.own.state
-    if (!agrees) this.setOwn({ counter: news.counter + 1 })
-    else if (news.counter > this.own.counter) this.setOwn({ counter: news.counter })
-  }
-
-  private createNews (to: string, told?: News): News {
-    const names = this.queue.takeNames(this.limits.maxNews, this.table.countPresent() + 1)
-    const receiver = this.table.get(to)
-    const stated = told?.members.find(({ instance }) => instance === to)
-    const isDisputed = receiver !== undefined && (receiver.state !== (stated?.state ?? 'alive') || receiver.counter !== (stated?.counter ?? receiver.counter))
-    const others = new Set([...(isDisputed ? [to] : []), ...names].slice(0, this.limits.maxNews))
-    others.delete(this.own.instance)
-    const members = [...others].map(name => this.table.get(name)).filter(member => member !== undefined)
-    return { members: [this.own, ...members].map(convertToNews), ...this.options.getNews() }
-  }
-
-  private setOwn (changes: { readonly state?: MemberState, readonly counter: number }): void {
-    this.own = { ...this.own, ...changes, changedAtMs: this.options.clock.nowMs() }
-    this.alive = undefined
-  }
-
   private handleChange (change: MemberChange): void {
     const { instance } = change.member
     this.alive = undefined
-    if (this.passesNewsOn) this.queue.add(instance)
     if (change.before === undefined || change.before === 'dead') this.order.insert(instance)
     if (change.before === change.member.state && !change.isRestart) return
     if (this.options.audit !== undefined) recordMemberChange(this.options.audit, change, this.options.getNews().revision)
@@ -302,13 +223,4 @@
   private computeForgetMs (): number {
     return Math.max(this.limits.forgetMs, 2 * this.table.countPresent() * this.limits.probeMs)
   }
-
-  private isPresent (instance: string): boolean {
-    const member = this.table.get(instance)
-    return member !== undefined && member.state !== 'dead'
-  }
-
-  private listStates (states: readonly MemberState[]): string[] {
-    return this.table.list().filter(({ state }) => states.includes(state)).map(({ instance }) => instance)
-  }
 }
