Do not send a message that the other side would refuse as too long

Cause: an answer above the longest frame made the receiver close the connection, and everything on it failed. Change: such a message is counted as oversize and not sent; its request times out. Conclusion: one long answer costs only itself.

--- a/packages/peers/src/network/PeerConnection.ts
+++ b/packages/peers/src/network/PeerConnection.ts
@@ -81,11 +81,13 @@
   }
 
   /**
-   * Sends a message.
+   * Sends a message; one that the other side would refuse as too long is counted and not sent.
    * @param envelope - The message.
    */
   sendEnvelope (envelope: Envelope): void {
-    this.sendFrame(encodeFrame(this.options.codec.encodeEnvelope(envelope)))
+    const content = this.options.codec.encodeEnvelope(envelope)
+    if (content.length > this.options.limits.maxFrameBytes) this.options.counters.recordFault('oversize')
+    else this.sendFrame(encodeFrame(content))
   }
 
   /**
--- a/packages/peers/test/network/PeerNetwork.faults.test.ts
+++ b/packages/peers/test/network/PeerNetwork.faults.test.ts
@@ -182,6 +182,19 @@
     expect(a.getCounters().faults.overflow).toBeGreaterThan(0)
   })
 
+  it('keeps the connection when an answer is too long to be sent', async () => {
+    const clock = VirtualClock.create()
+    const a = await createPeer('a', { clock })
+    const b = await createPeer('b', { limits: { maxFrameBytes: 1024 } })
+    await ask(a, 'b')
+    b.setHandler('listRequest', () => ({ type: 'lengthsAnswer', histograms: { text: 'x'.repeat(2000) } }))
+    const answer = a.request('b', { type: 'listRequest', haveVersion: 1 }, 500)
+    await expect.poll(() => b.getCounters().faults, { timeout: TIMEOUT_MS }).toEqual({ oversize: 1 })
+    await clock.advance(500)
+    expect((await answer).isErr && await ask(a, 'b')).toBe('answered by b')
+    expect(a.getCounters().connections).toBe(1)
+  })
+
   it('times out when no answer comes', async () => {
     const clock = VirtualClock.create()
     const a = await createPeer('a', { clock })
