Give up an attempt after the deadline of its request

Cause: a call with a deadline of 2000 ms whose owner was paused ended after 4646 ms, since its last attempt waited for silence to pass. Change: an attempt is given up 500 ms after the deadline; a request that has never left ends as notRun. In the same trial the paused owner ran the call when it woke up, 10 s after its deadline, because it counts the deadline from the moment at which it reads the request; reported.

--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -1,3 +1,4 @@
+import { type CancelTimer } from '@fescuespoke/common'
 import { type EndEvent, type ErrorBody, type SubmitRequest } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type AnswerReason } from '../answer/AnswerResult.js'
@@ -27,6 +28,9 @@
 /** Attempts at the owner, on new connections, before other instances are asked. */
 const OWNER_ATTEMPTS = 2
 
+/** Time after the deadline for the owner's answer to arrive, in milliseconds. */
+const DEADLINE_GRACE_MS = 500
+
 /** Whether an HTTP error may go away by itself. */
 const TEMPORARY_ERRORS: Record<ErrorBody['error'], boolean> = {
   invalidInput: false,
@@ -52,6 +56,8 @@
 
   private readonly path: string
   private readonly body: string
+  /** Aborted when no answer can be of use any more. */
+  private readonly overdue = new AbortController()
   private route: Route = 'owner'
   /** Attempts since the last one that brought a token. */
   private failures = 0
@@ -73,6 +79,21 @@
 
   /** Runs attempts until the request has ended, nothing more can be learnt, or the application cancels. */
   async run (): Promise<SubmissionEnd | 'cancelled'> {
+    const cancelTimer = this.startDeadlineTimer()
+    const end = await this.runAttempts()
+    cancelTimer()
+    return end
+  }
+
+  /** The owner answers at the deadline by itself; an attempt that goes on after that is given up. */
+  private startDeadlineTimer (): CancelTimer {
+    const { services, deadlineAtMs } = this.options.context
+    if (!Number.isFinite(deadlineAtMs)) return () => {}
+    const waitMs = deadlineAtMs + DEADLINE_GRACE_MS - services.clock.nowMs()
+    return services.clock.startTimer(waitMs, () => this.overdue.abort())
+  }
+
+  private async runAttempts (): Promise<SubmissionEnd | 'cancelled'> {
     const { services, buffer, cancelSignal } = this.options.context
     while (this.canTry()) {
       await services.clock.sleep(computeBackoffMs(services.random, this.failures), cancelSignal)
@@ -93,7 +114,8 @@
   }
 
   private async sendAttempt (): Promise<AttemptEnd> {
-    const { services, buffer, cancelSignal: signal } = this.options.context
+    const { services, buffer, cancelSignal } = this.options.context
+    const signal = AbortSignal.any([cancelSignal, this.overdue.signal])
     const offset = buffer.getOffset()
     const url = await this.pickUrl()
     const observe = buffer.observe.bind(buffer)
@@ -148,7 +170,7 @@
     const handlers: { [K in ExchangeError['kind']]: () => AttemptSequel } = {
       aborted: () => {
         this.mayHaveArrived ||= (error as AbortedError).mayHaveArrived
-        return 'cancelled'
+        return this.options.context.cancelSignal.aborted ? 'cancelled' : this.settleNothingLearnt()
       },
       notSent: () => this.settleNotSent(error.detail),
       cut: () => {
@@ -242,7 +264,9 @@
 
   private settleNothingLearnt (): SubmissionEnd {
     const { kind, services, deadlineAtMs } = this.options.context
-    const reason = services.clock.nowMs() < deadlineAtMs ? 'ownerUnreachable' : 'deadlineExceeded'
+    const isOverdue = this.overdue.signal.aborted || services.clock.nowMs() >= deadlineAtMs
+    const reason = isOverdue ? 'deadlineExceeded' : 'ownerUnreachable'
+    if (!this.mayHaveArrived) return createRetry('moveOn', reason, this.lastDetail)
     if (kind === 'generation') return this.settleLostGeneration(reason, this.lastDetail)
     return { result: { outcome: 'unknown', reason, detail: this.lastDetail }, sequel: 'none' }
   }
--- a/packages/caller/test/requests/SubmissionOfCalls.test.ts
+++ b/packages/caller/test/requests/SubmissionOfCalls.test.ts
@@ -157,4 +157,21 @@
       ]
     `)
   })
+
+  it('gives up an attempt that goes on after the deadline', async () => {
+    const scripts = [{ 'PUT requests': [[createAccepted('whole'), 'silence']] }] as const
+    expect(await doCallerTest({ scripts, callerOptions: { silenceMs: 600_000 } }, async ({ caller, clock, waitForSilence }) => {
+      const answer = caller.call({ service: 's', body: 1, deadlineMs: 2000 })
+      await waitForSilence()
+      clock.jump(2500)
+      clock.runTimers()
+      return await answer.wait()
+    })).toMatchInlineSnapshot(`
+      [
+        "a: POST /leases",
+        "a: PUT /requests/A/1?offset=0",
+        "unknown deadlineExceeded: given up by the caller",
+      ]
+    `)
+  })
 })
