--- a/packages/model/test/support/RealOwner.ts
+++ b/packages/model/test/support/RealOwner.ts
@@ -29,8 +29,8 @@
 
   readonly lease: Lease = this.leases.grantLease('w').unwrapOrElse(() => { throw new Error('no lease') })
   readonly resumeTokens = ResumeTokens.create({ fleetKey: 'key-of-this-test' })
-  private readonly requests: RequestService
-  private readonly resumes = ResumeService.create({ clock: this.clock, targetClient: this.targets, resumeTokens: this.resumeTokens })
+  readonly requests: RequestService
+  readonly resumes = ResumeService.create({ clock: this.clock, targetClient: this.targets, resumeTokens: this.resumeTokens })
   private readonly tokens = new Map<number, string>()
   private isRefusing = false
   private hasService = true
--- a/packages/model/test/support/replayRequests.ts
+++ b/packages/model/test/support/replayRequests.ts
@@ -9,6 +9,7 @@
   readonly numbers: readonly number[]
 }
 
+/** Takes a step and returns what went wrong, if anything. */
 type StepHandler = (context: StepContext) => Promise<string | undefined> | Promise<void>
 
 /** What became of a trace on the real code. */
