Refuse for the deadline only what no short answer could meet

Cause: a request was refused when its mean expected answer would pass the deadline; a fresh instance expected 817 tokens of every service, refused all requests with deadlines below half a minute, and so never learned. Requests whose target was found closed before anything was sent used up the retry budget. Change: the limit uses the shortest quarter of the learned answers at half the planned token interval, and nothing before 40 answers are known; only a failed or unreachable target makes the next placement a retry.

--- a/packages/bench/src/measure/SimulatedTarget.ts
+++ b/packages/bench/src/measure/SimulatedTarget.ts
@@ -107,7 +107,7 @@
   }
 
   /** Ends the requests of a dead target, as broken connections do. */
-  breakConnections (): void {
+  closeConnections (): void {
     for (const listener of [...this.listeners]) this.end(listener, false)
   }
 
--- a/packages/bench/src/measure/deployments.ts
+++ b/packages/bench/src/measure/deployments.ts
@@ -130,13 +130,13 @@
 export function computeCapacity (deployment: Deployment, services: readonly MeasuredService[], tokenIntervalMs: number): Capacity {
   const { engine } = deployment
   const generations = services.filter(service => service.kind === 'generation')
-  const total = sumOf(services, service => service.share)
+  const total = computeSum(services, service => service.share)
   const means = new Map(generations.map(service => [service, estimateMeans(service)]))
   const read = (service: MeasuredService): OutputMeans => means.get(service) as OutputMeans
-  const steps = sumOf(generations, service => service.share * read(service).tokens) / total
-  const prefill = sumOf(generations, service => service.share * service.promptTokens) / total
-  const held = sumOf(generations, service => service.share * computeHeldTokens(service, read(service))) / total
-  const prefixes = sumOf(generations, service => service.prefixTokens * service.prefixes) * deployment.workspaceShares.length
+  const steps = computeSum(generations, service => service.share * read(service).tokens) / total
+  const prefill = computeSum(generations, service => service.share * service.promptTokens) / total
+  const held = computeSum(generations, service => service.share * computeHeldTokens(service, read(service))) / total
+  const prefixes = computeSum(generations, service => service.prefixTokens * service.prefixes) * deployment.workspaceShares.length
   const byMemory = (engine.capacityTokens * FULL_MEMORY_SHARE - Math.min(prefixes, engine.prefixCacheTokens)) / (held / steps)
   const byStep = (tokenIntervalMs - engine.stepBaseMs) / engine.stepSequenceMs
   const sequences = Math.floor(Math.min(engine.maxSequences, byMemory, byStep))
@@ -152,8 +152,8 @@
 
 function estimateMeans (service: MeasuredService): OutputMeans {
   const random = SeededRandom.create(DRAW_SEED)
-  const lengths = Array.from({ length: DRAWS }, () => drawOutputLength(service.output, random))
-  return { tokens: sumOf(lengths, length => length) / DRAWS, squares: sumOf(lengths, length => length ** 2) / DRAWS }
+  const lengths = Array.from({ length: DRAWS }, () => pickOutputLength(service.output, random))
+  return { tokens: computeSum(lengths, length => length) / DRAWS, squares: computeSum(lengths, length => length ** 2) / DRAWS }
 }
 
 /**
@@ -161,13 +161,13 @@
  * @param shape - Shape of the lengths.
  * @param random - Source of random numbers.
  */
-export function drawOutputLength (shape: OutputShape, random: Random): number {
+export function pickOutputLength (shape: OutputShape, random: Random): number {
   const { meanTokens, sigma, maxTokens } = shape
   const normal = Math.sqrt(-2 * Math.log(1 - random.nextFloat())) * Math.cos(2 * Math.PI * random.nextFloat())
   const tokens = meanTokens * Math.exp(sigma * normal - sigma ** 2 / 2)
   return Math.max(1, Math.min(maxTokens, Math.round(tokens)))
 }
 
-function sumOf<T> (items: readonly T[], read: (item: T) => number): number {
+function computeSum<T> (items: readonly T[], read: (item: T) => number): number {
   return items.reduce((sum, item) => sum + read(item), 0)
 }
--- a/packages/bench/src/measure/faults.ts
+++ b/packages/bench/src/measure/faults.ts
@@ -29,18 +29,18 @@
   slowEngine: ({ targets }, { index }) => targets[index]?.setSlow(SLOW_FACTOR),
   killEngine: ({ targets }, { index }) => {
     targets[index]?.kill()
-    targets[index]?.breakConnections()
+    targets[index]?.closeConnections()
   },
   reclaimEngine: ({ targets, clock }, { index }) => {
     targets[index]?.setLeaving()
     clock.startTimer(RECLAIM_NOTICE_MS, () => {
       targets[index]?.kill()
-      targets[index]?.breakConnections()
+      targets[index]?.closeConnections()
     })
   },
-  loseZone,
-  pauseInstance: (context, { index, durationMs }) => pauseInstance(context, context.instances[index] as SimulatedInstance, durationMs ?? 0),
-  splitInstances
+  stopZone,
+  runPause: (context, { index, durationMs }) => runPause(context, context.instances[index] as SimulatedInstance, durationMs ?? 0),
+  splitFleet
 }
 
 /**
@@ -52,13 +52,13 @@
   for (const fault of faults) context.clock.startTimer(fault.atMs, () => FAULT_HANDLERS[fault.kind](context, fault))
 }
 
-function loseZone (context: FaultContext, { index }: Fault): void {
+function stopZone (context: FaultContext, { index }: Fault): void {
   const zone = context.availabilityZones[index]
   const lostTargets = context.targets.filter(({ target }) => target.availabilityZone === zone)
   const lostInstances = context.instances.filter(instance => instance.availabilityZone === zone)
   const others = context.instances.filter(instance => instance.availabilityZone !== zone)
   for (const target of lostTargets) target.kill()
-  context.clock.startTimer(SILENCE_MS, () => lostTargets.forEach(target => target.breakConnections()))
+  context.clock.startTimer(SILENCE_MS, () => lostTargets.forEach(target => target.closeConnections()))
   context.network.partition(lostInstances.map(({ name }) => name), others.map(({ name }) => name))
   for (const instance of lostInstances) {
     instance.kill()
@@ -66,7 +66,7 @@
   }
 }
 
-function pauseInstance (context: FaultContext, instance: SimulatedInstance, durationMs: number): void {
+function runPause (context: FaultContext, instance: SimulatedInstance, durationMs: number): void {
   context.network.pause(instance.name)
   context.view.setDown(instance.name, true)
   context.clock.startTimer(durationMs, () => {
@@ -75,7 +75,7 @@
   })
 }
 
-function splitInstances (context: FaultContext, { durationMs }: Fault): void {
+function splitFleet (context: FaultContext, { durationMs }: Fault): void {
   const names = context.instances.map(({ name }) => name)
   const groups = [names.filter((_, index) => index % 2 === 0), names.filter((_, index) => index % 2 === 1)]
   context.network.partition(groups[0] ?? [], groups[1] ?? [])
--- a/packages/bench/src/measure/scenarios.ts
+++ b/packages/bench/src/measure/scenarios.ts
@@ -1,7 +1,7 @@
 import { DEPLOYMENTS, type Deployment, type DeploymentName, type MeasuredService } from './deployments.js'
 
 /** A disturbance at one moment of a run. */
-export type FaultKind = 'slowEngine' | 'killEngine' | 'reclaimEngine' | 'loseZone' | 'pauseInstance' | 'splitInstances'
+export type FaultKind = 'slowEngine' | 'killEngine' | 'reclaimEngine' | 'stopZone' | 'runPause' | 'splitFleet'
 
 /** A disturbance and its time, counted from the first arrival. */
 export interface Fault {
@@ -82,12 +82,12 @@
   'target-reclaimed': createScenario('association', 0.77, {
     faults: [createFault('reclaimEngine', 1), createFault('reclaimEngine', 4, undefined, RECLAIM_REPEAT_MS)]
   }),
-  'zone-lost': createScenario('association', 0.66, { faults: [createFault('loseZone', 1)] }),
+  'zone-lost': createScenario('association', 0.66, { faults: [createFault('stopZone', 1)] }),
   'cache-events-lost': createScenario('association', 0.95, { eventLossRate: 0.3 }),
   'load-lag': createScenario('association', 0.95, { loadLagMs: LATE_LOAD_LAG_MS }),
   'instance-paused': createScenario('association', 0.9, {
-    faults: [createFault('pauseInstance', 0, 5000), createFault('pauseInstance', 3, 8000, 10_000)]
+    faults: [createFault('runPause', 0, 5000), createFault('runPause', 3, 8000, 10_000)]
   }),
-  split: createScenario('association', 0.95, { faults: [createFault('splitInstances', 0, 30_000)] }),
+  split: createScenario('association', 0.95, { faults: [createFault('splitFleet', 0, 30_000)] }),
   mixed: createScenario('loVerde', 0.95)
 }
--- a/packages/scheduling/src/SchedulerParts.ts
+++ b/packages/scheduling/src/SchedulerParts.ts
@@ -123,7 +123,7 @@
   options.recordAudit?.({
     kind: change.after === 'excluded' ? 'targetExcluded' : 'targetReadmitted',
     subject: change.target,
-    revision: 0,
+    revision: options.getRevision?.() ?? 0,
     cause: change.cause,
     before: change.before,
     after: change.after
@@ -140,10 +140,10 @@
   const capacity = capacities.getCapacity(target)
   const own = getOwnLoad(target)
   const isExcluded = health.getState(target) === 'excluded'
-  const stateOf = (): TargetStatus['state'] => directory.isLeaving(target) ? 'leaving' : isExcluded ? 'excluded' : 'active'
+  const getState = (): TargetStatus['state'] => directory.isLeaving(target) ? 'leaving' : isExcluded ? 'excluded' : 'active'
   return {
     target,
-    state: stateOf(),
+    state: getState(),
     running: own.count(),
     queued: 0,
     projectedTokens: Math.round(own.computePeakTokens()),
--- a/packages/scheduling/src/TargetScheduler.ts
+++ b/packages/scheduling/src/TargetScheduler.ts
@@ -25,6 +25,8 @@
   readonly settings?: Partial<SchedulingSettings>
   /** Requests of one target that policies with a fixed division allow for all instances together. */
   readonly fixedSequences?: number
+  /** Gets the accepted revision, for the audit trail. */
+  readonly getRevision?: () => number
   /** Records a change in the audit trail. */
   readonly recordAudit?: (entry: AuditEntry) => void
 }
@@ -42,12 +44,18 @@
 const LENGTHS_PEERS = 3
 const LENGTHS_TIMEOUT_MS = 1000
 
-/** Time from dispatch to the first token, assumed for the expected duration. */
+/** Token interval of a target with little to do, as a share of the planned one. */
+const FAST_INTERVAL_SHARE = 0.5
+
+/** Time from dispatch to the first token, assumed for the shortest duration. */
 const ASSUMED_FIRST_TOKEN_MS = 200
 
 /** Wait after which a caller without any usable target may try again. */
 const NO_TARGET_RETRY_MS = 2000
 
+/** Failed requests remembered until they are placed again. */
+const MAX_FAILED_REQUESTS = 1000
+
 /** Tokens in good pace after which a request counts as a success. */
 const SUCCESS_TOKENS = 32
 
@@ -64,6 +72,8 @@
   private readonly parts: SchedulerParts
   private cancelTick: CancelTimer | undefined
   private isPlacing = false
+  /** Requests whose last target failed, oldest first; placing them again is a retry. */
+  private readonly failedRequests = new Set<string>()
 
   /** @internal */
   private constructor (private readonly options: TargetSchedulerOptions) {
@@ -92,7 +102,7 @@
     const { waiting, picker, retries, counters } = this.parts
     if (request.signal.aborted) return this.refuse({ reason: 'cancelledByCaller', detail: 'cancelled before placement' })
     if (picker.listUsable(request).length === 0) return this.refuse({ reason: 'noTarget', detail: 'no target of the service is usable', retryAfterMs: NO_TARGET_RETRY_MS })
-    if (request.failedTargets.length > 0 && !retries.takeRetry(request.service.name)) {
+    if (this.failedRequests.delete(request.request) && !retries.takeRetry(request.service.name)) {
       return this.refuse({ reason: 'overloaded', detail: 'the retry budget of the service is spent', retryAfterMs: NO_TARGET_RETRY_MS })
     }
     const item = this.createWaiting(request)
@@ -187,6 +197,7 @@
   private createWaiting (request: PlacementRequest): WaitingRequest {
     const lengths = this.parts.lengths.getTable(request.service.name, request.workspace)
     const outputTokens = request.service.kind === 'call' ? 0 : lengths.estimateRemaining(0, request.maxTokens)
+    const shortTokens = request.service.kind === 'call' ? 0 : this.parts.lengths.estimateShortLength(request.service.name, request.workspace)
     return {
       request,
       workspace: request.workspace,
@@ -194,7 +205,7 @@
       pool: request.service.targets.join(' '),
       weight: request.snapshot.workspaces.get(request.workspace)?.weight ?? 1,
       cost: Math.max(1, request.promptTokens + outputTokens),
-      expectedMs: ASSUMED_FIRST_TOKEN_MS + outputTokens * this.parts.tokenIntervalMs,
+      shortestMs: ASSUMED_FIRST_TOKEN_MS + Math.min(shortTokens, outputTokens) * this.parts.tokenIntervalMs * FAST_INTERVAL_SHARE,
       enqueuedMs: this.options.clock.nowMs()
     }
   }
@@ -266,13 +277,20 @@
         if (tokens > 0) lengths.observeLength(request.service.name, request.workspace, tokens)
       },
       cancelled: () => {},
-      targetFailed: () => health.observeFailure(target, false),
-      targetUnreachable: () => health.observeFailure(target, true),
+      targetFailed: () => this.observeFailure(request, target, false),
+      targetUnreachable: () => this.observeFailure(request, target, true),
       rejected: () => health.observeFailure(target, false)
     }
     handlers[end]()
   }
 
+  private observeFailure (request: PlacementRequest, target: string, isUnreachable: boolean): void {
+    this.parts.health.observeFailure(target, isUnreachable)
+    this.failedRequests.add(request.request)
+    const oldest = this.failedRequests.values().next().value
+    if (this.failedRequests.size > MAX_FAILED_REQUESTS && oldest !== undefined) this.failedRequests.delete(oldest)
+  }
+
   /** Places waiting requests in order; once one finds no room, later ones of its pool wait too, so that small ones do not overtake large ones. */
   private placeWaiting (): void {
     if (this.isPlacing) return
--- a/packages/scheduling/src/addresses/rankAddresses.ts
+++ b/packages/scheduling/src/addresses/rankAddresses.ts
@@ -36,7 +36,7 @@
   const byName = new Map(usable.map(member => [member.instance, member]))
   const names = rankByRendezvous(`${options.service}\u0000${options.workspace}`, [...byName.keys()])
   const ranked = names.map(name => byName.get(name) as RankedMember)
-  const rotated = spreadFirst(ranked, countSpread(options, ranked.length), options.turn ?? 0)
+  const rotated = rankSpread(ranked, countSpread(options, ranked.length), options.turn ?? 0)
   const near = rotated.sort((a, b) => computeDistance(options, a) - computeDistance(options, b))
   return near.slice(0, options.maxAddresses ?? DEFAULT_MAX_ADDRESSES).map(convertMember)
 }
@@ -55,7 +55,7 @@
   return Math.max(1, Math.min(members, Math.ceil(share * members)))
 }
 
-function spreadFirst (ranked: readonly RankedMember[], spread: number, turn: number): RankedMember[] {
+function rankSpread (ranked: readonly RankedMember[], spread: number, turn: number): RankedMember[] {
   const first = ranked.slice(0, spread)
   const start = spread > 0 ? turn % spread : 0
   return [...first.slice(start), ...first.slice(0, start), ...ranked.slice(spread)]
--- a/packages/scheduling/src/admission/StepModel.ts
+++ b/packages/scheduling/src/admission/StepModel.ts
@@ -22,7 +22,7 @@
     return new StepModel()
   }
 
-  private samples: StepSample[] = []
+  private readonly samples: StepSample[] = []
   private baseMs = 0
   private slopeMs = 0
 
@@ -41,13 +41,6 @@
     this.fit()
   }
 
-  /** Forgets all samples, as after a target has changed its speed. */
-  removeSamples (): void {
-    this.samples = []
-    this.baseMs = 0
-    this.slopeMs = 0
-  }
-
   /**
    * Estimates the duration of a step; 0 while nothing is known.
    * @param sequences - Batch size.
@@ -71,10 +64,10 @@
     const typical = ratios[Math.floor(ratios.length / 3)] as number
     const kept = this.samples.filter(sample => computeRatio(sample) <= typical * OUTLIER_FACTOR)
     const count = kept.length + ASSUMPTION_WEIGHT
-    const sumX = sumOf(kept, sample => sample.sequences) - ASSUMPTION_WEIGHT * ASSUMED_DOUBLING_SEQUENCES
-    const sumXX = sumOf(kept, sample => sample.sequences ** 2) + ASSUMPTION_WEIGHT * ASSUMED_DOUBLING_SEQUENCES ** 2
-    const sumY = sumOf(kept, sample => sample.stepMs)
-    const sumXY = sumOf(kept, sample => sample.sequences * sample.stepMs)
+    const sumX = computeSum(kept, sample => sample.sequences) - ASSUMPTION_WEIGHT * ASSUMED_DOUBLING_SEQUENCES
+    const sumXX = computeSum(kept, sample => sample.sequences ** 2) + ASSUMPTION_WEIGHT * ASSUMED_DOUBLING_SEQUENCES ** 2
+    const sumY = computeSum(kept, sample => sample.stepMs)
+    const sumXY = computeSum(kept, sample => sample.sequences * sample.stepMs)
     const determinant = count * sumXX - sumX ** 2
     if (determinant <= 0) return
     this.slopeMs = Math.max(0, (count * sumXY - sumX * sumY) / determinant)
@@ -86,6 +79,6 @@
   return sample.stepMs / (1 + sample.sequences / ASSUMED_DOUBLING_SEQUENCES)
 }
 
-function sumOf (samples: readonly StepSample[], read: (sample: StepSample) => number): number {
+function computeSum (samples: readonly StepSample[], read: (sample: StepSample) => number): number {
   return samples.reduce((sum, sample) => sum + read(sample), 0)
 }
--- a/packages/scheduling/src/credits/CreditCoordinator.ts
+++ b/packages/scheduling/src/credits/CreditCoordinator.ts
@@ -113,8 +113,8 @@
   private computeRoom (asker: string, holders: ReadonlyMap<string, Holder>, capacity: TargetCapacity, peakTokens: number): Room {
     const nowMs = this.options.clock.nowMs()
     const lent = [...holders].filter(([name, holder]) => name !== asker && holder.grantedUntilMs > nowMs).map(([, holder]) => holder)
-    const lentTokens = sumOf(lent, holder => holder.grantedTokens)
-    const lentSequences = sumOf(lent, holder => holder.grantedSequences)
+    const lentTokens = computeSum(lent, holder => holder.grantedTokens)
+    const lentSequences = computeSum(lent, holder => holder.grantedSequences)
     const usable = 1 - HIGH_PRIORITY_SHARE
     return {
       tokens: capacity.capacityTokens * usable - peakTokens - lentTokens,
@@ -160,8 +160,8 @@
   const unit = { tokens: holder.wantTokens / Math.max(1, holder.wantSequences), sequences: 1 }
   const hasRoom = room.tokens >= unit.tokens && room.sequences >= unit.sequences
   const grantOf = (read: (room: Room) => number, held: (holder: Holder) => number, want: (holder: Holder) => number): number => {
-    const allWant = sumOf(all, want)
-    if (!hasRoom) return computeReturn(held(holder), sumOf(all, held) / all.length, allWant - want(holder), read(room))
+    const allWant = computeSum(all, want)
+    if (!hasRoom) return computeReturn(held(holder), computeSum(all, held) / all.length, allWant - want(holder), read(room))
     const share = want(holder) * Math.min(1, read(room) / Math.max(1, allWant))
     const spare = Math.max(0, read(room) - allWant) / (SPARE_ROOM_DIVISOR * all.length)
     return Math.min(read(room), Math.max(Math.min(read(unit), want(holder)), share) + spare)
@@ -195,9 +195,9 @@
 }
 
 function countSequences (holders: ReadonlyMap<string, Holder>): number {
-  return sumOf([...holders.values()], holder => holder.heldSequences)
+  return computeSum([...holders.values()], holder => holder.heldSequences)
 }
 
-function sumOf<T> (items: readonly T[], read: (item: T) => number): number {
+function computeSum<T> (items: readonly T[], read: (item: T) => number): number {
   return items.reduce((sum, item) => sum + read(item), 0)
 }
--- a/packages/scheduling/src/lengths/LengthTable.ts
+++ b/packages/scheduling/src/lengths/LengthTable.ts
@@ -39,6 +39,15 @@
     return (this.survival[index] as number) * (1 - share) + (this.survival[index + 1] as number) * share
   }
 
+  /**
+   * Estimates the length that a share of the answers does not exceed, in tokens.
+   * @param share - Share from 0 to 1.
+   */
+  estimateQuantile (share: number): number {
+    const index = this.survival.findIndex(survival => survival <= 1 - share)
+    return EDGES[Math.max(0, index - 1)] ?? 0
+  }
+
   /**
    * Estimates how many more tokens follow, given how many were produced.
    * @param producedTokens - Tokens so far.
--- a/packages/scheduling/src/lengths/OutputLengths.ts
+++ b/packages/scheduling/src/lengths/OutputLengths.ts
@@ -11,6 +11,9 @@
 /** Answers of a workspace from which its own lengths are used in place of its service's. */
 const OWN_TABLE_ANSWERS = 40
 
+/** Share of the answers that are no longer than a short one. */
+const SHORT_ANSWER_SHARE = 0.25
+
 /** Most keys that are sent to another instance; each is about 0.3 kB. */
 const MAX_SENT_KEYS = 40
 
@@ -56,6 +59,16 @@
     return this.getLearned(formatKey(service, '')).table
   }
 
+  /**
+   * Estimates the length of a short answer, in tokens; 0 while too little is known to rule any length out.
+   * @param service - Name of the service.
+   * @param workspace - Name of the workspace.
+   */
+  estimateShortLength (service: string, workspace: string): number {
+    const answers = this.learned.get(formatKey(service, ''))?.answers ?? 0
+    return answers < OWN_TABLE_ANSWERS ? 0 : this.getTable(service, workspace).estimateQuantile(SHORT_ANSWER_SHARE)
+  }
+
   /** Encodes what was learned, services first, for another instance. */
   encodeHistograms (): Record<string, string> {
     const keys = [...this.learned.keys()].filter(key => (this.learned.get(key)?.answers ?? 0) > 0)
--- a/packages/scheduling/src/queue/WaitingRequests.ts
+++ b/packages/scheduling/src/queue/WaitingRequests.ts
@@ -12,8 +12,8 @@
   readonly priority: Priority
   /** Name of the set of targets that it competes for. */
   readonly pool: string
-  /** Expected time from dispatch to the complete answer, in milliseconds. */
-  readonly expectedMs: number
+  /** Time from dispatch to the complete answer if it is a short one from a fast target, in milliseconds. */
+  readonly shortestMs: number
   readonly enqueuedMs: number
 }
 
@@ -158,7 +158,7 @@
   private computeLimitMs (item: WaitingRequest): number {
     const leftMs = item.request.deadlineMs - this.options.clock.nowMs()
     if (this.options.policy.refusal === 'deadline') return leftMs
-    return Math.min(leftMs * MAX_WAIT_SHARE, leftMs - item.expectedMs)
+    return Math.min(leftMs * MAX_WAIT_SHARE, leftMs - item.shortestMs)
   }
 
   private estimateWaitMs (item: WaitingRequest): number {
