Tell peers of a leaving that a shrunk list told first

Cause: a property over any lists found that the differences sent to peers missed a target that a shrunk list had called leaving before a good list kept it so.

--- a/packages/configuration/src/list/InstanceListView.ts
+++ b/packages/configuration/src/list/InstanceListView.ts
@@ -153,7 +153,8 @@
   private acceptList (list: PublishedList, origin: string, sentAtMs: number): ListOutcome {
     const next = new Map(list.entries.map(entry => [entry.id, this.applyMark(entry, list.version)]))
     const difference = compareLists(this.entries, next)
-    this.recordHistory(difference, list.version)
+    // Peers hold the last good list, without what a shrunk one has added to it here.
+    this.recordHistory(compareLists(this.confirmed, next), list.version)
     this.recordDepartures(difference, next)
     this.recordDifference(difference, list.version, origin)
     this.confirmed = next
