Measure slopes and lower the costs that break the budget

Cause: no cost of an instance had been measured; at 490 instances an address answer took 1.27 ms, ended requests kept their prompts, and each target was asked for its state and cache events twice a second whatever their number.

--- /dev/null
+++ b/packages/bench/src/slopes/measureCpu.ts
@@ -0,0 +1,12 @@
+/**
+ * Measures the processor time of one round of work in microseconds, after a round that is left out.
+ * @param rounds - Number of measured rounds.
+ * @param run - One round.
+ */
+export function measureCpuMicros (rounds: number, run: () => void): number {
+  run()
+  const before = process.cpuUsage()
+  for (let round = 0; round < rounds; round++) run()
+  const used = process.cpuUsage(before)
+  return (used.user + used.system) / rounds
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measureFleet.ts
@@ -0,0 +1,165 @@
+import { AuditTrail, type Clock, type ModelReference, SeededRandom, type Service, type Snapshot, type Target, VirtualClock } from '@fescuespoke/common'
+import { ConfigurationFollower, type ConfigurationSource, ConfigurationView } from '@fescuespoke/configuration'
+import { MemoryNetwork, type MemoryPeer } from '@fescuespoke/peers'
+import { type AliveInstance, createScheduler, type TargetScheduler } from '@fescuespoke/scheduling'
+import { ConfigurationCore } from '@fescuespoke/standins'
+import { fitSlope, type Slope, type SlopeValue } from './Slope.js'
+
+const SEED = 1
+const FLEET_SIZES = [8, 16, 32, 64]
+const RATES = [2, 4, 8, 16]
+const SETTLE_MS = 10_000
+const MEASURED_MS = 60_000
+
+/** Interval of amendments in milliseconds: 2,900 a day. */
+const AMEND_MS = 86_400_000 / 2900
+
+/** Size of the fleet, targets of an instance and duration of an answer while credits are measured. */
+const CREDIT_INSTANCES = 8
+const CREDIT_TARGETS = 16
+const ANSWER_MS = 6000
+const ANSWER_TOKENS = 200
+const ANSWER_STEPS = 20
+
+/** Measures what the spread of revisions and the credits for targets cost an instance, in virtual time. */
+export async function measureFleet (): Promise<Slope[]> {
+  const spread: SpreadCost[] = []
+  for (const size of FLEET_SIZES) spread.push(await measureSpread(size))
+  const credits: SlopeValue[] = []
+  for (const rate of RATES) credits.push({ size: rate, value: await measureCredits(rate) })
+  return [
+    fitSlope({ name: 'spreadControl', unit: 'bytes a second', per: 'instance', points: spread.map(({ size, bytes }) => ({ size, value: bytes })) }),
+    fitSlope({ name: 'serviceReads', unit: 'reads a second over all instances', per: 'instance', points: spread.map(({ size, reads }) => ({ size, value: reads })) }),
+    fitSlope({ name: 'creditControl', unit: 'bytes a second', per: 'request a second of an instance', points: credits })
+  ]
+}
+
+interface SpreadCost {
+  readonly size: number
+  readonly bytes: number
+  readonly reads: number
+}
+
+interface Follower {
+  readonly peer: MemoryPeer
+  readonly follower: ConfigurationFollower
+}
+
+async function measureSpread (size: number): Promise<SpreadCost> {
+  const clock = VirtualClock.create()
+  const network = MemoryNetwork.create({ clock, random: SeededRandom.create(SEED), encodes: true })
+  const core = ConfigurationCore.create({ clock, readsPerSecond: 1_000_000 })
+  core.publish(Object.fromEntries(Array.from({ length: 200 }, (_, index) => [`workspace/${index}`, createWorkspace(index, 1)])))
+  const members = listMembers(size)
+  const followers = members.map(self => startFollower(network, core, self, members))
+  await clock.advance(SETTLE_MS)
+  const before = { bytes: countBytes(followers.map(({ peer }) => peer)), reads: core.getCallCount() }
+  for (let elapsedMs = 0; elapsedMs < MEASURED_MS; elapsedMs += AMEND_MS) {
+    core.amend('workspace/7', createWorkspace(7, 2 + elapsedMs))
+    await clock.advance(AMEND_MS)
+  }
+  const seconds = Math.ceil(MEASURED_MS / AMEND_MS) * AMEND_MS / 1000
+  const bytes = countBytes(followers.map(({ peer }) => peer)) - before.bytes
+  const reads = core.getCallCount() - before.reads
+  for (const { follower } of followers) follower.stop()
+  await clock.advance(SETTLE_MS)
+  return { size, bytes: bytes / size / seconds, reads: reads / seconds }
+}
+
+function startFollower (network: MemoryNetwork, core: ConfigurationCore, self: AliveInstance, members: readonly AliveInstance[]): Follower {
+  const peer = network.createPeer(self.instance)
+  const audit = AuditTrail.create({ instance: self.instance, incarnation: 'n' })
+  const view = ConfigurationView.create({ clock: peer.clock, audit })
+  const source: ConfigurationSource = {
+    fetchSnapshot: async () => core.readSnapshot().mapErr(() => ({ kind: 'refused', detail: 'refused' })),
+    fetchChange: async (after, waitMs, signal) => (await core.watch(after, waitMs, signal)).mapErr(() => ({ kind: 'refused', detail: 'refused' }))
+  }
+  const listPeers = (): readonly AliveInstance[] => members.filter(({ instance }) => instance !== self.instance)
+  const follower = ConfigurationFollower.create({ view, source, transport: peer, clock: peer.clock, random: SeededRandom.create(SEED), audit, self, listPeers })
+  follower.start()
+  return { peer, follower }
+}
+
+function createWorkspace (index: number, weight: number): string {
+  return JSON.stringify({ schemaVersion: 2, kind: 'workspace', name: `workspace-${index}`, weight })
+}
+
+/** Measures the bytes of credits while each instance places requests at a rate. */
+async function measureCredits (requestsPerSecond: number): Promise<number> {
+  const clock = VirtualClock.create()
+  const network = MemoryNetwork.create({ clock, random: SeededRandom.create(SEED), encodes: true })
+  const members = listMembers(CREDIT_INSTANCES)
+  const snapshot = createSnapshot()
+  const peers = members.map(({ instance }) => network.createPeer(instance))
+  const schedulers = members.map((member, index) => startScheduler(member, members, peers[index] as MemoryPeer, snapshot))
+  const stop = new AbortController()
+  for (const scheduler of schedulers) placeRequests(scheduler, clock, snapshot, requestsPerSecond, stop.signal)
+  await clock.advance(SETTLE_MS)
+  const before = countBytes(peers)
+  await clock.advance(MEASURED_MS)
+  const bytes = countBytes(peers) - before
+  stop.abort()
+  for (const scheduler of schedulers) scheduler.stop()
+  return bytes / CREDIT_INSTANCES / (MEASURED_MS / 1000)
+}
+
+function startScheduler (member: AliveInstance, members: readonly AliveInstance[], peer: MemoryPeer, snapshot: Snapshot): TargetScheduler {
+  const scheduler = createScheduler({
+    ...member,
+    clock: peer.clock,
+    random: SeededRandom.create(SEED),
+    transport: peer,
+    listAliveInstances: () => members
+  })
+  for (const name of snapshot.targets.keys()) {
+    scheduler.observeTargetState(name, {
+      target: name, incarnation: 'n', state: 'active', running: 0, waiting: 0, usedTokens: 0, capacityTokens: 65_536, maxSequences: 64, stepMs: 25
+    }, peer.clock.nowMs())
+  }
+  scheduler.start()
+  return scheduler
+}
+
+async function placeRequests (scheduler: TargetScheduler, clock: Clock, snapshot: Snapshot, perSecond: number, signal: AbortSignal): Promise<void> {
+  for (let number = 0; !signal.aborted; number++) {
+    runRequest(scheduler, clock, snapshot, String(number), signal)
+    await clock.sleep(1000 / perSecond, signal)
+  }
+}
+
+async function runRequest (scheduler: TargetScheduler, clock: Clock, snapshot: Snapshot, request: string, signal: AbortSignal): Promise<void> {
+  const service = snapshot.services.get('s') as Service
+  const placed = await scheduler.acquirePlacement({
+    request, workspace: 'w', service, runs: service.runs, snapshot, priority: 'normal', promptTokens: 100, deadlineMs: clock.nowMs() + 60_000, failedTargets: [], signal
+  })
+  if (placed.isErr) return
+  for (let step = 1; step <= ANSWER_STEPS; step++) {
+    await clock.sleep(ANSWER_MS / ANSWER_STEPS, signal)
+    placed.value.observeTokens(step * ANSWER_TOKENS / ANSWER_STEPS)
+  }
+  placed.value.release('complete')
+}
+
+function createSnapshot (): Snapshot {
+  const runs: ModelReference = { model: 'm' }
+  const targets = Array.from({ length: CREDIT_TARGETS }, (_, index): Target => ({
+    name: `target-${index}`, url: 'http://127.0.0.1', availabilityZone: 'a', region: 'r', fencing: 'ignored'
+  }))
+  const service: Service = {
+    name: 's', kind: 'generation', runs, idempotent: true, delivery: 'stream', priority: 'normal', deadlineMs: 60_000, targets: targets.map(({ name }) => name), copies: CREDIT_TARGETS, overrides: new Map()
+  }
+  return {
+    revision: 1,
+    services: new Map([['s', service]]),
+    targets: new Map(targets.map(target => [target.name, target])),
+    workspaces: new Map([['w', { name: 'w', weight: 1 }]])
+  }
+}
+
+function listMembers (size: number): AliveInstance[] {
+  return Array.from({ length: size }, (_, index) => ({ instance: `entry-${1000 + index}`, availabilityZone: `az${index % 3}`, region: 'r' }))
+}
+
+function countBytes (peers: readonly MemoryPeer[]): number {
+  return peers.map(peer => peer.getCounters()).reduce((sum, { bytesIn, bytesOut }) => sum + bytesIn + bytesOut, 0)
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measureState.ts
@@ -0,0 +1,109 @@
+import { AuditTrail, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { ConfigurationView } from '@fescuespoke/configuration'
+import { LeaseRegistry, RequestEntry } from '@fescuespoke/daemon'
+import { rankAddresses, type RankedMember } from '@fescuespoke/scheduling'
+import { measureCpuMicros } from './measureCpu.js'
+import { measureHeap } from './measureHeap.js'
+import { fitSlope, type Slope, type SlopeValue } from './Slope.js'
+
+const LEASE_COUNTS = [1000, 2000, 4000, 8000]
+const RECORD_COUNTS = [500, 1000, 2000, 4000]
+const MEMBER_COUNTS = [8, 32, 128, 490]
+const TOKEN_COUNTS = [500, 1000, 2000, 4000]
+const ANSWER_ROUNDS = 200
+
+/** Measures the memory and processor time of what one instance holds. */
+export function measureState (): Slope[] {
+  return [
+    measurePoints('addressAnswerCpu', 'microseconds an answer', 'instance', MEMBER_COUNTS, measureAddressAnswer),
+    measurePoints('leaseHeap', 'bytes', 'lease', LEASE_COUNTS, size => measureHeld(() => createLeases(size))),
+    measurePoints('requestHeap', 'bytes', 'ended request without tokens', LEASE_COUNTS, size => measureHeld(() => createRequests(size))),
+    measurePoints('tokenHeap', 'bytes', 'held token', TOKEN_COUNTS, size => measureHeld(() => createTokens(size)) / TOKEN_REQUESTS),
+    measurePoints('targetHeap', 'bytes', 'target record', RECORD_COUNTS, size => measureHeld(() => createView(createTargetRecords(size)))),
+    measurePoints('workspaceHeap', 'bytes', 'workspace record', RECORD_COUNTS, size => measureHeld(() => createView(createWorkspaceRecords(size)))),
+    measurePoints('acceptCpu', 'microseconds a revision', 'target record', RECORD_COUNTS, size => measureAccept(size))
+  ]
+}
+
+function measurePoints (name: string, unit: string, per: string, sizes: readonly number[], measure: (size: number) => number): Slope {
+  const points: SlopeValue[] = sizes.map(size => ({ size, value: measure(size) }))
+  return fitSlope({ name, unit, per, points })
+}
+
+/** Measures the heap of what a function returns. */
+function measureHeld (create: () => unknown): number {
+  create()
+  const before = measureHeap()
+  const held = [create()]
+  const after = measureHeap()
+  return held.length === 1 ? after - before : 0
+}
+
+function measureAddressAnswer (size: number): number {
+  const members: RankedMember[] = Array.from({ length: size }, (_, index) => ({
+    instance: `entry-${index}`, url: `http://10.0.0.${index}`, availabilityZone: `az${index % 12}`, region: `r${index % 5}`, state: 'alive'
+  }))
+  const snapshot = createView(createWorkspaceRecords(1)).getSnapshot()
+  return measureCpuMicros(ANSWER_ROUNDS, () => { rankAddresses({ service: 's', workspace: 'w', members, snapshot, region: 'r0', availabilityZone: 'az0' }) })
+}
+
+function createLeases (size: number): LeaseRegistry {
+  const registry = LeaseRegistry.create({
+    instance: 'entry-1', incarnation: 'n', clock: VirtualClock.create(), random: SeededRandom.create(1), leaseMs: 1000, retentionMs: 1000, maxLeases: size
+  })
+  for (let index = 0; index < size; index++) registry.grantLease('workspace')
+  return registry
+}
+
+function createRequests (size: number): RequestEntry[] {
+  const snapshot = createView(createTargetRecords(1)).getSnapshot()
+  const service = snapshot.services.get('s')
+  if (service === undefined) throw new Error('the service was not accepted')
+  const clock = VirtualClock.create()
+  return Array.from({ length: size }, (_, index) => {
+    const body = { service: 's', prompt: `a prompt of some length, number ${index}`.repeat(PROMPT_REPEATS) }
+    const entry = RequestEntry.create({
+      id: `entry-1~n~1~${index}`, workspace: 'w', body, digest: `digest ${index}`, service, snapshot, priority: 'normal', clock, deadlineMs: 1000
+    })
+    entry.setEnd({ outcome: 'complete', reason: 'finished' })
+    entry.dropAnswer()
+    return entry
+  })
+}
+
+const PROMPT_REPEATS = 20
+
+/** Requests over which held tokens are averaged. */
+const TOKEN_REQUESTS = 20
+
+function createTokens (size: number): RequestEntry[] {
+  return createRequests(TOKEN_REQUESTS).map(entry => {
+    entry.addTokens(0, Array.from({ length: size }, (_, index) => ` token${index}`))
+    return entry
+  })
+}
+
+function createView (values: Record<string, string>): ConfigurationView {
+  const view = ConfigurationView.create({ clock: VirtualClock.create(), audit: AuditTrail.create({ instance: 'i', incarnation: 'n' }) })
+  view.offer(values, 1, 'slopes')
+  return view
+}
+
+function measureAccept (size: number): number {
+  const values = createTargetRecords(size)
+  return measureCpuMicros(3, () => { createView(values) })
+}
+
+function createTargetRecords (size: number): Record<string, string> {
+  const targets = Array.from({ length: size }, (_, index) => [`target/${index}`, JSON.stringify({
+    schemaVersion: 2, kind: 'target', name: `target-${index}`, url: `http://10.1.2.3:${index}`, pool: 'p', availabilityZone: `az${index % 12}`, region: 'r', fencing: 'enforced'
+  })])
+  const service = JSON.stringify({ schemaVersion: 2, kind: 'service', name: 's', pool: 'p', runs: { model: 'm', version: '1' } })
+  return Object.fromEntries([...targets, ['service/s', service]])
+}
+
+function createWorkspaceRecords (size: number): Record<string, string> {
+  return Object.fromEntries(Array.from({ length: size }, (_, index) => [`workspace/${index}`, JSON.stringify({
+    schemaVersion: 2, kind: 'workspace', name: `workspace-${index}`, weight: 1
+  })]))
+}
--- a/packages/daemon/src/instance/createTargetParts.ts
+++ b/packages/daemon/src/instance/createTargetParts.ts
@@ -25,7 +25,7 @@
 export function createTargetParts (options: InstanceOptions, basis: Basis, views: Views): TargetParts {
   const { settings, clock, random, audit } = basis
   const { configuration, list, listFollower, peers } = views
-  const targetClient = options.targetClient ?? HttpTargetClient.create({ ...settings.requests, clock })
+  const targetClient = options.targetClient ?? HttpTargetClient.create({ ...settings.requests, clock, observeTraffic: createTrafficObserver(basis) })
   const scheduler = createScheduler({
     ...settings.instance,
     instance: settings.instance.id,
@@ -52,7 +52,17 @@
     targetClient,
     evidence,
     getSnapshot: (): Snapshot => configuration.getSnapshot(),
-    intervalMs: settings.scheduling.stateMs
+    intervalMs: settings.scheduling.stateMs,
+    maxPollsPerSecond: settings.scheduling.maxPollsPerSecond
   })
   return { scheduler, targetClient, poller, evidence }
 }
+
+function createTrafficObserver ({ metrics }: Basis): (bytesOut: number, bytesIn: number) => void {
+  const sent = metrics.getCounter('controlBytes', { channel: 'targets', direction: 'out' })
+  const received = metrics.getCounter('controlBytes', { channel: 'targets', direction: 'in' })
+  return (bytesOut, bytesIn) => {
+    sent.add(bytesOut)
+    received.add(bytesIn)
+  }
+}
--- a/packages/daemon/src/requests/RequestEntry.ts
+++ b/packages/daemon/src/requests/RequestEntry.ts
@@ -61,7 +61,7 @@
   private readonly positions = new Set<ReaderPosition>()
 
   /** @internal */
-  private constructor (readonly options: RequestEntryOptions) {
+  private constructor (public options: RequestEntryOptions) {
     this.arrivedMs = options.clock.nowMs()
   }
 
@@ -209,8 +209,9 @@
     this.changes.notifyAll()
   }
 
-  /** Drops the tokens, which can then be read at the target only; the outcome and the reply stay. */
+  /** Drops the input and the tokens, which can then be read at the target only; the outcome and the reply stay. */
   dropAnswer (): void {
+    this.options = { ...this.options, body: { service: this.options.service.name } }
     this.tokens.pruneBefore(this.tokens.getEndOffset())
   }
 
--- a/packages/daemon/src/targets/HttpTargetClient.ts
+++ b/packages/daemon/src/targets/HttpTargetClient.ts
@@ -24,8 +24,16 @@
   readonly connectTimeoutMs: number
   /** Silence in milliseconds after which a connection is given up. */
   readonly silenceMs: number
+  /** Receives the bytes of each exchange about a target's state. */
+  readonly observeTraffic?: (bytesOut: number, bytesIn: number) => void
 }
 
+/** Bytes between and after a header's name and value. */
+const SEPARATOR_BYTES = 4
+
+/** Bytes of the request line and headers of a question besides its path. */
+const QUESTION_BYTES = 60
+
 /** Speaks the published protocols of targets over HTTP. */
 export class HttpTargetClient implements TargetClient {
   /**
@@ -125,7 +133,9 @@
     try {
       const response = await request(`${target.url}${path}`, { method, signal: abort.signal, dispatcher: this.agent })
       if (response.statusCode === 204) return Result.ok(null)
-      const body = await response.body.json()
+      const text = await response.body.text()
+      this.options.observeTraffic?.(path.length + QUESTION_BYTES, text.length + countHeaderBytes(response.headers))
+      const body: unknown = JSON.parse(text)
       return response.statusCode === 200 ? Result.ok(body) : Result.err(response.statusCode === 404 ? 'notFound' : 'refused')
     } catch (error) {
       return Result.err(watchdog.hasFired() ? 'silent' : classifyError(error, undefined))
@@ -169,6 +179,10 @@
   return UNREACHABLE_CODES.has(code) ? 'unreachable' : 'cut'
 }
 
+function countHeaderBytes (headers: Dispatcher.ResponseData['headers']): number {
+  return Object.entries(headers).reduce((sum, [name, value]) => sum + name.length + String(value).length + SEPARATOR_BYTES, 0)
+}
+
 function convertChecked<T> (checked: Result<T, unknown>): Result<T, TargetError> {
   return checked.mapErr(() => 'malformed' as const)
 }
--- a/packages/daemon/src/targets/TargetPoller.ts
+++ b/packages/daemon/src/targets/TargetPoller.ts
@@ -11,10 +11,15 @@
   readonly targetClient: TargetClient
   readonly evidence: TargetEvidence
   readonly getSnapshot: () => Snapshot
-  /** Interval in milliseconds at which each target is asked. */
+  /** Shortest interval in milliseconds at which each target is asked. */
   readonly intervalMs: number
+  /** Questions for states in a second, over all targets. */
+  readonly maxPollsPerSecond: number
 }
 
+/** Questions for the state of a target for each question for its cache events. */
+const POLLS_PER_CACHE_READ = 4
+
 /** Asks the targets of this instance for their state and cache events, one task for each target. */
 export class TargetPoller {
   /**
@@ -57,15 +62,21 @@
   }
 
   private async pollTarget (target: Target, signal: AbortSignal): Promise<void> {
-    const { clock, random, intervalMs } = this.options
+    const { clock, random } = this.options
     let lastEvent = 0
-    while (!signal.aborted) {
+    for (let polls = 0; !signal.aborted; polls++) {
       await this.askState(this.getCurrent(target))
-      lastEvent = await this.askCacheEvents(this.getCurrent(target), lastEvent)
-      await clock.sleep(addJitter(random, intervalMs), signal)
+      if (polls % POLLS_PER_CACHE_READ === 0) lastEvent = await this.askCacheEvents(this.getCurrent(target), lastEvent)
+      await clock.sleep(addJitter(random, this.computeIntervalMs()), signal)
     }
   }
 
+  /** With many targets, each is asked more rarely, so that all questions stay within their rate. */
+  private computeIntervalMs (): number {
+    const { intervalMs, maxPollsPerSecond } = this.options
+    return Math.max(intervalMs, this.tasks.size * 1000 / maxPollsPerSecond)
+  }
+
   private getCurrent (target: Target): Target {
     return this.options.getSnapshot().targets.get(target.name) ?? target
   }
--- a/packages/scheduling/src/addresses/rankAddresses.ts
+++ b/packages/scheduling/src/addresses/rankAddresses.ts
@@ -32,7 +32,7 @@
  * @param options - What is known.
  */
 export function rankAddresses (options: RankAddressesOptions): Address[] {
-  const usable = listUsableMembers(options.members)
+  const usable = listNearMembers(options, listUsableMembers(options.members))
   const byName = new Map(usable.map(member => [member.instance, member]))
   const names = rankByRendezvous(`${options.service}\u0000${options.workspace}`, [...byName.keys()])
   const ranked = names.map(name => byName.get(name) as RankedMember)
@@ -41,6 +41,13 @@
   return near.slice(0, options.maxAddresses ?? DEFAULT_MAX_ADDRESSES).map(convertMember)
 }
 
+/** Leaves out the other regions, and then the other zones, when what is near suffices for the answer. */
+function listNearMembers (options: RankAddressesOptions, members: readonly RankedMember[]): readonly RankedMember[] {
+  const maxAddresses = options.maxAddresses ?? DEFAULT_MAX_ADDRESSES
+  const groups = [0, 1].map(distance => members.filter(member => computeDistance(options, member) <= distance))
+  return groups.find(group => group.length >= maxAddresses) ?? members
+}
+
 function listUsableMembers (members: readonly RankedMember[]): RankedMember[] {
   const alive = members.filter(member => member.state === 'alive')
   if (alive.length > 0) return alive
