--- a/packages/caller/src/http/ExchangeError.ts
+++ b/packages/caller/src/http/ExchangeError.ts
@@ -4,6 +4,8 @@
 export interface NotSentError {
   readonly kind: 'notSent'
   readonly detail: string
+  /** Whether the connection was refused, so that no process listens there any more. */
+  readonly isRefused?: boolean
 }
 
 /** The connection was cut, fell silent, or carried something unreadable; the request may have arrived. */
@@ -31,6 +33,14 @@
 /** Why an exchange with an instance brought no result. */
 export type ExchangeError = NotSentError | CutError | AbortedError | RefusedError
 
+/**
+ * Checks whether a connection was refused.
+ * @param cause - What was thrown.
+ */
+export function isRefusedConnection (cause: unknown): boolean {
+  return (cause as { code?: string }).code === 'ECONNREFUSED'
+}
+
 /**
  * Describes an exception of the HTTP library.
  * @param cause - What was thrown.
--- a/packages/caller/src/http/InstanceClient.ts
+++ b/packages/caller/src/http/InstanceClient.ts
@@ -3,7 +3,7 @@
 import { Result } from 'true-myth'
 import { type Dispatcher, request } from 'undici'
 import { type ConnectionPool } from './ConnectionPool.js'
-import { describeException, type ExchangeError, type RefusedError } from './ExchangeError.js'
+import { describeException, type ExchangeError, isRefusedConnection, type RefusedError } from './ExchangeError.js'
 import { observeSending } from './observeSending.js'
 import { SilenceTimer } from './SilenceTimer.js'
 
@@ -174,7 +174,7 @@
 
 function describeFailure (cause: unknown, timer: SilenceTimer, { hasLeft, limitMs }: Progress): ExchangeError {
   const detail = timer.getSignal().aborted ? `silent for ${limitMs} ms` : describeException(cause)
-  return { kind: hasLeft ? 'cut' : 'notSent', detail }
+  return hasLeft ? { kind: 'cut', detail } : { kind: 'notSent', detail, isRefused: isRefusedConnection(cause) }
 }
 
 async function * observeChunks (chunks: AsyncIterable<Uint8Array>, timer: SilenceTimer): AsyncGenerator<Uint8Array> {
--- a/packages/caller/src/requests/Submission.ts
+++ b/packages/caller/src/requests/Submission.ts
@@ -2,7 +2,7 @@
 import { type EndEvent, type ErrorBody, type SubmitRequest } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type AnswerReason } from '../answer/AnswerResult.js'
-import { type AbortedError, type ExchangeError, type RefusedError } from '../http/ExchangeError.js'
+import { type AbortedError, type ExchangeError, type NotSentError, type RefusedError } from '../http/ExchangeError.js'
 import { type LeaveCause, type LeftStream } from '../http/InstanceClient.js'
 import { type RequestSlot } from '../leases/LeaseBook.js'
 import { type RequestContext } from './RequestContext.js'
@@ -28,6 +28,9 @@
 /** Attempts at the owner, on new connections, before other instances are asked. */
 const OWNER_ATTEMPTS = 2
 
+/** Refused connections to the owner after which a call ends: a process that no longer listens does not come back. */
+const OWNER_REFUSALS = 3
+
 /** Time after the deadline for the owner's answer to arrive, in milliseconds. */
 const DEADLINE_GRACE_MS = 500
 
@@ -61,6 +64,7 @@
   private route: Route = 'owner'
   /** Attempts since the last one that brought a token. */
   private failures = 0
+  private refusals = 0
   private mayHaveArrived = false
   private ownerGone = false
   private lastDetail = 'no attempt was made'
@@ -172,7 +176,7 @@
         this.mayHaveArrived ||= (error as AbortedError).mayHaveArrived
         return this.options.context.cancelSignal.aborted ? 'cancelled' : this.settleNothingLearnt()
       },
-      notSent: () => this.settleNotSent(error.detail),
+      notSent: () => this.settleNotSent(error as NotSentError),
       cut: () => {
         this.mayHaveArrived = true
         return this.pickNextRoute()
@@ -183,8 +187,10 @@
   }
 
   /** A request that has never left may go to another owner at once. */
-  private settleNotSent (detail: string): AttemptSequel {
+  private settleNotSent ({ detail, isRefused }: NotSentError): AttemptSequel {
     if (!this.mayHaveArrived) return createRetry('moveOn', 'ownerUnreachable', detail)
+    if (this.route === 'owner' && isRefused === true) this.refusals++
+    if (this.options.context.kind === 'call' && this.refusals >= OWNER_REFUSALS) return this.settleNothingLearnt()
     this.failures = Math.max(this.failures, OWNER_ATTEMPTS)
     return this.pickNextRoute()
   }
