Keep known coordinators while the list of instances is the same

Cause: coordinators were computed anew whenever the list of alive instances was a new array, even with the same members; at 5,400 targets that is a rank of each at every refresh. Operators did not see the coordinator of a target. Change: lists are compared by their members; the target status names the coordinator.

--- a/packages/scheduling/src/SchedulerParts.ts
+++ b/packages/scheduling/src/SchedulerParts.ts
@@ -86,7 +86,7 @@
     nowMs: () => clock.nowMs()
   })
   const waiting = WaitingRequests.create({ clock, random, policy, maxQueued: options.settings?.maxQueued ?? DEFAULT_MAX_QUEUED })
-  const listStatus = (): TargetStatus[] => directory.listTargets().map(target => describeTarget(target, { directory, health, capacities, getOwnLoad, clock }))
+  const listStatus = (): TargetStatus[] => directory.listTargets().map(target => describeTarget(target, { directory, health, capacities, keeper, getOwnLoad, clock }))
   return {
     policy,
     tokenIntervalMs,
@@ -130,13 +130,13 @@
   })
 }
 
-type StatusSources = Pick<SchedulerParts, 'directory' | 'health' | 'capacities'> & {
+type StatusSources = Pick<SchedulerParts, 'directory' | 'health' | 'capacities' | 'keeper'> & {
   readonly getOwnLoad: (target: string) => OwnLoad
   readonly clock: TargetSchedulerOptions['clock']
 }
 
 function describeTarget (target: string, sources: StatusSources): TargetStatus {
-  const { directory, health, capacities, getOwnLoad, clock } = sources
+  const { directory, health, capacities, keeper, getOwnLoad, clock } = sources
   const capacity = capacities.getCapacity(target)
   const own = getOwnLoad(target)
   const isExcluded = health.getState(target) === 'excluded'
@@ -148,6 +148,7 @@
     queued: 0,
     projectedTokens: Math.round(own.computePeakTokens()),
     capacityTokens: Number.isFinite(capacity.capacityTokens) ? Math.round(capacity.capacityTokens) : 0,
-    evidenceAgeMs: Math.round(directory.getEvidence(target).match({ Just: evidence => clock.nowMs() - evidence.sentAtMs, Nothing: () => 0 }))
+    evidenceAgeMs: Math.round(directory.getEvidence(target).match({ Just: evidence => clock.nowMs() - evidence.sentAtMs, Nothing: () => 0 })),
+    coordinator: keeper.findKnownCoordinator(target).match<string | undefined>({ Just: name => name, Nothing: () => undefined })
   }
 }
--- a/packages/scheduling/src/credits/CreditKeeper.ts
+++ b/packages/scheduling/src/credits/CreditKeeper.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Target } from '@fescuespoke/common'
+import { Maybe } from 'true-myth'
 import { type OwnLoad } from '../placement/OwnLoad.js'
 import { type CreditLedger } from './CreditLedger.js'
 import { type AliveInstance, findCoordinator } from './findCoordinator.js'
@@ -81,7 +82,7 @@
    */
   getCoordinator (target: Target): string {
     const instances = this.options.listAliveInstances()
-    if (instances !== this.knownInstances) {
+    if (!isSameList(instances, this.knownInstances)) {
       this.knownInstances = instances
       this.coordinators.clear()
     }
@@ -92,6 +93,14 @@
     return coordinator
   }
 
+  /**
+   * Finds the coordinator of a target that was asked for before.
+   * @param target - Name of the target.
+   */
+  findKnownCoordinator (target: string): Maybe<string> {
+    return Maybe.of(this.coordinators.get(target))
+  }
+
   /**
    * Checks whether a question about a target may be sent now.
    * @param target - The target.
@@ -144,3 +153,12 @@
     return known
   }
 }
+
+function isSameList (a: readonly AliveInstance[], b: readonly AliveInstance[]): boolean {
+  if (a === b) return true
+  return a.length === b.length && a.every((instance, index) => isSameInstance(instance, b[index]))
+}
+
+function isSameInstance (a: AliveInstance, b: AliveInstance | undefined): boolean {
+  return a.instance === b?.instance && a.availabilityZone === b.availabilityZone && a.region === b.region
+}
--- /dev/null
+++ b/packages/scheduling/test/credits/findCoordinator.test.ts
@@ -0,0 +1,29 @@
+import { type Target } from '@fescuespoke/common'
+import { describe, expect, it } from 'vitest'
+import { findCoordinator, type AliveInstance } from '../../src/credits/findCoordinator.js'
+
+const TARGET: Target = { name: 't', url: 'http://t', availabilityZone: 'z1', region: 'r1', fencing: 'ignored' }
+
+function createInstance (instance: string, availabilityZone: string, region = 'r1'): AliveInstance {
+  return { instance, availabilityZone, region }
+}
+
+function doTest (...instances: readonly AliveInstance[]): string | undefined {
+  return findCoordinator(TARGET, instances)
+}
+
+const NEAR = ['a', 'b', 'c'].map(name => createInstance(name, 'z1'))
+
+describe('findCoordinator', () => {
+  it('is the same for every order of the list', () => expect(doTest(...NEAR)).toBe(doTest(...[...NEAR].reverse())))
+  it('prefers the zone of the target', () => expect(doTest(createInstance('x', 'z2'), createInstance('y', 'z1'))).toBe('y'))
+  it('takes another zone of the region when its own has none', () => expect(doTest(createInstance('x', 'z2'), createInstance('y', 'z1', 'r2'))).toBe('x'))
+  it('takes any instance when the region has none', () => expect(doTest(createInstance('x', 'z9', 'r2'))).toBe('x'))
+  it('is nobody when nobody is alive', () => expect(doTest()).toBeUndefined())
+  it('changes only when the coordinator itself goes', () => {
+    const first = doTest(...NEAR)
+    const others = NEAR.filter(({ instance }) => instance !== first)
+    const without = others.map(gone => doTest(...NEAR.filter(({ instance }) => instance !== gone.instance)))
+    expect(new Set(without)).toEqual(new Set([first]))
+  })
+})
