Know that a cut generation may have run, and fail one whose tokens were delivered

Cause: after a stream was cut, a failed connection to open it again was taken as proof that the generation was never sent, so notRun could be answered for one that runs. A reader that takes tokens of a lost generation while the next target is waited for made the owner throw in an unhandled task.

--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -85,15 +85,21 @@
   return { type: 'generation', generation, resumeToken }
 }
 
+/** Tells whether a generation may start now. A reader may have taken tokens of a lost one while a target was waited for. */
 function canDispatch (entry: RequestEntry, placement: Placement, tools: RunnerTools): boolean {
+  if (entry.hasDelivered()) return false
   return !entry.isOverdue() && !entry.cancellation.signal.aborted && tools.targetGate.isOpen(placement.target)
 }
 
-/** Reads a generation to its end, opening its stream again where a connection is lost. */
+/**
+ * Reads a generation to its end, opening its stream again where a connection is lost. Once a connection stood, a later
+ * failure to connect does not show that nothing of the generation ran.
+ */
 async function pumpGeneration (
   entry: RequestEntry, placement: Placement, generation: string, tools: RunnerTools
 ): Promise<GenerationEnd> {
   let end = await readStream(entry, placement, generation, tools, createSpec(entry, placement))
+  const mayRun = isReopenable(entry, end)
   for (let reopened = 0; isReopenable(entry, end) && reopened < MAX_REOPENS; reopened++) {
     entry.recordStep('reopened', `${placement.target.name}: ${end}`)
     await tools.clock.sleep(REOPEN_PAUSE_MS, entry.cancellation.signal)
@@ -101,7 +107,7 @@
     end = await readStream(entry, placement, generation, tools, before === 0 ? createSpec(entry, placement) : undefined)
     if (entry.tokens.getEndOffset() > before) reopened = 0
   }
-  return end
+  return mayRun && isNeverSent(entry, end) ? 'cut' : end
 }
 
 async function readStream (
