Let a drain wait for generations without a token and for unread outcomes

Cause: read in the code: a generation without a token cannot be resumed elsewhere, yet a drain could end while it ran, and a finished reply whose caller had not come back was gone with the process. Change: a drain waits for both, for unread outcomes 10 s at most.

--- a/packages/daemon/src/instance/runDrain.ts
+++ b/packages/daemon/src/instance/runDrain.ts
@@ -1,9 +1,10 @@
+import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type InstanceParts } from './createParts.js'
 
 /** Interval in milliseconds at which the end of work is looked for. */
 const CHECK_INTERVAL_MS = 50
 
-/** Longest wait in milliseconds for callers to take the last bytes. */
+/** Longest wait in milliseconds for callers to take the last bytes or to come back for an outcome. */
 const LAST_BYTES_MS = 10_000
 
 /** What a drain works with. */
@@ -18,7 +19,8 @@
 }
 
 /**
- * Drains an instance. Calls are always waited for; generations that outlast the drain time are handed over.
+ * Drains an instance. Calls and generations without a token are always waited for;
+ * generations that outlast the drain time are handed over.
  * @param options - What the drain works with.
  */
 export async function runDrain (options: DrainOptions): Promise<void> {
@@ -31,12 +33,18 @@
   const deadlineMs = clock.nowMs() + (settings.requests.drainMs)
   while (requests.countRunning() > 0 && clock.nowMs() < deadlineMs) await clock.sleep(CHECK_INTERVAL_MS)
   options.handOver()
-  while (hasRunningCalls(options.parts)) await clock.sleep(CHECK_INTERVAL_MS)
+  while (requests.listRunning().some(cannotBeHandedOver)) await clock.sleep(CHECK_INTERVAL_MS)
   const lastMs = clock.nowMs() + LAST_BYTES_MS
-  while (options.countExchanges() > 0 && clock.nowMs() < lastMs) await clock.sleep(CHECK_INTERVAL_MS)
+  while (hasReadersToWaitFor(options) && clock.nowMs() < lastMs) await clock.sleep(CHECK_INTERVAL_MS)
   audit.record({ kind: 'drainEnded', subject: settings.instance.id, revision, cause: 'planned stop', after: `${requests.countRunning()} requests handed over` })
 }
 
-function hasRunningCalls ({ requests }: InstanceParts): boolean {
-  return requests.listRunning().some(entry => entry.options.service.kind === 'call')
+/** A call has no other owner, and a generation without a token cannot be resumed. */
+function cannotBeHandedOver (entry: RequestEntry): boolean {
+  return entry.options.service.kind === 'call' || entry.tokens.getEndOffset() === 0
+}
+
+/** Callers that read now, or that have not come back yet for an outcome. */
+function hasReadersToWaitFor ({ parts, countExchanges }: DrainOptions): boolean {
+  return countExchanges() > 0 || parts.leases.listRequests().some(entry => entry.isEnded() && !entry.wasEndRead())
 }
--- a/packages/daemon/src/requests/RequestEntry.ts
+++ b/packages/daemon/src/requests/RequestEntry.ts
@@ -58,6 +58,7 @@
   private end: EndEvent | undefined
   private endedMs = 0
   private delivered = false
+  private endRead = false
   private readonly positions = new Set<ReaderPosition>()
 
   /** @internal */
@@ -147,6 +148,16 @@
     return this.delivered
   }
 
+  /** Records that a reader has been handed the outcome. */
+  recordEndRead (): void {
+    this.endRead = true
+  }
+
+  /** Tells whether a reader has been handed the outcome. */
+  wasEndRead (): boolean {
+    return this.endRead
+  }
+
   /**
    * Adds a reader and returns what removes it.
    * @param position - Where the reader is; it is kept up to date by the reader.
--- a/packages/daemon/src/requests/readEvents.ts
+++ b/packages/daemon/src/requests/readEvents.ts
@@ -87,7 +87,9 @@
   const reply = entry.getReply().unwrapOr(undefined)
   if (reply !== undefined) yield reply
   const end = entry.getEnd().unwrapOr(undefined)
-  if (end !== undefined) yield end
+  if (end === undefined) return
+  entry.recordEndRead()
+  yield end
 }
 
 /** Waits for a change; tells whether one came before a heartbeat was due. */
