Refuse what may have waited through a pause, and ask the fleet before being ready

Change: for half a second after a pause new numbers are answered notRun with viewStale, before any input that waited is run; an instance is ready after it has heard its fleet; a forwarded request waits one connect timeout for its owner. A deadline still counts from reading where the pause is shorter than 1.5 s.

--- a/packages/daemon/src/instance/Instance.ts
+++ b/packages/daemon/src/instance/Instance.ts
@@ -32,6 +32,7 @@
   private phase: InstancePhase = 'starting'
   private handingOver = false
   private refusing = false
+  private hasHeard = false
   private addressTurn = 0
 
   /** @internal */
@@ -130,13 +131,21 @@
       poller.refreshTargets()
       this.observeReadiness()
     })
-    this.observeReadiness()
+    this.hearFleet()
     this.runUpkeep()
   }
 
-  /** An instance is ready once records are in force. */
+  /** A new instance asks its peers before it is ready, so that it does not begin with records they have replaced. */
+  private async hearFleet (): Promise<void> {
+    const { configurationFollower, list } = this.parts
+    await configurationFollower.waitUntilHeard(() => list.getVersion() > 0)
+    this.hasHeard = true
+    this.observeReadiness()
+  }
+
+  /** An instance is ready once its fleet was heard and records are in force. */
   private observeReadiness (): void {
-    if (this.phase !== 'starting' || this.parts.configuration.getRevision() === 0) return
+    if (!this.hasHeard || this.phase !== 'starting' || this.parts.configuration.getRevision() === 0) return
     this.phase = 'ready'
     this.parts.poller.refreshTargets()
     this.parts.logger.info({ revision: this.parts.configuration.getRevision() }, 'ready')
--- a/packages/daemon/src/instance/PauseDetector.ts
+++ b/packages/daemon/src/instance/PauseDetector.ts
@@ -6,6 +6,9 @@
 /** Gap between readings that counts as a pause, in milliseconds. */
 const PAUSE_MS = 1500
 
+/** Time after a pause in which what arrived during it is taken in, in milliseconds. */
+const RECOVERY_MS = 500
+
 /** Options of a pause detector. */
 export interface PauseDetectorOptions {
   readonly clock: Clock
@@ -24,24 +27,42 @@
   }
 
   private readonly stopping = new AbortController()
+  private lastMs: number
+  private pauseEndMs = -Infinity
 
   /** @internal */
-  private constructor (private readonly options: PauseDetectorOptions) {}
+  private constructor (private readonly options: PauseDetectorOptions) {
+    this.lastMs = options.clock.nowMs()
+  }
 
   /** Reads the clock until stopped. */
   async run (): Promise<void> {
-    const { clock, onPause } = this.options
-    let lastMs = clock.nowMs()
     while (!this.stopping.signal.aborted) {
-      await clock.sleep(READ_INTERVAL_MS, this.stopping.signal)
-      const gapMs = clock.nowMs() - lastMs
-      if (gapMs > PAUSE_MS) onPause(gapMs)
-      lastMs = clock.nowMs()
+      await this.options.clock.sleep(READ_INTERVAL_MS, this.stopping.signal)
+      this.readClock()
     }
   }
 
+  /**
+   * Tells whether the process was paused a moment ago. Input that is read now may have waited for an unknown time.
+   */
+  isRecovering (): boolean {
+    this.readClock()
+    return this.options.clock.nowMs() - this.pauseEndMs < RECOVERY_MS
+  }
+
   /** Stops reading. */
   stop (): void {
     this.stopping.abort()
   }
+
+  private readClock (): void {
+    const { clock, onPause } = this.options
+    const nowMs = clock.nowMs()
+    const gapMs = nowMs - this.lastMs
+    this.lastMs = nowMs
+    if (gapMs <= PAUSE_MS) return
+    this.pauseEndMs = nowMs
+    onPause(gapMs)
+  }
 }
--- a/packages/daemon/src/instance/createParts.ts
+++ b/packages/daemon/src/instance/createParts.ts
@@ -43,20 +43,22 @@
   const leases = LeaseRegistry.create({ ...settings.requests, instance: settings.instance.id, incarnation, clock, random })
   const resumeTokens = ResumeTokens.create(settings.instance)
   const { configuration } = views
+  const pauses = PauseDetector.create({ clock, onPause: pauseMs => recordPause(basis, configuration.getRevision(), pauseMs) })
   const requests = RequestService.create({
     ...settings.requests,
     clock,
     leases,
     tools: createTools(basis, targets, resumeTokens),
     getSnapshot: () => configuration.getSnapshot(),
-    isRefusing: hooks.isRefusing
+    isRefusing: hooks.isRefusing,
+    isRecovering: () => pauses.isRecovering()
   })
   return {
     ...basis,
     ...views,
     ...targets,
     ...createOrders(options, basis, views, targets),
-    pauses: PauseDetector.create({ clock, onPause: pauseMs => recordPause(basis, configuration.getRevision(), pauseMs) }),
+    pauses,
     leases,
     requests,
     resumes: ResumeService.create({ clock, targetClient, resumeTokens }),
@@ -93,8 +95,8 @@
 }
 
 function createDispatcher ({ settings }: Basis): Dispatcher {
-  const { connectTimeoutMs, silenceMs } = settings.requests
-  return new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: silenceMs, bodyTimeout: 0 })
+  const { connectTimeoutMs } = settings.requests
+  return new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: connectTimeoutMs, bodyTimeout: 0 })
 }
 
 function createTools (basis: Basis, { scheduler, targetClient, evidence }: TargetParts, resumeTokens: ResumeTokens): RunnerTools {
--- a/packages/daemon/src/instance/describeInstance.ts
+++ b/packages/daemon/src/instance/describeInstance.ts
@@ -13,6 +13,7 @@
   return {
     instance: settings.instance.id,
     incarnation,
+    availabilityZone: settings.instance.availabilityZone,
     phase,
     revision: configuration.getRevision(),
     listVersion: list.getVersion(),
--- a/packages/daemon/src/requests/RequestService.ts
+++ b/packages/daemon/src/requests/RequestService.ts
@@ -30,6 +30,8 @@
   readonly getSnapshot: () => Snapshot
   /** Tells whether new requests are refused because the instance stops. */
   readonly isRefusing: () => boolean
+  /** Tells whether the process was paused a moment ago, so that a request may have waited beyond its deadline. */
+  readonly isRecovering: () => boolean
   readonly defaultDeadlineMs: number
   /** Requests remembered at once. */
   readonly maxRequests: number
@@ -122,9 +124,10 @@
   }
 
   private findRefusal (lease: Lease, entry: RequestEntry): Maybe<Reason> {
-    const { leases, isRefusing, maxRequests, getSnapshot } = this.options
+    const { leases, isRefusing, isRecovering, maxRequests, getSnapshot } = this.options
     if (!leases.isLive(lease)) return Maybe.just('leaseExpired')
     if (isRefusing()) return Maybe.just('draining')
+    if (isRecovering()) return Maybe.just('viewStale')
     if (this.running.size >= maxRequests) return Maybe.just('queueFull')
     if (!isConfigured(getSnapshot(), lease.workspace, entry.options.service.name)) return Maybe.just('notConfigured')
     return Maybe.nothing()
--- a/packages/daemon/test/fleet/fleet.test.ts
+++ b/packages/daemon/test/fleet/fleet.test.ts
@@ -37,6 +37,10 @@
     step('pauseInstance', instance), ...leaveTwoEngines(target), step('leaveTarget', 3 + target % 2, 0), step('requestCharge', instance, 3500),
     step('requestStreamed', instance, 0), step('requestHeld', instance, 0), step('resumeInstance', instance, 500)
   ],
+  askedAfterWaking: (instance, target) => [
+    step('pauseInstance', instance), ...leaveTwoEngines(target), step('leaveTarget', 3 + target % 2, 0), step('resumeInstance', instance, 4000),
+    step('requestCharge', instance, 600), step('requestStreamed', instance, 0), step('requestHeld', instance, 0)
+  ],
   wokenAfterDeadline: instance => [step('requestCharge', instance), step('pauseInstance', instance, 2), step('resumeInstance', instance, 30_000)],
   targetKilled: (_, target) => [...ALL_REQUESTS, step('killTarget', target % 3, 300), step('killTarget', (target + 1) % 3, 0)],
   repliesReset: () => [step('resetReplies', 3), step('resetReplies', 4), ...ALL_REQUESTS, ...ALL_REQUESTS],
--- a/packages/daemon/test/requests/RequestService.test.ts
+++ b/packages/daemon/test/requests/RequestService.test.ts
@@ -60,6 +60,25 @@
     `)
   })
 
+  it('does not run a request that may have waited while the process was paused, but attaches to a known one', async () => {
+    const owner = createOwner()
+    owner.targetClient.calls.set('t1', [Result.ok({ status: 200, body: 1 })])
+    const known = owner.submit(1, { service: 'charge' })
+    owner.recovering = true
+    const late = owner.submit(2, { service: 'charge' })
+    await owner.clock.advance(100)
+    expect([...showEvents(known), ...showEvents(late), ...owner.targetClient.log]).toMatchInlineSnapshot(`
+      [
+        "accepted i~n~1~1 whole",
+        "reply 200 1",
+        "end complete finished",
+        "accepted i~n~1~2 whole",
+        "end notRun viewStale",
+        "call i~n~1~1 at t1",
+      ]
+    `)
+  })
+
   it('does not run a number that first arrives after its lease has expired', async () => {
     const owner = createOwner()
     await owner.clock.advance(61_000)
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -45,6 +45,8 @@
   /** Whether asking again opens a target. */
   confirms: boolean
   refusing: boolean
+  /** Whether the process was paused a moment ago. */
+  recovering: boolean
   handingOver: boolean
   /** Submits a request and collects its events. */
   submit(number: number, body: SubmitRequest, offset?: number): StreamEvent[]
@@ -78,7 +80,7 @@
   const random: Random = SeededRandom.create(1)
   const leases = LeaseRegistry.create({ instance: 'i', incarnation: 'n', clock, random, leaseMs: 60_000, retentionMs: 60_000, maxLeases: 10 })
   const open = new Set(TARGET_NAMES)
-  const flags = { confirms: false, refusing: false, handingOver: false }
+  const flags = { confirms: false, refusing: false, recovering: false, handingOver: false }
   let generations = 0
   const tools: RunnerTools = {
     clock,
@@ -96,6 +98,7 @@
     tools,
     getSnapshot: createSnapshot,
     isRefusing: () => flags.refusing,
+    isRecovering: () => flags.recovering,
     defaultDeadlineMs: 10_000,
     maxRequests: 100,
     answerRetentionMs: 5000
--- a/packages/model/test/support/RealOwner.ts
+++ b/packages/model/test/support/RealOwner.ts
@@ -42,6 +42,7 @@
       tools: this.createTools(),
       getSnapshot: () => createSnapshot(kind, this.hasService),
       isRefusing: () => this.isRefusing,
+      isRecovering: () => false,
       defaultDeadlineMs: DEADLINE_MS,
       maxRequests: 100,
       answerRetentionMs: FOREVER_MS
