Announce accepted revisions at once and log counters

Cause: the daemon left news of a revision to the next probes, and the setting countersMs had no effect. Change: an accepted revision is told to some members at once; a line of counters is logged at each interval.

--- a/packages/daemon/src/instance/Instance.ts
+++ b/packages/daemon/src/instance/Instance.ts
@@ -7,6 +7,7 @@
 import { describeInstance, findExplanation } from './describeInstance.js'
 import { type InstanceOptions } from './InstanceOptions.js'
 import { addStateMetrics } from '../metrics/addStateMetrics.js'
+import { listCounters } from '../metrics/listCounters.js'
 import { runDrain } from './runDrain.js'
 
 /** Life of an instance. */
@@ -133,6 +134,7 @@
     })
     this.hearFleet()
     this.runUpkeep()
+    this.logCounters()
   }
 
   /** A new instance asks its peers before it is ready, so that it does not begin with records they have replaced. */
@@ -161,6 +163,14 @@
     }
   }
 
+  private async logCounters (): Promise<void> {
+    const { clock, metrics, logger, settings } = this.parts
+    while (!this.stopping.signal.aborted) {
+      await clock.sleep(settings.log.countersMs, this.stopping.signal)
+      logger.info({ counters: listCounters(metrics.getReading()) }, 'counters')
+    }
+  }
+
   private createCallerServer (): HttpServer {
     const { settings, clock, leases, requests, resumes, resumeTokens, dispatcher, incarnation, peers, configuration } = this.parts
     const routes = createCallerRoutes({
--- a/packages/daemon/src/instance/createViews.ts
+++ b/packages/daemon/src/instance/createViews.ts
@@ -48,6 +48,7 @@
     listFollower: InstanceListFollower.create({ ...shared, view: list, source: listSource })
   }
   list.addListener(() => peers.setListed(list.listInstances()))
+  configuration.addListener(() => peers.announceNews())
   return views
 }
 
--- a/packages/daemon/src/peers/PeerGroup.ts
+++ b/packages/daemon/src/peers/PeerGroup.ts
@@ -113,6 +113,11 @@
     return rankAddresses({ ...options, members: this.listRanked(), availabilityZone, region })
   }
 
+  /** Tells peers at once of a new revision or list. */
+  announceNews (): void {
+    this.membership?.announceNews()
+  }
+
   /** Tells the peers that this instance stops. */
   announceLeaving (): void {
     this.membership?.announceLeaving()
