--- a/packages/daemon/src/http/createCallerRoutes.ts
+++ b/packages/daemon/src/http/createCallerRoutes.ts
@@ -54,6 +54,8 @@
   readonly offset: number
 }
 
+const FOREIGN_TOKEN: ErrorBody = { error: 'forbidden', message: 'the resume token is not one of this fleet' }
+
 const SUBMIT_ERRORS: Record<SubmitError, { readonly status: number, readonly body: ErrorBody }> = {
   conflict: { status: 409, body: { error: 'conflict', message: 'the number was used for another body' } },
   overloaded: { status: 503, body: { error: 'overloaded', message: 'the lease holds too many requests' } }
@@ -222,14 +224,17 @@
   const { resumeToken, offset } = body.value.value
   const name = options.resumeTokens.decodeToken(resumeToken).unwrapOr(undefined)
   if (name === undefined) {
-    sendError(outgoing, 403, { error: 'forbidden', message: 'the resume token is not one of this fleet' })
+    sendError(outgoing, 403, FOREIGN_TOKEN)
     return
   }
   await sendEvents(outgoing, options.resumes.readResumed({ name, resumeToken, offset, signal: createCloseSignal(outgoing) }))
 }
 
 async function cancelGeneration (options: CallerRoutesOptions, { parts, outgoing }: RouteContext): Promise<void> {
-  await options.resumes.cancelGeneration(parts[0] ?? '')
+  if (!await options.resumes.cancelGeneration(parts[0] ?? '')) {
+    sendError(outgoing, 403, FOREIGN_TOKEN)
+    return
+  }
   outgoing.writeHead(204)
   outgoing.end()
 }
--- a/packages/daemon/src/requests/RequestService.ts
+++ b/packages/daemon/src/requests/RequestService.ts
@@ -14,6 +14,12 @@
 
 const REQUEST_RUNNERS: Record<ServiceKind, RequestRunner> = { generation: runGeneration, call: runCall }
 
+/** When a refused request may be made again elsewhere; absent where that cannot succeed by itself. */
+const RETRY_AFTER_MS: Partial<Record<Reason, number>> = { leaseExpired: 0, draining: 0, viewStale: 0, queueFull: 1000 }
+
+/** Answer to cancelling a request of a lease that holds too many. */
+const TOO_MANY_REQUESTS: EndEvent = { type: 'end', outcome: 'unknown', reason: 'queueFull', detail: 'the lease holds too many requests' }
+
 /** Answer to cancelling a call that has been sent. */
 const CALL_IN_PROGRESS: EndEvent = {
   type: 'end',
@@ -87,6 +93,7 @@
    */
   async cancelRequest (lease: Lease, number: number): Promise<EndEvent> {
     const known = lease.requests.get(number)
+    if (known === undefined && lease.requests.size >= this.options.maxRequests) return TOO_MANY_REQUESTS
     const entry = known ?? this.createTombstone(lease, number)
     if (entry.getPhase() === 'waiting') endCancelled(entry)
     if (entry.options.service.kind === 'generation' || entry.getPhase() !== 'dispatched') entry.cancellation.abort()
@@ -107,7 +114,7 @@
   private startEntry (lease: Lease, entry: RequestEntry): void {
     const refusal = this.findRefusal(lease, entry)
     if (refusal.isJust) {
-      entry.setEnd({ outcome: 'notRun', reason: refusal.value, retryAfterMs: 0 })
+      entry.setEnd({ outcome: 'notRun', reason: refusal.value, retryAfterMs: RETRY_AFTER_MS[refusal.value] })
       this.options.tools.observer.observeEnd(entry)
       return
     }
--- a/packages/daemon/src/resume/ResumeService.ts
+++ b/packages/daemon/src/resume/ResumeService.ts
@@ -63,10 +63,12 @@
   /**
    * Cancels a generation whose owner is gone or whose caller has given it up.
    * @param resumeToken - Token of the generation.
+   * @returns Whether the token is one of this fleet.
    */
-  async cancelGeneration (resumeToken: string): Promise<void> {
+  async cancelGeneration (resumeToken: string): Promise<boolean> {
     const name = this.options.resumeTokens.decodeToken(resumeToken).unwrapOr(undefined)
     if (name !== undefined) await this.options.targetClient.cancelGeneration(name.target, name.generation)
+    return name !== undefined
   }
 
   /** Passes one stream on; returns the end, or nothing when the stream was lost and may be opened again. */
--- a/packages/daemon/test/http/callerRoutes.test.ts
+++ b/packages/daemon/test/http/callerRoutes.test.ts
@@ -121,6 +121,10 @@
     `)
   })
 
+  it('refuses to cancel by a resume token that the fleet did not make', async () => {
+    expect((await doTest('DELETE', '/v1/resumes/e30.AAAA')).status).toBe(403)
+  })
+
   it('names each mistake in a body', async () => {
     const lease = await grantLease()
     expect(await doTest('PUT', `/v1/requests/${lease}/1`, { priority: 'urgent', deadlineMs: 0 })).toMatchInlineSnapshot(`
--- a/packages/daemon/test/requests/RequestService.test.ts
+++ b/packages/daemon/test/requests/RequestService.test.ts
@@ -104,6 +104,12 @@
     `)
   })
 
+  it('does not promise to keep a number from running when the lease holds too many', async () => {
+    const owner = createOwner()
+    for (let number = 1; number <= 100; number++) await owner.requests.cancelRequest(owner.lease, number)
+    expect((await owner.requests.cancelRequest(owner.lease, 101)).outcome).toBe('unknown')
+  })
+
   it('cancels a generation in progress at its target', async () => {
     const owner = createOwner()
     owner.targetClient.streams.set('t1', [[createTokens(0, 1), 'hang']])
