--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -4,6 +4,9 @@
 import { measureScenario, type MeasuredScenario } from './measureScenario.js'
 import { SCENARIOS } from './scenarios.js'
 
+/** Exit status for mistakes in the arguments. */
+const EXIT_WRONG_USE = 2
+
 const DEFAULT_POLICIES = 'default,random,leastInFlight,powerOfTwo'
 
 const command = defineCommand({
@@ -17,6 +20,16 @@
   run: async ({ args }) => {
     const scenarios = listNames(args.scenario, SCENARIOS)
     const policies = listNames(args.policy, POLICIES)
+    const problems = [
+      ...checkNames('scenario', scenarios, SCENARIOS),
+      ...checkNames('policy', policies, POLICIES),
+      ...(Number.isSafeInteger(Number(args.seed)) ? [] : [`seed: got ${args.seed}, allowed is a whole number`])
+    ]
+    if (problems.length > 0) {
+      for (const problem of problems) console.error(problem)
+      process.exitCode = EXIT_WRONG_USE
+      return
+    }
     const measured: MeasuredScenario[] = []
     for (const scenario of scenarios) {
       const result = await measureScenario({ scenario, seed: Number(args.seed), policies })
@@ -28,10 +41,12 @@
 })
 
 function listNames (text: string, known: Readonly<Record<string, unknown>>): string[] {
-  const names = text === 'all' ? Object.keys(known) : text.split(',')
-  const unknown = names.filter(name => known[name] === undefined)
-  if (unknown.length > 0) throw new Error(`unknown: ${unknown.join(', ')}; known are ${Object.keys(known).join(', ')}`)
-  return names
+  return text === 'all' ? Object.keys(known) : text.split(',')
+}
+
+function checkNames (field: string, names: readonly string[], known: Readonly<Record<string, unknown>>): string[] {
+  const allowed = Object.keys(known)
+  return names.filter(name => !allowed.includes(name)).map(name => `${field}: got ${name}, allowed is all, ${allowed.join(', ')}`)
 }
 
 await runMain(command)
--- a/packages/daemon/src/http/HttpServer.ts
+++ b/packages/daemon/src/http/HttpServer.ts
@@ -3,11 +3,11 @@
 import { findRoute, type HttpRoute } from './HttpRoute.js'
 import { sendError } from './sendAnswer.js'
 
-/** Longest time for the headers of a request, in milliseconds. */
-const HEADERS_TIMEOUT_MS = 10_000
+const DEFAULT_HEADERS_TIMEOUT_MS = 10_000
+const DEFAULT_REQUEST_TIMEOUT_MS = 30_000
 
-/** Longest time for a whole request, in milliseconds. */
-const REQUEST_TIMEOUT_MS = 30_000
+/** Checks for requests that take too long, in the shorter of their times. */
+const CHECKS_PER_TIMEOUT = 4
 
 /** Largest size of all headers, in bytes. */
 const MAX_HEADER_BYTES = 16_384
@@ -21,6 +21,10 @@
   /** Port; 0 lets the system choose. */
   readonly port: number
   readonly routes: readonly HttpRoute[]
+  /** Longest time for the headers of a request, in milliseconds. */
+  readonly headersTimeoutMs?: number
+  /** Longest time for a whole request, in milliseconds. */
+  readonly requestTimeoutMs?: number
   /** Receives an error that no handler expected. */
   readonly onInternalError: (error: unknown) => void
 }
@@ -40,9 +44,11 @@
 
   /** @internal */
   private constructor (private readonly options: HttpServerOptions) {
+    const { headersTimeoutMs = DEFAULT_HEADERS_TIMEOUT_MS, requestTimeoutMs = DEFAULT_REQUEST_TIMEOUT_MS } = options
     this.server = createServer({
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: headersTimeoutMs,
+      requestTimeout: requestTimeoutMs,
+      connectionsCheckingInterval: Math.min(headersTimeoutMs, requestTimeoutMs) / CHECKS_PER_TIMEOUT,
       maxHeaderSize: MAX_HEADER_BYTES
     }, (incoming, outgoing) => { this.handleRequest(incoming, outgoing) })
   }
@@ -90,6 +96,10 @@
     try {
       await match.route.handle({ incoming, outgoing, parts: match.parts, query: url.searchParams })
     } catch (error) {
+      if (!incoming.complete) {
+        outgoing.destroy()
+        return
+      }
       this.options.onInternalError(error)
       if (outgoing.headersSent) outgoing.destroy()
       else sendError(outgoing, 500, { error: 'internal', message: 'the request could not be handled' })
--- a/packages/schema/src/validation/createValidator.ts
+++ b/packages/schema/src/validation/createValidator.ts
@@ -93,6 +93,8 @@
     allowed: `no such field; the fields are ${Object.keys(error.parentSchema?.properties ?? {}).join(', ')}`
   }),
   enum: (error, field) => ({ field, value: showValue(error.data), allowed: (error.params.allowedValues as unknown[]).join(', ') }),
+  minLength: (error, field) => ({ field, value: showValue(error.data), allowed: `at least ${error.params.limit} characters` }),
+  maxLength: (error, field) => ({ field, value: showValue(error.data), allowed: `at most ${error.params.limit} characters` }),
   const: (error, field) => ({ field, value: showValue(error.data), allowed: String(error.params.allowedValue) })
 }
 
--- a/packages/schema/test/validation/createValidator.test.ts
+++ b/packages/schema/test/validation/createValidator.test.ts
@@ -41,6 +41,10 @@
     `)
   })
 
+  it('states the length that is allowed', () => {
+    expect(doTest('caller', 'LeaseRequest', { workspace: '' })).toEqual(['workspace: got "", allowed is at least 1 characters'])
+  })
+
   it('turns settings text into numbers and fills defaults', () => {
     expect(doTest('settings', 'LogSettings', { countersMs: '5000' })).toMatchInlineSnapshot(`
       [
