Wait for changes of a request in one place

Cause: on reading the whole change, three waits for a request's next change stood in the same words, the bounds for opening a lost stream again stood twice, and the time of a request's end was kept and never read. Change: Notifier.waitForChange serves the readers, the owner's task and cancelling; the bounds are shared; the time is gone. Behaviour is the same.

--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -3,16 +3,11 @@
 import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type TargetError } from '../targets/TargetClient.js'
 import { acquireOpenPlacement, endCancelled, endOverdue, getModel, MAX_ATTEMPTS, refuseEntry, type RunnerTools } from './RequestRunner.js'
+import { MAX_REOPENS, REOPEN_PAUSE_MS } from '../targets/streamRetries.js'
 
 /** Most output tokens of a request that names no bound. */
 const DEFAULT_MAX_TOKENS = 32_768
 
-/** Times that a lost stream is opened again at the same target. */
-const MAX_REOPENS = 3
-
-/** Pause before a lost stream is opened again, in milliseconds. */
-const REOPEN_PAUSE_MS = 50
-
 /** Number that the engine gets for each scheduling class. */
 const ENGINE_PRIORITIES: Record<Priority, number> = { high: 2, normal: 1, low: 0 }
 
--- a/packages/daemon/src/requests/RequestEntry.ts
+++ b/packages/daemon/src/requests/RequestEntry.ts
@@ -56,7 +56,6 @@
   private generation: GenerationEvent | undefined
   private reply: ReplyEvent | undefined
   private end: EndEvent | undefined
-  private endedMs = 0
   private delivered = false
   private endRead = false
   private readonly positions = new Set<ReaderPosition>()
@@ -101,11 +100,6 @@
     return this.arrivedMs
   }
 
-  /** Gets the reading of the clock at which the request ended, in milliseconds. */
-  getEndedMs (): number {
-    return this.endedMs
-  }
-
   /** Tells whether the deadline has passed. */
   isOverdue (): boolean {
     return this.options.clock.nowMs() >= this.options.deadlineMs
@@ -183,16 +177,7 @@
 
   /** Waits until anything of the request changes or its cancellation. */
   async waitForChange (): Promise<void> {
-    const signal = this.cancellation.signal
-    await new Promise<void>(resolve => {
-      const finish = (): void => {
-        removeWaiter()
-        signal.removeEventListener('abort', finish)
-        resolve()
-      }
-      const removeWaiter = this.changes.addWaiter(finish)
-      signal.addEventListener('abort', finish)
-    })
+    await this.changes.waitForChange({ signal: this.cancellation.signal })
   }
 
   /**
@@ -215,7 +200,6 @@
     this.end = { type: 'end', ...end }
     this.reply = reply
     this.phase = 'ended'
-    this.endedMs = this.options.clock.nowMs()
     this.recordStep('end', `${end.outcome}: ${end.reason}`)
     this.changes.notifyAll()
   }
--- a/packages/daemon/src/requests/RequestService.ts
+++ b/packages/daemon/src/requests/RequestService.ts
@@ -97,7 +97,7 @@
     const entry = known ?? this.createTombstone(lease, number)
     if (entry.getPhase() === 'waiting') endCancelled(entry)
     if (entry.options.service.kind === 'generation' || entry.getPhase() !== 'dispatched') entry.cancellation.abort()
-    while (!entry.isEnded() && entry.options.service.kind === 'generation') await this.waitForEnd(entry)
+    while (!entry.isEnded() && entry.options.service.kind === 'generation') await entry.changes.waitForChange()
     return entry.getEnd().unwrapOr(CALL_IN_PROGRESS)
   }
 
@@ -162,10 +162,6 @@
     lease.requests.set(number, entry)
     return entry
   }
-
-  private async waitForEnd (entry: RequestEntry): Promise<void> {
-    await new Promise<void>(resolve => { entry.changes.addWaiter(resolve) })
-  }
 }
 
 function computeDigest (body: SubmitRequest): string {
--- a/packages/daemon/src/requests/readEvents.ts
+++ b/packages/daemon/src/requests/readEvents.ts
@@ -37,7 +37,7 @@
 }
 
 async function * readChanges (options: ReadEventsOptions, position: ReaderPosition): AsyncGenerator<StreamEvent, void, undefined> {
-  const { entry, signal } = options
+  const { entry, signal, clock, heartbeatMs } = options
   let announced: string | undefined
   while (!signal.aborted) {
     const generation = entry.getGeneration().unwrapOr(undefined)
@@ -52,7 +52,7 @@
     } else if (entry.isEnded()) {
       yield * readEnd(entry)
       return
-    } else if (!await waitForChange(options)) {
+    } else if (!await entry.changes.waitForChange({ signal, timeout: { clock, durationMs: heartbeatMs } })) {
       yield { type: 'heartbeat' }
     }
   }
@@ -91,20 +91,3 @@
   entry.recordEndRead()
   yield end
 }
-
-/** Waits for a change; tells whether one came before a heartbeat was due. */
-async function waitForChange (options: ReadEventsOptions): Promise<boolean> {
-  const { entry, clock, heartbeatMs, signal } = options
-  return await new Promise<boolean>(resolve => {
-    const finish = (changed: boolean): void => {
-      removeWaiter()
-      cancelTimer()
-      signal.removeEventListener('abort', wake)
-      resolve(changed)
-    }
-    const wake = (): void => finish(true)
-    const removeWaiter = entry.changes.addWaiter(wake)
-    const cancelTimer = clock.startTimer(heartbeatMs, () => finish(false))
-    signal.addEventListener('abort', wake)
-  })
-}
--- a/packages/daemon/src/resume/ResumeService.ts
+++ b/packages/daemon/src/resume/ResumeService.ts
@@ -2,12 +2,7 @@
 import { type EndEvent, type EngineEvent, type StreamEvent } from '@fescuespoke/schema'
 import { type GenerationEvents, type TargetClient, type TargetError } from '../targets/TargetClient.js'
 import { type ResumeName, type ResumeTokens } from './ResumeTokens.js'
-
-/** Times that a lost stream is opened again. */
-const MAX_REOPENS = 3
-
-/** Pause before a lost stream is opened again, in milliseconds. */
-const REOPEN_PAUSE_MS = 50
+import { MAX_REOPENS, REOPEN_PAUSE_MS } from '../targets/streamRetries.js'
 
 /** Options of a resume service. */
 export interface ResumeServiceOptions {
