--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -127,6 +127,41 @@
     labels: ['platformService'],
     openLabels: ['platformService']
   },
+  relayedRequests: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_relayed_requests_total',
+    help: 'Relayed requests that ended, by route and outcome.',
+    labels: ['route', 'outcome'],
+    openLabels: ['route'],
+    maxSeries: 256
+  },
+  relayedRepeats: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_relayed_repeats_total',
+    help: 'Attempts of relayed requests beyond the first, by service and cause.',
+    labels: ['service', 'cause'],
+    openLabels: ['service'],
+    maxSeries: 64
+  },
+  relayedAnswer: {
+    kind: 'histogram',
+    exposedName: 'fescuespoke_relayed_answer_milliseconds',
+    help: 'Time from the arrival of a relayed request to the beginning of its answer.',
+    labels: ['route'],
+    openLabels: ['route']
+  },
+  movedRuns: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_moved_runs_total',
+    help: 'Moves of running generations off targets that leave, by result.',
+    labels: ['result']
+  },
+  droppedLines: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_dropped_log_lines_total',
+    help: 'Log lines about requests that were left out to bound their number.',
+    labels: []
+  },
   processorTime: {
     kind: 'gauge',
     exposedName: 'fescuespoke_processor_time_milliseconds',
--- a/packages/peers/src/framing/messageKeys.ts
+++ b/packages/peers/src/framing/messageKeys.ts
@@ -11,5 +11,6 @@
   'target', 'tokens', 'sequences', 'validForMs', 'priority', 'histograms',
   'heldTokens', 'heldSequences', 'wantTokens', 'wantSequences',
   'heldMean', 'heldDeviation', 'totalTokens', 'totalSequences',
-  'key', 'text', 'digest', 'keptDigest', 'afterKey', 'nextAfterKey', 'baseRevision', 'deleted', 'kept', 'baseVersion', 'removed'
+  'key', 'text', 'digest', 'keptDigest', 'afterKey', 'nextAfterKey', 'baseRevision', 'deleted', 'kept', 'baseVersion', 'removed',
+  'items', 'running'
 ]
--- /dev/null
+++ b/packages/relay/src/budget/AttemptBudget.ts
@@ -0,0 +1,103 @@
+import { type Clock } from '@fescuespoke/common'
+
+/** Bounds on the attempts beyond the first that a service gets from all instances together. */
+export interface AttemptBudgetLimits {
+  /** Share of the requests that may be repeated. */
+  readonly ratio: number
+  /** Attempts that are allowed besides in each window, over all instances. */
+  readonly extra: number
+  readonly windowMs: number
+}
+
+/** Options of a budget. */
+export interface AttemptBudgetOptions {
+  readonly clock: Clock
+  readonly limits: AttemptBudgetLimits
+  /** Counts the instances among which the extra attempts are divided. */
+  readonly countInstances: () => number
+}
+
+/** What an attempt beyond the first is for: `move` continues a run that would be lost. */
+export type AttemptPurpose = 'retry' | 'move'
+
+/** Slices of a window. */
+const SLICES = 10
+
+/** Share of this instance's budget that an attempt of each purpose may use up. */
+const USABLE_SHARES: Record<AttemptPurpose, number> = { retry: 0.6, move: 0.95 }
+
+interface Slice {
+  index: number
+  requests: number
+  repeats: number
+}
+
+/**
+ * Limits repeated attempts to a share of the requests, so that failures do not multiply load. Each instance spends by
+ * its own requests and an even part of what is allowed besides, so that the sum holds without agreement.
+ */
+export class AttemptBudget {
+  /**
+   * Creates a budget.
+   * @param options - Options of the budget.
+   */
+  static create (options: AttemptBudgetOptions): AttemptBudget {
+    return new AttemptBudget(options)
+  }
+
+  private readonly services = new Map<string, Slice[]>()
+
+  /** @internal */
+  private constructor (private readonly options: AttemptBudgetOptions) {}
+
+  /**
+   * Observes the first attempt of a request.
+   * @param service - Name of the service.
+   */
+  observeRequest (service: string): void {
+    this.getSlice(service).requests++
+  }
+
+  /**
+   * Takes one attempt beyond the first, if there is one left.
+   * @param service - Name of the service.
+   * @param purpose - What the attempt is for.
+   */
+  takeAttempt (service: string, purpose: AttemptPurpose): boolean {
+    const slice = this.getSlice(service)
+    const { requests, repeats } = this.sumWindow(service)
+    const { ratio, extra } = this.options.limits
+    const allowed = ratio * requests + extra / Math.max(1, this.options.countInstances())
+    if (repeats + 1 > allowed * USABLE_SHARES[purpose]) return false
+    slice.repeats++
+    return true
+  }
+
+  private sumWindow (service: string): { requests: number, repeats: number } {
+    const current = this.getIndex()
+    let requests = 0
+    let repeats = 0
+    for (const slice of this.services.get(service) ?? []) {
+      if (current - slice.index >= SLICES) continue
+      requests += slice.requests
+      repeats += slice.repeats
+    }
+    return { requests, repeats }
+  }
+
+  private getSlice (service: string): Slice {
+    const slices = this.services.get(service) ?? []
+    this.services.set(service, slices)
+    const index = this.getIndex()
+    const last = slices.at(-1)
+    if (last?.index === index) return last
+    const slice = { index, requests: 0, repeats: 0 }
+    slices.push(slice)
+    if (slices.length > SLICES) slices.shift()
+    return slice
+  }
+
+  private getIndex (): number {
+    return Math.floor(this.options.clock.nowMs() / (this.options.limits.windowMs / SLICES))
+  }
+}
--- /dev/null
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -0,0 +1,136 @@
+import { type Clock, type Logger, type PeerTransport, type Random } from '@fescuespoke/common'
+import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
+import { Maybe, Result } from 'true-myth'
+import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type RelayIdentity } from './RelayInstanceOptions.js'
+
+/** Options of the peers of a relay instance. */
+export interface RelayPeersOptions {
+  readonly identity: RelayIdentity
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly log: DecisionLog
+  /** Gets the revision of the published keys that this instance knows. */
+  readonly getRevision: () => number
+  /** Called when a peer is gone. */
+  readonly onGone: (peer: string) => void
+}
+
+/** Interval of probes, longest wait for their answer, and time in which a suspect may refute, in milliseconds. */
+const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000 }
+
+/** Addresses in one answer to a caller. */
+const MAX_ADDRESSES = 64
+
+/** Instances in the caller's zone from which on no others are named. */
+const ENOUGH_NEAR = 2
+
+/** Time for which the highest number of instances seen counts as the size of the fleet, in milliseconds. */
+const FLEET_MEMORY_MS = 20_000
+
+/** Random bytes in the name of a run of the process. */
+const INCARNATION_BYTES = 9
+
+/** The other instances: they are named by their peer addresses, so that the published seeds are enough to begin. */
+export class RelayPeers {
+  /**
+   * Creates peers that are not listened for yet.
+   * @param options - Options of the peers.
+   */
+  static create (options: RelayPeersOptions): RelayPeers {
+    return new RelayPeers(options)
+  }
+
+  private readonly network: PeerNetwork
+  private readonly membership: Membership
+  private largest = { count: 1, atMs: -Infinity }
+
+  /** @internal */
+  private constructor (private readonly options: RelayPeersOptions) {
+    const { identity, clock, random, logger } = options
+    const { peerAddress: instance, availabilityZone, region } = identity
+    const incarnation = random.nextText(INCARNATION_BYTES)
+    const [host, port] = splitAddress(instance)
+    this.network = PeerNetwork.create({
+      ...identity, instance, incarnation, clock, random, logger, host, port, findPeerAddress: name => parsePeerAddress(name).map(() => name)
+    })
+    this.membership = Membership.create({
+      instance, incarnation, url: identity.callerAddress, peerAddress: instance, availabilityZone, region, transport: this.network, clock, random,
+      getNews: () => ({ revision: options.getRevision(), listVersion: 0, listAgeMs: 0 }),
+      observeNews: () => {},
+      limits: PROBE_LIMITS
+    })
+    this.membership.addListener(change => this.observeChange(change.member, change.cause, change.before))
+    this.setSeeds(identity.seeds)
+  }
+
+  /** Gets the transport to other instances. */
+  get transport (): PeerTransport {
+    return this.network
+  }
+
+  /** Starts to listen and to probe; returns the address. */
+  async listen (): Promise<Result<string, string>> {
+    const address = await this.network.listen()
+    if (address.isOk) this.membership.start()
+    return address
+  }
+
+  /**
+   * Sets where other instances are looked for.
+   * @param seeds - Peer addresses.
+   */
+  setSeeds (seeds: readonly string[]): void {
+    this.membership.setListed(seeds.map(seed => ({ id: seed, role: 'entry', state: 'live', peerAddress: seed })))
+  }
+
+  /** Lists the names of the other instances that are thought to be alive. */
+  listOthers (): readonly string[] {
+    const own = this.options.identity.peerAddress
+    return this.membership.listAlive().filter(name => name !== own)
+  }
+
+  /** Counts the instances of the fleet: the most that were seen lately, so that a partition does not raise shares. */
+  countFleet (): number {
+    const { clock } = this.options
+    const count = this.membership.listAlive().length
+    const isOld = clock.nowMs() - this.largest.atMs > FLEET_MEMORY_MS
+    if (count >= this.largest.count || isOld) this.largest = { count, atMs: clock.nowMs() }
+    return this.largest.count
+  }
+
+  /**
+   * Lists the addresses that a caller should use.
+   * @param availabilityZone - Zone of the caller.
+   * @param isSelfReady - Whether this instance takes requests.
+   */
+  listCallerAddresses (availabilityZone: string, isSelfReady: boolean): string[] {
+    const own = this.options.identity.peerAddress
+    const members = this.membership.listMembers().filter(({ state, instance }) => instance === own ? isSelfReady : state === 'alive')
+    const near = members.filter(member => member.availabilityZone === availabilityZone)
+    const chosen = near.length >= ENOUGH_NEAR ? near : members
+    return chosen.map(({ url }) => url).slice(0, MAX_ADDRESSES)
+  }
+
+  /** Tells the peers that this instance stops. */
+  announceLeaving (): void {
+    this.membership.announceLeaving()
+  }
+
+  /** Ends probing and closes every connection. */
+  async close (): Promise<void> {
+    await this.membership.stop()
+    await this.network.close()
+  }
+
+  private observeChange ({ instance, state }: Member, cause: string, before: string | undefined): void {
+    this.options.log.recordBelief('peer changed', { peer: instance, before, state, cause })
+    if (state === 'dead') this.options.onGone(instance)
+  }
+}
+
+function splitAddress (address: string): [string, number] {
+  const index = address.lastIndexOf(':')
+  return [address.slice(0, index), Number(address.slice(index + 1))]
+}
--- /dev/null
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -0,0 +1,60 @@
+import { AttemptBudget } from '../budget/AttemptBudget.js'
+import { LoadExchange } from '../loads/LoadExchange.js'
+import { TargetLoads } from '../loads/TargetLoads.js'
+import { DecisionLog } from '../logs/DecisionLog.js'
+import { RelayMetrics } from '../logs/RelayMetrics.js'
+import { RunMover } from '../moves/RunMover.js'
+import { RelayPlacer } from '../placement/RelayPlacer.js'
+import { WaitingRoom } from '../placement/WaitingRoom.js'
+import { PublishedExchange } from '../published/PublishedExchange.js'
+import { PublishedFollower } from '../published/PublishedFollower.js'
+import { PublishedView } from '../published/PublishedView.js'
+import { type RelayTools } from '../requests/RelayTools.js'
+import { TargetQuality } from '../targets/TargetQuality.js'
+import { TargetTable } from '../targets/TargetTable.js'
+import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
+import { RelayPeers } from './RelayPeers.js'
+
+/** The parts of a relay instance, joined. */
+export interface RelayParts {
+  readonly log: DecisionLog
+  readonly view: PublishedView
+  readonly follower: PublishedFollower
+  readonly loadExchange: LoadExchange
+  readonly peers: RelayPeers
+  readonly tools: RelayTools
+}
+
+/**
+ * Creates the parts of a relay instance and joins them.
+ * @param options - Options of the instance.
+ */
+export function createRelayParts (options: RelayInstanceOptions): RelayParts {
+  const { clock, random, source, client } = options
+  const metrics = RelayMetrics.create(options.metrics)
+  const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
+  const view = PublishedView.create()
+  const loads = TargetLoads.create(clock)
+  const peers = RelayPeers.create({ ...options, log, getRevision: () => view.getRevision(), onGone: peer => loads.forgetPeer(peer) })
+  const { transport } = peers
+  const listPeers = (): readonly string[] => peers.listOthers()
+  const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
+  const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers() })
+  const table = TargetTable.create({ clock, getStoreCalmMs: () => follower.getCalmMs() })
+  const quality = TargetQuality.create(clock)
+  const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: options.identity.availabilityZone })
+  const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => peers.countFleet() })
+  table.addListener(({ target, state }, before) => {
+    if (state === 'gone') client.forgetTarget(target)
+    log.recordBelief('target changed', { target: target.name, service: target.service, address: target.address, before, state })
+  })
+  const mover = RunMover.create({ clock, client, table, placer, budget, metrics, log })
+  const waitingRoom = WaitingRoom.create({ clock, placer })
+  const loadExchange = LoadExchange.create({
+    clock, transport, loads, listPeers,
+    getRevision: () => view.getRevision(),
+    observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
+    onChange: () => placer.notifyRoom()
+  })
+  return { log, view, follower, loadExchange, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log } }
+}
--- /dev/null
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -0,0 +1,88 @@
+import { type Clock, type PeerTransport } from '@fescuespoke/common'
+import { type TargetLoads } from './TargetLoads.js'
+
+/** Options of an exchange. */
+export interface LoadExchangeOptions {
+  readonly clock: Clock
+  readonly transport: PeerTransport
+  readonly loads: TargetLoads
+  /** Lists the peers that are told. */
+  readonly listPeers: () => readonly string[]
+  /** Gets the revision of the published keys that this instance knows. */
+  readonly getRevision: () => number
+  /**
+   * Observes the revision that a peer knows.
+   * @param peer - Name of the peer.
+   * @param revision - The revision.
+   */
+  readonly observeRevision: (peer: string, revision: number) => void
+  /** Called after peers told something new of their work. */
+  readonly onChange: () => void
+  /** Shortest interval at which peers are told of changes, in milliseconds. */
+  readonly intervalMs?: number
+}
+
+const DEFAULT_INTERVAL_MS = 150
+
+/** Interval at which peers are told although nothing changed, in milliseconds. */
+const REFRESH_MS = 1000
+
+/** Longest wait for the confirmation of a peer in milliseconds. */
+const ANSWER_MS = 1000
+
+/** Tells peers of the own work at targets, so that all choose by the work of all. */
+export class LoadExchange {
+  /**
+   * Creates an exchange that does not run yet.
+   * @param options - Options of the exchange.
+   */
+  static create (options: LoadExchangeOptions): LoadExchange {
+    return new LoadExchange(options)
+  }
+
+  private readonly stopping = new AbortController()
+  private toldAtMs = -Infinity
+  private toldRevision = 0
+
+  /** @internal */
+  private constructor (private readonly options: LoadExchangeOptions) {
+    options.transport.setHandler('loadNews', ({ entries, revision }, from) => {
+      options.loads.observePeer(from, new Map(entries.map(({ target, running, tokens }) => [target, { running, tokens }])))
+      options.observeRevision(from, revision)
+      options.onChange()
+      return { type: 'loadNewsAnswer', revision: options.getRevision() }
+    })
+  }
+
+  /** Tells peers until stopped. */
+  async run (): Promise<void> {
+    const { clock, intervalMs = DEFAULT_INTERVAL_MS } = this.options
+    while (!this.stopping.signal.aborted) {
+      await clock.sleep(intervalMs, this.stopping.signal)
+      if (this.mustTell()) this.tellPeers()
+    }
+  }
+
+  /** Stops telling. */
+  stop (): void {
+    this.stopping.abort()
+  }
+
+  private mustTell (): boolean {
+    const { loads, clock, getRevision } = this.options
+    const isChanged = loads.takeChanged() || getRevision() !== this.toldRevision
+    return isChanged || clock.nowMs() - this.toldAtMs >= REFRESH_MS
+  }
+
+  private tellPeers (): void {
+    const { clock, transport, loads, listPeers, getRevision, observeRevision } = this.options
+    this.toldAtMs = clock.nowMs()
+    this.toldRevision = getRevision()
+    const entries = [...loads.listOwn()].map(([target, { running, tokens }]) => ({ target, running, tokens: Math.max(0, Math.round(tokens)) }))
+    for (const peer of listPeers()) {
+      transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries }, ANSWER_MS).then(answer => {
+        if (answer.isOk) observeRevision(peer, answer.value.revision)
+      })
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -0,0 +1,106 @@
+import { type Clock } from '@fescuespoke/common'
+
+/** Work of one instance at one target. */
+export interface TargetLoad {
+  /** Requests in progress. */
+  readonly running: number
+  /** Memory that its generations are expected to need, in tokens. */
+  readonly tokens: number
+}
+
+/** Load of a target by name. */
+export type LoadsByTarget = ReadonlyMap<string, TargetLoad>
+
+/** Age at which what a peer told of its work is no longer counted. */
+const PEER_LOAD_MS = 4000
+
+const NO_LOAD: TargetLoad = { running: 0, tokens: 0 }
+
+interface PeerLoads {
+  readonly loads: LoadsByTarget
+  readonly heardAtMs: number
+}
+
+/** Work at targets: of this instance as it is, of its peers as they last told. */
+export class TargetLoads {
+  /**
+   * Creates empty loads.
+   * @param clock - Monotonic clock.
+   */
+  static create (clock: Clock): TargetLoads {
+    return new TargetLoads(clock)
+  }
+
+  private readonly own = new Map<string, TargetLoad>()
+  private readonly peers = new Map<string, PeerLoads>()
+  private changed = false
+
+  /** @internal */
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * Adds work of this instance; negative amounts take it away.
+   * @param target - Name of the target.
+   * @param running - Requests.
+   * @param tokens - Tokens.
+   */
+  addOwn (target: string, running: number, tokens: number): void {
+    const load = this.getOwn(target)
+    const next = { running: load.running + running, tokens: load.tokens + tokens }
+    if (next.running <= 0) this.own.delete(target)
+    else this.own.set(target, next)
+    this.changed = true
+  }
+
+  /**
+   * Gets the work of this instance at a target.
+   * @param target - Name of the target.
+   */
+  getOwn (target: string): TargetLoad {
+    return this.own.get(target) ?? NO_LOAD
+  }
+
+  /**
+   * Gets the work of all instances at a target.
+   * @param target - Name of the target.
+   */
+  getTotal (target: string): TargetLoad {
+    let { running, tokens } = this.getOwn(target)
+    const oldestMs = this.clock.nowMs() - PEER_LOAD_MS
+    for (const { loads, heardAtMs } of this.peers.values()) {
+      const load = heardAtMs < oldestMs ? undefined : loads.get(target)
+      running += load?.running ?? 0
+      tokens += load?.tokens ?? 0
+    }
+    return { running, tokens }
+  }
+
+  /**
+   * Observes what a peer tells of its own work.
+   * @param peer - Name of the peer.
+   * @param loads - Its work.
+   */
+  observePeer (peer: string, loads: LoadsByTarget): void {
+    this.peers.set(peer, { loads, heardAtMs: this.clock.nowMs() })
+  }
+
+  /**
+   * Forgets the work of a peer that is gone.
+   * @param peer - Name of the peer.
+   */
+  forgetPeer (peer: string): void {
+    this.peers.delete(peer)
+  }
+
+  /** Gets the work of this instance at all targets. */
+  listOwn (): LoadsByTarget {
+    return this.own
+  }
+
+  /** Takes note of whether own work changed since the last call. */
+  takeChanged (): boolean {
+    const { changed } = this
+    this.changed = false
+    return changed
+  }
+}
--- /dev/null
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -0,0 +1,28 @@
+import { type TargetUse } from '../placement/TargetUse.js'
+import { type ServiceProfile } from '../model/RelayConfiguration.js'
+import { type Continuation } from '../targets/RelayTargetClient.js'
+
+/** Where a run goes on after a move. */
+export interface RunContinuation {
+  readonly use: TargetUse
+  readonly continuation: Continuation
+  /** Events that the run had produced when it was stopped. */
+  readonly createdEvents: number
+}
+
+/** A running generation that can be moved to another engine. */
+export interface MovableRun {
+  readonly request: string
+  readonly service: ServiceProfile
+  /** Memory that it needs now, in tokens. */
+  getTokens(): number
+  /** Name of the target that runs it; absent while it has none. */
+  getTargetName(): string | undefined
+  /** Whether it needs no move any more, because it has ended or its caller has left. */
+  isOver(): boolean
+  /**
+   * Sets where the run goes on; it was stopped at its source.
+   * @param next - Where.
+   */
+  continueAt(next: RunContinuation): void
+}
--- /dev/null
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -0,0 +1,99 @@
+import { type Clock, type Random } from '@fescuespoke/common'
+import { type TargetLoads } from '../loads/TargetLoads.js'
+import { type ServiceProfile } from '../model/RelayConfiguration.js'
+import { type RelayTarget } from '../model/RelayTarget.js'
+import { type TargetQuality } from '../targets/TargetQuality.js'
+import { type KnownTarget, type TargetTable } from '../targets/TargetTable.js'
+import { pickCallTarget, pickEngine, type TargetOption } from './pickTarget.js'
+import { TargetUse } from './TargetUse.js'
+
+/** Options of a placer. */
+export interface RelayPlacerOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly table: TargetTable
+  readonly loads: TargetLoads
+  readonly quality: TargetQuality
+  readonly availabilityZone: string
+}
+
+/** What a target is wanted for. */
+export interface TargetNeed {
+  readonly service: ServiceProfile
+  /** Memory that a generation is expected to need; 0 for calls. */
+  readonly tokens: number
+  /** Names of targets that are not wanted. */
+  readonly excluded: ReadonlySet<string>
+}
+
+/** Chooses targets by the load of all instances as far as it is known, and counts what is in use. */
+export class RelayPlacer {
+  /**
+   * Creates a placer.
+   * @param options - Options of the placer.
+   */
+  static create (options: RelayPlacerOptions): RelayPlacer {
+    return new RelayPlacer(options)
+  }
+
+  private readonly listeners = new Set<() => void>()
+
+  /** @internal */
+  private constructor (private readonly options: RelayPlacerOptions) {}
+
+  /**
+   * Takes a target into use, if there is one with room.
+   * @param need - What it is wanted for.
+   */
+  takeTarget (need: TargetNeed): TargetUse | undefined {
+    const { service, tokens, excluded } = need
+    const { random, table } = this.options
+    const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known))
+    const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, service.engine, tokens, random)
+    return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, choice.score)
+  }
+
+  /**
+   * Takes a certain target into use, whatever its load.
+   * @param target - The target.
+   * @param tokens - Memory that a generation is expected to need.
+   * @param score - Score of the choice, for the log.
+   */
+  useTarget (target: RelayTarget, tokens: number, score = 0): TargetUse {
+    return TargetUse.create({ target, tokens, score, loads: this.options.loads, onRelease: () => this.notifyRoom() })
+  }
+
+  /**
+   * Counts the targets of a service that may get new work.
+   * @param service - The service.
+   */
+  countUsable (service: ServiceProfile): number {
+    return this.options.table.listUsable(service.name).length
+  }
+
+  /**
+   * Adds a listener.
+   * @param listener - Called when there may be room again.
+   */
+  addRoomListener (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
+  /** Tells those that wait that there may be room. */
+  notifyRoom (): void {
+    for (const listener of this.listeners) listener()
+  }
+
+  private describeOption (known: KnownTarget): TargetOption {
+    const { clock, loads, quality, availabilityZone } = this.options
+    const { name } = known.target
+    return {
+      known,
+      load: loads.getTotal(name),
+      failureShare: quality.getFailureShare(name),
+      isUnreachable: quality.isUnreachable(name),
+      isSlow: clock.nowMs() < known.slowUntilMs,
+      isNear: known.target.availabilityZone === availabilityZone
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/placement/TargetUse.ts
@@ -0,0 +1,54 @@
+import { type TargetLoads } from '../loads/TargetLoads.js'
+import { type RelayTarget } from '../model/RelayTarget.js'
+
+/** Options of the use of a target. */
+export interface TargetUseOptions {
+  readonly target: RelayTarget
+  readonly tokens: number
+  /** Score of the choice. */
+  readonly score: number
+  readonly loads: TargetLoads
+  readonly onRelease: () => void
+}
+
+/** The use of one target by one request; it counts as load until released. */
+export class TargetUse {
+  /**
+   * Creates a use and counts it.
+   * @param options - Options of the use.
+   */
+  static create (options: TargetUseOptions): TargetUse {
+    return new TargetUse(options)
+  }
+
+  readonly target: RelayTarget
+  readonly score: number
+  private tokens: number
+  private released = false
+
+  /** @internal */
+  private constructor (private readonly options: TargetUseOptions) {
+    this.target = options.target
+    this.score = options.score
+    this.tokens = options.tokens
+    options.loads.addOwn(this.target.name, 1, this.tokens)
+  }
+
+  /**
+   * Sets the memory that is needed.
+   * @param tokens - Tokens.
+   */
+  setTokens (tokens: number): void {
+    if (this.released) return
+    this.options.loads.addOwn(this.target.name, 0, tokens - this.tokens)
+    this.tokens = tokens
+  }
+
+  /** Gives the target back. Later calls do nothing. */
+  release (): void {
+    if (this.released) return
+    this.released = true
+    this.options.loads.addOwn(this.target.name, -1, -this.tokens)
+    this.options.onRelease()
+  }
+}
--- /dev/null
+++ b/packages/relay/src/placement/estimateTokens.ts
@@ -0,0 +1,32 @@
+import { type EngineProfile } from '../model/RelayConfiguration.js'
+import { type GenerationSize } from '../requests/RelayRequest.js'
+
+/** Share of the output that is still expected and counted as memory, since runs end at different times. */
+const EXPECTED_SHARE = 0.6
+
+/** Share of the stated maximum that is expected where no estimate was given. */
+const MAXIMUM_SHARE = 0.5
+
+/** Tokens of a request that states no sizes. */
+const ASSUMED_TOKENS = 2000
+
+/**
+ * Estimates the memory that a generation will need while others run beside it, in tokens.
+ * @param size - Sizes that the caller stated.
+ * @param producedTokens - Tokens produced so far.
+ */
+export function estimateTokens (size: GenerationSize | undefined, producedTokens: number): number {
+  if (size === undefined) return ASSUMED_TOKENS + producedTokens
+  const expected = Math.min(size.expectedOutputTokens ?? Infinity, size.maxOutputTokens * (size.expectedOutputTokens === undefined ? MAXIMUM_SHARE : 1))
+  const remaining = Math.max(0, expected - producedTokens)
+  return size.promptTokens + producedTokens + EXPECTED_SHARE * remaining
+}
+
+/**
+ * Tells whether a generation can never fit into the memory of an engine.
+ * @param size - Sizes that the caller stated.
+ * @param profile - What the engine can do.
+ */
+export function isOversized (size: GenerationSize | undefined, profile: EngineProfile): boolean {
+  return size !== undefined && size.promptTokens >= profile.memoryTokens
+}
--- /dev/null
+++ b/packages/relay/src/published/PublishedExchange.ts
@@ -0,0 +1,80 @@
+import { type Clock, type PeerTransport } from '@fescuespoke/common'
+import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type PublishedItem } from './PublishedItem.js'
+import { type PublishedView } from './PublishedView.js'
+
+/** Options of an exchange. */
+export interface PublishedExchangeOptions {
+  readonly clock: Clock
+  readonly transport: PeerTransport
+  readonly view: PublishedView
+  readonly log: DecisionLog
+  /** Lists the peers that are thought to be alive. */
+  readonly listPeers: () => readonly string[]
+}
+
+/** Longest wait for a peer's answer in milliseconds. */
+const ANSWER_MS = 500
+
+/** Peers asked in turn when the store does not answer. */
+const MAX_ASKED = 3
+
+/** Passes published keys on between instances, each with its own revision. */
+export class PublishedExchange {
+  /**
+   * Creates an exchange.
+   * @param options - Options of the exchange.
+   */
+  static create (options: PublishedExchangeOptions): PublishedExchange {
+    return new PublishedExchange(options)
+  }
+
+  private readonly fetching = new Set<string>()
+  private turn = 0
+
+  /** @internal */
+  private constructor (private readonly options: PublishedExchangeOptions) {
+    const { transport, view } = options
+    transport.setHandler('publishedRequest', ({ haveRevision }) => ({
+      type: 'publishedAnswer',
+      revision: view.getRevision(),
+      items: view.listChanges(haveRevision).map(({ key, revision, value }) => ({ key, revision, text: value }))
+    }))
+  }
+
+  /**
+   * Asks peers for what changed, one after the other until one answers.
+   * @returns Whether a peer answered.
+   */
+  async askPeers (): Promise<boolean> {
+    const peers = this.options.listPeers()
+    for (let asked = 0; asked < Math.min(MAX_ASKED, peers.length); asked++) {
+      const peer = peers[this.turn++ % peers.length]
+      if (peer !== undefined && await this.fetchFrom(peer)) return true
+    }
+    return false
+  }
+
+  /**
+   * Fetches from a peer that told of a higher revision.
+   * @param peer - Name of the peer.
+   * @param revision - The revision.
+   */
+  async observeRevision (peer: string, revision: number): Promise<void> {
+    if (revision > this.options.view.getRevision()) await this.fetchFrom(peer)
+  }
+
+  private async fetchFrom (peer: string): Promise<boolean> {
+    const { transport, view, log } = this.options
+    if (this.fetching.has(peer)) return false
+    this.fetching.add(peer)
+    const before = view.getRevision()
+    const answer = await transport.request<'publishedAnswer'>(peer, { type: 'publishedRequest', haveRevision: before }, ANSWER_MS)
+    this.fetching.delete(peer)
+    if (answer.isErr) return false
+    const items: PublishedItem[] = answer.value.items.map(({ key, revision, text }) => ({ key, revision, value: text }))
+    view.applyChanges(items, answer.value.revision)
+    if (answer.value.revision > before) log.recordBelief('published keys taken over', { peer, before, revision: answer.value.revision, keys: items.length })
+    return true
+  }
+}
--- /dev/null
+++ b/packages/relay/src/requests/EventSplitter.ts
@@ -0,0 +1,69 @@
+/** A whole event of a stream. */
+export interface StreamEvent {
+  /** Its bytes, the empty line at its end included. */
+  readonly bytes: Buffer
+  /** Value of its id line; absent where it has none. */
+  readonly id?: string
+}
+
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+
+/** Longest event in bytes; a longer one is no event. */
+const MAX_EVENT_BYTES = 1024 * 1024
+
+const EMPTY = Buffer.alloc(0)
+
+/** Splits the bytes of a stream into whole events, so that a caller is never sent part of one. */
+export class EventSplitter {
+  /** Creates a splitter. */
+  static create (): EventSplitter {
+    return new EventSplitter()
+  }
+
+  private rest: Buffer = EMPTY
+
+  /** @internal */
+  private constructor () {}
+
+  /**
+   * Takes bytes in.
+   * @param bytes - The next bytes of the stream.
+   * @returns The events that are whole now; undefined when the bytes are no events.
+   */
+  addBytes (bytes: Buffer): StreamEvent[] | undefined {
+    this.rest = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes])
+    const events: StreamEvent[] = []
+    for (;;) {
+      const end = findEventEnd(this.rest)
+      if (end < 0) break
+      const event = this.rest.subarray(0, end)
+      events.push({ bytes: event, id: readEventId(event) })
+      this.rest = this.rest.subarray(end)
+    }
+    return this.rest.length > MAX_EVENT_BYTES ? undefined : events
+  }
+
+  /** Gets the bytes of an event that is not whole. */
+  getRest (): Buffer {
+    return this.rest
+  }
+}
+
+/** Returns the index behind the empty line that ends an event, or -1. */
+function findEventEnd (bytes: Buffer): number {
+  let from = 0
+  for (;;) {
+    const index = bytes.indexOf(LINE_FEED, from)
+    if (index < 0) return -1
+    if (bytes[index + 1] === LINE_FEED) return index + 2
+    if (bytes[index + 1] === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3
+    from = index + 1
+  }
+}
+
+function readEventId (event: Buffer): string | undefined {
+  const text = event.toString('latin1')
+  const match = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(text)
+  return match?.[1]
+}
--- /dev/null
+++ b/packages/relay/src/requests/RelayService.ts
@@ -0,0 +1,120 @@
+import { type Random } from '@fescuespoke/common'
+import { type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
+import { type RouteTable } from '../model/RouteTable.js'
+import { refuseRequest } from './refuseRequest.js'
+import { type RelayContext } from './RelayContext.js'
+import { type AnswerSink, type RefusalReason, type RelayRequest } from './RelayRequest.js'
+import { type RelayTools } from './RelayTools.js'
+import { runRelayedCall } from './runRelayedCall.js'
+import { runRelayedStream } from './runRelayedStream.js'
+
+/** Options of a relay service. */
+export interface RelayServiceOptions {
+  readonly tools: RelayTools
+  /** Gets the routes in force; absent before the first configuration. */
+  readonly getRoutes: () => RouteTable | undefined
+  /** Tells whether a request of a kind is no longer taken because this process is about to end. */
+  readonly isRefusing: (kind: RouteKind) => boolean
+}
+
+/** Runs the requests of each kind of route. */
+const RUNNERS: Record<RouteKind, (tools: RelayTools, context: RelayContext) => Promise<void>> = {
+  idempotent: runRelayedCall,
+  once: runRelayedCall,
+  stream: runRelayedStream
+}
+
+/** Priority of requests whose workspace and route have none. */
+const LOWEST_PRIORITY = 9
+
+/** Route that refusals before routing are counted under. */
+const UNROUTED: RelayRoute = {
+  name: 'none', host: '', prefix: '/', kind: 'once', timeoutMs: 1000, objectiveMs: 1000, priority: LOWEST_PRIORITY, services: [], maxAttempts: 0, isPublic: false, isResumable: false
+}
+
+/** Takes requests in: finds their route and workspace, bounds their time, and runs them. */
+export class RelayService {
+  /**
+   * Creates a service.
+   * @param options - Options of the service.
+   */
+  static create (options: RelayServiceOptions): RelayService {
+    return new RelayService(options)
+  }
+
+  private running = 0
+
+  /** @internal */
+  private constructor (private readonly options: RelayServiceOptions) {}
+
+  /** Counts the requests in progress. */
+  countRunning (): number {
+    return this.running
+  }
+
+  /**
+   * Serves one request up to its final answer.
+   * @param request - The request, read completely.
+   * @param sink - Where its answer goes.
+   */
+  async serve (request: RelayRequest, sink: AnswerSink): Promise<void> {
+    this.running++
+    try {
+      await this.route(request, sink)
+    } finally {
+      this.running--
+    }
+  }
+
+  private async route (request: RelayRequest, sink: AnswerSink): Promise<void> {
+    const routes = this.options.getRoutes()
+    if (routes === undefined) return this.refuse(request, sink, undefined, UNROUTED, 'notConfigured')
+    const [path = ''] = request.path.split('?')
+    const route = routes.findRoute(request.host, path).unwrapOr(undefined)
+    if (route === undefined) return this.refuse(request, sink, routes, UNROUTED, 'noRoute')
+    const holder = routes.mustHaveKey(route) ? routes.findHolder(request.key ?? '').unwrapOr(undefined) : undefined
+    if (holder === undefined && routes.mustHaveKey(route)) return this.refuse(request, sink, routes, route, 'unknownKey')
+    const service = routes.configuration.services.get(pickService(route.services, this.options.tools.random))
+    if (service === undefined) return this.refuse(request, sink, routes, route, 'noTarget')
+    if (this.options.isRefusing(route.kind)) return this.refuse(request, sink, routes, route, 'stopping')
+    await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority: holder?.priority ?? route.priority })
+  }
+
+  private async run (start: Omit<RelayContext, 'endAtMs' | 'signal'>): Promise<void> {
+    const { clock } = this.options.tools
+    const { request, route, sink } = start
+    const endAtMs = request.receivedAtMs + Math.min(request.remainingMs ?? Infinity, route.timeoutMs)
+    const ending = new AbortController()
+    const end = (): void => ending.abort()
+    const cancelTimer = clock.startTimer(Math.max(0, endAtMs - clock.nowMs()), end)
+    sink.gone.addEventListener('abort', end)
+    if (sink.gone.aborted) end()
+    try {
+      await RUNNERS[route.kind](this.options.tools, { ...start, endAtMs, signal: ending.signal })
+    } finally {
+      cancelTimer()
+      sink.gone.removeEventListener('abort', end)
+    }
+  }
+
+  private refuse (request: RelayRequest, sink: AnswerSink, routes: RouteTable | undefined, route: RelayRoute, reason: RefusalReason): void {
+    const { tools } = this.options
+    const configuration = routes?.configuration ?? { version: 0, routes: [], services: new Map<string, ServiceProfile>(), limits: NO_LIMITS }
+    const service: ServiceProfile = { name: 'none', maxConnections: 0 }
+    const endAtMs = tools.clock.nowMs() + (request.remainingMs ?? route.timeoutMs)
+    refuseRequest(tools, { request, sink, configuration, route, service, priority: LOWEST_PRIORITY, endAtMs, signal: sink.gone }, reason)
+  }
+}
+
+const NO_LIMITS = { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 }
+
+/** Picks a service by weight. */
+function pickService (services: readonly WeightedService[], random: Random): string {
+  const total = services.reduce((sum, { weight }) => sum + weight, 0)
+  let rest = random.nextFloat() * total
+  for (const { service, weight } of services) {
+    rest -= weight
+    if (rest < 0) return service
+  }
+  return services.at(-1)?.service ?? ''
+}
