--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
     ignores: [...resolveIgnoresFromGitignore(), '**/*.generated.ts', '**/__snapshots__/**']
   }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       complexity: ['error', 12],
       'max-lines': ['error', { max: 400 }],
@@ -14,7 +14,7 @@
     }
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: { 'max-lines-per-function': 'off' }
   }
 ]
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Logger, type PeerTransport, type Random } from '@fescuespoke/common'
 import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
-import { Maybe, Result } from 'true-myth'
+import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 
@@ -56,7 +56,15 @@
       ...identity, instance, incarnation, clock, random, logger, host, port, findPeerAddress: name => parsePeerAddress(name).map(() => name)
     })
     this.membership = Membership.create({
-      instance, incarnation, url: identity.callerAddress, peerAddress: instance, availabilityZone, region, transport: this.network, clock, random,
+      instance,
+      incarnation,
+      url: identity.callerAddress,
+      peerAddress: instance,
+      availabilityZone,
+      region,
+      transport: this.network,
+      clock,
+      random,
       getNews: () => ({ revision: options.getRevision(), listVersion: 0, listAgeMs: 0 }),
       observeNews: () => {},
       limits: PROBE_LIMITS
--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -51,7 +51,10 @@
   const mover = RunMover.create({ clock, client, table, placer, budget, metrics, log })
   const waitingRoom = WaitingRoom.create({ clock, placer })
   const loadExchange = LoadExchange.create({
-    clock, transport, loads, listPeers,
+    clock,
+    transport,
+    loads,
+    listPeers,
     getRevision: () => view.getRevision(),
     observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
     onChange: () => placer.notifyRoom()
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -1,5 +1,5 @@
 import { type Random } from '@fescuespoke/common'
-import { type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
+import { type KeyHolder, type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
 import { type RouteTable } from '../model/RouteTable.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
@@ -72,12 +72,17 @@
     const [path = ''] = request.path.split('?')
     const route = routes.findRoute(request.host, path).unwrapOr(undefined)
     if (route === undefined) return this.refuse(request, sink, routes, UNROUTED, 'noRoute')
-    const holder = routes.mustHaveKey(route) ? routes.findHolder(request.key ?? '').unwrapOr(undefined) : undefined
-    if (holder === undefined && routes.mustHaveKey(route)) return this.refuse(request, sink, routes, route, 'unknownKey')
+    const holder = this.findHolder(routes, route, request.key)
+    if (holder === 'unknownKey') return this.refuse(request, sink, routes, route, 'unknownKey')
     const service = routes.configuration.services.get(pickService(route.services, this.options.tools.random))
     if (service === undefined) return this.refuse(request, sink, routes, route, 'noTarget')
     if (this.options.isRefusing(route.kind)) return this.refuse(request, sink, routes, route, 'stopping')
-    await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority: holder?.priority ?? route.priority })
+    const priority = holder?.priority ?? route.priority
+    await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority })
+  }
+
+  private findHolder (routes: RouteTable, route: RelayRoute, key = ''): KeyHolder | undefined | 'unknownKey' {
+    return routes.mustHaveKey(route) ? routes.findHolder(key).unwrapOr<KeyHolder | 'unknownKey'>('unknownKey') : undefined
   }
 
   private async run (start: Omit<RelayContext, 'endAtMs' | 'signal'>): Promise<void> {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
     alias: [{ find: /^@fescuespoke\/([a-z]+)$/, replacement: `${packagesFolder}/$1/src/index.ts` }]
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
