Move a run off an engine once, rescue stalled streams, and test calls and streams

Cause: the first test of a stream whose engine stays reachable after the time for moves found an endless loop: a move that was given up began again at once. An attempt that was aborted counted as not run for a call that may run once. Ruled out: a timer for each event, which would start thousands of timers a second.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -80,6 +80,15 @@
     return this.parts.peers.listCallerAddresses(availabilityZone, this.isReady())
   }
 
+  /**
+   * Sets where other instances are looked for.
+   * @param seeds - Peer addresses.
+   */
+  setSeeds (seeds: readonly string[]): void {
+    this.parts.peers.setSeeds(seeds)
+    this.parts.log.recordBelief('settings reloaded', { seeds })
+  }
+
   /** Stops without cutting a request where the grace allows it. */
   async drain (): Promise<void> {
     if (this.phase === 'draining' || this.phase === 'stopped') return
--- a/packages/relay/src/moves/MovableRun.ts
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -1,4 +1,5 @@
 import { type TargetUse } from '../placement/TargetUse.js'
+import { type RelayTarget } from '../model/RelayTarget.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 
@@ -6,6 +7,8 @@
 export interface RunContinuation {
   readonly use: TargetUse
   readonly continuation: Continuation
+  /** Engine that ran it before and keeps its memory for a while; the run may go on there when the destination refuses it. */
+  readonly source: RelayTarget
   /** Events that the run had produced when it was stopped. */
   readonly createdEvents: number
 }
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -54,6 +54,8 @@
 
   private readonly runs = new Set<MovableRun>()
   private readonly moving = new Map<string, Set<MovableRun>>()
+  /** Name of the engine off which a move of the run was tried last, so that a move that failed is not begun again at once. */
+  private readonly tried = new WeakMap<MovableRun, string>()
 
   /** @internal */
   private constructor (private readonly options: RunMoverOptions) {
@@ -78,6 +80,19 @@
     this.runs.delete(run)
   }
 
+  /**
+   * Moves a run whose stream has stalled: its connection may be silent while the engine still runs it.
+   * @param run - The run.
+   */
+  rescueRun (run: MovableRun): void {
+    const known = this.options.table.getKnown(run.getTargetName() ?? '')
+    if (known === undefined || this.isMoving(run) || run.service.engine?.canMove !== true) return
+    const moving = this.getMoving(known.target.name)
+    moving.add(run)
+    // A stalled run is stopped at once: nothing of it reaches the caller meanwhile.
+    this.moveRun(run, known.target, this.options.clock.nowMs() - PATIENCE_MS).finally(() => { moving.delete(run) })
+  }
+
   /**
    * Tells whether a run is being moved.
    * @param run - The run.
@@ -89,17 +104,22 @@
 
   private observeTarget ({ target, state, sinceMs }: KnownTarget): void {
     if (state !== 'leaving' && state !== 'gone') return
-    const moving = this.moving.get(target.name) ?? new Set()
-    this.moving.set(target.name, moving)
-    this.moveNext(target, sinceMs, moving)
+    this.moveNext(target, sinceMs, this.getMoving(target.name))
+  }
+
+  private getMoving (target: string): Set<MovableRun> {
+    const moving = this.moving.get(target) ?? new Set()
+    this.moving.set(target, moving)
+    return moving
   }
 
   /** The largest runs go first: most of their work would be lost. */
   private moveNext (source: RelayTarget, sinceMs: number, moving: Set<MovableRun>): void {
-    const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && !moving.has(run) && run.service.engine?.canMove === true)
+    const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source, moving))
     waiting.sort((a, b) => b.getTokens() - a.getTokens())
     for (const run of waiting.slice(0, MOVES_AT_ONCE - moving.size)) {
       moving.add(run)
+      this.tried.set(run, source.name)
       this.moveRun(run, source, sinceMs).finally(() => {
         moving.delete(run)
         this.moveNext(source, sinceMs, moving)
@@ -107,6 +127,10 @@
     }
   }
 
+  private mayMove (run: MovableRun, source: RelayTarget, moving: Set<MovableRun>): boolean {
+    return run.service.engine?.canMove === true && !moving.has(run) && this.tried.get(run) !== source.name
+  }
+
   private async moveRun (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<void> {
     const { clock, log, metrics } = this.options
     const excluded = new Set([source.name])
@@ -160,6 +184,7 @@
     run.continueAt({
       use: isCopied ? use : placer.useTarget(source, run.getTokens()),
       continuation: { address: source.address, handle: copy.handle },
+      source,
       createdEvents: copy.createdEvents
     })
   }
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -194,12 +194,14 @@
   notSent: state => countNothing(state),
   notExecuted: state => countNothing(state),
   notHere: state => countNothing(state),
-  lost: state => {
-    state.executed++
-    state.mayHaveRun = true
-    return false
-  },
-  aborted: () => false
+  lost: state => countLost(state),
+  aborted: state => countLost(state)
+}
+
+function countLost (state: CallState): boolean {
+  state.executed++
+  state.mayHaveRun = true
+  return false
 }
 
 function countNothing (_state: CallState): boolean {
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,7 +1,9 @@
+import { type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetUse } from '../placement/TargetUse.js'
-import { type AttemptError, type AttemptHead, type Continuation } from '../targets/RelayTargetClient.js'
+import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptVerdict } from '../targets/TargetQuality.js'
+import { mayRepeat, readStream, type StreamEnd } from './readStream.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayTools } from './RelayTools.js'
@@ -11,17 +13,9 @@
 const MAX_WAIT_SHARE = 0.5
 const MAX_WAIT_OF_REMAINING = 0.25
 
-/** Most targets that one request is offered to. */
-const MAX_OFFERS = 4
-
 /** Lowest urgency that engines take. */
 const LOWEST_URGENCY = 9
 
-const FIRST_FAILURE_STATUS = 500
-
-/** How one attempt at a stream ended. */
-type StreamEnd = 'complete' | 'over' | AttemptError
-
 /**
  * Relays a request whose answer is a stream. Its events come from one run: a run goes on at another engine only from its
  * own memory, or, where the route allows it, from the last event that the caller has.
@@ -39,24 +33,28 @@
 
 async function runAttempts (tools: RelayTools, context: RelayContext, run: StreamRun): Promise<void> {
   let use = await takeEngine(tools, context, run)
-  let continuation: Continuation | undefined
+  let moved: RunContinuation | undefined
   while (use !== undefined) {
-    const end = await runAttempt(tools, context, run, use, continuation)
-    if (end === 'complete' || end === 'over') return
-    const moved = context.signal.aborted ? undefined : await run.takeContinuation()
+    const end = await runAttempt(tools, context, run, use, moved?.continuation)
+    if (end === 'complete') return
+    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await run.takeContinuation() ?? returnToSource(tools, run, moved, end))
     if (context.signal.aborted) return finishAtEnd(tools, context, run)
-    if (moved !== undefined) {
-      use = moved.use
-      continuation = moved.continuation
-      continue
-    }
-    continuation = undefined
-    use = mayRepeat(context, run, end) ? await takeEngine(tools, context, run) : undefined
+    moved = next
+    if (next !== undefined) use = next.use
+    else use = mayRepeat(context, run, end) ? await takeEngine(tools, context, run) : undefined
     if (use === undefined) return finishWithout(tools, context, run, end)
   }
   finishUnplaced(tools, context, run)
 }
 
+/** A run that its destination did not take goes on at its source, which keeps the memory of a stopped run. */
+function returnToSource ({ placer, table }: RelayTools, run: StreamRun, moved: RunContinuation | undefined, end: StreamEnd): RunContinuation | undefined {
+  const isRefused = end === 'notExecuted' || end === 'notSent' || end === 'notHere'
+  if (moved === undefined || !isRefused || moved.use.target.name === moved.source.name) return undefined
+  if (table.getKnown(moved.source.name)?.target.startedAt !== moved.source.startedAt) return undefined
+  return { ...moved, use: placer.useTarget(moved.source, run.getTokens()) }
+}
+
 async function takeEngine (tools: RelayTools, context: RelayContext, run: StreamRun): Promise<TargetUse | undefined> {
   const { clock, waitingRoom, budget } = tools
   const { service, request, route } = context
@@ -109,40 +107,7 @@
 }
 
 const VERDICTS: Record<StreamEnd, AttemptVerdict> = {
-  complete: 'success', over: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
-}
-
-async function readStream (tools: RelayTools, context: RelayContext, run: StreamRun): Promise<StreamEnd> {
-  const { attempt } = run.current!
-  run.startReading()
-  const head = await attempt.head
-  if (head.isErr) {
-    if (head.error === 'lost') run.executed++
-    return head.error
-  }
-  run.executed++
-  if (head.value.status >= FIRST_FAILURE_STATUS && mayRepeat(context, run, 'lost')) return 'lost'
-  if (head.value.status < 300 && !head.value.isSigned) return 'lost'
-  for (;;) {
-    const next = await attempt.readBytes()
-    if (next.isErr) return next.error
-    if (next.value === undefined) return await finishStream(tools, context, run, head.value)
-    if (!await run.passBytes(head.value, next.value)) return 'lost'
-    if (run.hasAllBeforeMove()) return 'lost'
-  }
-}
-
-async function finishStream (tools: RelayTools, context: RelayContext, run: StreamRun, head: AttemptHead): Promise<StreamEnd> {
-  await run.finish(head)
-  tools.metrics.countOutcome(context.route.name, head.status >= FIRST_FAILURE_STATUS ? 'targetFailed' : 'answered')
-  return 'complete'
-}
-
-/** Tells whether a request may be sent to another target after an attempt that was not moved. */
-function mayRepeat ({ route }: RelayContext, run: StreamRun, end: StreamEnd): boolean {
-  if (run.sent >= MAX_OFFERS) return false
-  const hasRun = end === 'lost' || run.executed > 0
-  return !hasRun || (route.isResumable && run.executed < route.maxAttempts)
+  complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
 }
 
 function finishWithout (tools: RelayTools, context: RelayContext, run: StreamRun, end: StreamEnd): void {
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -56,6 +56,8 @@
   readBytes(): Promise<Result<Buffer | undefined, AttemptError>>
   /** Whether the request's first byte has left. */
   isSent(): boolean
+  /** Ends the attempt as lost: nothing came for too long. */
+  giveUp(): void
 }
 
 /** A copy of a run's memory. */
--- /dev/null
+++ b/packages/relay/test/requests/EventSplitter.test.ts
@@ -0,0 +1,46 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { EventSplitter } from '../../src/requests/EventSplitter.js'
+
+function doTest (...parts: string[]): { events: Array<string | undefined>, rest: string } {
+  const splitter = EventSplitter.create()
+  const events = parts.flatMap(part => splitter.addBytes(Buffer.from(part)) ?? [])
+  return { events: events.map(({ bytes, id }) => `${id ?? '-'}|${bytes.toString()}`), rest: splitter.getRest().toString() }
+}
+
+describe('EventSplitter', () => {
+  it('splits whole events', () => {
+    expect(doTest('id: 1\ndata: a\n\nid: 2\ndata: b\n\n').events).toEqual(['1|id: 1\ndata: a\n\n', '2|id: 2\ndata: b\n\n'])
+  })
+
+  it('keeps part of an event', () => {
+    expect(doTest('id: 1\ndata: a\n\nid: 2\nda')).toEqual({ events: ['1|id: 1\ndata: a\n\n'], rest: 'id: 2\nda' })
+  })
+
+  it('reads an id that is not on the first line', () => {
+    expect(doTest('x-version: 3\nid:7\ndata: a\n\n').events).toEqual(['7|x-version: 3\nid:7\ndata: a\n\n'])
+  })
+
+  it('takes lines that end with carriage return and line feed', () => {
+    expect(doTest('id: 1\r\ndata: a\r\n\r\nid: 2').events).toEqual(['1|id: 1\r\ndata: a\r\n\r\n'])
+  })
+
+  it('takes an event without id', () => {
+    expect(doTest('data: id: 5\n\n').events).toEqual(['-|data: id: 5\n\n'])
+  })
+
+  it('refuses an event that never ends', () => {
+    const splitter = EventSplitter.create()
+    expect(splitter.addBytes(Buffer.alloc(1024 * 1024 + 1, 'a'))).toBeUndefined()
+  })
+
+  it('finds the same events however the bytes are cut', () => {
+    const event = fc.tuple(fc.nat(), fc.stringMatching(/^[a-z ]{0,20}$/)).map(([id, data]) => `id: ${id}\ndata: ${data}\n\n`)
+    fc.assert(fc.property(fc.array(event), fc.array(fc.nat(200)), (events, cuts) => {
+      const text = events.join('')
+      const at = [0, ...cuts.map(cut => cut % (text.length + 1)).sort((a, b) => a - b), text.length]
+      const parts = at.slice(1).map((end, index) => text.slice(at[index], end))
+      expect(doTest(...parts).events.map(item => item?.slice(item.indexOf('|') + 1))).toEqual(events)
+    }))
+  })
+})
--- /dev/null
+++ b/packages/relay/test/support/FakeSink.ts
@@ -0,0 +1,61 @@
+import { type AnswerSink, type RelayRefusal } from '../../src/requests/RelayRequest.js'
+
+/** Keeps what a caller would have seen. */
+export class FakeSink implements AnswerSink {
+  /** Creates a sink. */
+  static create (): FakeSink {
+    return new FakeSink()
+  }
+
+  status: number | undefined
+  text = ''
+  end_: 'complete' | 'brokenOff' | 'refused' | undefined
+  refusal: RelayRefusal | undefined
+  private readonly leaving = new AbortController()
+
+  private constructor () {}
+
+  get gone (): AbortSignal {
+    return this.leaving.signal
+  }
+
+  writeHead (status: number): void {
+    if (this.status !== undefined) throw new Error('a second head')
+    this.status = status
+  }
+
+  async writeBytes (bytes: Buffer): Promise<void> {
+    if (this.status === undefined || this.end_ !== undefined) throw new Error('bytes outside an answer')
+    this.text += bytes.toString()
+  }
+
+  end (): void {
+    this.finish('complete')
+  }
+
+  breakOff (): void {
+    this.finish('brokenOff')
+  }
+
+  refuse (refusal: RelayRefusal): void {
+    if (this.status !== undefined) throw new Error('a refusal inside an answer')
+    this.refusal = refusal
+    this.finish('refused')
+  }
+
+  /** The caller leaves. */
+  leave (): void {
+    this.leaving.abort()
+  }
+
+  /** Gets what the caller has, in short. */
+  describe (): string {
+    const { status, text, end_: end, refusal } = this
+    return refusal === undefined ? `${status ?? 'nothing'} ${JSON.stringify(text)} ${end ?? 'open'}` : `${refusal.status} ${refusal.reason}`
+  }
+
+  private finish (end: 'complete' | 'brokenOff' | 'refused'): void {
+    if (this.end_ !== undefined) throw new Error(`a second end: ${this.end_}, ${end}`)
+    this.end_ = end
+  }
+}
--- /dev/null
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -0,0 +1,121 @@
+import { type VirtualClock } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { type RelayTarget } from '../../src/model/RelayTarget.js'
+import {
+  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type RelayTargetClient, type RunCopy
+} from '../../src/targets/RelayTargetClient.js'
+
+/** One step of a scripted answer: text, a pause in milliseconds, or its end. */
+export type AnswerStep = string | number | 'END' | { readonly error: AttemptError }
+
+/** A scripted answer: a status and steps, or an error instead of a head. */
+export interface ScriptedAnswer {
+  readonly status?: number
+  readonly isSigned?: boolean
+  readonly steps?: readonly AnswerStep[]
+  readonly error?: AttemptError
+  /** Time in milliseconds until the head. */
+  readonly afterMs?: number
+}
+
+/** One attempt as a target saw it. */
+export interface SeenAttempt {
+  readonly target: string
+  readonly options: AttemptOptions
+  readonly atMs: number
+  attempt: ScriptedAttempt
+}
+
+/** Answers by script, and keeps what targets saw. */
+export class FakeTargetClient implements RelayTargetClient {
+  /**
+   * Creates a client.
+   * @param clock - Clock of the pauses.
+   */
+  static create (clock: VirtualClock): FakeTargetClient {
+    return new FakeTargetClient(clock)
+  }
+
+  readonly seen: SeenAttempt[] = []
+  readonly copies: CopyOptions[] = []
+  readonly dropped: string[] = []
+  /** Scripts by target, in the order of its attempts; the last one is repeated. */
+  readonly scripts = new Map<string, ScriptedAnswer[]>()
+  /** Answers a copy. */
+  answerCopy: (options: CopyOptions) => Promise<Result<RunCopy, CopyError>> = async () => Result.err({ reason: 'unreachable' })
+
+  private constructor (private readonly clock: VirtualClock) {}
+
+  sendRequest (target: RelayTarget, options: AttemptOptions): Attempt {
+    const scripts = this.scripts.get(target.name) ?? [{ error: 'notSent' }]
+    const script = scripts.length > 1 ? scripts.shift()! : scripts[0]!
+    const attempt = new ScriptedAttempt(this.clock, script, options)
+    this.seen.push({ target: target.name, options, atMs: this.clock.nowMs(), attempt })
+    return attempt
+  }
+
+  async copyRun (options: CopyOptions): Promise<Result<RunCopy, CopyError>> {
+    this.copies.push(options)
+    return await this.answerCopy(options)
+  }
+
+  async dropCopy (_source: RelayTarget, handle: string): Promise<void> {
+    this.dropped.push(handle)
+  }
+
+  forgetTarget (): void {}
+
+  async close (): Promise<void> {}
+
+  /** Lists the targets that saw an attempt, in order. */
+  listTargets (): string[] {
+    return this.seen.map(({ target }) => target)
+  }
+}
+
+/** An attempt that follows its script. */
+export class ScriptedAttempt implements Attempt {
+  readonly head: Promise<Result<AttemptHead, AttemptError>>
+  ended: AttemptError | 'complete' | undefined
+  private readonly steps: AnswerStep[]
+  private readonly stop = new AbortController()
+
+  constructor (private readonly clock: VirtualClock, private readonly script: ScriptedAnswer, options: AttemptOptions) {
+    this.steps = [...script.steps ?? ['END']]
+    options.signal.addEventListener('abort', () => this.finish('aborted'))
+    this.head = this.runHead()
+  }
+
+  async readBytes (): Promise<Result<Buffer | undefined, AttemptError>> {
+    for (;;) {
+      if (this.ended !== undefined) return this.ended === 'complete' ? Result.ok(undefined) : Result.err(this.ended)
+      const step = this.steps.shift()
+      if (typeof step === 'number') await this.clock.sleep(step, this.stop.signal)
+      else if (step === 'END') this.finish('complete')
+      else if (typeof step === 'string') return Result.ok(Buffer.from(step))
+      else if (step !== undefined) this.finish(step.error)
+      else await new Promise<void>(resolve => this.stop.signal.addEventListener('abort', () => resolve()))
+    }
+  }
+
+  isSent (): boolean {
+    return this.script.error !== 'notSent'
+  }
+
+  giveUp (): void {
+    this.finish('lost')
+  }
+
+  /** Ends the answer from outside. */
+  finish (end: AttemptError | 'complete'): void {
+    this.ended ??= end
+    this.stop.abort()
+  }
+
+  private async runHead (): Promise<Result<AttemptHead, AttemptError>> {
+    const { afterMs, error, status, isSigned } = this.script
+    if (afterMs !== undefined) await this.clock.sleep(afterMs, this.stop.signal)
+    if (this.ended !== undefined && this.ended !== 'complete') return Result.err(this.ended)
+    return error !== undefined ? Result.err(error) : Result.ok({ status: status ?? 200, headers: [], isSigned: isSigned ?? true })
+  }
+}
--- /dev/null
+++ b/packages/relay/test/support/createTools.ts
@@ -0,0 +1,90 @@
+import { createLogger, MetricsRegistry, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { AttemptBudget } from '../../src/budget/AttemptBudget.js'
+import { TargetLoads } from '../../src/loads/TargetLoads.js'
+import { DecisionLog } from '../../src/logs/DecisionLog.js'
+import { RelayMetrics } from '../../src/logs/RelayMetrics.js'
+import { type RelayConfiguration, type RelayRoute, type ServiceProfile } from '../../src/model/RelayConfiguration.js'
+import { type RelayTarget } from '../../src/model/RelayTarget.js'
+import { RunMover } from '../../src/moves/RunMover.js'
+import { RelayPlacer } from '../../src/placement/RelayPlacer.js'
+import { WaitingRoom } from '../../src/placement/WaitingRoom.js'
+import { type RelayContext } from '../../src/requests/RelayContext.js'
+import { type RelayRequest } from '../../src/requests/RelayRequest.js'
+import { type RelayTools } from '../../src/requests/RelayTools.js'
+import { TargetQuality } from '../../src/targets/TargetQuality.js'
+import { TargetTable } from '../../src/targets/TargetTable.js'
+import { FakeSink } from './FakeSink.js'
+import { FakeTargetClient } from './FakeTargetClient.js'
+
+/** Tools over a virtual clock and fake targets. */
+export interface TestTools extends RelayTools {
+  readonly clock: VirtualClock
+  readonly client: FakeTargetClient
+  readonly loads: TargetLoads
+}
+
+/** Creates tools. */
+export function createTools (options: { extra?: number, calmMs?: () => number } = {}): TestTools {
+  const clock = VirtualClock.create()
+  const random = SeededRandom.create(1)
+  const client = FakeTargetClient.create(clock)
+  const metrics = RelayMetrics.create(MetricsRegistry.create({ clock }))
+  const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+  const table = TargetTable.create({ clock, getStoreCalmMs: options.calmMs ?? (() => 60_000) })
+  const loads = TargetLoads.create(clock)
+  const quality = TargetQuality.create(clock)
+  const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: 'z1' })
+  const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
+  const mover = RunMover.create({ clock, client, table, placer, budget, metrics, log })
+  return { clock, random, client, loads, table, quality, placer, waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log }
+}
+
+/** Creates a target in zone z1. */
+export function createTarget (name: string, change: Partial<RelayTarget> = {}): RelayTarget {
+  return { name, startedAt: 1, service: 'calls', address: `${name}:1`, availabilityZone: 'z1', slots: 6, phase: 'ready', slowForMs: 0, ...change }
+}
+
+/** Creates a route of kind `idempotent` to service `calls`. */
+export function createRoute (change: Partial<RelayRoute> = {}): RelayRoute {
+  return {
+    name: 'r', host: 'h', prefix: '/', kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, priority: 1, services: [{ service: 'calls', weight: 1 }],
+    maxAttempts: 2, isPublic: true, isResumable: false, ...change
+  }
+}
+
+/** A service whose targets are engines. */
+export const ENGINES: ServiceProfile = {
+  name: 'engines',
+  maxConnections: 100,
+  engine: { slots: 4, memoryTokens: 10_000, linkMbps: 1000, tokenBytes: 1000, tokensPerEvent: 4, canMove: true, canBackUp: true }
+}
+
+/** A service of plain targets. */
+export const CALLS: ServiceProfile = { name: 'calls', maxConnections: 100 }
+
+/** Creates a configuration of routes. */
+export function createConfiguration (routes: readonly RelayRoute[], change: Partial<RelayConfiguration> = {}): RelayConfiguration {
+  return {
+    version: 1,
+    routes,
+    services: new Map([[CALLS.name, CALLS], [ENGINES.name, ENGINES]]),
+    limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+    ...change
+  }
+}
+
+/** Creates a request. */
+export function createRequest (change: Partial<RelayRequest> = {}): RelayRequest {
+  return { id: 'q1', method: 'GET', host: 'h', path: '/', headers: [], body: Buffer.alloc(0), receivedAtMs: 0, ...change }
+}
+
+/** Creates the context of a request and its sink. */
+export function createContext (route: RelayRoute, service: ServiceProfile, change: Partial<RelayRequest> = {}): { context: RelayContext, sink: FakeSink, ending: AbortController } {
+  const sink = FakeSink.create()
+  const ending = new AbortController()
+  sink.gone.addEventListener('abort', () => ending.abort())
+  const context: RelayContext = {
+    request: createRequest(change), configuration: createConfiguration([route]), route, service, priority: route.priority, sink, endAtMs: route.timeoutMs, signal: ending.signal
+  }
+  return { context, sink, ending }
+}
