--- a/packages/relay/src/requests/RelayRequest.ts
+++ b/packages/relay/src/requests/RelayRequest.ts
@@ -1,4 +1,4 @@
-import { type RawHeaders } from '../targets/RelayTargetClient.js'
+import { type AttemptHead, type RawHeaders } from '../targets/RelayTargetClient.js'
 
 /** Sizes of a generation that a caller stated. */
 export interface GenerationSize {
@@ -52,11 +52,11 @@
 /** Where an answer goes. */
 export interface AnswerSink {
   /**
-   * Starts a target's answer.
-   * @param status - Status of the target.
-   * @param headers - Raw headers, by turns name and value.
+   * Starts a target's answer. One that ends with its connection is passed on in the same way, since nobody can tell
+   * whether it is complete.
+   * @param head - Beginning of the answer.
    */
-  writeHead(status: number, headers: RawHeaders): void
+  writeHead(head: AttemptHead): void
   /**
    * Writes bytes and waits while the caller reads slowly.
    * @param bytes - The bytes.
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -160,7 +160,7 @@
   private writeHead (head: AttemptHead): void {
     if (this.headWritten) return
     this.headWritten = true
-    this.context.sink.writeHead(head.status, head.headers)
+    this.context.sink.writeHead(head)
     this.tools.metrics.observeAnswer(this.context.route.name, this.tools.clock.nowMs() - this.context.request.receivedAtMs)
   }
 
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -216,7 +216,7 @@
 async function deliverAnswer ({ context, tools }: CallState, from: RunningAttempt, answer: CallAnswer): Promise<boolean> {
   if (answer.kind === 'error') return false
   const { sink } = context
-  sink.writeHead(answer.head.status, answer.head.headers)
+  sink.writeHead(answer.head)
   for (const chunk of answer.chunks) await sink.writeBytes(chunk)
   if (!answer.isWhole) return await passRest(context, from.attempt)
   sink.end()
@@ -243,7 +243,7 @@
 function finishWithout (state: CallState): void {
   const { context, tools } = state
   if (state.failed !== undefined) {
-    context.sink.writeHead(state.failed.head.status, state.failed.head.headers)
+    context.sink.writeHead(state.failed.head)
     for (const chunk of state.failed.chunks) context.sink.writeBytes(chunk)
     context.sink.end()
     tools.metrics.countOutcome(context.route.name, 'targetFailed')
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -19,6 +19,8 @@
   readonly headers: RawHeaders
   /** Whether the target's signature was among them. */
   readonly isSigned: boolean
+  /** Whether the answer states where it ends; one that does not ends with its connection. */
+  readonly isFramed: boolean
 }
 
 /** Where a request goes on that ran at another target before. */
--- a/packages/relay/test/support/FakeSink.ts
+++ b/packages/relay/test/support/FakeSink.ts
@@ -1,3 +1,4 @@
+import { type AttemptHead } from '../../src/targets/RelayTargetClient.js'
 import { type AnswerSink, type RelayRefusal } from '../../src/requests/RelayRequest.js'
 
 /** Keeps what a caller would have seen. */
@@ -19,7 +20,7 @@
     return this.leaving.signal
   }
 
-  writeHead (status: number): void {
+  writeHead ({ status }: AttemptHead): void {
     if (this.status !== undefined) throw new Error('a second head')
     this.status = status
   }
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -116,6 +116,6 @@
     const { afterMs, error, status, isSigned } = this.script
     if (afterMs !== undefined) await this.clock.sleep(afterMs, this.stop.signal)
     if (this.ended !== undefined && this.ended !== 'complete') return Result.err(this.ended)
-    return error !== undefined ? Result.err(error) : Result.ok({ status: status ?? 200, headers: [], isSigned: isSigned ?? true })
+    return error !== undefined ? Result.err(error) : Result.ok({ status: status ?? 200, headers: [], isSigned: isSigned ?? true, isFramed: true })
   }
 }
--- a/packages/relay/test/support/createTools.ts
+++ b/packages/relay/test/support/createTools.ts
@@ -47,8 +47,18 @@
 /** Creates a route of kind `idempotent` to service `calls`. */
 export function createRoute (change: Partial<RelayRoute> = {}): RelayRoute {
   return {
-    name: 'r', host: 'h', prefix: '/', kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, priority: 1, services: [{ service: 'calls', weight: 1 }],
-    maxAttempts: 2, isPublic: true, isResumable: false, ...change
+    name: 'r',
+    host: 'h',
+    prefix: '/',
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    objectiveMs: 200,
+    priority: 1,
+    services: [{ service: 'calls', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: true,
+    isResumable: false,
+    ...change
   }
 }
 
