Copy runs to engines near their source, all first copies at once

Change: a destination is near when it is in the source's zone, and a far one is avoided; no limit of moves at once.

--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -39,8 +39,8 @@
 /** Wait before a move is tried again, in milliseconds. */
 const RETRY_MS = 40
 
-/** Runs of one engine that this instance moves at once; copies queue on the engine's link. */
-const MOVES_AT_ONCE = 2
+/** How much a destination in another zone than the source is avoided: a copy to it takes twice as long. */
+const FAR_DESTINATION_WEIGHT = 0.8
 
 /** Moves running generations off engines that leave: copied while they run, then stopped for the rest. */
 export class RunMover {
@@ -104,7 +104,7 @@
 
   private observeTarget ({ target, state, sinceMs }: KnownTarget): void {
     if (state !== 'leaving' && state !== 'gone') return
-    this.moveNext(target, sinceMs, this.getMoving(target.name))
+    this.moveRuns(target, sinceMs)
   }
 
   private getMoving (target: string): Set<MovableRun> {
@@ -113,17 +113,15 @@
     return moving
   }
 
-  /** The largest runs go first: most of their work would be lost. */
-  private moveNext (source: RelayTarget, sinceMs: number, moving: Set<MovableRun>): void {
+  /** All first copies are asked for at once, the largest first: once they are through the link, what is left of each is short. */
+  private moveRuns (source: RelayTarget, sinceMs: number): void {
+    const moving = this.getMoving(source.name)
     const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source, moving))
     waiting.sort((a, b) => b.getTokens() - a.getTokens())
-    for (const run of waiting.slice(0, MOVES_AT_ONCE - moving.size)) {
+    for (const run of waiting) {
       moving.add(run)
       this.tried.set(run, source.name)
-      this.moveRun(run, source, sinceMs).finally(() => {
-        moving.delete(run)
-        this.moveNext(source, sinceMs, moving)
-      })
+      this.moveRun(run, source, sinceMs).finally(() => { moving.delete(run) })
     }
   }
 
@@ -137,7 +135,7 @@
     const isStill = (): boolean => !run.isOver() && run.getTargetName() === source.name && clock.nowMs() - sinceMs < GIVE_UP_MS
     let result = 'over'
     while (isStill()) {
-      const use = this.options.placer.takeTarget({ service: run.service, tokens: run.getTokens(), excluded })
+      const use = this.options.placer.takeTarget({ service: run.service, tokens: run.getTokens(), excluded, nearZone: source.availabilityZone, farWeight: FAR_DESTINATION_WEIGHT })
       if (use === undefined) {
         result = 'noDestination'
         await clock.sleep(RETRY_MS)
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -24,6 +24,10 @@
   readonly tokens: number
   /** Names of targets that are not wanted. */
   readonly excluded: ReadonlySet<string>
+  /** Availability zone whose targets are near; the instance's own by default. */
+  readonly nearZone?: string
+  /** How much a far target is avoided, in units of a fully used one. */
+  readonly farWeight?: number
 }
 
 /** Chooses targets by the load of all instances as far as it is known, and counts what is in use. */
@@ -46,10 +50,10 @@
    * @param need - What it is wanted for.
    */
   takeTarget (need: TargetNeed): TargetUse | undefined {
-    const { service, tokens, excluded } = need
+    const { service, tokens, excluded, farWeight } = need
     const { random, table } = this.options
-    const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known))
-    const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, service.engine, tokens, random)
+    const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known, need.nearZone ?? this.options.availabilityZone))
+    const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, { profile: service.engine, tokens, random, farWeight })
     return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, choice.score)
   }
 
@@ -84,8 +88,8 @@
     for (const listener of this.listeners) listener()
   }
 
-  private describeOption (known: KnownTarget): TargetOption {
-    const { clock, loads, quality, availabilityZone } = this.options
+  private describeOption (known: KnownTarget, nearZone: string): TargetOption {
+    const { clock, loads, quality } = this.options
     const { name } = known.target
     return {
       known,
@@ -93,7 +97,7 @@
       failureShare: quality.getFailureShare(name),
       isUnreachable: quality.isUnreachable(name),
       isSlow: clock.nowMs() < known.slowUntilMs,
-      isNear: known.target.availabilityZone === availabilityZone
+      isNear: known.target.availabilityZone === nearZone
     }
   }
 }
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -50,19 +50,28 @@
   })
 }
 
+/** What an engine is picked by. */
+export interface EngineNeed {
+  readonly profile: EngineProfile
+  /** Memory that the generation is expected to need, in tokens. */
+  readonly tokens: number
+  /** Breaks ties, so that instances do not choose alike. */
+  readonly random: Random
+  /** How much a far engine is avoided, in units of a fully used one. */
+  readonly farWeight?: number
+}
+
 /**
  * Picks an engine with a free slot and room for a generation: the one whose batch and memory are least used.
  * @param options - Engines that may be chosen.
- * @param profile - What the engines can do.
- * @param tokens - Memory that the generation is expected to need.
- * @param random - Breaks ties, so that instances do not choose alike.
+ * @param need - What it is picked by.
  */
-export function pickEngine (options: readonly TargetOption[], profile: EngineProfile, tokens: number, random: Random): TargetChoice | undefined {
+export function pickEngine (options: readonly TargetOption[], { profile, tokens, random, farWeight = FAR_ENGINE_WEIGHT }: EngineNeed): TargetChoice | undefined {
   const fitting = options.filter(({ load, isUnreachable }) => !isUnreachable && hasRoom(load, profile, tokens))
   return pickLowest(fitting, option => {
     const batch = option.load.running / profile.slots
     const memory = (option.load.tokens + tokens) / profile.memoryTokens
-    return batch + MEMORY_WEIGHT * memory + (option.isNear ? 0 : FAR_ENGINE_WEIGHT) + computePenalty(option, random)
+    return batch + MEMORY_WEIGHT * memory + (option.isNear ? 0 : farWeight) + computePenalty(option, random)
   })
 }
 
