Take turns on the link of an engine that leaves

Cause: with all first copies at once, the short last copies of the first runs waited behind the first copies of all others until the engine was gone; copies to engines without room and across zones made it worse. Change: peers tell what their runs hold; each instance works out its turn on the link from that, and moves its runs one after the other in it. Memory held is told beside memory expected. Conclusion: turns kept; backups follow when crashes are looked at.

--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -48,7 +48,7 @@
     if (state === 'gone') client.forgetTarget(target)
     log.recordBelief('target changed', { target: target.name, service: target.service, address: target.address, before, state })
   })
-  const mover = RunMover.create({ clock, client, table, placer, budget, metrics, log })
+  const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: options.identity.peerAddress, metrics, log })
   const waitingRoom = WaitingRoom.create({ clock, placer })
   const loadExchange = LoadExchange.create({
     clock,
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,5 +1,6 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
-import { type TargetLoads } from './TargetLoads.js'
+import { type TargetWork } from '@fescuespoke/schema'
+import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
 /** Options of an exchange. */
 export interface LoadExchangeOptions {
@@ -47,7 +48,7 @@
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
     options.transport.setHandler('loadNews', ({ entries, revision }, from) => {
-      options.loads.observePeer(from, new Map(entries.map(({ target, running, tokens }) => [target, { running, tokens }])))
+      options.loads.observePeer(from, new Map(entries.map(({ target, running, tokens, heldTokens }) => [target, { running, tokens, held: heldTokens }])))
       options.observeRevision(from, revision)
       options.onChange()
       return { type: 'loadNewsAnswer', revision: options.getRevision() }
@@ -78,7 +79,7 @@
     const { clock, transport, loads, listPeers, getRevision, observeRevision } = this.options
     this.toldAtMs = clock.nowMs()
     this.toldRevision = getRevision()
-    const entries = [...loads.listOwn()].map(([target, { running, tokens }]) => ({ target, running, tokens: Math.max(0, Math.round(tokens)) }))
+    const entries = [...loads.listOwn()].map(([target, load]) => formatWork(target, load))
     for (const peer of listPeers()) {
       transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries }, ANSWER_MS).then(answer => {
         if (answer.isOk) observeRevision(peer, answer.value.revision)
@@ -86,3 +87,7 @@
     }
   }
 }
+
+function formatWork (target: string, { running, tokens, held = 0 }: TargetLoad): TargetWork {
+  return { target, running, tokens: Math.max(0, Math.round(tokens)), heldTokens: Math.max(0, Math.round(held)) }
+}
--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { type HeldMemory } from '../moves/computeTurn.js'
 
 /** Work of one instance at one target. */
 export interface TargetLoad {
@@ -6,6 +7,8 @@
   readonly running: number
   /** Memory that its generations are expected to need, in tokens. */
   readonly tokens: number
+  /** Memory that they hold now, in tokens. */
+  readonly held?: number
 }
 
 /** Load of a target by name. */
@@ -42,12 +45,13 @@
    * Adds work of this instance; negative amounts take it away.
    * @param target - Name of the target.
    * @param running - Requests.
-   * @param tokens - Tokens.
+   * @param tokens - Tokens that they are expected to need.
+   * @param held - Tokens that they hold.
    */
-  addOwn (target: string, running: number, tokens: number): void {
+  addOwn (target: string, running: number, tokens: number, held = 0): void {
     const load = this.getOwn(target)
-    const next = { running: load.running + running, tokens: load.tokens + tokens }
-    if (next.running <= 0) this.own.delete(target)
+    const next = { running: load.running + running, tokens: load.tokens + tokens, held: (load.held ?? 0) + held }
+    if (next.running <= 0 && next.tokens <= 0) this.own.delete(target)
     else this.own.set(target, next)
     this.changed = true
   }
@@ -75,6 +79,16 @@
     return { running, tokens }
   }
 
+  /**
+   * Lists the memory that the runs of each peer hold at a target.
+   * @param target - Name of the target.
+   */
+  listHeld (target: string): HeldMemory[] {
+    const oldestMs = this.clock.nowMs() - PEER_LOAD_MS
+    return [...this.peers].filter(([, { heardAtMs }]) => heardAtMs >= oldestMs)
+      .map(([instance, { loads }]) => ({ instance, tokens: loads.get(target)?.held ?? 0 }))
+  }
+
   /**
    * Observes what a peer tells of its own work.
    * @param peer - Name of the peer.
--- a/packages/relay/src/moves/MovableRun.ts
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -17,10 +17,21 @@
 export interface MovableRun {
   readonly request: string
   readonly service: ServiceProfile
-  /** Memory that it needs now, in tokens. */
+  /** Memory that it is expected to need, in tokens. */
   getTokens(): number
+  /** Memory that it holds now, in tokens. */
+  getHeldTokens(): number
+  /** Whether the caller was sent anything. */
+  hasBegun(): boolean
+  /** What its answer is worth against others, by the size that the caller stated. */
+  getWorth(): number
   /** Name of the target that runs it; absent while it has none. */
   getTargetName(): string | undefined
+  /**
+   * Goes on at the engine that holds a copy of its memory, if there is one that may be used.
+   * @returns Whether it does.
+   */
+  switchToBackup(): boolean
   /** Whether it needs no move any more, because it has ended or its caller has left. */
   isOver(): boolean
   /**
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -2,12 +2,15 @@
 import { type Result } from 'true-myth'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
+import { type EngineProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type RelayPlacer } from '../placement/RelayPlacer.js'
 import { type TargetUse } from '../placement/TargetUse.js'
 import { type CopyError, type RelayTargetClient, type RunCopy } from '../targets/RelayTargetClient.js'
 import { type KnownTarget, type TargetTable } from '../targets/TargetTable.js'
+import { computeTurnMs } from './computeTurn.js'
 import { type MovableRun } from './MovableRun.js'
 
 /** Options of a mover. */
@@ -17,6 +20,9 @@
   readonly table: TargetTable
   readonly placer: RelayPlacer
   readonly budget: AttemptBudget
+  readonly loads: TargetLoads
+  /** Name of this instance. */
+  readonly instance: string
   readonly metrics: RelayMetrics
   readonly log: DecisionLog
 }
@@ -42,6 +48,12 @@
 /** How much a destination in another zone than the source is avoided: a copy to it takes twice as long. */
 const FAR_DESTINATION_WEIGHT = 0.8
 
+/** Latest time after the notice at which the turn of an instance begins, in milliseconds. */
+const MAX_TURN_MS = 1200
+
+/** Worth of a run that counts like one token of its memory, when runs are ordered. */
+const WORTH_SCALE = 10
+
 /** Moves running generations off engines that leave: copied while they run, then stopped for the rest. */
 export class RunMover {
   /**
@@ -113,16 +125,37 @@
     return moving
   }
 
-  /** All first copies are asked for at once, the largest first: once they are through the link, what is left of each is short. */
-  private moveRuns (source: RelayTarget, sinceMs: number): void {
+  /** The runs of this instance are moved one after the other, when it is its turn on the engine's link. */
+  private async moveRuns (source: RelayTarget, sinceMs: number): Promise<void> {
+    const { clock } = this.options
     const moving = this.getMoving(source.name)
     const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source, moving))
-    waiting.sort((a, b) => b.getTokens() - a.getTokens())
-    for (const run of waiting) {
-      moving.add(run)
-      this.tried.set(run, source.name)
-      this.moveRun(run, source, sinceMs).finally(() => { moving.delete(run) })
-    }
+    const left = waiting.filter(run => !this.switchRun(run, source, sinceMs))
+    const profile = left[0]?.service.engine
+    if (profile === undefined) return
+    for (const run of left) this.tried.set(run, source.name)
+    const turnMs = this.computeTurn(source, profile)
+    this.options.log.recordBelief('moves planned', { source: source.name, runs: left.length, turnMs: Math.round(turnMs) })
+    await clock.sleep(Math.max(0, sinceMs + turnMs - clock.nowMs()))
+    for (const run of sortForMove(left)) if (!run.isOver() && run.getTargetName() === source.name) await this.startMove(run, source, sinceMs)
+  }
+
+  private computeTurn (source: RelayTarget, profile: EngineProfile): number {
+    const { loads, instance } = this.options
+    return Math.min(MAX_TURN_MS, computeTurnMs(source.name, instance, loads.listHeld(source.name), profile))
+  }
+
+  private switchRun (run: MovableRun, source: RelayTarget, sinceMs: number): boolean {
+    if (!run.switchToBackup()) return false
+    this.countMove(run, source, 'switched', sinceMs)
+    return true
+  }
+
+  private async startMove (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<void> {
+    const moving = this.getMoving(source.name)
+    moving.add(run)
+    await this.moveRun(run, source, sinceMs)
+    moving.delete(run)
   }
 
   private mayMove (run: MovableRun, source: RelayTarget, moving: Set<MovableRun>): boolean {
@@ -130,7 +163,7 @@
   }
 
   private async moveRun (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<void> {
-    const { clock, log, metrics } = this.options
+    const { clock } = this.options
     const excluded = new Set([source.name])
     const isStill = (): boolean => !run.isOver() && run.getTargetName() === source.name && clock.nowMs() - sinceMs < GIVE_UP_MS
     let result = 'over'
@@ -147,10 +180,12 @@
       if (result === 'noRoom') excluded.add(use.target.name)
       await clock.sleep(RETRY_MS)
     }
-    if (!run.isOver() || result === 'moved') {
-      metrics.countMove(result)
-      log.recordDecision(run.request, 'move ended', { source: source.name, result, noticeMs: Math.round(clock.nowMs() - sinceMs) })
-    }
+    if (!run.isOver() || result === 'moved') this.countMove(run, source, result, sinceMs)
+  }
+
+  private countMove (run: MovableRun, source: RelayTarget, result: string, sinceMs: number): void {
+    this.options.metrics.countMove(result)
+    this.options.log.recordDecision(run.request, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - sinceMs) })
   }
 
   private async copyTo (run: MovableRun, source: RelayTarget, use: TargetUse, sinceMs: number, isStill: () => boolean): Promise<string> {
@@ -196,3 +231,9 @@
     return copy
   }
 }
+
+/** Runs that have begun go first, since others cannot be copied yet; among them those with most worth for their size. */
+function sortForMove (runs: readonly MovableRun[]): MovableRun[] {
+  const computeRank = (run: MovableRun): number => (run.hasBegun() ? 1 : 0) + run.getWorth() / (run.getWorth() + WORTH_SCALE * run.getHeldTokens())
+  return [...runs].sort((a, b) => computeRank(b) - computeRank(a))
+}
--- a/packages/relay/src/placement/TargetUse.ts
+++ b/packages/relay/src/placement/TargetUse.ts
@@ -9,6 +9,8 @@
   readonly score: number
   readonly loads: TargetLoads
   readonly onRelease: () => void
+  /** Requests that it counts as: 1, or 0 for a copy of a run's memory. */
+  readonly running?: 0 | 1
 }
 
 /** The use of one target by one request; it counts as load until released. */
@@ -24,6 +26,7 @@
   readonly target: RelayTarget
   readonly score: number
   private tokens: number
+  private held = 0
   private released = false
 
   /** @internal */
@@ -31,24 +34,26 @@
     this.target = options.target
     this.score = options.score
     this.tokens = options.tokens
-    options.loads.addOwn(this.target.name, 1, this.tokens)
+    options.loads.addOwn(this.target.name, this.options.running ?? 1, this.tokens)
   }
 
   /**
    * Sets the memory that is needed.
-   * @param tokens - Tokens.
+   * @param tokens - Tokens that are expected to be needed.
+   * @param held - Tokens that are held now.
    */
-  setTokens (tokens: number): void {
+  setTokens (tokens: number, held = 0): void {
     if (this.released) return
-    this.options.loads.addOwn(this.target.name, 0, tokens - this.tokens)
+    this.options.loads.addOwn(this.target.name, 0, tokens - this.tokens, held - this.held)
     this.tokens = tokens
+    this.held = held
   }
 
   /** Gives the target back. Later calls do nothing. */
   release (): void {
     if (this.released) return
     this.released = true
-    this.options.loads.addOwn(this.target.name, -1, -this.tokens)
+    this.options.loads.addOwn(this.target.name, -(this.options.running ?? 1), -this.tokens, -this.held)
     this.options.onRelease()
   }
 }
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -14,6 +14,12 @@
   readonly abort: AbortController
 }
 
+/** Worth of a token that is generated, in tokens of the prompt. */
+const OUTPUT_TOKEN_WORTH = 10
+
+/** Age of a run's first event from which its copy at another engine has caught up, in milliseconds. */
+const BACKUP_AGE_MS = 1200
+
 /** Events between two updates of the memory that a run needs. */
 const EVENTS_PER_UPDATE = 8
 
@@ -40,8 +46,11 @@
   /** Attempts that left. */
   sent = 0
   current: StreamAttempt | undefined
+  /** Room at the engine that keeps a copy of the run's memory. */
+  backup: TargetUse | undefined
   private lastId: string | undefined
   private events = 0
+  private firstEventAtMs: number | undefined
   private headWritten = false
   private over = false
   private next: RunContinuation | undefined
@@ -60,7 +69,7 @@
     return this.lastId
   }
 
-  /** Tells whether the caller was sent anything. */
+  /** @inheritdoc */
   hasBegun (): boolean {
     return this.headWritten
   }
@@ -70,6 +79,17 @@
     return estimateTokens(this.context.request.size, this.events * (this.service.engine?.tokensPerEvent ?? 1))
   }
 
+  /** @inheritdoc */
+  getHeldTokens (): number {
+    return (this.context.request.size?.promptTokens ?? 0) + this.events * (this.service.engine?.tokensPerEvent ?? 1)
+  }
+
+  /** @inheritdoc */
+  getWorth (): number {
+    const { size } = this.context.request
+    return size === undefined ? 1 : size.promptTokens + OUTPUT_TOKEN_WORTH * size.maxOutputTokens
+  }
+
   /** @inheritdoc */
   getTargetName (): string | undefined {
     return this.current?.use.target.name
@@ -105,6 +125,31 @@
     return next
   }
 
+  /** @inheritdoc */
+  switchToBackup (): boolean {
+    if (this.firstEventAtMs === undefined || this.tools.clock.nowMs() - this.firstEventAtMs < BACKUP_AGE_MS) return false
+    const next = this.takeBackup()
+    if (next === undefined) return false
+    this.next = next
+    // The run ends at its source before it goes on elsewhere.
+    this.current?.abort.abort()
+    return true
+  }
+
+  /** Takes where a copy of the run's memory is kept, if that engine may still be used. */
+  takeBackup (): RunContinuation | undefined {
+    const { backup, current } = this
+    this.backup = undefined
+    if (backup === undefined || current === undefined) return undefined
+    const known = this.tools.table.getKnown(backup.target.name)
+    const isUsable = known?.state === 'ready' && known.target.startedAt === backup.target.startedAt && !this.tools.quality.isUnreachable(backup.target.name)
+    const tokens = this.getTokens()
+    backup.release()
+    if (!isUsable) return undefined
+    const use = this.tools.placer.useTarget(backup.target, tokens)
+    return { use, continuation: { address: backup.target.address, handle: this.request }, source: backup.target, createdEvents: 0 }
+  }
+
   /** Tells whether the run was stopped for a move and everything it had made has arrived. */
   hasAllBeforeMove (): boolean {
     return this.next !== undefined && this.next.createdEvents > 0 && this.events >= this.next.createdEvents
@@ -149,14 +194,27 @@
     this.current = undefined
   }
 
+  /** Gives back the room for a copy of the run's memory. */
+  releaseBackup (): void {
+    this.backup?.release()
+    this.backup = undefined
+  }
+
   /** Ends the run and gives back everything that it holds. */
   close (): void {
     this.over = true
     this.tools.mover.removeRun(this)
     this.closeCurrent()
+    this.releaseBackup()
     this.next?.use.release()
   }
 
+  private updateTokens (): void {
+    const tokens = this.getTokens()
+    this.current?.use.setTokens(tokens, this.getHeldTokens())
+    this.backup?.setTokens(tokens)
+  }
+
   private writeHead (head: AttemptHead): void {
     if (this.headWritten) return
     this.headWritten = true
@@ -166,8 +224,9 @@
 
   private countEvents (events: readonly StreamEvent[]): void {
     const before = this.events
+    this.firstEventAtMs ??= this.tools.clock.nowMs()
     this.events += events.length
     this.lastId = events.at(-1)?.id ?? this.lastId
-    if (Math.floor(before / EVENTS_PER_UPDATE) !== Math.floor(this.events / EVENTS_PER_UPDATE)) this.current?.use.setTokens(this.getTokens())
+    if (Math.floor(before / EVENTS_PER_UPDATE) !== Math.floor(this.events / EVENTS_PER_UPDATE)) this.updateTokens()
   }
 }
--- a/packages/relay/test/support/createTools.ts
+++ b/packages/relay/test/support/createTools.ts
@@ -35,7 +35,7 @@
   const quality = TargetQuality.create(clock)
   const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: 'z1' })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
-  const mover = RunMover.create({ clock, client, table, placer, budget, metrics, log })
+  const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: 'own', metrics, log })
   return { clock, random, client, loads, table, quality, placer, waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log }
 }
 
