Weigh prompts to be read in placing, and move what has begun first

A run that its engine had not begun held up the turn of its instance. Change: instances tell at once of prompts that are to be read, and placing weighs them; a move neither waits for prompts nor for runs that have not begun; destinations in another zone only where none is near.

--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -23,7 +23,10 @@
   readonly intervalMs?: number
 }
 
-const DEFAULT_INTERVAL_MS = 150
+const DEFAULT_INTERVAL_MS = 200
+
+/** Time in which several urgent changes are told together, in milliseconds. */
+const URGENT_MS = 10
 
 /** Interval at which peers are told although nothing changed, in milliseconds. */
 const REFRESH_MS = 1000
@@ -44,11 +47,12 @@
   private readonly stopping = new AbortController()
   private toldAtMs = -Infinity
   private toldRevision = 0
+  private isTelling = false
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
     options.transport.setHandler('loadNews', ({ entries, revision }, from) => {
-      options.loads.observePeer(from, new Map(entries.map(({ target, running, tokens, heldTokens }) => [target, { running, tokens, held: heldTokens }])))
+      options.loads.observePeer(from, new Map(entries.map(work => [work.target, parseWork(work)])))
       options.observeRevision(from, revision)
       options.onChange()
       return { type: 'loadNewsAnswer', revision: options.getRevision() }
@@ -58,6 +62,7 @@
   /** Tells peers until stopped. */
   async run (): Promise<void> {
     const { clock, intervalMs = DEFAULT_INTERVAL_MS } = this.options
+    this.options.loads.setUrgentListener(() => this.tellSoon())
     while (!this.stopping.signal.aborted) {
       await clock.sleep(intervalMs, this.stopping.signal)
       if (this.mustTell()) this.tellPeers()
@@ -69,6 +74,16 @@
     this.stopping.abort()
   }
 
+  /** Generations that begin are told at once, so that others do not put theirs behind the same prompts. */
+  private tellSoon (): void {
+    if (this.isTelling) return
+    this.isTelling = true
+    this.options.clock.startTimer(URGENT_MS, () => {
+      this.isTelling = false
+      if (!this.stopping.signal.aborted) this.tellPeers()
+    })
+  }
+
   private mustTell (): boolean {
     const { loads, clock, getRevision } = this.options
     const isChanged = loads.takeChanged() || getRevision() !== this.toldRevision
@@ -88,6 +103,14 @@
   }
 }
 
-function formatWork (target: string, { running, tokens, held = 0 }: TargetLoad): TargetWork {
-  return { target, running, tokens: Math.max(0, Math.round(tokens)), heldTokens: Math.max(0, Math.round(held)) }
+function formatWork (target: string, { running, tokens, held = 0, unread = 0 }: TargetLoad): TargetWork {
+  return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(held), unreadTokens: roundTokens(unread) }
+}
+
+function parseWork ({ running, tokens, heldTokens, unreadTokens }: TargetWork): TargetLoad {
+  return { running, tokens, held: heldTokens, unread: unreadTokens }
+}
+
+function roundTokens (tokens: number): number {
+  return Math.max(0, Math.round(tokens))
 }
--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -9,6 +9,8 @@
   readonly tokens: number
   /** Memory that they hold now, in tokens. */
   readonly held?: number
+  /** Prompt tokens of generations that have not begun. */
+  readonly unread?: number
 }
 
 /** Load of a target by name. */
@@ -37,6 +39,7 @@
   private readonly own = new Map<string, TargetLoad>()
   private readonly peers = new Map<string, PeerLoads>()
   private changed = false
+  private onUrgent: (() => void) | undefined
 
   /** @internal */
   private constructor (private readonly clock: Clock) {}
@@ -44,16 +47,22 @@
   /**
    * Adds work of this instance; negative amounts take it away.
    * @param target - Name of the target.
-   * @param running - Requests.
-   * @param tokens - Tokens that they are expected to need.
-   * @param held - Tokens that they hold.
+   * @param change - What is added.
    */
-  addOwn (target: string, running: number, tokens: number, held = 0): void {
-    const load = this.getOwn(target)
-    const next = { running: load.running + running, tokens: load.tokens + tokens, held: (load.held ?? 0) + held }
+  addOwn (target: string, change: Partial<TargetLoad>): void {
+    const next = sumLoads(this.getOwn(target), change)
     if (next.running <= 0 && next.tokens <= 0) this.own.delete(target)
     else this.own.set(target, next)
     this.changed = true
+    if ((change.unread ?? 0) > 0) this.onUrgent?.()
+  }
+
+  /**
+   * Sets what is called when work was added that others should know of at once.
+   * @param onUrgent - Called after the work was added.
+   */
+  setUrgentListener (onUrgent: () => void): void {
+    this.onUrgent = onUrgent
   }
 
   /**
@@ -69,14 +78,13 @@
    * @param target - Name of the target.
    */
   getTotal (target: string): TargetLoad {
-    let { running, tokens } = this.getOwn(target)
+    let total = this.getOwn(target)
     const oldestMs = this.clock.nowMs() - PEER_LOAD_MS
     for (const { loads, heardAtMs } of this.peers.values()) {
       const load = heardAtMs < oldestMs ? undefined : loads.get(target)
-      running += load?.running ?? 0
-      tokens += load?.tokens ?? 0
+      if (load !== undefined) total = sumLoads(total, load)
     }
-    return { running, tokens }
+    return total
   }
 
   /**
@@ -118,3 +126,12 @@
     return changed
   }
 }
+
+function sumLoads (a: TargetLoad, b: Partial<TargetLoad>): TargetLoad {
+  return {
+    running: a.running + (b.running ?? 0),
+    tokens: a.tokens + (b.tokens ?? 0),
+    held: (a.held ?? 0) + (b.held ?? 0),
+    unread: (a.unread ?? 0) + (b.unread ?? 0)
+  }
+}
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -46,7 +46,7 @@
 const RETRY_MS = 40
 
 /** How much a destination in another zone than the source is avoided: a copy to it takes twice as long. */
-const FAR_DESTINATION_WEIGHT = 0.8
+const FAR_DESTINATION_WEIGHT = 2
 
 /** Latest time after the notice at which the turn of an instance begins, in milliseconds. */
 const MAX_TURN_MS = 1200
@@ -54,6 +54,9 @@
 /** Worth of a run that counts like one token of its memory, when runs are ordered. */
 const WORTH_SCALE = 10
 
+/** How a move ended, or why it was given up. */
+type MoveResult = 'moved' | 'over' | 'noDestination' | CopyError['reason']
+
 /** Moves running generations off engines that leave: copied while they run, then stopped for the rest. */
 export class RunMover {
   /**
@@ -137,7 +140,19 @@
     const turnMs = this.computeTurn(source, profile)
     this.options.log.recordBelief('moves planned', { source: source.name, runs: left.length, turnMs: Math.round(turnMs) })
     await clock.sleep(Math.max(0, sinceMs + turnMs - clock.nowMs()))
-    for (const run of sortForMove(left)) if (!run.isOver() && run.getTargetName() === source.name) await this.startMove(run, source, sinceMs)
+    await this.moveInTurn(sortForMove(left), source, sinceMs)
+  }
+
+  /** A run that its engine has not begun cannot be copied yet: the others go before it. */
+  private async moveInTurn (runs: MovableRun[], source: RelayTarget, sinceMs: number): Promise<void> {
+    const { clock } = this.options
+    const queue = [...runs]
+    while (queue.length > 0 && clock.nowMs() - sinceMs < GIVE_UP_MS) {
+      const run = queue.shift()!
+      if (run.isOver() || run.getTargetName() !== source.name) continue
+      const result = await this.startMove(run, source, sinceMs)
+      if (result === 'noRun') queue.push(run)
+    }
   }
 
   private computeTurn (source: RelayTarget, profile: EngineProfile): number {
@@ -151,22 +166,23 @@
     return true
   }
 
-  private async startMove (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<void> {
+  private async startMove (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<MoveResult> {
     const moving = this.getMoving(source.name)
     moving.add(run)
-    await this.moveRun(run, source, sinceMs)
+    const result = await this.moveRun(run, source, sinceMs)
     moving.delete(run)
+    return result
   }
 
   private mayMove (run: MovableRun, source: RelayTarget, moving: Set<MovableRun>): boolean {
     return run.service.engine?.canMove === true && !moving.has(run) && this.tried.get(run) !== source.name
   }
 
-  private async moveRun (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<void> {
+  private async moveRun (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<MoveResult> {
     const { clock } = this.options
     const excluded = new Set([source.name])
     const isStill = (): boolean => !run.isOver() && run.getTargetName() === source.name && clock.nowMs() - sinceMs < GIVE_UP_MS
-    let result = 'over'
+    let result: MoveResult = 'over'
     while (isStill()) {
       const use = this.options.placer.takeTarget({ service: run.service, tokens: run.getTokens(), excluded, nearZone: source.availabilityZone, farWeight: FAR_DESTINATION_WEIGHT })
       if (use === undefined) {
@@ -179,16 +195,18 @@
       use.release()
       if (result === 'noRoom') excluded.add(use.target.name)
       await clock.sleep(RETRY_MS)
+      if (result === 'noRun') return result
     }
     if (!run.isOver() || result === 'moved') this.countMove(run, source, result, sinceMs)
+    return result
   }
 
-  private countMove (run: MovableRun, source: RelayTarget, result: string, sinceMs: number): void {
+  private countMove (run: MovableRun, source: RelayTarget, result: MoveResult | 'switched', sinceMs: number): void {
     this.options.metrics.countMove(result)
     this.options.log.recordDecision(run.request, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - sinceMs) })
   }
 
-  private async copyTo (run: MovableRun, source: RelayTarget, use: TargetUse, sinceMs: number, isStill: () => boolean): Promise<string> {
+  private async copyTo (run: MovableRun, source: RelayTarget, use: TargetUse, sinceMs: number, isStill: () => boolean): Promise<MoveResult> {
     const { clock } = this.options
     for (let copies = 0; copies < MAX_COPIES && isStill(); copies++) {
       const startedMs = clock.nowMs()
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -25,6 +25,8 @@
   readonly service: ServiceProfile
   /** Memory that a generation is expected to need; 0 for calls. */
   readonly tokens: number
+  /** Prompt tokens that the target has to read before a generation begins. */
+  readonly unread?: number
   /** Names of targets that are not wanted. */
   readonly excluded: ReadonlySet<string>
   /** Availability zone whose targets are near; the instance's own by default. */
@@ -56,8 +58,8 @@
     const { service, tokens, excluded, farWeight } = need
     const { random, table } = this.options
     const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known, need.nearZone ?? this.options.availabilityZone))
-    const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, { profile: service.engine, tokens, random, farWeight })
-    return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, choice.score)
+    const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, { profile: service.engine, tokens, random, farWeight, waitsForPrompts: need.unread !== undefined })
+    return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, { score: choice.score, unread: need.unread })
   }
 
   /**
@@ -80,10 +82,10 @@
    * Takes a certain target into use, whatever its load.
    * @param target - The target.
    * @param tokens - Memory that a generation is expected to need.
-   * @param score - Score of the choice, for the log.
+   * @param choice - Score of the choice, for the log, and prompt tokens that are to be read.
    */
-  useTarget (target: RelayTarget, tokens: number, score = 0): TargetUse {
-    return TargetUse.create({ target, tokens, score, loads: this.options.loads, onRelease: () => this.notifyRoom() })
+  useTarget (target: RelayTarget, tokens: number, { score = 0, unread = 0 }: { readonly score?: number, readonly unread?: number } = {}): TargetUse {
+    return TargetUse.create({ target, tokens, score, unread, loads: this.options.loads, onRelease: () => this.notifyRoom() })
   }
 
   /**
--- a/packages/relay/src/placement/TargetUse.ts
+++ b/packages/relay/src/placement/TargetUse.ts
@@ -11,6 +11,8 @@
   readonly onRelease: () => void
   /** Requests that it counts as: 1, or 0 for a copy of a run's memory. */
   readonly running?: 0 | 1
+  /** Prompt tokens that the target has to read before the request begins. */
+  readonly unread?: number
 }
 
 /** The use of one target by one request; it counts as load until released. */
@@ -27,6 +29,7 @@
   readonly score: number
   private tokens: number
   private held = 0
+  private unread: number
   private released = false
 
   /** @internal */
@@ -34,17 +37,19 @@
     this.target = options.target
     this.score = options.score
     this.tokens = options.tokens
-    options.loads.addOwn(this.target.name, this.options.running ?? 1, this.tokens)
+    this.unread = options.unread ?? 0
+    options.loads.addOwn(this.target.name, { running: options.running ?? 1, tokens: this.tokens, unread: this.unread })
   }
 
   /**
-   * Sets the memory that is needed.
+   * Sets the memory that is needed, once the request has begun.
    * @param tokens - Tokens that are expected to be needed.
    * @param held - Tokens that are held now.
    */
   setTokens (tokens: number, held = 0): void {
     if (this.released) return
-    this.options.loads.addOwn(this.target.name, 0, tokens - this.tokens, held - this.held)
+    this.options.loads.addOwn(this.target.name, { tokens: tokens - this.tokens, held: held - this.held, unread: -this.unread })
+    this.unread = 0
     this.tokens = tokens
     this.held = held
   }
@@ -53,7 +58,7 @@
   release (): void {
     if (this.released) return
     this.released = true
-    this.options.loads.addOwn(this.target.name, -(this.options.running ?? 1), -this.tokens, -this.held)
+    this.options.loads.addOwn(this.target.name, { running: -(this.options.running ?? 1), tokens: -this.tokens, held: -this.held, unread: -this.unread })
     this.options.onRelease()
   }
 }
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -32,6 +32,9 @@
 /** Weight of memory against running requests in the score of an engine. */
 const MEMORY_WEIGHT = 0.7
 
+/** Prompt tokens waiting to be read that weigh as much as a fully used engine. */
+const UNREAD_SCALE_TOKENS = 5000
+
 /** Slots assumed where a target states none. */
 const ASSUMED_SLOTS = 4
 
@@ -59,6 +62,8 @@
   readonly random: Random
   /** How much a far engine is avoided, in units of a fully used one. */
   readonly farWeight?: number
+  /** Whether the generation waits until prompts before it are read; one that goes on from a copy does not. */
+  readonly waitsForPrompts?: boolean
 }
 
 /**
@@ -66,12 +71,13 @@
  * @param options - Engines that may be chosen.
  * @param need - What it is picked by.
  */
-export function pickEngine (options: readonly TargetOption[], { profile, tokens, random, farWeight = FAR_ENGINE_WEIGHT }: EngineNeed): TargetChoice | undefined {
+export function pickEngine (options: readonly TargetOption[], { profile, tokens, random, farWeight = FAR_ENGINE_WEIGHT, waitsForPrompts = true }: EngineNeed): TargetChoice | undefined {
   const fitting = options.filter(({ load, isUnreachable }) => !isUnreachable && hasRoom(load, profile, tokens))
   return pickLowest(fitting, option => {
     const batch = option.load.running / profile.slots
     const memory = (option.load.tokens + tokens) / profile.memoryTokens
-    return batch + MEMORY_WEIGHT * memory + (option.isNear ? 0 : farWeight) + computePenalty(option, random)
+    const backlog = waitsForPrompts ? (option.load.unread ?? 0) / UNREAD_SCALE_TOKENS : 0
+    return batch + MEMORY_WEIGHT * memory + backlog + (option.isNear ? 0 : farWeight) + computePenalty(option, random)
   })
 }
 
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -1,3 +1,4 @@
+import { type LogFields } from '../logs/DecisionLog.js'
 import { type MovableRun, type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetUse } from '../placement/TargetUse.js'
@@ -51,6 +52,8 @@
   private lastId: string | undefined
   private events = 0
   private firstEventAtMs: number | undefined
+  private lastEventAtMs: number | undefined
+  private longestGapMs = 0
   private headWritten = false
   private over = false
   private next: RunContinuation | undefined
@@ -187,6 +190,13 @@
     this.context.sink.end()
   }
 
+  /** Describes how the stream went, for the log. */
+  describeCourse (): LogFields {
+    const { receivedAtMs } = this.context.request
+    const firstEventMs = this.firstEventAtMs === undefined ? undefined : Math.round(this.firstEventAtMs - receivedAtMs)
+    return { events: this.events, firstEventMs, longestGapMs: Math.round(this.longestGapMs), attempts: this.sent }
+  }
+
   /** Ends the current attempt. */
   closeCurrent (): void {
     this.current?.abort.abort()
@@ -209,6 +219,13 @@
     this.next?.use.release()
   }
 
+  private observeEventTime (): void {
+    const nowMs = this.tools.clock.nowMs()
+    this.firstEventAtMs ??= nowMs
+    this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs))
+    this.lastEventAtMs = nowMs
+  }
+
   private updateTokens (): void {
     const tokens = this.getTokens()
     this.current?.use.setTokens(tokens, this.getHeldTokens())
@@ -224,9 +241,9 @@
 
   private countEvents (events: readonly StreamEvent[]): void {
     const before = this.events
-    this.firstEventAtMs ??= this.tools.clock.nowMs()
+    this.observeEventTime()
     this.events += events.length
     this.lastId = events.at(-1)?.id ?? this.lastId
-    if (Math.floor(before / EVENTS_PER_UPDATE) !== Math.floor(this.events / EVENTS_PER_UPDATE)) this.updateTokens()
+    if (before === 0 || Math.floor(before / EVENTS_PER_UPDATE) !== Math.floor(this.events / EVENTS_PER_UPDATE)) this.updateTokens()
   }
 }
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -77,6 +77,7 @@
 async function finishStream (tools: RelayTools, context: RelayContext, run: StreamRun, head: AttemptHead): Promise<StreamEnd> {
   await run.finish(head)
   tools.metrics.countOutcome(context.route.name, head.status >= FAILURE_STATUS ? 'targetFailed' : 'answered')
+  tools.log.recordDecision(context.request.id, 'stream complete', { route: context.route.name, status: head.status, ...run.describeCourse() })
   return 'complete'
 }
 
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -77,7 +77,7 @@
   const remainingMs = context.endAtMs - clock.nowMs()
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const use = await waitingRoom.takeTarget({
-    need: { service, tokens: estimateTokens(request.size, 0), excluded: run.excluded },
+    need: { service, tokens: estimateTokens(request.size, 0), unread: request.size?.promptTokens ?? 0, excluded: run.excluded },
     priority: context.priority,
     sinceMs: request.receivedAtMs,
     maxWaitMs: Math.min(route.objectiveMs * MAX_WAIT_SHARE, remainingMs * MAX_WAIT_OF_REMAINING) - waitedMs,
@@ -130,25 +130,25 @@
 }
 
 function finishWithout (tools: RelayTools, context: RelayContext, run: StreamRun, end: StreamEnd): void {
-  if (run.hasBegun()) return breakOff(tools, context, 'brokenOff')
+  if (run.hasBegun()) return breakOff(tools, context, run, 'brokenOff')
   refuseRequest(tools, context, run.executed > 0 || end === 'lost' ? 'lost' : 'notExecuted')
 }
 
 function finishUnplaced (tools: RelayTools, context: RelayContext, run: StreamRun): void {
   if (context.signal.aborted) return finishAtEnd(tools, context, run)
-  if (run.hasBegun()) return breakOff(tools, context, 'brokenOff')
+  if (run.hasBegun()) return breakOff(tools, context, run, 'brokenOff')
   if (run.executed > 0) return refuseRequest(tools, context, 'lost')
   refuseRequest(tools, context, tools.placer.countUsable(context.service) === 0 ? 'noTarget' : 'overloaded')
 }
 
 /** The caller has left or the time is over. */
 function finishAtEnd (tools: RelayTools, context: RelayContext, run: StreamRun): void {
-  if (run.hasBegun()) return breakOff(tools, context, context.sink.gone.aborted ? 'callerLeft' : 'timeout')
+  if (run.hasBegun()) return breakOff(tools, context, run, context.sink.gone.aborted ? 'callerLeft' : 'timeout')
   refuseRequest(tools, context, run.sent > 0 ? 'timeout' : 'timeoutNotRun')
 }
 
-function breakOff ({ metrics, log }: RelayTools, { sink, route, request }: RelayContext, outcome: 'brokenOff' | 'callerLeft' | 'timeout'): void {
+function breakOff ({ metrics, log }: RelayTools, { sink, route, request }: RelayContext, run: StreamRun, outcome: 'brokenOff' | 'callerLeft' | 'timeout'): void {
   sink.breakOff()
   metrics.countOutcome(route.name, outcome)
-  log.recordDecision(request.id, 'broken off', { route: route.name, outcome })
+  log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeCourse() })
 }
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -86,7 +86,7 @@
   })
 
   it('waits for an engine with room, and is refused when there is none in time', async () => {
-    const { sink } = await doTest({ a: [whole] }, { acts: [[0, tools => tools.loads.addOwn('a', 4, 9000)]], request: { receivedAtMs: 0 } })
+    const { sink } = await doTest({ a: [whole] }, { acts: [[0, tools => tools.loads.addOwn('a', { running: 4, tokens: 9000 })]], request: { receivedAtMs: 0 } })
     expect(sink.end_).toBe('complete')
     const full = await doTest({}, { acts: [] })
     expect(full.sink.refusal?.retryAfterMs).toBeGreaterThan(0)
