--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -30,7 +30,7 @@
 const JITTER_WEIGHT = 0.04
 
 /** Weight of memory against running requests in the score of an engine. */
-const MEMORY_WEIGHT = 0.7
+const MEMORY_WEIGHT = 2
 
 /** Prompt tokens waiting to be read that weigh as much as a fully used engine. */
 const UNREAD_SCALE_TOKENS = 5000
