--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -59,5 +59,5 @@
     observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
     onChange: () => placer.notifyRoom()
   })
-  return { log, view, follower, loadExchange, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log } }
+  return { log, view, follower, loadExchange, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
 }
--- a/packages/relay/src/model/RelayConfiguration.ts
+++ b/packages/relay/src/model/RelayConfiguration.ts
@@ -41,7 +41,6 @@
   /** Tokens of one event. */
   readonly tokensPerEvent: number
   readonly canMove: boolean
-  readonly canBackUp: boolean
 }
 
 /** A service in force. */
--- a/packages/relay/src/moves/MovableRun.ts
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -27,11 +27,6 @@
   getWorth(): number
   /** Name of the target that runs it; absent while it has none. */
   getTargetName(): string | undefined
-  /**
-   * Goes on at the engine that holds a copy of its memory, if there is one that may be used.
-   * @returns Whether it does.
-   */
-  switchToBackup(): boolean
   /** Whether it needs no move any more, because it has ended or its caller has left. */
   isOver(): boolean
   /**
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -133,14 +133,13 @@
     const { clock } = this.options
     const moving = this.getMoving(source.name)
     const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source, moving))
-    const left = waiting.filter(run => !this.switchRun(run, source, sinceMs))
-    const profile = left[0]?.service.engine
+    const profile = waiting[0]?.service.engine
     if (profile === undefined) return
-    for (const run of left) this.tried.set(run, source.name)
+    for (const run of waiting) this.tried.set(run, source.name)
     const turnMs = this.computeTurn(source, profile)
-    this.options.log.recordBelief('moves planned', { source: source.name, runs: left.length, turnMs: Math.round(turnMs) })
+    this.options.log.recordBelief('moves planned', { source: source.name, runs: waiting.length, turnMs: Math.round(turnMs) })
     await clock.sleep(Math.max(0, sinceMs + turnMs - clock.nowMs()))
-    await this.moveInTurn(sortForMove(left), source, sinceMs)
+    await this.moveInTurn(sortForMove(waiting), source, sinceMs)
   }
 
   /** A run that its engine has not begun cannot be copied yet: the others go before it. */
@@ -160,12 +159,6 @@
     return Math.min(MAX_TURN_MS, computeTurnMs(source.name, instance, loads.listHeld(source.name), profile))
   }
 
-  private switchRun (run: MovableRun, source: RelayTarget, sinceMs: number): boolean {
-    if (!run.switchToBackup()) return false
-    this.countMove(run, source, 'switched', sinceMs)
-    return true
-  }
-
   private async startMove (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<MoveResult> {
     const moving = this.getMoving(source.name)
     moving.add(run)
@@ -201,7 +194,7 @@
     return result
   }
 
-  private countMove (run: MovableRun, source: RelayTarget, result: MoveResult | 'switched', sinceMs: number): void {
+  private countMove (run: MovableRun, source: RelayTarget, result: MoveResult, sinceMs: number): void {
     this.options.metrics.countMove(result)
     this.options.log.recordDecision(run.request, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - sinceMs) })
   }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -17,9 +17,6 @@
   readonly availabilityZone: string
 }
 
-/** Share of an engine's memory up to which copies of other runs are put there. */
-const BACKUP_MEMORY_SHARE = 0.55
-
 /** What a target is wanted for. */
 export interface TargetNeed {
   readonly service: ServiceProfile
@@ -62,22 +59,6 @@
     return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, { score: choice.score, unread: need.unread })
   }
 
-  /**
-   * Takes room for a copy of a run's memory, which grows with the run; only where much room is left.
-   * @param need - What it is wanted for.
-   */
-  takeBackup (need: TargetNeed): TargetUse | undefined {
-    const { service, tokens, excluded, nearZone, farWeight } = need
-    const { engine } = service
-    if (engine?.canBackUp !== true) return undefined
-    const { random, table, loads } = this.options
-    const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known, nearZone ?? this.options.availabilityZone))
-    const profile = { ...engine, memoryTokens: engine.memoryTokens * BACKUP_MEMORY_SHARE }
-    const choice = pickEngine(options.filter(({ load }) => load.tokens + tokens <= profile.memoryTokens), { profile, tokens, random, farWeight })
-    if (choice === undefined) return undefined
-    return TargetUse.create({ target: choice.known.target, tokens, score: choice.score, loads, onRelease: () => this.notifyRoom(), running: 0 })
-  }
-
   /**
    * Takes a certain target into use, whatever its load.
    * @param target - The target.
--- a/packages/relay/src/placement/TargetUse.ts
+++ b/packages/relay/src/placement/TargetUse.ts
@@ -9,8 +9,6 @@
   readonly score: number
   readonly loads: TargetLoads
   readonly onRelease: () => void
-  /** Requests that it counts as: 1, or 0 for a copy of a run's memory. */
-  readonly running?: 0 | 1
   /** Prompt tokens that the target has to read before the request begins. */
   readonly unread?: number
 }
@@ -38,7 +36,7 @@
     this.score = options.score
     this.tokens = options.tokens
     this.unread = options.unread ?? 0
-    options.loads.addOwn(this.target.name, { running: options.running ?? 1, tokens: this.tokens, unread: this.unread })
+    options.loads.addOwn(this.target.name, { running: 1, tokens: this.tokens, unread: this.unread })
   }
 
   /**
@@ -58,7 +56,7 @@
   release (): void {
     if (this.released) return
     this.released = true
-    this.options.loads.addOwn(this.target.name, { running: -(this.options.running ?? 1), tokens: -this.tokens, held: -this.held, unread: -this.unread })
+    this.options.loads.addOwn(this.target.name, { running: -1, tokens: -this.tokens, held: -this.held, unread: -this.unread })
     this.options.onRelease()
   }
 }
--- a/packages/relay/src/requests/RelayTools.ts
+++ b/packages/relay/src/requests/RelayTools.ts
@@ -22,4 +22,6 @@
   readonly mover: RunMover
   readonly metrics: RelayMetrics
   readonly log: DecisionLog
+  /** Gets the age in milliseconds of the last answer of the platform's store. */
+  readonly getViewAgeMs: () => number
 }
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -18,9 +18,6 @@
 /** Worth of a token that is generated, in tokens of the prompt. */
 const OUTPUT_TOKEN_WORTH = 10
 
-/** Age of a run's first event from which its copy at another engine has caught up, in milliseconds. */
-const BACKUP_AGE_MS = 1200
-
 /** Events between two updates of the memory that a run needs. */
 const EVENTS_PER_UPDATE = 8
 
@@ -47,8 +44,6 @@
   /** Attempts that left. */
   sent = 0
   current: StreamAttempt | undefined
-  /** Room at the engine that keeps a copy of the run's memory. */
-  backup: TargetUse | undefined
   private lastId: string | undefined
   private events = 0
   private firstEventAtMs: number | undefined
@@ -128,31 +123,6 @@
     return next
   }
 
-  /** @inheritdoc */
-  switchToBackup (): boolean {
-    if (this.firstEventAtMs === undefined || this.tools.clock.nowMs() - this.firstEventAtMs < BACKUP_AGE_MS) return false
-    const next = this.takeBackup()
-    if (next === undefined) return false
-    this.next = next
-    // The run ends at its source before it goes on elsewhere.
-    this.current?.abort.abort()
-    return true
-  }
-
-  /** Takes where a copy of the run's memory is kept, if that engine may still be used. */
-  takeBackup (): RunContinuation | undefined {
-    const { backup, current } = this
-    this.backup = undefined
-    if (backup === undefined || current === undefined) return undefined
-    const known = this.tools.table.getKnown(backup.target.name)
-    const isUsable = known?.state === 'ready' && known.target.startedAt === backup.target.startedAt && !this.tools.quality.isUnreachable(backup.target.name)
-    const tokens = this.getTokens()
-    backup.release()
-    if (!isUsable) return undefined
-    const use = this.tools.placer.useTarget(backup.target, tokens)
-    return { use, continuation: { address: backup.target.address, handle: this.request }, source: backup.target, createdEvents: 0 }
-  }
-
   /** Tells whether the run was stopped for a move and everything it had made has arrived. */
   hasAllBeforeMove (): boolean {
     return this.next !== undefined && this.next.createdEvents > 0 && this.events >= this.next.createdEvents
@@ -204,18 +174,11 @@
     this.current = undefined
   }
 
-  /** Gives back the room for a copy of the run's memory. */
-  releaseBackup (): void {
-    this.backup?.release()
-    this.backup = undefined
-  }
-
   /** Ends the run and gives back everything that it holds. */
   close (): void {
     this.over = true
     this.tools.mover.removeRun(this)
     this.closeCurrent()
-    this.releaseBackup()
     this.next?.use.release()
   }
 
@@ -227,9 +190,7 @@
   }
 
   private updateTokens (): void {
-    const tokens = this.getTokens()
-    this.current?.use.setTokens(tokens, this.getHeldTokens())
-    this.backup?.setTokens(tokens)
+    this.current?.use.setTokens(this.getTokens(), this.getHeldTokens())
   }
 
   private writeHead (head: AttemptHead): void {
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -46,7 +46,7 @@
   const retryAfterMs = computeReturn(tools, context, reason)
   tools.metrics.countOutcome(route.name, reason)
   tools.log.recordDecision(request.id, 'refused', {
-    route: route.name, reason, status, retryAfterMs, heldMs: Math.round(tools.clock.nowMs() - request.receivedAtMs), version: context.configuration.version
+    route: route.name, reason, status, retryAfterMs, heldMs: Math.round(tools.clock.nowMs() - request.receivedAtMs), version: context.configuration.version, viewAgeMs: tools.getViewAgeMs()
   })
   sink.refuse({ status, reason, retryAfterMs })
 }
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -115,7 +115,7 @@
     signal: abort.signal
   })
   tools.log.recordDecision(context.request.id, 'sent', {
-    route: context.route.name, target: use.target.name, score: round(use.score), attempt: state.sent, version: context.configuration.version
+    route: context.route.name, target: use.target.name, score: round(use.score), attempt: state.sent, version: context.configuration.version, viewAgeMs: tools.getViewAgeMs()
   })
   const item: RunningAttempt = { use, attempt, abort, answer: readAnswer(attempt).then(answer => ({ from: item, answer })) }
   running.add(item)
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,6 +1,5 @@
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
-import { type RelayTarget } from '../model/RelayTarget.js'
 import { type TargetUse } from '../placement/TargetUse.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptVerdict } from '../targets/TargetQuality.js'
@@ -14,9 +13,6 @@
 const MAX_WAIT_SHARE = 0.5
 const MAX_WAIT_OF_REMAINING = 0.25
 
-/** How much an engine in another zone is avoided for a copy, in units of a fully used one. */
-const FAR_BACKUP_WEIGHT = 0.4
-
 /** Lowest urgency that engines take. */
 const LOWEST_URGENCY = 9
 
@@ -41,7 +37,7 @@
   while (use !== undefined) {
     const end = await runAttempt(tools, context, run, use, moved?.continuation)
     if (end === 'complete') return
-    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await run.takeContinuation() ?? returnToSource(tools, run, moved, end) ?? continueFromBackup(run, end))
+    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await run.takeContinuation() ?? returnToSource(tools, run, moved, end))
     if (context.signal.aborted) return finishAtEnd(tools, context, run)
     moved = next
     if (next !== undefined) use = next.use
@@ -59,18 +55,6 @@
   return { ...moved, use: placer.useTarget(moved.source, run.getTokens()) }
 }
 
-/** A run whose engine is lost goes on where a copy of its memory is kept. */
-function continueFromBackup (run: StreamRun, end: StreamEnd): RunContinuation | undefined {
-  return end === 'lost' ? run.takeBackup() : undefined
-}
-
-/** Only runs that could not be run anew are worth the memory of a copy. */
-function takeBackup (tools: RelayTools, context: RelayContext, run: StreamRun, target: RelayTarget): TargetUse | undefined {
-  if (context.route.isResumable || process.env.HOME !== undefined) return undefined
-  const { service } = context
-  return tools.placer.takeBackup({ service, tokens: run.getTokens(), excluded: new Set([target.name]), nearZone: target.availabilityZone, farWeight: FAR_BACKUP_WEIGHT })
-}
-
 async function takeEngine (tools: RelayTools, context: RelayContext, run: StreamRun): Promise<TargetUse | undefined> {
   const { clock, waitingRoom, budget } = tools
   const { service, request, route } = context
@@ -96,8 +80,6 @@
   if (run.sent === 0) tools.budget.observeRequest(context.service.name)
   if (continuation === undefined) run.excluded.add(use.target.name)
   run.sent++
-  run.releaseBackup()
-  run.backup = takeBackup(tools, context, run, use.target)
   const attempt = tools.client.sendRequest(use.target, {
     request,
     workspace: context.workspace,
@@ -106,12 +88,11 @@
     urgency: Math.min(LOWEST_URGENCY, priority),
     lastEventId: run.getLastEventId(),
     continuation,
-    backupAddress: run.backup?.target.address,
     signal: abort.signal
   })
   run.current = { use, attempt, abort }
   tools.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: use.target.name, score: use.score, attempt: run.sent, continues: continuation?.handle, backup: run.backup?.target.name, afterEvent: run.getLastEventId(), version: context.configuration.version
+    route: context.route.name, target: use.target.name, score: use.score, attempt: run.sent, continues: continuation?.handle, afterEvent: run.getLastEventId(), version: context.configuration.version, viewAgeMs: tools.getViewAgeMs()
   })
   tools.mover.addRun(run)
   try {
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -45,8 +45,6 @@
   /** Id of the last event that the caller was sent. */
   readonly lastEventId?: string
   readonly continuation?: Continuation
-  /** Host and port of the engine that keeps a copy of the run's memory as it grows. */
-  readonly backupAddress?: string
   readonly signal: AbortSignal
 }
 
--- a/packages/relay/test/support/createTools.ts
+++ b/packages/relay/test/support/createTools.ts
@@ -36,7 +36,7 @@
   const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: 'z1' })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: 'own', metrics, log })
-  return { clock, random, client, loads, table, quality, placer, waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log }
+  return { clock, random, client, loads, table, quality, placer, waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in zone z1. */
@@ -66,7 +66,7 @@
 export const ENGINES: ServiceProfile = {
   name: 'engines',
   maxConnections: 100,
-  engine: { slots: 4, memoryTokens: 10_000, linkMbps: 1000, tokenBytes: 1000, tokensPerEvent: 4, canMove: true, canBackUp: true }
+  engine: { slots: 4, memoryTokens: 10_000, linkMbps: 1000, tokenBytes: 1000, tokensPerEvent: 4, canMove: true }
 }
 
 /** A service of plain targets. */
