Compile validators of peer messages when they are first needed

Cause: a start took 0.7 s of processor time, of which the validators of all schemas and the check of the schemas themselves took 160 ms; a restart is charged in full, and all instances may start at once. Ruled out: precompiled validators, which need a generator of their own.

--- a/packages/peers/src/framing/MessageCodec.ts
+++ b/packages/peers/src/framing/MessageCodec.ts
@@ -72,11 +72,20 @@
   const validators = new Map<unknown, Validator<AnyPeerMessage>>()
   for (const [name, definition] of Object.entries(peerSchema.definitions)) {
     const type = findTypeName(definition)
-    if (type !== undefined) validators.set(type, createValidator('peer', name))
+    if (type !== undefined) validators.set(type, createLazyValidator(name))
   }
   return validators
 }
 
+/** Compiles the schema of a message when the first one arrives: most instances never receive most types. */
+function createLazyValidator (definition: string): Validator<AnyPeerMessage> {
+  let validate: Validator<AnyPeerMessage> | undefined
+  return value => {
+    validate ??= createValidator('peer', definition)
+    return validate(value)
+  }
+}
+
 function findTypeName (definition: object): unknown {
   const { properties } = definition as { properties?: { type?: { const?: unknown } } }
   return properties?.type?.const
