Tell peers of work ten at a time, and test the parts of the relay

Change: an instance tells ten peers by turns, so that its cost does not grow with the fleet. Ruled out: telling fewer times a second, which would make news of prompts too old on the small sites.

--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -31,6 +31,9 @@
 /** Interval at which peers are told although nothing changed, in milliseconds. */
 const REFRESH_MS = 1000
 
+/** Peers told at once. */
+const MAX_TOLD = 10
+
 /** Longest wait for the confirmation of a peer in milliseconds. */
 const ANSWER_MS = 1000
 
@@ -48,6 +51,7 @@
   private toldAtMs = -Infinity
   private toldRevision = 0
   private isTelling = false
+  private turn = 0
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
@@ -90,12 +94,20 @@
     return isChanged || clock.nowMs() - this.toldAtMs >= REFRESH_MS
   }
 
+  /** Takes the next peers by turns, so that the cost of an instance does not grow with the fleet. */
+  private takePeers (): string[] {
+    const peers = this.options.listPeers()
+    if (peers.length <= MAX_TOLD) return [...peers]
+    this.turn = (this.turn + MAX_TOLD) % peers.length
+    return Array.from({ length: MAX_TOLD }, (_, index) => peers[(this.turn + index) % peers.length]!)
+  }
+
   private tellPeers (): void {
-    const { clock, transport, loads, listPeers, getRevision, observeRevision } = this.options
+    const { clock, transport, loads, getRevision, observeRevision } = this.options
     this.toldAtMs = clock.nowMs()
     this.toldRevision = getRevision()
     const entries = [...loads.listOwn()].map(([target, load]) => formatWork(target, load))
-    for (const peer of listPeers()) {
+    for (const peer of this.takePeers()) {
       transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries }, ANSWER_MS).then(answer => {
         if (answer.isOk) observeRevision(peer, answer.value.revision)
       })
--- /dev/null
+++ b/packages/relay/test/budget/AttemptBudget.test.ts
@@ -0,0 +1,43 @@
+import { VirtualClock } from '@fescuespoke/common'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { AttemptBudget, type AttemptPurpose } from '../../src/budget/AttemptBudget.js'
+
+interface Options {
+  readonly requests?: number
+  readonly instances?: number
+  readonly purpose?: AttemptPurpose
+  /** Time between the requests and the attempts in milliseconds. */
+  readonly laterMs?: number
+}
+
+/** Returns how many attempts are granted with a ratio of 0.2 and 50 besides. */
+function doTest ({ requests = 0, instances = 1, purpose = 'retry', laterMs = 0 }: Options): number {
+  const clock = VirtualClock.create()
+  const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, countInstances: () => instances })
+  for (let count = 0; count < requests; count++) budget.observeRequest('s')
+  clock.jump(laterMs)
+  let granted = 0
+  while (budget.takeAttempt('s', purpose)) granted++
+  return granted
+}
+
+describe('AttemptBudget', () => {
+  it('grants a part of what is allowed besides', () => expect(doTest({})).toBe(30))
+  it('grants more for more requests', () => expect(doTest({ requests: 100 })).toBe(42))
+  it('keeps some for moves', () => expect(doTest({ purpose: 'move' })).toBe(47))
+  it('forgets requests after a window', () => expect(doTest({ requests: 100, laterMs: 11_000 })).toBe(30))
+
+  it('never lets all instances together exceed what is allowed', () => {
+    fc.assert(fc.property(fc.array(fc.nat(200), { minLength: 1, maxLength: 12 }), requests => {
+      const granted = requests.reduce((sum, count) => sum + doTest({ requests: count, instances: requests.length, purpose: 'move' }), 0)
+      expect(granted).toBeLessThanOrEqual(0.2 * requests.reduce((sum, count) => sum + count, 0) + 50)
+    }))
+  })
+
+  it('counts services apart', () => {
+    const clock = VirtualClock.create()
+    const budget = AttemptBudget.create({ clock, limits: { ratio: 0, extra: 2, windowMs: 10_000 }, countInstances: () => 1 })
+    expect([budget.takeAttempt('a', 'retry'), budget.takeAttempt('a', 'retry'), budget.takeAttempt('b', 'retry')]).toEqual([true, false, true])
+  })
+})
--- /dev/null
+++ b/packages/relay/test/published/PublishedFollower.test.ts
@@ -0,0 +1,89 @@
+import { createLogger, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { DecisionLog } from '../../src/logs/DecisionLog.js'
+import { PublishedFollower } from '../../src/published/PublishedFollower.js'
+import { type PublishedChanges, type PublishedError, type PublishedPage, type PublishedSource } from '../../src/published/PublishedItem.js'
+import { PublishedView } from '../../src/published/PublishedView.js'
+
+type Page = Result<PublishedPage, PublishedError>
+type Changes = Result<PublishedChanges, PublishedError>
+
+interface Seen {
+  readonly view: PublishedView
+  readonly calls: string[]
+  readonly follower: PublishedFollower
+  readonly asked: number
+}
+
+const page = (revision: number, ...keys: string[]): Page => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
+const changes = (revision: number, ...keys: string[]): Changes => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
+
+/** Follows a scripted source for a time; a watch beyond its script waits until its end. */
+async function doTest (pages: Page[], watches: Changes[], forMs = 100): Promise<Seen> {
+  const clock = VirtualClock.create()
+  const view = PublishedView.create()
+  const calls: string[] = []
+  let asked = 0
+  const source: PublishedSource = {
+    fetchPage: async after => {
+      calls.push(`page after '${after}'`)
+      return pages.shift() ?? Result.err('unreachable')
+    },
+    watchChanges: async (after, waitMs, signal) => {
+      calls.push(`watch after ${after}`)
+      const next = watches.shift()
+      if (next !== undefined) return next
+      await clock.sleep(waitMs, signal)
+      return Result.ok({ items: [], revision: after })
+    }
+  }
+  const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+  const askPeers = async (): Promise<boolean> => {
+    asked++
+    return false
+  }
+  const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers })
+  follower.run()
+  await clock.advance(forMs)
+  follower.stop()
+  return { view, calls, follower, asked }
+}
+
+describe('PublishedFollower', () => {
+  it('reads all pages, then watches from the revision of the first', async () => {
+    const first: Page = Result.ok({ revision: 5, items: [{ key: 'a', revision: 1, value: 'a' }], nextAfter: 'a' })
+    const { view, calls } = await doTest([first, page(9, 'b')], [])
+    expect(view.listItems().map(({ key }) => key)).toEqual(['a', 'b'])
+    expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5'])
+  })
+
+  it('goes on from the revision of each answer', async () => {
+    const { calls } = await doTest([page(5, 'a')], [changes(6), changes(8, 'b')])
+    expect(calls).toEqual(["page after ''", 'watch after 5', 'watch after 6', 'watch after 8'])
+  })
+
+  it('reads all anew when the history is gone, and takes what is absent as deleted', async () => {
+    const { view } = await doTest([page(5, 'a', 'b'), page(9, 'b')], [changes(6), Result.err('compacted')])
+    expect(view.listItems().map(({ key }) => key)).toEqual(['b'])
+  })
+
+  it('keeps what it knows and asks peers while the store does not answer', async () => {
+    const { view, asked, follower } = await doTest([page(5, 'a')], [changes(6), Result.err('refused'), Result.err('timeout')], 100)
+    expect(view.listItems().map(({ key }) => key)).toEqual(['a'])
+    expect(asked).toBeGreaterThan(0)
+    expect(follower.getCalmMs()).toBe(0)
+  })
+
+  it('knows since when the store has been well', async () => {
+    const { follower } = await doTest([page(5, 'a')], [changes(6), Result.err('refused')], 3000)
+    expect(follower.getCalmMs()).toBeGreaterThan(0)
+    expect(follower.getCalmMs()).toBeLessThan(3000)
+  })
+
+  it('does not press a store that is away', async () => {
+    const { calls } = await doTest([], [], 4000)
+    expect(calls.length).toBeLessThan(20)
+    expect(calls.length).toBeGreaterThan(3)
+  })
+})
--- /dev/null
+++ b/packages/relay/test/targets/TargetTable.test.ts
@@ -0,0 +1,64 @@
+import { VirtualClock } from '@fescuespoke/common'
+import { describe, expect, it } from 'vitest'
+import { TargetTable } from '../../src/targets/TargetTable.js'
+import { createTarget } from '../support/createTools.js'
+
+interface Options {
+  /** Time since the store was last in trouble, in milliseconds. */
+  readonly calmMs?: number
+}
+
+/** Acts on a table with targets a and b, and returns the usable ones and what listeners saw. */
+function doTest (act: (table: TargetTable, clock: VirtualClock) => void, { calmMs = 60_000 }: Options = {}): { usable: string[], seen: string[] } {
+  const clock = VirtualClock.create()
+  const table = TargetTable.create({ clock, getStoreCalmMs: () => calmMs })
+  const seen: string[] = []
+  table.observeTarget(createTarget('a'))
+  table.observeTarget(createTarget('b'))
+  table.addListener(({ target, state }, before) => seen.push(`${target.name}: ${before ?? 'unknown'} to ${state}`))
+  act(table, clock)
+  return { usable: table.listUsable('calls').map(({ target }) => target.name), seen }
+}
+
+describe('TargetTable', () => {
+  it('uses ready targets', () => {
+    expect(doTest(() => undefined)).toEqual({ usable: ['a', 'b'], seen: [] })
+  })
+
+  it('uses none that leaves', () => {
+    expect(doTest(table => table.observeTarget(createTarget('a', { phase: 'leaving' })))).toEqual({ usable: ['b'], seen: ['a: ready to leaving'] })
+  })
+
+  it('takes a removed entry as gone while the store is well', () => {
+    expect(doTest(table => table.observeRemoval('a'))).toEqual({ usable: ['b'], seen: ['a: ready to gone'] })
+  })
+
+  it('takes a removed entry as missing during trouble, and uses it only where no other is ready', () => {
+    expect(doTest(table => table.observeRemoval('a'), { calmMs: 0 }).usable).toEqual(['b'])
+    expect(doTest(table => { table.observeRemoval('a'); table.observeRemoval('b') }, { calmMs: 0 }).usable).toEqual(['a', 'b'])
+  })
+
+  it('takes a missing entry as gone after its time', () => {
+    expect(doTest((table, clock) => {
+      table.observeRemoval('a')
+      clock.jump(1600)
+      table.settle()
+    }, { calmMs: 0 }).seen).toEqual(['a: ready to missing', 'a: missing to gone'])
+  })
+
+  it('uses a missing target again when its entry is back', () => {
+    expect(doTest(table => { table.observeRemoval('a'); table.observeTarget(createTarget('a')) }, { calmMs: 0 }).usable).toEqual(['a', 'b'])
+  })
+
+  it('takes a target that leaves as gone at once when its entry is removed, also during trouble', () => {
+    expect(doTest(table => { table.observeTarget(createTarget('a', { phase: 'leaving' })); table.observeRemoval('a') }, { calmMs: 0 }).seen).toEqual(['a: ready to leaving', 'a: leaving to gone'])
+  })
+
+  it('tells of a target that started again under its name', () => {
+    expect(doTest(table => table.observeTarget(createTarget('a', { startedAt: 2 }))).seen).toEqual(['a: ready to ready'])
+  })
+
+  it('ignores the removal of a target that it never knew', () => {
+    expect(doTest(table => table.observeRemoval('z')).seen).toEqual([])
+  })
+})
--- a/packages/schema/src/validation/createValidator.ts
+++ b/packages/schema/src/validation/createValidator.ts
@@ -61,7 +61,8 @@
 function getCompiler (schema: SchemaName): Ajv {
   const known = compilers.get(schema)
   if (known !== undefined) return known
-  const compiler = new Ajv({ validateSchema: false,
+  const compiler = new Ajv({
+    validateSchema: false,
     allErrors: !FIRST_MISTAKE_SCHEMAS.has(schema),
     strict: false,
     verbose: true,
