--- a/packages/relay/src/placement/TargetUse.ts
+++ b/packages/relay/src/placement/TargetUse.ts
@@ -13,6 +13,9 @@
   readonly unread?: number
 }
 
+/** Steps of a whole to which scores are rounded for the log. */
+const SCORE_STEPS = 1000
+
 /** The use of one target by one request; it counts as load until released. */
 export class TargetUse {
   /**
@@ -33,7 +36,7 @@
   /** @internal */
   private constructor (private readonly options: TargetUseOptions) {
     this.target = options.target
-    this.score = options.score
+    this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
     this.tokens = options.tokens
     this.unread = options.unread ?? 0
     options.loads.addOwn(this.target.name, { running: 1, tokens: this.tokens, unread: this.unread })
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -115,7 +115,7 @@
     signal: abort.signal
   })
   tools.log.recordDecision(context.request.id, 'sent', {
-    route: context.route.name, target: use.target.name, score: round(use.score), attempt: state.sent, version: context.configuration.version, viewAgeMs: tools.getViewAgeMs()
+    route: context.route.name, target: use.target.name, score: use.score, attempt: state.sent, version: context.configuration.version, viewAgeMs: tools.getViewAgeMs()
   })
   const item: RunningAttempt = { use, attempt, abort, answer: readAnswer(attempt).then(answer => ({ from: item, answer })) }
   running.add(item)
@@ -263,7 +263,3 @@
 function describeAnswer ({ use }: RunningAttempt, answer: CallAnswer, worth: AnswerWorth): Record<string, unknown> {
   return { target: use.target.name, outcome: worth, status: answer.kind === 'answer' ? answer.head.status : undefined }
 }
-
-function round (value: number): number {
-  return Math.round(value * 1000) / 1000
-}
