Model a generation that is moved to another engine

Cause: the hand-over of a running generation is the one place of the platform's path where two engines could run one request. Ruled out: putting it into the requests model, whose states would multiply.

--- a/packages/model/src/explore/models.ts
+++ b/packages/model/src/explore/models.ts
@@ -1,4 +1,5 @@
 import { configurationModel } from '../configuration/configurationModel.js'
+import { movesModel } from '../moves/movesModel.js'
 import { ordersModel } from '../orders/ordersModel.js'
 import { repliesModel } from '../replies/repliesModel.js'
 import { requestsModel } from '../requests/requestsModel.js'
@@ -6,4 +7,4 @@
 import { type Model } from './Model.js'
 
 /** All models, each with states of its own. */
-export const MODELS: ReadonlyArray<Model<any>> = [requestsModel, repliesModel, configurationModel, ordersModel, targetsModel]
+export const MODELS: ReadonlyArray<Model<any>> = [requestsModel, repliesModel, configurationModel, ordersModel, targetsModel, movesModel]
--- a/packages/model/test/explore/mutants.test.ts
+++ b/packages/model/test/explore/mutants.test.ts
@@ -41,6 +41,11 @@
         "targets without checkBeforeSend: heardLeavingGetsNothingNew",
         "targets without leavingWins: heardLeavingGetsNothingNew",
         "targets without leavingFromAnySource: heardLeavingGetsNothingNew",
+        "moves without stopFirst: notTwice",
+        "moves without fromLastEvent: inOrder",
+        "moves without refusedOnly: notTwice",
+        "moves without neverAnew: oneRun",
+        "moves without wholeOnly: wholeWhenComplete",
       ]
     `)
   })
