--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -2,6 +2,7 @@
 import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
+import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 
 /** Options of the peers of a relay instance. */
@@ -44,6 +45,7 @@
 
   private readonly network: PeerNetwork
   private readonly membership: Membership
+  private group: InstanceGroup | undefined
   private largest = { count: 1, atMs: -Infinity }
 
   /** @internal */
@@ -99,6 +101,17 @@
     return this.membership.listAlive().filter(name => name !== own)
   }
 
+  /** Gets the instances that tell one another of their work. */
+  getGroup (): InstanceGroup {
+    this.group ??= computeGroup(this.getOwn(), this.membership.listMembers().filter(({ state }) => state === 'alive'))
+    return this.group
+  }
+
+  /** Lists the other instances of the group. */
+  listGroupPeers (): readonly string[] {
+    return this.getGroup().instances.filter(name => name !== this.options.identity.peerAddress)
+  }
+
   /** Counts the instances of the fleet: the most that were seen lately, so that a partition does not raise shares. */
   countFleet (): number {
     const { clock } = this.options
@@ -132,8 +145,14 @@
     await this.network.close()
   }
 
+  private getOwn (): ZonedInstance {
+    const { peerAddress, availabilityZone } = this.options.identity
+    return { instance: peerAddress, availabilityZone }
+  }
+
   private observeChange ({ instance, state }: Member, cause: string, before: string | undefined): void {
     this.options.log.recordBelief('peer changed', { peer: instance, before, state, cause })
+    this.group = undefined
     if (state === 'dead') this.options.onGone(instance)
   }
 }
--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -12,6 +12,7 @@
 import { type RelayTools } from '../requests/RelayTools.js'
 import { TargetQuality } from '../targets/TargetQuality.js'
 import { TargetTable } from '../targets/TargetTable.js'
+import { pickGroupTargets } from './computeGroup.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
 import { RelayPeers } from './RelayPeers.js'
 
@@ -42,7 +43,15 @@
   const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers() })
   const table = TargetTable.create({ clock, getStoreCalmMs: () => follower.getCalmMs() })
   const quality = TargetQuality.create(clock)
-  const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: options.identity.availabilityZone })
+  const placer = RelayPlacer.create({
+    clock,
+    random,
+    table,
+    loads,
+    quality,
+    availabilityZone: options.identity.availabilityZone,
+    pickPreferred: targets => pickGroupTargets(peers.getGroup(), options.identity.availabilityZone, targets)
+  })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => peers.countFleet() })
   table.addListener(({ target, state }, before) => {
     if (state === 'gone') client.forgetTarget(target)
@@ -54,7 +63,7 @@
     clock,
     transport,
     loads,
-    listPeers,
+    listPeers: () => peers.listGroupPeers(),
     getRevision: () => view.getRevision(),
     observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
     onChange: () => placer.notifyRoom()
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -68,7 +68,7 @@
   }
 
   private readonly runs = new Set<MovableRun>()
-  private readonly moving = new Map<string, Set<MovableRun>>()
+  private readonly moving = new Set<MovableRun>()
   /** Name of the engine off which a move of the run was tried last, so that a move that failed is not begun again at once. */
   private readonly tried = new WeakMap<MovableRun, string>()
 
@@ -102,10 +102,8 @@
   rescueRun (run: MovableRun): void {
     const known = this.options.table.getKnown(run.getTargetName() ?? '')
     if (known === undefined || this.isMoving(run) || run.service.engine?.canMove !== true) return
-    const moving = this.getMoving(known.target.name)
-    moving.add(run)
     // A stalled run is stopped at once: nothing of it reaches the caller meanwhile.
-    this.moveRun(run, known.target, this.options.clock.nowMs() - PATIENCE_MS).finally(() => { moving.delete(run) })
+    this.startMove(run, known.target, this.options.clock.nowMs() - PATIENCE_MS)
   }
 
   /**
@@ -113,8 +111,7 @@
    * @param run - The run.
    */
   isMoving (run: MovableRun): boolean {
-    for (const moving of this.moving.values()) if (moving.has(run)) return true
-    return false
+    return this.moving.has(run)
   }
 
   private observeTarget ({ target, state, sinceMs }: KnownTarget): void {
@@ -122,17 +119,10 @@
     this.moveRuns(target, sinceMs)
   }
 
-  private getMoving (target: string): Set<MovableRun> {
-    const moving = this.moving.get(target) ?? new Set()
-    this.moving.set(target, moving)
-    return moving
-  }
-
   /** The runs of this instance are moved one after the other, when it is its turn on the engine's link. */
   private async moveRuns (source: RelayTarget, sinceMs: number): Promise<void> {
     const { clock } = this.options
-    const moving = this.getMoving(source.name)
-    const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source, moving))
+    const waiting = [...this.runs].filter(run => run.getTargetName() === source.name && this.mayMove(run, source))
     const profile = waiting[0]?.service.engine
     if (profile === undefined) return
     for (const run of waiting) this.tried.set(run, source.name)
@@ -160,15 +150,14 @@
   }
 
   private async startMove (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<MoveResult> {
-    const moving = this.getMoving(source.name)
-    moving.add(run)
+    this.moving.add(run)
     const result = await this.moveRun(run, source, sinceMs)
-    moving.delete(run)
+    this.moving.delete(run)
     return result
   }
 
-  private mayMove (run: MovableRun, source: RelayTarget, moving: Set<MovableRun>): boolean {
-    return run.service.engine?.canMove === true && !moving.has(run) && this.tried.get(run) !== source.name
+  private mayMove (run: MovableRun, source: RelayTarget): boolean {
+    return run.service.engine?.canMove === true && !this.moving.has(run) && this.tried.get(run) !== source.name
   }
 
   private async moveRun (run: MovableRun, source: RelayTarget, sinceMs: number): Promise<MoveResult> {
@@ -238,7 +227,7 @@
     const startedMs = clock.nowMs()
     const copy = await client.copyRun({ request: run.request, from: source, to: use.target, isLast, timeoutMs: COPY_TIMEOUT_MS })
     const outcome = copy.isOk ? 'copied' : copy.error.reason
-    log.recordDecision(run.request, 'run copied', { source: source.name, destination: use.target.name, isLast, outcome, tookMs: Math.round(clock.nowMs() - startedMs) })
+    log.recordDecision(run.request, 'run copied', { source: source.name, destination: use.target.name, isLast, outcome, cause: copy.isErr ? copy.error.cause : undefined, tookMs: Math.round(clock.nowMs() - startedMs) })
     return copy
   }
 }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -15,6 +15,11 @@
   readonly loads: TargetLoads
   readonly quality: TargetQuality
   readonly availabilityZone: string
+  /**
+   * Picks the engines whose load this instance knows well.
+   * @param targets - All engines of a service that may be used.
+   */
+  readonly pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>
 }
 
 /** What a target is wanted for. */
@@ -54,7 +59,9 @@
   takeTarget (need: TargetNeed): TargetUse | undefined {
     const { service, tokens, excluded, farWeight } = need
     const { random, table } = this.options
-    const options = table.listUsable(service.name).filter(({ target }) => !excluded.has(target.name)).map(known => this.describeOption(known, need.nearZone ?? this.options.availabilityZone))
+    const usable = table.listUsable(service.name)
+    const describe = this.createDescriber(usable, need)
+    const options = usable.filter(({ target }) => !excluded.has(target.name)).map(describe)
     const choice = service.engine === undefined ? pickCallTarget(options, random) : pickEngine(options, { profile: service.engine, tokens, random, farWeight, waitsForPrompts: need.unread !== undefined })
     return choice === undefined ? undefined : this.useTarget(choice.known.target, tokens, { score: choice.score, unread: need.unread })
   }
@@ -90,16 +97,19 @@
     for (const listener of this.listeners) listener()
   }
 
-  private describeOption (known: KnownTarget, nearZone: string): TargetOption {
-    const { clock, loads, quality } = this.options
-    const { name } = known.target
-    return {
+  private createDescriber (usable: readonly KnownTarget[], { nearZone, service }: TargetNeed): (known: KnownTarget) => TargetOption {
+    const { clock, loads, quality, availabilityZone, pickPreferred } = this.options
+    const zone = nearZone ?? availabilityZone
+    const isNear = ({ target }: KnownTarget): boolean => target.availabilityZone === zone
+    const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
+    return known => ({
       known,
-      load: loads.getTotal(name),
-      failureShare: quality.getFailureShare(name),
-      isUnreachable: quality.isUnreachable(name),
+      load: loads.getTotal(known.target.name),
+      failureShare: quality.getFailureShare(known.target.name),
+      isUnreachable: quality.isUnreachable(known.target.name),
       isSlow: clock.nowMs() < known.slowUntilMs,
-      isNear: known.target.availabilityZone === nearZone
-    }
+      isNear: isNear(known),
+      isPreferred: preferred?.has(known.target.name) ?? true
+    })
   }
 }
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -13,6 +13,8 @@
   /** Whether it still works slowly after its start. */
   readonly isSlow: boolean
   readonly isNear: boolean
+  /** Whether its load is known well: others that use it tell of their work. */
+  readonly isPreferred?: boolean
 }
 
 /** A choice with the score that decided it; lower is better. */
@@ -29,6 +31,9 @@
 const FAR_ENGINE_WEIGHT = 0.06
 const JITTER_WEIGHT = 0.04
 
+/** Weight of an engine in the zone that is left to other groups of instances. */
+const UNKNOWN_LOAD_WEIGHT = 0.6
+
 /** Weight of memory against running requests in the score of an engine. */
 const MEMORY_WEIGHT = 2
 
@@ -77,7 +82,7 @@
     const batch = option.load.running / profile.slots
     const memory = (option.load.tokens + tokens) / profile.memoryTokens
     const backlog = waitsForPrompts ? (option.load.unread ?? 0) / UNREAD_SCALE_TOKENS : 0
-    return batch + MEMORY_WEIGHT * memory + backlog + (option.isNear ? 0 : farWeight) + computePenalty(option, random)
+    return batch + MEMORY_WEIGHT * memory + backlog + (option.isNear ? 0 : farWeight) + (option.isPreferred === false ? UNKNOWN_LOAD_WEIGHT : 0) + computePenalty(option, random)
   })
 }
 
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -260,6 +260,6 @@
   refuseRequest(tools, context, isSent ? 'timeout' : 'timeoutNotRun')
 }
 
-function describeAnswer ({ use }: RunningAttempt, answer: CallAnswer, worth: AnswerWorth): Record<string, unknown> {
-  return { target: use.target.name, outcome: worth, status: answer.kind === 'answer' ? answer.head.status : undefined }
+function describeAnswer ({ use, attempt }: RunningAttempt, answer: CallAnswer, worth: AnswerWorth): Record<string, unknown> {
+  return { target: use.target.name, outcome: worth, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause() }
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -98,7 +98,7 @@
   try {
     const end = await readStream(tools, context, run)
     tools.quality.observeVerdict(use.target.name, VERDICTS[end])
-    tools.log.recordDecision(request.id, 'attempt ended', { target: use.target.name, outcome: end, afterEvent: run.getLastEventId() })
+    tools.log.recordDecision(request.id, 'attempt ended', { target: use.target.name, outcome: end, afterEvent: run.getLastEventId(), cause: attempt.getCause() })
     return end
   } finally {
     signal.removeEventListener('abort', forwardAbort)
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -56,6 +56,8 @@
   readBytes(): Promise<Result<Buffer | undefined, AttemptError>>
   /** Whether the request's first byte has left. */
   isSent(): boolean
+  /** Gets what the connection reported when the answer failed, for the log. */
+  getCause(): string | undefined
   /** Ends the attempt as lost: nothing came for too long. */
   giveUp(): void
 }
@@ -71,6 +73,8 @@
 export interface CopyError {
   readonly reason: 'noRun' | 'busy' | 'noRoom' | 'unreachable'
   readonly handle?: string
+  /** What the connection reported, for the log. */
+  readonly cause?: string
 }
 
 /** Options of copying a run. */
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -102,6 +102,10 @@
     return this.script.error !== 'notSent'
   }
 
+  getCause (): string | undefined {
+    return undefined
+  }
+
   giveUp (): void {
     this.finish('lost')
   }
