Keep requests for the first configuration after a restart

Change: a request waits for the first configuration, at most 2 s and 0.6 of the caller's time. Ruled out: listening later, since no other instance was there to go to; a smaller bundle (minified it starts no sooner).

--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -32,6 +32,13 @@
   name: 'none', host: '', prefix: '/', kind: 'once', timeoutMs: 1000, objectiveMs: 1000, priority: LOWEST_PRIORITY, services: [], maxAttempts: 0, isPublic: false, isResumable: false
 }
 
+/** Longest wait for the first configuration in milliseconds, and its share of the caller's time. */
+const MAX_START_WAIT_MS = 2000
+const START_WAIT_SHARE = 0.6
+
+/** Interval at which a request looks for the first configuration, in milliseconds. */
+const START_CHECK_MS = 25
+
 /** Takes requests in: finds their route and workspace, bounds their time, and runs them. */
 export class RelayService {
   /**
@@ -67,7 +74,7 @@
   }
 
   private async route (request: RelayRequest, sink: AnswerSink): Promise<void> {
-    const routes = this.options.getRoutes()
+    const routes = this.options.getRoutes() ?? await this.waitForRoutes(request, sink)
     if (routes === undefined) return this.refuse(request, sink, undefined, UNROUTED, 'notConfigured')
     const [path = ''] = request.path.split('?')
     const route = routes.findRoute(request.host, path).unwrapOr(undefined)
@@ -81,6 +88,17 @@
     await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority })
   }
 
+  /** A process that has just started knows its routes in a moment, unless the store and all peers are away. */
+  private async waitForRoutes (request: RelayRequest, sink: AnswerSink): Promise<RouteTable | undefined> {
+    const { clock, log } = this.options.tools
+    const maxMs = Math.min(MAX_START_WAIT_MS, (request.remainingMs ?? MAX_START_WAIT_MS) * START_WAIT_SHARE)
+    const endMs = request.receivedAtMs + maxMs
+    while (this.options.getRoutes() === undefined && clock.nowMs() < endMs && !sink.gone.aborted) await clock.sleep(START_CHECK_MS)
+    const routes = this.options.getRoutes()
+    log.recordDecision(request.id, 'waited for a configuration', { version: routes?.configuration.version, waitedMs: Math.round(clock.nowMs() - request.receivedAtMs) })
+    return routes
+  }
+
   private findHolder (routes: RouteTable, route: RelayRoute, key = ''): KeyHolder | undefined | 'unknownKey' {
     return routes.mustHaveKey(route) ? routes.findHolder(key).unwrapOr<KeyHolder | 'unknownKey'>('unknownKey') : undefined
   }
