Let few instances of a large fleet watch the store

Change: in a fleet of more than one group three instances of each group watch; they tell how current they are with the news of work, and the others rest as long as that is under 3 s; revisions are told with probes too.

--- a/packages/peers/src/framing/messageKeys.ts
+++ b/packages/peers/src/framing/messageKeys.ts
@@ -12,5 +12,5 @@
   'heldTokens', 'heldSequences', 'wantTokens', 'wantSequences',
   'heldMean', 'heldDeviation', 'totalTokens', 'totalSequences',
   'key', 'text', 'digest', 'keptDigest', 'afterKey', 'nextAfterKey', 'baseRevision', 'deleted', 'kept', 'baseVersion', 'removed',
-  'items', 'running', 'unreadTokens'
+  'items', 'running', 'unreadTokens', 'viewAgeMs'
 ]
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Logger, type PeerTransport, type Random } from '@fescuespoke/common'
+import { type Clock, type Logger, type PeerTransport, type Random, rankByRendezvous } from '@fescuespoke/common'
 import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
@@ -14,6 +14,8 @@
   readonly log: DecisionLog
   /** Gets the revision of the published keys that this instance knows. */
   readonly getRevision: () => number
+  /** Observes the revision of the published keys that a peer knows. */
+  readonly observeRevision: (peer: string, revision: number) => void
   /** Called when a peer is gone. */
   readonly onGone: (peer: string) => void
 }
@@ -30,6 +32,10 @@
 /** Time for which the highest number of instances seen counts as the size of the fleet, in milliseconds. */
 const FLEET_MEMORY_MS = 20_000
 
+/** Instances of a group that watch the store, and the key by which they are ranked. */
+const WATCHERS = 3
+const WATCHERS_KEY = 'watchers'
+
 /** Random bytes in the name of a run of the process. */
 const INCARNATION_BYTES = 9
 
@@ -68,7 +74,7 @@
       clock,
       random,
       getNews: () => ({ revision: options.getRevision(), listVersion: 0, listAgeMs: 0 }),
-      observeNews: () => {},
+      observeNews: (from, { revision }) => options.observeRevision(from, revision),
       limits: PROBE_LIMITS
     })
     this.membership.addListener(change => this.observeChange(change.member, change.cause, change.before))
@@ -107,6 +113,12 @@
     return this.group
   }
 
+  /** Tells whether this instance watches the store for its group; in a fleet of one group all do. */
+  isWatcher (): boolean {
+    const { instances, count } = this.getGroup()
+    return count === 1 || rankByRendezvous(WATCHERS_KEY, instances).slice(0, WATCHERS).includes(this.options.identity.peerAddress)
+  }
+
   /** Lists the other instances of the group. */
   listGroupPeers (): readonly string[] {
     return this.getGroup().instances.filter(name => name !== this.options.identity.peerAddress)
--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -9,6 +9,7 @@
 import { PublishedExchange } from '../published/PublishedExchange.js'
 import { PublishedFollower } from '../published/PublishedFollower.js'
 import { PublishedView } from '../published/PublishedView.js'
+import { ViewNews } from '../published/ViewNews.js'
 import { type RelayTools } from '../requests/RelayTools.js'
 import { TargetQuality } from '../targets/TargetQuality.js'
 import { TargetTable } from '../targets/TargetTable.js'
@@ -26,6 +27,9 @@
   readonly tools: RelayTools
 }
 
+/** Age of the store's latest answer to a watcher up to which others rely on it, in milliseconds. */
+const MAX_NEWS_AGE_MS = 3000
+
 /**
  * Creates the parts of a relay instance and joins them.
  * @param options - Options of the instance.
@@ -36,11 +40,12 @@
   const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
   const view = PublishedView.create()
   const loads = TargetLoads.create(clock)
-  const peers = RelayPeers.create({ ...options, log, getRevision: () => view.getRevision(), onGone: peer => loads.forgetPeer(peer) })
+  const peers = RelayPeers.create({ ...options, log, getRevision: () => view.getRevision(), observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) }, onGone: peer => loads.forgetPeer(peer) })
   const { transport } = peers
+  const viewNews = ViewNews.create(clock)
   const listPeers = (): readonly string[] => peers.listOthers()
   const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
-  const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers() })
+  const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers(), mayRest: () => !peers.isWatcher() && viewNews.getAgeMs() < MAX_NEWS_AGE_MS })
   const table = TargetTable.create({ clock, getStoreCalmMs: () => follower.getCalmMs() })
   const quality = TargetQuality.create(clock)
   const placer = RelayPlacer.create({
@@ -66,6 +71,8 @@
     listPeers: () => peers.listGroupPeers(),
     getRevision: () => view.getRevision(),
     observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
+    getViewAgeMs: () => follower.isWell() ? Math.round(follower.getAgeMs()) : undefined,
+    observeViewAge: ageMs => viewNews.observeAnswer(ageMs),
     onChange: () => placer.notifyRoom()
   })
   return { log, view, follower, loadExchange, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -17,6 +17,10 @@
    * @param revision - The revision.
    */
   readonly observeRevision: (peer: string, revision: number) => void
+  /** Gets the age of the store's last answer to this instance in milliseconds; absent when it does not answer. */
+  readonly getViewAgeMs?: () => number | undefined
+  /** Observes the age of the store's last answer to a peer. */
+  readonly observeViewAge?: (ageMs: number) => void
   /** Called after peers told something new of their work. */
   readonly onChange: () => void
   /** Shortest interval at which peers are told of changes, in milliseconds. */
@@ -55,7 +59,8 @@
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
-    options.transport.setHandler('loadNews', ({ entries, revision }, from) => {
+    options.transport.setHandler('loadNews', ({ entries, revision, viewAgeMs }, from) => {
+      if (viewAgeMs !== undefined) options.observeViewAge?.(viewAgeMs)
       options.loads.observePeer(from, new Map(entries.map(work => [work.target, parseWork(work)])))
       options.observeRevision(from, revision)
       options.onChange()
@@ -103,12 +108,12 @@
   }
 
   private tellPeers (): void {
-    const { clock, transport, loads, getRevision, observeRevision } = this.options
+    const { clock, transport, loads, getRevision, getViewAgeMs, observeRevision } = this.options
     this.toldAtMs = clock.nowMs()
     this.toldRevision = getRevision()
     const entries = [...loads.listOwn()].map(([target, load]) => formatWork(target, load))
     for (const peer of this.takePeers()) {
-      transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries }, ANSWER_MS).then(answer => {
+      transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries, viewAgeMs: getViewAgeMs?.() }, ANSWER_MS).then(answer => {
         if (answer.isOk) observeRevision(peer, answer.value.revision)
       })
     }
--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -13,6 +13,8 @@
   readonly log: DecisionLog
   /** Longest wait of one watch in milliseconds. */
   readonly watchMs?: number
+  /** Tells whether peers watch for this instance at present. */
+  readonly mayRest?: () => boolean
   /** Fetches what a peer knows when the store does not answer; returns whether a peer answered. */
   readonly askPeers?: () => Promise<boolean>
 }
@@ -23,6 +25,9 @@
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 800
 
+/** Interval at which an instance that rests looks whether it still may, in milliseconds. */
+const REST_MS = 200
+
 /** Pages of one complete reading; a longer one is given up. */
 const MAX_PAGES = 200
 
@@ -49,6 +54,10 @@
   /** Runs until stopped. */
   async run (): Promise<void> {
     while (!this.stopping.signal.aborted) {
+      if (this.canRest()) {
+        await this.options.clock.sleep(REST_MS, this.stopping.signal)
+        continue
+      }
       const outcome = this.mustRead ? await this.readAll() : await this.watch()
       if (this.stopping.signal.aborted) return
       if (outcome.isOk) this.observeAnswer()
@@ -56,6 +65,11 @@
     }
   }
 
+  /** Tells whether the store answered the last call. */
+  isWell (): boolean {
+    return this.failures === 0 && !this.mustRead
+  }
+
   /** Gets the age in milliseconds of the last answer of the store. */
   getAgeMs (): number {
     return this.options.clock.nowMs() - this.confirmedAtMs
@@ -77,6 +91,10 @@
     this.watching.abort()
   }
 
+  private canRest (): boolean {
+    return !this.mustRead && this.options.mayRest?.() === true
+  }
+
   private async readAll (): Promise<Result<unknown, PublishedError>> {
     const { source, view } = this.options
     const items: PublishedItem[] = []
--- a/packages/relay/test/published/PublishedFollower.test.ts
+++ b/packages/relay/test/published/PublishedFollower.test.ts
@@ -20,7 +20,7 @@
 const changes = (revision: number, ...keys: string[]): Changes => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
 
 /** Follows a scripted source for a time; a watch beyond its script waits until its end. */
-async function doTest (pages: Page[], watches: Changes[], forMs = 100): Promise<Seen> {
+async function doTest (pages: Page[], watches: Changes[], forMs = 100, mayRest?: (nowMs: number) => boolean): Promise<Seen> {
   const clock = VirtualClock.create()
   const view = PublishedView.create()
   const calls: string[] = []
@@ -43,7 +43,7 @@
     asked++
     return false
   }
-  const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers })
+  const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers, mayRest: () => mayRest?.(clock.nowMs()) ?? false })
   follower.run()
   await clock.advance(forMs)
   follower.stop()
@@ -81,6 +81,11 @@
     expect(follower.getCalmMs()).toBeLessThan(3000)
   })
 
+  it('reads once and then rests while others watch, and watches again when they do not', async () => {
+    const { calls } = await doTest([page(5, 'a')], [changes(6)], 2000, nowMs => nowMs < 1000)
+    expect(calls).toEqual(["page after ''", 'watch after 5', 'watch after 6'])
+  })
+
   it('does not press a store that is away', async () => {
     const { calls } = await doTest([], [], 4000)
     expect(calls.length).toBeLessThan(20)
