--- a/packages/model/src/explore/models.ts
+++ b/packages/model/src/explore/models.ts
@@ -1,3 +1,4 @@
+import { budgetModel } from '../budget/budgetModel.js'
 import { configurationModel } from '../configuration/configurationModel.js'
 import { movesModel } from '../moves/movesModel.js'
 import { ordersModel } from '../orders/ordersModel.js'
@@ -7,4 +8,4 @@
 import { type Model } from './Model.js'
 
 /** All models, each with states of its own. */
-export const MODELS: ReadonlyArray<Model<any>> = [requestsModel, repliesModel, configurationModel, ordersModel, targetsModel, movesModel]
+export const MODELS: ReadonlyArray<Model<any>> = [requestsModel, repliesModel, configurationModel, ordersModel, targetsModel, movesModel, budgetModel]
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,4 @@
+export * from './budget/budgetModel.js'
 export * from './configuration/configurationModel.js'
 export * from './explore/checkModels.js'
 export * from './explore/exploreModel.js'
--- a/packages/model/test/explore/mutants.test.ts
+++ b/packages/model/test/explore/mutants.test.ts
@@ -46,6 +46,8 @@
         "moves without refusedOnly: notTwice",
         "moves without neverAnew: oneRun",
         "moves without wholeOnly: wholeWhenComplete",
+        "budget without rememberLargest: sumIsAllowed",
+        "budget without dividedByFleet: sumIsAllowed",
       ]
     `)
   })
