Remove what the relay wrote and nobody calls

Cause: on reading the whole change: ending a watch from outside, counts of target states, forgetting a target's quality and a handler that did nothing had no callers; the parts of every prompt were parsed and never read. Change: they are gone. Behaviour is the same: the headers of prompts are passed on as before.

--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -80,11 +80,6 @@
     return this.failures > 0 ? 0 : this.options.clock.nowMs() - this.troubleEndMs
   }
 
-  /** Ends a watch that may be silent and asks anew. */
-  refresh (): void {
-    this.watching.abort()
-  }
-
   /** Stops reading. */
   stop (): void {
     this.stopping.abort()
--- a/packages/relay/src/requests/RelayRequest.ts
+++ b/packages/relay/src/requests/RelayRequest.ts
@@ -6,14 +6,6 @@
   readonly maxOutputTokens: number
   /** Estimate of the output, often far off; absent when none was given. */
   readonly expectedOutputTokens?: number
-  /** Parts of the prompt in order, shared ones first. */
-  readonly parts: readonly PromptPart[]
-}
-
-/** Part of a prompt that several requests may share. */
-export interface PromptPart {
-  readonly id: string
-  readonly tokens: number
 }
 
 /** A request that was read completely. */
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -191,9 +191,9 @@
     if (state.running.size > 0 || mayStartAnother(state)) return false
     return await deliverAnswer(state, from, answer)
   },
-  notSent: state => countNothing(state),
-  notExecuted: state => countNothing(state),
-  notHere: state => countNothing(state),
+  notSent: () => false,
+  notExecuted: () => false,
+  notHere: () => false,
   lost: state => countLost(state),
   aborted: state => countLost(state)
 }
@@ -204,10 +204,6 @@
   return false
 }
 
-function countNothing (_state: CallState): boolean {
-  return false
-}
-
 /** Tells whether a failed answer is worth another attempt: the next turn of the loop starts it. */
 function mayStartAnother (state: CallState): boolean {
   return canRepeat(state) && state.tools.placer.countUsable(state.context.service) > state.excluded.size
--- a/packages/relay/src/targets/TargetQuality.ts
+++ b/packages/relay/src/targets/TargetQuality.ts
@@ -64,14 +64,6 @@
   isUnreachable (target: string): boolean {
     return (this.targets.get(target)?.unreachableUntilMs ?? -Infinity) > this.clock.nowMs()
   }
-
-  /**
-   * Forgets a target, for example because it started again.
-   * @param target - Name of the target.
-   */
-  forgetTarget (target: string): void {
-    this.targets.delete(target)
-  }
 }
 
 const UNREACHABLE_UNTIL: Record<AttemptVerdict, (nowMs: number) => number> = {
--- a/packages/relay/src/targets/TargetTable.ts
+++ b/packages/relay/src/targets/TargetTable.ts
@@ -95,13 +95,6 @@
     return this.known.get(name)
   }
 
-  /** Counts the targets in each state. */
-  countStates (): Record<TargetState, number> {
-    const counts: Record<TargetState, number> = { ready: 0, missing: 0, leaving: 0, gone: 0 }
-    for (const { state } of this.known.values()) counts[state]++
-    return counts
-  }
-
   /**
    * Adds a listener.
    * @param listener - Receives each later change of a state.
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -36,7 +36,7 @@
   tools.loads.observePeer('peer', new Map(Object.keys(scripts).map((name, index) => [name, { running: index, tokens: 0 }])))
   tools.client.answerCopy = options.answerCopy ?? (async () => Result.ok({ handle: 'h', createdEvents: 0 }))
   const route = createRoute({ kind: 'stream', maxAttempts: 1, timeoutMs: 20_000, objectiveMs: 1000, maxGapMs: 100, ...options.route })
-  const { context, sink, ending } = createContext(route, ENGINES, { size: { promptTokens: 1000, maxOutputTokens: 400, parts: [] }, ...options.request })
+  const { context, sink, ending } = createContext(route, ENGINES, { size: { promptTokens: 1000, maxOutputTokens: 400 }, ...options.request })
   tools.clock.startTimer(route.timeoutMs, () => ending.abort())
   for (const [atMs, act] of options.acts ?? []) tools.clock.startTimer(atMs, () => act(tools, sink))
   const running = runRelayedStream(tools, context)
