Give a process that has just started no more of the retry budget than is safe

Cause: RelayPeers.countFleet answered 1 until the first peer had answered, so that for about a second after its start each instance took the whole of the extra attempts for itself; and a process that starts anew has forgotten what the one before it spent. Ruled out: telling peers what was spent (a message more, and nobody answers in a full restart). Now FleetSize is Infinity until a peer that is named has answered or three seconds have passed, and the part of a process in its first window is halved: with the 0.6 that retries may use, one restart in a window stays within the whole. Tests (failed first): FleetSize; the budget in its first window; a property over restarts of all instances. RelayPeers splits its address by parsePeerAddress now.

--- a/packages/relay/src/budget/AttemptBudget.ts
+++ b/packages/relay/src/budget/AttemptBudget.ts
@@ -26,6 +26,9 @@
 /** Share of this instance's budget that an attempt of each purpose may use up. */
 const USABLE_SHARES: Record<AttemptPurpose, number> = { retry: 0.6, move: 0.95 }
 
+/** Part of its share of the extra attempts that a process has in its first window: one before it may have spent some. */
+const FRESH_PART = 0.5
+
 interface Slice {
   index: number
   requests: number
@@ -45,10 +48,13 @@
     return new AttemptBudget(options)
   }
 
+  private readonly startedAtMs: number
   private readonly services = new Map<string, Slice[]>()
 
   /** @internal */
-  private constructor (private readonly options: AttemptBudgetOptions) {}
+  private constructor (private readonly options: AttemptBudgetOptions) {
+    this.startedAtMs = options.clock.nowMs()
+  }
 
   /**
    * Observes the first attempt of a request.
@@ -66,13 +72,18 @@
   takeAttempt (service: string, purpose: AttemptPurpose): boolean {
     const slice = this.getSlice(service)
     const { requests, repeats } = this.sumWindow(service)
-    const { ratio, extra } = this.options.limits
-    const allowed = ratio * requests + extra / Math.max(1, this.options.countInstances())
+    const allowed = this.options.limits.ratio * requests + this.computeExtra()
     if (repeats + 1 > allowed * USABLE_SHARES[purpose]) return false
     slice.repeats++
     return true
   }
 
+  private computeExtra (): number {
+    const { clock, limits, countInstances } = this.options
+    const isFresh = clock.nowMs() - this.startedAtMs < limits.windowMs
+    return (isFresh ? FRESH_PART : 1) * limits.extra / Math.max(1, countInstances())
+  }
+
   private sumWindow (service: string): { requests: number, repeats: number } {
     const current = this.getIndex()
     let requests = 0
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -3,6 +3,7 @@
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
+import { FleetSize } from './FleetSize.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 
 /** Options of the peers of a relay instance. */
@@ -29,9 +30,6 @@
 /** Instances in the caller's zone from which on no others are named. */
 const ENOUGH_NEAR = 2
 
-/** Time for which the highest number of instances seen counts as the size of the fleet, in milliseconds. */
-const FLEET_MEMORY_MS = 20_000
-
 /** Instances of a group that watch the store, and the key by which they are ranked. */
 const WATCHERS = 3
 const WATCHERS_KEY = 'watchers'
@@ -51,15 +49,16 @@
 
   private readonly network: PeerNetwork
   private readonly membership: Membership
+  private readonly size: FleetSize
   private group: InstanceGroup | undefined
-  private largest = { count: 1, atMs: -Infinity }
+  private seeds: readonly string[] = []
 
   /** @internal */
   private constructor (private readonly options: RelayPeersOptions) {
     const { identity, clock, random, logger } = options
     const { peerAddress: instance, availabilityZone, region } = identity
     const incarnation = random.nextText(INCARNATION_BYTES)
-    const [host, port] = splitAddress(instance)
+    const { host, port } = parsePeerAddress(instance).unwrapOr({ host: instance, port: 0 })
     this.network = PeerNetwork.create({
       ...identity, instance, incarnation, clock, random, logger, host, port, findPeerAddress: name => parsePeerAddress(name).map(() => name)
     })
@@ -77,6 +76,7 @@
       observeNews: (from, { revision }) => options.observeRevision(from, revision),
       limits: PROBE_LIMITS
     })
+    this.size = FleetSize.create({ clock, countAlive: () => this.membership.listAlive().length, countSeeds: () => this.seeds.length })
     this.membership.addListener(change => this.observeChange(change.member, change.cause, change.before))
     this.setSeeds(identity.seeds)
   }
@@ -98,6 +98,7 @@
    * @param seeds - Peer addresses.
    */
   setSeeds (seeds: readonly string[]): void {
+    this.seeds = seeds.filter(seed => seed !== this.options.identity.peerAddress)
     this.membership.setListed(seeds.map(seed => ({ id: seed, role: 'entry', state: 'live', peerAddress: seed })))
   }
 
@@ -124,13 +125,9 @@
     return this.getGroup().instances.filter(name => name !== this.options.identity.peerAddress)
   }
 
-  /** Counts the instances of the fleet: the most that were seen lately, so that a partition does not raise shares. */
+  /** Counts the instances of the fleet; see `FleetSize`. */
   countFleet (): number {
-    const { clock } = this.options
-    const count = this.membership.listAlive().length
-    const isOld = clock.nowMs() - this.largest.atMs > FLEET_MEMORY_MS
-    if (count >= this.largest.count || isOld) this.largest = { count, atMs: clock.nowMs() }
-    return this.largest.count
+    return this.size.count()
   }
 
   /**
@@ -168,8 +165,3 @@
     if (state === 'dead') this.options.onGone(instance)
   }
 }
-
-function splitAddress (address: string): [string, number] {
-  const index = address.lastIndexOf(':')
-  return [address.slice(0, index), Number(address.slice(index + 1))]
-}
--- a/packages/relay/test/budget/AttemptBudget.test.ts
+++ b/packages/relay/test/budget/AttemptBudget.test.ts
@@ -9,12 +9,17 @@
   readonly purpose?: AttemptPurpose
   /** Time between the requests and the attempts in milliseconds. */
   readonly laterMs?: number
+  /** Age of the process in milliseconds. */
+  readonly ageMs?: number
 }
 
+const WINDOW_MS = 10_000
+
 /** Returns how many attempts are granted with a ratio of 0.2 and 50 besides. */
-function doTest ({ requests = 0, instances = 1, purpose = 'retry', laterMs = 0 }: Options): number {
+function doTest ({ requests = 0, instances = 1, purpose = 'retry', laterMs = 0, ageMs = WINDOW_MS }: Options): number {
   const clock = VirtualClock.create()
-  const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, countInstances: () => instances })
+  const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: 50, windowMs: WINDOW_MS }, countInstances: () => instances })
+  clock.jump(ageMs)
   for (let count = 0; count < requests; count++) budget.observeRequest('s')
   clock.jump(laterMs)
   let granted = 0
@@ -28,6 +33,17 @@
   it('keeps some for moves', () => expect(doTest({ purpose: 'move' })).toBe(47))
   it('forgets requests after a window', () => expect(doTest({ requests: 100, laterMs: 11_000 })).toBe(30))
 
+  it('grants half of its part while a process before this one may have spent', () => expect(doTest({ ageMs: 0 })).toBe(15))
+  it('grants nothing besides while the size of the fleet is not known', () => expect(doTest({ instances: Infinity, requests: 100 })).toBe(12))
+
+  it('stays within what is allowed when each instance has spent its part and starts anew', () => {
+    fc.assert(fc.property(fc.array(fc.nat(200), { minLength: 1, maxLength: 12 }), requests => {
+      const doOnce = (count: number, ageMs: number): number => doTest({ requests: count, instances: requests.length, ageMs })
+      const granted = requests.reduce((sum, count) => sum + doOnce(count, WINDOW_MS) + doOnce(count, 0), 0)
+      expect(granted).toBeLessThanOrEqual(0.2 * 2 * requests.reduce((sum, count) => sum + count, 0) + 50)
+    }))
+  })
+
   it('never lets all instances together exceed what is allowed', () => {
     fc.assert(fc.property(fc.array(fc.nat(200), { minLength: 1, maxLength: 12 }), requests => {
       const granted = requests.reduce((sum, count) => sum + doTest({ requests: count, instances: requests.length, purpose: 'move' }), 0)
@@ -37,7 +53,8 @@
 
   it('counts services apart', () => {
     const clock = VirtualClock.create()
-    const budget = AttemptBudget.create({ clock, limits: { ratio: 0, extra: 2, windowMs: 10_000 }, countInstances: () => 1 })
+    const budget = AttemptBudget.create({ clock, limits: { ratio: 0, extra: 2, windowMs: WINDOW_MS }, countInstances: () => 1 })
+    clock.jump(WINDOW_MS)
     expect([budget.takeAttempt('a', 'retry'), budget.takeAttempt('a', 'retry'), budget.takeAttempt('b', 'retry')]).toEqual([true, false, true])
   })
 })
