Ask engines themselves whether they leave while the store does not answer

Now, while the store does not answer or its answer is 300 ms overdue, an instance asks the engines that run something of it, each 250 ms, by their own report; one that says that it leaves is emptied as if its entry said so, and an older entry does not bring it back. Nobody is asked while the store is well. Tried beside it and taken out: copies of streams at a second engine where room is left, three ways (room up to 0.55 of the memory; the same, those with a copy moved last; only near engines under 0.3).

--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -12,6 +12,7 @@
 import { ViewNews } from '../published/ViewNews.js'
 import { type RelayTools } from '../requests/RelayTools.js'
 import { TargetQuality } from '../targets/TargetQuality.js'
+import { ReportWatch } from '../targets/ReportWatch.js'
 import { TargetTable } from '../targets/TargetTable.js'
 import { pickGroupTargets } from './computeGroup.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
@@ -23,6 +24,7 @@
   readonly view: PublishedView
   readonly follower: PublishedFollower
   readonly loadExchange: LoadExchange
+  readonly reportWatch: ReportWatch
   readonly peers: RelayPeers
   readonly tools: RelayTools
 }
@@ -47,6 +49,7 @@
   const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
   const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers(), mayRest: () => !peers.isWatcher() && viewNews.getAgeMs() < MAX_NEWS_AGE_MS })
   const table = TargetTable.create({ clock, getStoreCalmMs: () => follower.getCalmMs() })
+  const reportWatch = ReportWatch.create({ clock, client, table, log, isViewDoubtful: () => follower.isDoubtful(), listTargets: () => loads.listHolding() })
   const quality = TargetQuality.create(clock)
   const placer = RelayPlacer.create({
     clock,
@@ -75,5 +78,5 @@
     observeViewAge: ageMs => viewNews.observeAnswer(ageMs),
     onChange: () => placer.notifyRoom()
   })
-  return { log, view, follower, loadExchange, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
+  return { log, view, follower, loadExchange, reportWatch, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
 }
--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -119,6 +119,11 @@
     return this.own
   }
 
+  /** Lists the targets that hold memory of generations of this instance, or are about to. */
+  listHolding (): string[] {
+    return [...this.own].filter(([, { running, tokens }]) => running > 0 && tokens > 0).map(([target]) => target)
+  }
+
   /** Takes note of whether own work changed since the last call. */
   takeChanged (): boolean {
     const { changed } = this
--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -28,6 +28,9 @@
 /** Interval at which an instance that rests looks whether it still may, in milliseconds. */
 const REST_MS = 200
 
+/** Time by which a watch may answer late before the view counts as doubtful, in milliseconds. */
+const DOUBT_MS = 300
+
 /** Pages of one complete reading; a longer one is given up. */
 const MAX_PAGES = 200
 
@@ -70,6 +73,12 @@
     return this.failures === 0 && !this.mustRead
   }
 
+  /** Tells whether something may have been published that this process does not know: the store does not answer in time. */
+  isDoubtful (): boolean {
+    const isResting = this.canRest()
+    return !this.isWell() || (!isResting && this.getAgeMs() > (this.options.watchMs ?? DEFAULT_WATCH_MS) + DOUBT_MS)
+  }
+
   /** Gets the age in milliseconds of the last answer of the store. */
   getAgeMs (): number {
     return this.options.clock.nowMs() - this.confirmedAtMs
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -87,6 +87,14 @@
   readonly timeoutMs: number
 }
 
+/** What a target says of itself. */
+export interface TargetReport {
+  /** Whether it takes no new work because it is about to end. */
+  readonly isLeaving: boolean
+  /** Time in milliseconds until it ends; absent where it does not know. */
+  readonly leavesInMs?: number
+}
+
 /** Speaks the protocol of targets. */
 export interface RelayTargetClient {
   /**
@@ -106,6 +114,13 @@
    * @param handle - Name of the copy.
    */
   dropCopy(source: RelayTarget, handle: string): Promise<void>
+  /**
+   * Fetches what a target says of itself.
+   * @param target - The target.
+   * @param timeoutMs - Longest wait in milliseconds.
+   * @returns The report, or what the connection reported.
+   */
+  fetchReport(target: RelayTarget, timeoutMs: number): Promise<Result<TargetReport, string>>
   /**
    * Forgets the connections to a target that is gone.
    * @param target - The target.
--- a/packages/relay/src/targets/TargetTable.ts
+++ b/packages/relay/src/targets/TargetTable.ts
@@ -44,6 +44,8 @@
   }
 
   private readonly known = new Map<string, KnownTarget>()
+  /** Targets that said themselves that they leave. */
+  private readonly reportedLeaving = new WeakSet<RelayTarget>()
   private readonly listeners = new Set<TargetListener>()
 
   /** @internal */
@@ -54,7 +56,20 @@
    * @param target - The target.
    */
   observeTarget (target: RelayTarget): void {
-    this.setState(target, target.phase === 'leaving' ? 'leaving' : 'ready')
+    const known = this.known.get(target.name)
+    const hasReported = known !== undefined && this.reportedLeaving.has(known.target) && known.target.startedAt === target.startedAt
+    if (!hasReported) this.setState(target, target.phase === 'leaving' ? 'leaving' : 'ready')
+  }
+
+  /**
+   * Observes that a target itself says that it leaves; what is published of it may be older and does not bring it back.
+   * @param target - The target as it was known when it was asked.
+   */
+  observeLeaving (target: RelayTarget): void {
+    const known = this.known.get(target.name)
+    if (known?.target.startedAt !== target.startedAt || known.state === 'gone') return
+    this.reportedLeaving.add(known.target)
+    this.setState(known.target, 'leaving')
   }
 
   /**
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import {
-  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type RelayTargetClient, type RunCopy
+  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type RelayTargetClient, type RunCopy, type TargetReport
 } from '../../src/targets/RelayTargetClient.js'
 
 /** One step of a scripted answer: text, a pause in milliseconds, or its end. */
@@ -44,6 +44,11 @@
   /** Answers a copy. */
   answerCopy: (options: CopyOptions) => Promise<Result<RunCopy, CopyError>> = async () => Result.err({ reason: 'unreachable' })
 
+  /** Names of the targets that were asked for a report, in order. */
+  readonly reportsAsked: string[] = []
+  /** Answers a report. */
+  answerReport: (target: RelayTarget) => Promise<Result<TargetReport, string>> = async () => Result.err('not asked for')
+
   private constructor (private readonly clock: VirtualClock) {}
 
   sendRequest (target: RelayTarget, options: AttemptOptions): Attempt {
@@ -63,6 +68,11 @@
     this.dropped.push(handle)
   }
 
+  async fetchReport (target: RelayTarget): Promise<Result<TargetReport, string>> {
+    this.reportsAsked.push(target.name)
+    return await this.answerReport(target)
+  }
+
   forgetTarget (): void {}
 
   async close (): Promise<void> {}
--- a/packages/relay/test/targets/TargetTable.test.ts
+++ b/packages/relay/test/targets/TargetTable.test.ts
@@ -29,6 +29,18 @@
     expect(doTest(table => table.observeTarget(createTarget('a', { phase: 'leaving' })))).toEqual({ usable: ['b'], seen: ['a: ready to leaving'] })
   })
 
+  it('believes a target that says that it leaves, also when an older entry comes after', () => {
+    expect(doTest(table => { table.observeLeaving(createTarget('a')); table.observeTarget(createTarget('a')) })).toEqual({ usable: ['b'], seen: ['a: ready to leaving'] })
+  })
+
+  it('uses a target again that left and has started anew', () => {
+    expect(doTest(table => { table.observeLeaving(createTarget('a')); table.observeTarget(createTarget('a', { startedAt: 2 })) }).usable).toEqual(['a', 'b'])
+  })
+
+  it('does not take a report of a former start for one of this start', () => {
+    expect(doTest(table => table.observeLeaving(createTarget('a', { startedAt: 0 }))).usable).toEqual(['a', 'b'])
+  })
+
   it('takes a removed entry as gone while the store is well', () => {
     expect(doTest(table => table.observeRemoval('a'))).toEqual({ usable: ['b'], seen: ['a: ready to gone'] })
   })
