Notice in the relay that the process was paused, and do not act on old beliefs

Cause: a process that was frozen goes on with requests that it read before, and reads others that waited in its sockets for longer than their callers do; what is published may have changed meanwhile, and a watch that it waits for may be silent for good. The steady clock may stand still while a machine is suspended. Only the daemon looked for pauses. A call is not sent any more once its time is over, whatever its timers did. Ruled out: refusing everything for half a second (idempotent requests can be served); taking the pause off every deadline (those that came after it would be cut short).

--- a/packages/daemon/src/instance/PauseDetector.ts
+++ b/packages/common/src/clock/PauseDetector.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type Clock } from './Clock.js'
 
 /** Interval of readings in milliseconds. */
 const READ_INTERVAL_MS = 250
@@ -29,6 +29,7 @@
   private readonly stopping = new AbortController()
   private lastMs: number
   private pauseEndMs = -Infinity
+  private pauseMs = 0
 
   /** @internal */
   private constructor (private readonly options: PauseDetectorOptions) {
@@ -51,6 +52,11 @@
     return this.options.clock.nowMs() - this.pauseEndMs < RECOVERY_MS
   }
 
+  /** Gets how long the process was paused while it is recovering, else 0: the age that input read now may have, in milliseconds. */
+  getPauseMs (): number {
+    return this.isRecovering() ? this.pauseMs : 0
+  }
+
   /** Stops reading. */
   stop (): void {
     this.stopping.abort()
@@ -58,11 +64,13 @@
 
   private readClock (): void {
     const { clock, onPause } = this.options
+    clock.observeSuspension?.()
     const nowMs = clock.nowMs()
     const gapMs = nowMs - this.lastMs
     this.lastMs = nowMs
     if (gapMs <= PAUSE_MS) return
     this.pauseEndMs = nowMs
+    this.pauseMs = gapMs
     onPause(gapMs)
   }
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from './audit/AuditTrail.js'
 export * from './clock/Clock.js'
+export * from './clock/PauseDetector.js'
 export * from './clock/SystemClock.js'
 export * from './clock/VirtualClock.js'
 export * from './hashing/rankByRendezvous.js'
--- a/packages/daemon/test/instance/PauseDetector.test.ts
+++ b/packages/common/test/clock/PauseDetector.test.ts
@@ -1,6 +1,5 @@
-import { VirtualClock } from '@fescuespoke/common'
+import { PauseDetector, VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
-import { PauseDetector } from '../../src/instance/PauseDetector.js'
 
 interface Observed {
   readonly pauses: number[]
--- a/packages/daemon/src/instance/createParts.ts
+++ b/packages/daemon/src/instance/createParts.ts
@@ -1,3 +1,4 @@
+import { PauseDetector } from '@fescuespoke/common'
 import { Agent, type Dispatcher } from 'undici'
 import { type RunnerTools } from '../dispatch/RequestRunner.js'
 import { LeaseRegistry } from '../leases/LeaseRegistry.js'
@@ -10,7 +11,6 @@
 import { createTargetParts, type TargetParts } from './createTargetParts.js'
 import { createViews, type Views } from './createViews.js'
 import { type InstanceOptions } from './InstanceOptions.js'
-import { PauseDetector } from './PauseDetector.js'
 
 /** The parts of one instance, joined. */
 export interface InstanceParts extends Basis, Views, TargetParts, OrderParts {
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -42,7 +42,7 @@
   /** @internal */
   private constructor (private readonly options: RelayInstanceOptions) {
     this.parts = createRelayParts(options)
-    this.service = RelayService.create({ tools: this.parts.tools, getRoutes: () => this.routes, isRefusing: kind => this.isRefusing(kind) })
+    this.service = RelayService.create({ tools: this.parts.tools, getRoutes: () => this.routes, isRefusing: kind => this.isRefusing(kind), getPauseMs: () => this.parts.pauses.getPauseMs(), isViewDoubtful: () => this.parts.follower.isDoubtful() })
     this.parts.view.addListener(items => this.observeItems(items))
   }
 
@@ -53,6 +53,7 @@
     this.parts.follower.run()
     this.parts.loadExchange.run()
     this.parts.reportWatch.run()
+    this.parts.pauses.run()
     this.runUpkeep()
     this.parts.log.recordBelief('started', { peerAddress: listening.value, seeds: this.options.identity.seeds })
     return Result.ok(null)
@@ -112,6 +113,7 @@
     this.parts.follower.stop()
     this.parts.loadExchange.stop()
     this.parts.reportWatch.stop()
+    this.parts.pauses.stop()
     await this.parts.peers.close()
     await this.options.client.close()
     this.parts.log.recordBelief('stopped')
--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -1,3 +1,4 @@
+import { PauseDetector } from '@fescuespoke/common'
 import { AttemptBudget } from '../budget/AttemptBudget.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
 import { TargetLoads } from '../loads/TargetLoads.js'
@@ -25,6 +26,7 @@
   readonly follower: PublishedFollower
   readonly loadExchange: LoadExchange
   readonly reportWatch: ReportWatch
+  readonly pauses: PauseDetector
   readonly peers: RelayPeers
   readonly tools: RelayTools
 }
@@ -60,6 +62,13 @@
     availabilityZone: options.identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(peers.getGroup(), options.identity.availabilityZone, targets)
   })
+  const pauses = PauseDetector.create({
+    clock,
+    onPause: pauseMs => {
+      log.recordBelief('paused', { pauseMs: Math.round(pauseMs), revision: view.getRevision() })
+      follower.refresh()
+    }
+  })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => peers.countFleet() })
   table.addListener(({ target, state }, before) => {
     if (state === 'gone') client.forgetTarget(target)
@@ -78,5 +87,5 @@
     observeViewAge: ageMs => viewNews.observeAnswer(ageMs),
     onChange: () => placer.notifyRoom()
   })
-  return { log, view, follower, loadExchange, reportWatch, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
+  return { log, view, follower, loadExchange, reportWatch, pauses, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
 }
--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -47,6 +47,7 @@
   private readonly stopping = new AbortController()
   private watching = new AbortController()
   private mustRead = true
+  private mustConfirm = false
   private failures = 0
   private confirmedAtMs = -Infinity
   private troubleEndMs = -Infinity
@@ -61,10 +62,11 @@
         await this.options.clock.sleep(REST_MS, this.stopping.signal)
         continue
       }
+      this.watching = new AbortController()
       const outcome = this.mustRead ? await this.readAll() : await this.watch()
       if (this.stopping.signal.aborted) return
       if (outcome.isOk) this.observeAnswer()
-      else await this.handleError(outcome.error)
+      else if (!this.watching.signal.aborted) await this.handleError(outcome.error)
     }
   }
 
@@ -76,7 +78,7 @@
   /** Tells whether something may have been published that this process does not know: the store does not answer in time. */
   isDoubtful (): boolean {
     const isResting = this.canRest()
-    return !this.isWell() || (!isResting && this.getAgeMs() > (this.options.watchMs ?? DEFAULT_WATCH_MS) + DOUBT_MS)
+    return !this.isWell() || this.mustConfirm || (!isResting && this.getAgeMs() > (this.options.watchMs ?? DEFAULT_WATCH_MS) + DOUBT_MS)
   }
 
   /** Gets the age in milliseconds of the last answer of the store. */
@@ -89,6 +91,12 @@
     return this.failures > 0 ? 0 : this.options.clock.nowMs() - this.troubleEndMs
   }
 
+  /** Asks the store anew at once: the process was paused, and what it waits for may never come. */
+  refresh (): void {
+    this.mustConfirm = true
+    this.watching.abort()
+  }
+
   /** Stops reading. */
   stop (): void {
     this.stopping.abort()
@@ -96,7 +104,7 @@
   }
 
   private canRest (): boolean {
-    return !this.mustRead && this.options.mayRest?.() === true
+    return !this.mustRead && !this.mustConfirm && this.options.mayRest?.() === true
   }
 
   private async readAll (): Promise<Result<unknown, PublishedError>> {
@@ -119,12 +127,11 @@
   }
 
   private async watch (): Promise<Result<unknown, PublishedError>> {
-    return await this.watchOnce(this.options.watchMs ?? DEFAULT_WATCH_MS)
+    return await this.watchOnce(this.mustConfirm ? 0 : this.options.watchMs ?? DEFAULT_WATCH_MS)
   }
 
   private async watchOnce (waitMs: number): Promise<Result<PublishedChanges, PublishedError>> {
     const { source, view } = this.options
-    this.watching = new AbortController()
     const changes = await source.watchChanges(view.getRevision(), waitMs, this.watching.signal)
     if (changes.isOk) view.applyChanges(changes.value.items, changes.value.revision)
     return changes
@@ -133,6 +140,7 @@
   private observeAnswer (): void {
     const { clock, log } = this.options
     this.confirmedAtMs = clock.nowMs()
+    this.mustConfirm = false
     if (this.failures === 0) return
     this.troubleEndMs = clock.nowMs()
     log.recordBelief('store regained', { failures: this.failures })
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -15,6 +15,10 @@
   readonly getRoutes: () => RouteTable | undefined
   /** Tells whether a request of a kind is no longer taken because this process is about to end. */
   readonly isRefusing: (kind: RouteKind) => boolean
+  /** Gets the length of a pause of the process that has just ended, in milliseconds; what is read now may have waited as long. */
+  readonly getPauseMs: () => number
+  /** Tells whether something may have been published that this process does not know. */
+  readonly isViewDoubtful: () => boolean
 }
 
 /** Runs the requests of each kind of route. */
@@ -39,6 +43,10 @@
 /** Interval at which a request looks for the first configuration, in milliseconds. */
 const START_CHECK_MS = 25
 
+/** Longest wait after a pause until it is known again what is published, and interval of looking, in milliseconds. */
+const MAX_VIEW_WAIT_MS = 300
+const VIEW_CHECK_MS = 20
+
 /** Takes requests in: finds their route and workspace, bounds their time, and runs them. */
 export class RelayService {
   /**
@@ -74,6 +82,7 @@
   }
 
   private async route (request: RelayRequest, sink: AnswerSink): Promise<void> {
+    const pauseMs = await this.waitAfterPause(request, sink)
     const routes = this.options.getRoutes() ?? await this.waitForRoutes(request, sink)
     if (routes === undefined) return this.refuse(request, sink, undefined, UNROUTED, 'notConfigured')
     const [path = ''] = request.path.split('?')
@@ -83,11 +92,38 @@
     if (holder === 'unknownKey') return this.refuse(request, sink, routes, route, 'unknownKey')
     const service = routes.configuration.services.get(pickService(route.services, this.options.tools.random))
     if (service === undefined) return this.refuse(request, sink, routes, route, 'noTarget')
-    if (this.options.isRefusing(route.kind)) return this.refuse(request, sink, routes, route, 'stopping')
+    const obstacle = this.findObstacle(request, route, pauseMs)
+    if (obstacle !== undefined) return this.refuse(request, sink, routes, route, obstacle)
     const priority = holder?.priority ?? route.priority
     await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority })
   }
 
+  /**
+   * Waits until it is known again what is published, which may have changed while the process was paused. Callers that left
+   * meanwhile are noticed.
+   * @returns The length of the pause in milliseconds; 0 when there was none.
+   */
+  private async waitAfterPause (request: RelayRequest, sink: AnswerSink): Promise<number> {
+    const { tools: { clock, log }, isViewDoubtful, getPauseMs } = this.options
+    const pauseMs = getPauseMs()
+    if (pauseMs === 0) return 0
+    const startedMs = clock.nowMs()
+    while (isViewDoubtful() && clock.nowMs() - startedMs < MAX_VIEW_WAIT_MS && !sink.gone.aborted) await clock.sleep(VIEW_CHECK_MS)
+    log.recordDecision(request.id, 'read after a pause', { pauseMs: Math.round(pauseMs), waitedMs: Math.round(clock.nowMs() - startedMs) })
+    return pauseMs
+  }
+
+  /** Finds why a request with a route and a service cannot be served by this process now. */
+  private findObstacle (request: RelayRequest, route: RelayRoute, pauseMs: number): RefusalReason | undefined {
+    if (this.options.isRefusing(route.kind)) return 'stopping'
+    return route.kind === 'once' && this.mayBeOver(request, route, pauseMs) ? 'timeoutNotRun' : undefined
+  }
+
+  /** Tells whether the time of a request is over if it came when the pause before it was read began. */
+  private mayBeOver ({ receivedAtMs, remainingMs = Infinity }: RelayRequest, { timeoutMs }: RelayRoute, pauseMs: number): boolean {
+    return pauseMs > 0 && receivedAtMs - pauseMs + Math.min(remainingMs, timeoutMs) <= this.options.tools.clock.nowMs()
+  }
+
   /** A process that has just started knows its routes in a moment, unless the store and all peers are away. */
   private async waitForRoutes (request: RelayRequest, sink: AnswerSink): Promise<RouteTable | undefined> {
     const { clock, log } = this.options.tools
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -63,8 +63,7 @@
 }
 
 async function runAttempts (state: CallState): Promise<void> {
-  const { context } = state
-  while (!context.signal.aborted) {
+  while (!isOver(state)) {
     if (state.running.size === 0 && !startAttempt(state)) return finishWithout(state)
     const event = await waitForEvent(state)
     if (event === 'ended') break
@@ -74,6 +73,11 @@
   finishAtEnd(state)
 }
 
+/** Timers may run late after a pause, so the clock decides as well. */
+function isOver ({ context, tools }: CallState): boolean {
+  return context.signal.aborted || tools.clock.nowMs() >= context.endAtMs
+}
+
 /** Starts an attempt on another target; false when there is none or the budget is spent. */
 function startAttempt (state: CallState): boolean {
   const { context, tools, excluded } = state
--- a/packages/relay/test/published/PublishedFollower.test.ts
+++ b/packages/relay/test/published/PublishedFollower.test.ts
@@ -20,7 +20,7 @@
 const changes = (revision: number, ...keys: string[]): Changes => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
 
 /** Follows a scripted source for a time; a watch beyond its script waits until its end. */
-async function doTest (pages: Page[], watches: Changes[], forMs = 100, mayRest?: (nowMs: number) => boolean): Promise<Seen> {
+async function doTest (pages: Page[], watches: Changes[], forMs = 100, mayRest?: (nowMs: number) => boolean, refreshAtMs = Infinity): Promise<Seen> {
   const clock = VirtualClock.create()
   const view = PublishedView.create()
   const calls: string[] = []
@@ -31,10 +31,11 @@
       return pages.shift() ?? Result.err('unreachable')
     },
     watchChanges: async (after, waitMs, signal) => {
-      calls.push(`watch after ${after}`)
+      calls.push(`watch after ${after}${waitMs === 0 ? ' at once' : ''}`)
       const next = watches.shift()
       if (next !== undefined) return next
       await clock.sleep(waitMs, signal)
+      if (signal.aborted) return Result.err('timeout')
       return Result.ok({ items: [], revision: after })
     }
   }
@@ -45,6 +46,7 @@
   }
   const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers, mayRest: () => mayRest?.(clock.nowMs()) ?? false })
   follower.run()
+  if (refreshAtMs < forMs) clock.startTimer(refreshAtMs, () => follower.refresh())
   await clock.advance(forMs)
   follower.stop()
   return { view, calls, follower, asked }
@@ -55,12 +57,12 @@
     const first: Page = Result.ok({ revision: 5, items: [{ key: 'a', revision: 1, value: 'a' }], nextAfter: 'a' })
     const { view, calls } = await doTest([first, page(9, 'b')], [])
     expect(view.listItems().map(({ key }) => key)).toEqual(['a', 'b'])
-    expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5'])
+    expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5 at once'])
   })
 
   it('goes on from the revision of each answer', async () => {
     const { calls } = await doTest([page(5, 'a')], [changes(6), changes(8, 'b')])
-    expect(calls).toEqual(["page after ''", 'watch after 5', 'watch after 6', 'watch after 8'])
+    expect(calls).toEqual(["page after ''", 'watch after 5 at once', 'watch after 6', 'watch after 8'])
   })
 
   it('reads all anew when the history is gone, and takes what is absent as deleted', async () => {
@@ -83,7 +85,18 @@
 
   it('reads once and then rests while others watch, and watches again when they do not', async () => {
     const { calls } = await doTest([page(5, 'a')], [changes(6)], 2000, nowMs => nowMs < 1000)
-    expect(calls).toEqual(["page after ''", 'watch after 5', 'watch after 6'])
+    expect(calls).toEqual(["page after ''", 'watch after 5 at once', 'watch after 6'])
+  })
+
+  it('asks at once when it is refreshed, and takes its own abort for no trouble of the store', async () => {
+    const { calls, follower, asked } = await doTest([page(5, 'a')], [changes(6)], 1000, undefined, 500)
+    expect(calls.slice(1)).toEqual(['watch after 5 at once', 'watch after 6', 'watch after 6 at once', 'watch after 6'])
+    expect([follower.isDoubtful(), asked]).toEqual([false, 0])
+  })
+
+  it('is in doubt from a refresh until the store has answered', async () => {
+    const { follower } = await doTest([page(5, 'a')], [changes(6), changes(7), Result.err('refused')], 60, undefined, 50)
+    expect(follower.isDoubtful()).toBe(true)
   })
 
   it('does not press a store that is away', async () => {
--- /dev/null
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from 'vitest'
+import { RouteTable } from '../../src/model/RouteTable.js'
+import { type RelayRoute, type RouteKind } from '../../src/model/RelayConfiguration.js'
+import { RelayService } from '../../src/requests/RelayService.js'
+import { createConfiguration, createRequest, createRoute, createTarget, createTools } from '../support/createTools.js'
+import { FakeSink } from '../support/FakeSink.js'
+
+interface Options {
+  readonly kind?: RouteKind
+  readonly remainingMs?: number
+  /** Length of a pause that has just ended, in milliseconds. */
+  readonly pauseMs?: number
+  /** Time in milliseconds after which the view is as new as it was before the pause. */
+  readonly viewMs?: number
+  readonly leaveMs?: number
+  readonly isRefusing?: boolean
+  readonly route?: Partial<RelayRoute>
+}
+
+/** Serves one request at one target and returns what the caller got and when the target got the request. */
+async function doTest ({ kind = 'once', remainingMs = 1000, pauseMs = 0, viewMs = 0, leaveMs, isRefusing = false, route }: Options): Promise<string> {
+  const tools = createTools()
+  tools.table.observeTarget(createTarget('a'))
+  tools.client.scripts.set('a', [{ steps: ['hi', 'END'] }])
+  const routes = RouteTable.create(createConfiguration([createRoute({ kind, ...route })]))
+  const service = RelayService.create({
+    tools,
+    getRoutes: () => routes,
+    isRefusing: () => isRefusing,
+    getPauseMs: () => pauseMs,
+    isViewDoubtful: () => tools.clock.nowMs() < viewMs
+  })
+  const sink = FakeSink.create()
+  if (leaveMs !== undefined) tools.clock.startTimer(leaveMs, () => sink.leave())
+  const serving = service.serve(createRequest({ remainingMs, receivedAtMs: tools.clock.nowMs() }), sink)
+  await tools.clock.advance(3000)
+  await serving
+  return `${sink.describe()}; sent ${tools.client.seen.map(({ atMs }) => Math.round(atMs)).join() || 'never'}`
+}
+
+describe('RelayService', () => {
+  it('serves a request', async () => expect(await doTest({})).toBe('200 "hi" complete; sent 0'))
+  it('refuses what it does not take while it stops', async () => expect(await doTest({ isRefusing: true })).toBe('503 stopping; sent never'))
+})
+
+describe('after a pause', () => {
+  it('does not run a non-idempotent request that may have waited longer than its time', async () => {
+    expect(await doTest({ pauseMs: 4000 })).toBe('503 timeoutNotRun; sent never')
+  })
+
+  it('runs one whose time is not over even if it came when the pause began', async () => {
+    expect(await doTest({ pauseMs: 2000, remainingMs: 10_000, route: { timeoutMs: 10_000 } })).toBe('200 "hi" complete; sent 0')
+  })
+
+  it('runs idempotent ones', async () => expect(await doTest({ pauseMs: 4000, kind: 'idempotent' })).toBe('200 "hi" complete; sent 0'))
+
+  it('waits until it knows again what is published', async () => {
+    expect(await doTest({ pauseMs: 4000, kind: 'idempotent', viewMs: 100 })).toBe('200 "hi" complete; sent 100')
+  })
+
+  it('does not wait long for a store that is away', async () => {
+    expect(await doTest({ pauseMs: 4000, kind: 'idempotent', viewMs: 5000 })).toBe('200 "hi" complete; sent 300')
+  })
+
+  it('runs nothing for a caller that left during the pause', async () => {
+    expect(await doTest({ pauseMs: 4000, kind: 'idempotent', viewMs: 100, leaveMs: 20 })).toBe('nothing "" open; sent never')
+  })
+})
