Refuse a stream at once that would outlast a drain, by its expected duration

Cause: a process that stops took every stream for three seconds and none after that, whatever their length, and cut the long ones at the end of its grace. Now GenerationPace learns what a token takes in each service, and a stream is refused, not run, with a time to return soon, when 1.3 of its expected duration is more than what is left; short ones are served until the end. Ruled out: refusing all streams from the order to stop on (callers keep addresses for a while). Tests: GenerationPace, RelayService.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -1,6 +1,5 @@
 import { Maybe, Result } from 'true-myth'
 import { RouteTable } from '../model/RouteTable.js'
-import { type RouteKind } from '../model/RelayConfiguration.js'
 import { type DecodedItem } from '../published/PublishedDecoder.js'
 import { type PublishedItem } from '../published/PublishedItem.js'
 import { RelayService } from '../requests/RelayService.js'
@@ -42,7 +41,7 @@
   /** @internal */
   private constructor (private readonly options: RelayInstanceOptions) {
     this.parts = createRelayParts(options)
-    this.service = RelayService.create({ tools: this.parts.tools, getRoutes: () => this.routes, isRefusing: kind => this.isRefusing(kind), getPauseMs: () => this.parts.pauses.getPauseMs(), isViewDoubtful: () => this.parts.follower.isDoubtful() })
+    this.service = RelayService.create({ tools: this.parts.tools, getRoutes: () => this.routes, getTimeLeftMs: () => this.getTimeLeftMs(), getPauseMs: () => this.parts.pauses.getPauseMs(), isViewDoubtful: () => this.parts.follower.isDoubtful() })
     this.parts.view.addListener(items => this.observeItems(items))
   }
 
@@ -124,10 +123,9 @@
     return isEarly || this.service.countRunning() > 0
   }
 
-  /** Streams that begin late in a drain could not end before the process does. */
-  private isRefusing (kind: RouteKind): boolean {
-    if (this.phase === 'stopped') return true
-    return kind === 'stream' && this.options.clock.nowMs() - this.drainStartMs > LATE_CALLERS_MS
+  private getTimeLeftMs (): number {
+    if (this.phase === 'stopped') return 0
+    return this.drainStartMs + this.options.graceMs - EXIT_MARGIN_MS - this.options.clock.nowMs()
   }
 
   private observeItems (items: readonly PublishedItem[]): void {
--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -5,6 +5,7 @@
 import { DecisionLog } from '../logs/DecisionLog.js'
 import { RelayMetrics } from '../logs/RelayMetrics.js'
 import { RunMover } from '../moves/RunMover.js'
+import { GenerationPace } from '../placement/GenerationPace.js'
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { WaitingRoom } from '../placement/WaitingRoom.js'
 import { PublishedExchange } from '../published/PublishedExchange.js'
@@ -87,5 +88,5 @@
     observeViewAge: ageMs => viewNews.observeAnswer(ageMs),
     onChange: () => placer.notifyRoom()
   })
-  return { log, view, follower, loadExchange, reportWatch, pauses, peers, tools: { clock, random, client, table, quality, placer, waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
+  return { log, view, follower, loadExchange, reportWatch, pauses, peers, tools: { clock, random, client, table, quality, placer, pace: GenerationPace.create(), waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
 }
--- /dev/null
+++ b/packages/relay/src/placement/GenerationPace.ts
@@ -0,0 +1,49 @@
+import { type GenerationSize } from '../requests/RelayRequest.js'
+
+/** Duration of a token that is assumed of a service until one of its generations has ended, in milliseconds. */
+const ASSUMED_TOKEN_MS = 10
+
+/** Weight of the newest generation in the pace of its service. */
+const NEWEST_WEIGHT = 0.1
+
+/** Share of the stated maximum that is expected where no estimate was given. */
+const MAXIMUM_SHARE = 0.5
+
+/** How long the generations of each service take for a token, learned from those that ended. */
+export class GenerationPace {
+  /** Creates a pace that has seen nothing. */
+  static create (): GenerationPace {
+    return new GenerationPace()
+  }
+
+  private readonly tokenMs = new Map<string, number>()
+
+  /** @internal */
+  private constructor () {}
+
+  /**
+   * Observes a generation that ended.
+   * @param service - Name of the service.
+   * @param tokens - Tokens that it produced after its first event.
+   * @param durationMs - Time from its first event to its last one, in milliseconds.
+   */
+  observeGeneration (service: string, tokens: number, durationMs: number): void {
+    if (tokens <= 0) return
+    const before = this.getTokenMs(service)
+    this.tokenMs.set(service, before + NEWEST_WEIGHT * (durationMs / tokens - before))
+  }
+
+  /**
+   * Estimates how long a generation takes, in milliseconds; the sizes that callers state are often far off.
+   * @param service - Name of the service.
+   * @param size - Sizes that the caller stated.
+   */
+  estimateMs (service: string, size: GenerationSize | undefined): number {
+    const tokens = size?.expectedOutputTokens ?? (size?.maxOutputTokens ?? 0) * MAXIMUM_SHARE
+    return tokens * this.getTokenMs(service)
+  }
+
+  private getTokenMs (service: string): number {
+    return this.tokenMs.get(service) ?? ASSUMED_TOKEN_MS
+  }
+}
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -13,8 +13,8 @@
   readonly tools: RelayTools
   /** Gets the routes in force; absent before the first configuration. */
   readonly getRoutes: () => RouteTable | undefined
-  /** Tells whether a request of a kind is no longer taken because this process is about to end. */
-  readonly isRefusing: (kind: RouteKind) => boolean
+  /** Gets the time in milliseconds for which this process can still serve; `Infinity` unless it stops. */
+  readonly getTimeLeftMs: () => number
   /** Gets the length of a pause of the process that has just ended, in milliseconds; what is read now may have waited as long. */
   readonly getPauseMs: () => number
   /** Tells whether something may have been published that this process does not know. */
@@ -47,6 +47,9 @@
 const MAX_VIEW_WAIT_MS = 300
 const VIEW_CHECK_MS = 20
 
+/** Factor on the expected duration of a stream that a process which stops must still have. */
+const PACE_MARGIN = 1.3
+
 /** Takes requests in: finds their route and workspace, bounds their time, and runs them. */
 export class RelayService {
   /**
@@ -92,7 +95,7 @@
     if (holder === 'unknownKey') return this.refuse(request, sink, routes, route, 'unknownKey')
     const service = routes.configuration.services.get(pickService(route.services, this.options.tools.random))
     if (service === undefined) return this.refuse(request, sink, routes, route, 'noTarget')
-    const obstacle = this.findObstacle(request, route, pauseMs)
+    const obstacle = this.findObstacle(request, route, service, pauseMs)
     if (obstacle !== undefined) return this.refuse(request, sink, routes, route, obstacle)
     const priority = holder?.priority ?? route.priority
     await this.run({ request, sink, configuration: routes.configuration, route, service, workspace: holder?.workspace, priority })
@@ -114,8 +117,10 @@
   }
 
   /** Finds why a request with a route and a service cannot be served by this process now. */
-  private findObstacle (request: RelayRequest, route: RelayRoute, pauseMs: number): RefusalReason | undefined {
-    if (this.options.isRefusing(route.kind)) return 'stopping'
+  private findObstacle (request: RelayRequest, route: RelayRoute, service: ServiceProfile, pauseMs: number): RefusalReason | undefined {
+    const { getTimeLeftMs, tools } = this.options
+    const neededMs = route.kind === 'stream' ? tools.pace.estimateMs(service.name, request.size) * PACE_MARGIN : 0
+    if (getTimeLeftMs() <= neededMs) return 'stopping'
     return route.kind === 'once' && this.mayBeOver(request, route, pauseMs) ? 'timeoutNotRun' : undefined
   }
 
--- a/packages/relay/src/requests/RelayTools.ts
+++ b/packages/relay/src/requests/RelayTools.ts
@@ -3,6 +3,7 @@
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RunMover } from '../moves/RunMover.js'
+import { type GenerationPace } from '../placement/GenerationPace.js'
 import { type RelayPlacer } from '../placement/RelayPlacer.js'
 import { type WaitingRoom } from '../placement/WaitingRoom.js'
 import { type RelayTargetClient } from '../targets/RelayTargetClient.js'
@@ -17,6 +18,7 @@
   readonly table: TargetTable
   readonly quality: TargetQuality
   readonly placer: RelayPlacer
+  readonly pace: GenerationPace
   readonly waitingRoom: WaitingRoom
   readonly budget: AttemptBudget
   readonly mover: RunMover
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -158,6 +158,7 @@
     const rest = this.splitter.getRest()
     if (rest.length > 0) await this.context.sink.writeBytes(rest)
     this.context.sink.end()
+    this.observePace()
   }
 
   /** Describes how the stream went, for the log. */
@@ -182,6 +183,12 @@
     this.next?.use.release()
   }
 
+  private observePace (): void {
+    const { firstEventAtMs, lastEventAtMs, events, service } = this
+    if (firstEventAtMs === undefined || lastEventAtMs === undefined) return
+    this.tools.pace.observeGeneration(service.name, (events - 1) * (service.engine?.tokensPerEvent ?? 1), lastEventAtMs - firstEventAtMs)
+  }
+
   private observeEventTime (): void {
     const nowMs = this.tools.clock.nowMs()
     this.firstEventAtMs ??= nowMs
--- a/packages/relay/test/requests/RelayService.test.ts
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -13,12 +13,14 @@
   /** Time in milliseconds after which the view is as new as it was before the pause. */
   readonly viewMs?: number
   readonly leaveMs?: number
-  readonly isRefusing?: boolean
+  readonly timeLeftMs?: number
+  /** Output that the caller expects, in tokens. */
+  readonly expectedOutputTokens?: number
   readonly route?: Partial<RelayRoute>
 }
 
 /** Serves one request at one target and returns what the caller got and when the target got the request. */
-async function doTest ({ kind = 'once', remainingMs = 1000, pauseMs = 0, viewMs = 0, leaveMs, isRefusing = false, route }: Options): Promise<string> {
+async function doTest ({ kind = 'once', remainingMs = 1000, pauseMs = 0, viewMs = 0, leaveMs, timeLeftMs = Infinity, expectedOutputTokens, route }: Options): Promise<string> {
   const tools = createTools()
   tools.table.observeTarget(createTarget('a'))
   tools.client.scripts.set('a', [{ steps: ['hi', 'END'] }])
@@ -26,13 +28,13 @@
   const service = RelayService.create({
     tools,
     getRoutes: () => routes,
-    isRefusing: () => isRefusing,
+    getTimeLeftMs: () => timeLeftMs,
     getPauseMs: () => pauseMs,
     isViewDoubtful: () => tools.clock.nowMs() < viewMs
   })
   const sink = FakeSink.create()
   if (leaveMs !== undefined) tools.clock.startTimer(leaveMs, () => sink.leave())
-  const serving = service.serve(createRequest({ remainingMs, receivedAtMs: tools.clock.nowMs() }), sink)
+  const serving = service.serve(createRequest({ remainingMs, receivedAtMs: tools.clock.nowMs(), size: expectedOutputTokens === undefined ? undefined : { promptTokens: 10, maxOutputTokens: 1000, expectedOutputTokens } }), sink)
   await tools.clock.advance(3000)
   await serving
   return `${sink.describe()}; sent ${tools.client.seen.map(({ atMs }) => Math.round(atMs)).join() || 'never'}`
@@ -40,7 +42,10 @@
 
 describe('RelayService', () => {
   it('serves a request', async () => expect(await doTest({})).toBe('200 "hi" complete; sent 0'))
-  it('refuses what it does not take while it stops', async () => expect(await doTest({ isRefusing: true })).toBe('503 stopping; sent never'))
+  it('refuses everything once it has stopped', async () => expect(await doTest({ timeLeftMs: 0 })).toBe('503 stopping; sent never'))
+  it('serves calls while it stops', async () => expect(await doTest({ timeLeftMs: 2000 })).toBe('200 "hi" complete; sent 0'))
+  it('serves a stream that will end before it does', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 20 })).toContain('200'))
+  it('refuses a stream at once that will not', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 200 })).toBe('503 stopping; sent never'))
 })
 
 describe('after a pause', () => {
--- a/packages/relay/test/support/createTools.ts
+++ b/packages/relay/test/support/createTools.ts
@@ -6,6 +6,7 @@
 import { type RelayConfiguration, type RelayRoute, type ServiceProfile } from '../../src/model/RelayConfiguration.js'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import { RunMover } from '../../src/moves/RunMover.js'
+import { GenerationPace } from '../../src/placement/GenerationPace.js'
 import { RelayPlacer } from '../../src/placement/RelayPlacer.js'
 import { WaitingRoom } from '../../src/placement/WaitingRoom.js'
 import { type RelayContext } from '../../src/requests/RelayContext.js'
@@ -36,7 +37,7 @@
   const placer = RelayPlacer.create({ clock, random, table, loads, quality, availabilityZone: 'z1' })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: 'own', metrics, log })
-  return { clock, random, client, loads, table, quality, placer, waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client, loads, table, quality, placer, pace: GenerationPace.create(), waitingRoom: WaitingRoom.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in zone z1. */
