Ask a store that was away for an answer at once

Now watches after a failure do not wait, until one has been answered. Ruled out: a shorter watch in general (calls of the store are priced, and nothing is learned sooner while it is well). Test: PublishedFollower (failed before).

--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -127,7 +127,9 @@
   }
 
   private async watch (): Promise<Result<unknown, PublishedError>> {
-    return await this.watchOnce(this.mustConfirm ? 0 : this.options.watchMs ?? DEFAULT_WATCH_MS)
+    // A store that was away is asked for an answer at once: an answer that it holds back would tell of its return late.
+    const mustAnswer = this.mustConfirm || this.failures > 0
+    return await this.watchOnce(mustAnswer ? 0 : this.options.watchMs ?? DEFAULT_WATCH_MS)
   }
 
   private async watchOnce (waitMs: number): Promise<Result<PublishedChanges, PublishedError>> {
--- a/packages/relay/test/published/PublishedFollower.test.ts
+++ b/packages/relay/test/published/PublishedFollower.test.ts
@@ -99,6 +99,11 @@
     expect(follower.isDoubtful()).toBe(true)
   })
 
+  it('does not wait for changes until a store that was away has answered', async () => {
+    const { calls } = await doTest([page(5, 'a')], [changes(6), Result.err('timeout'), Result.err('timeout'), changes(7)], 2000)
+    expect(calls.slice(1)).toEqual(['watch after 5 at once', 'watch after 6', 'watch after 6 at once', 'watch after 6 at once', 'watch after 7'])
+  })
+
   it('does not press a store that is away', async () => {
     const { calls } = await doTest([], [], 4000)
     expect(calls.length).toBeLessThan(20)
