Notice pauses by the steady clock alone

The machine's uptime goes on with real time where the clock of the process is slower, as on a busy simulated machine: each such lag counted as a suspension, and each instance asked the store anew.

--- a/packages/common/src/clock/Clock.ts
+++ b/packages/common/src/clock/Clock.ts
@@ -5,10 +5,6 @@
 export interface Clock {
   /** Gets the reading in milliseconds, with fractions. */
   nowMs(): number
-  /**
-   * Takes in time for which the machine was suspended while the reading stood still. Absent where that cannot happen.
-   */
-  observeSuspension?(): void
   /**
    * Runs a handler once after a duration.
    * @param delayMs - Duration in milliseconds.
--- a/packages/common/src/clock/PauseDetector.ts
+++ b/packages/common/src/clock/PauseDetector.ts
@@ -64,7 +64,6 @@
 
   private readClock (): void {
     const { clock, onPause } = this.options
-    clock.observeSuspension?.()
     const nowMs = clock.nowMs()
     const gapMs = nowMs - this.lastMs
     this.lastMs = nowMs
--- a/packages/common/src/clock/SystemClock.ts
+++ b/packages/common/src/clock/SystemClock.ts
@@ -1,51 +1,18 @@
-import { uptime } from 'node:os'
 import { type CancelTimer, type Clock, sleepOnTimer } from './Clock.js'
 
-/** Readings of the process and of the machine, in milliseconds. */
-export interface ClockSources {
-  /** Time since the process started; it may stand still while the machine is suspended. */
-  readonly readSteadyMs: () => number
-  /** Time since the machine started, suspensions included. */
-  readonly readUptimeMs: () => number
-}
-
-/** Milliseconds of a second. */
-const SECOND_MS = 1000
-
-/** Difference of the two readings that counts as a suspension, in milliseconds. */
-const SUSPENSION_MS = 500
-
-const SYSTEM_SOURCES: ClockSources = { readSteadyMs: () => performance.now(), readUptimeMs: () => uptime() * SECOND_MS }
-
 /** The monotonic clock of this process. */
 export class SystemClock implements Clock {
-  /**
-   * Creates a clock.
-   * @param sources - What it reads.
-   */
-  static create (sources: ClockSources = SYSTEM_SOURCES): SystemClock {
-    return new SystemClock(sources)
+  /** Creates a clock. */
+  static create (): SystemClock {
+    return new SystemClock()
   }
 
-  private suspendedMs = 0
-  private differenceMs: number
-
   /** @internal */
-  private constructor (private readonly sources: ClockSources) {
-    this.differenceMs = this.computeDifference()
-  }
+  private constructor () {}
 
-  /** Gets the reading in milliseconds since the process started, with suspensions that were observed. */
+  /** Gets the reading in milliseconds since the process started. */
   nowMs (): number {
-    return this.sources.readSteadyMs() + this.suspendedMs
-  }
-
-  /** @inheritdoc */
-  observeSuspension (): void {
-    const differenceMs = this.computeDifference()
-    const suspendedMs = differenceMs - this.differenceMs
-    this.differenceMs = differenceMs
-    if (suspendedMs > SUSPENSION_MS) this.suspendedMs += suspendedMs
+    return performance.now()
   }
 
   /**
@@ -66,8 +33,4 @@
   async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
     await sleepOnTimer(this, delayMs, signal)
   }
-
-  private computeDifference (): number {
-    return this.sources.readUptimeMs() - this.sources.readSteadyMs()
-  }
 }
