Tell instances that rest when the store was last in trouble

Cause: in a large fleet most instances learn what is published from watchers; one that rests knew only its own failures and took an entry that lapsed during the store's trouble as gone at once, though its server lived. Now news to peers carry the time since the sender last saw the store in trouble, and an instance that does not watch goes by the latest of them. Watchers go by their own calls alone: a peer's trouble must not delay moves off an engine whose entry was removed.

--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -51,7 +51,7 @@
   const listPeers = (): readonly string[] => peers.listOthers()
   const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
   const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers(), mayRest: () => !peers.isWatcher() && viewNews.getAgeMs() < MAX_NEWS_AGE_MS })
-  const table = TargetTable.create({ clock, getStoreCalmMs: () => follower.getCalmMs() })
+  const table = TargetTable.create({ clock, getStoreCalmMs: () => peers.isWatcher() ? follower.getCalmMs() : Math.min(follower.getCalmMs(), viewNews.getCalmMs()) })
   const reportWatch = ReportWatch.create({ clock, client, table, log, isViewDoubtful: () => follower.isDoubtful(), listTargets: () => loads.listHolding() })
   const quality = TargetQuality.create(clock)
   const placer = RelayPlacer.create({
@@ -84,8 +84,8 @@
     listPeers: () => peers.listGroupPeers(),
     getRevision: () => view.getRevision(),
     observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
-    getViewAgeMs: () => follower.isWell() ? Math.round(follower.getAgeMs()) : undefined,
-    observeViewAge: ageMs => viewNews.observeAnswer(ageMs),
+    getStoreNews: () => follower.isWell() ? { ageMs: follower.getAgeMs(), calmMs: follower.getCalmMs() } : undefined,
+    observeStoreNews: ({ ageMs, calmMs }) => viewNews.observeAnswer(ageMs, calmMs),
     onChange: () => placer.notifyRoom()
   })
   return { log, view, follower, loadExchange, reportWatch, pauses, peers, tools: { clock, random, client, table, quality, placer, pace: GenerationPace.create(), waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -2,6 +2,14 @@
 import { type TargetWork } from '@fescuespoke/schema'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
+/** How the store answers an instance. */
+export interface StoreNews {
+  /** Age of its last answer in milliseconds. */
+  readonly ageMs: number
+  /** Time since it was last in trouble, in milliseconds; `Infinity` where it never was. */
+  readonly calmMs: number
+}
+
 /** Options of an exchange. */
 export interface LoadExchangeOptions {
   readonly clock: Clock
@@ -17,10 +25,10 @@
    * @param revision - The revision.
    */
   readonly observeRevision: (peer: string, revision: number) => void
-  /** Gets the age of the store's last answer to this instance in milliseconds; absent when it does not answer. */
-  readonly getViewAgeMs?: () => number | undefined
-  /** Observes the age of the store's last answer to a peer. */
-  readonly observeViewAge?: (ageMs: number) => void
+  /** Gets how the store answers this instance; absent when it does not. */
+  readonly getStoreNews?: () => StoreNews | undefined
+  /** Observes how the store answers a peer. */
+  readonly observeStoreNews?: (news: StoreNews) => void
   /** Called after peers told something new of their work. */
   readonly onChange: () => void
   /** Shortest interval at which peers are told of changes, in milliseconds. */
@@ -59,8 +67,8 @@
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
-    options.transport.setHandler('loadNews', ({ entries, revision, viewAgeMs }, from) => {
-      if (viewAgeMs !== undefined) options.observeViewAge?.(viewAgeMs)
+    options.transport.setHandler('loadNews', ({ entries, revision, viewAgeMs, storeCalmMs = Infinity }, from) => {
+      if (viewAgeMs !== undefined) options.observeStoreNews?.({ ageMs: viewAgeMs, calmMs: storeCalmMs })
       options.loads.observePeer(from, new Map(entries.map(work => [work.target, parseWork(work)])))
       options.observeRevision(from, revision)
       options.onChange()
@@ -108,18 +116,24 @@
   }
 
   private tellPeers (): void {
-    const { clock, transport, loads, getRevision, getViewAgeMs, observeRevision } = this.options
+    const { clock, transport, loads, getRevision, getStoreNews, observeRevision } = this.options
     this.toldAtMs = clock.nowMs()
     this.toldRevision = getRevision()
     const entries = [...loads.listOwn()].map(([target, load]) => formatWork(target, load))
+    const news = { type: 'loadNews' as const, revision: this.toldRevision, entries, ...formatStoreNews(getStoreNews?.()) }
     for (const peer of this.takePeers()) {
-      transport.request<'loadNewsAnswer'>(peer, { type: 'loadNews', revision: this.toldRevision, entries, viewAgeMs: getViewAgeMs?.() }, ANSWER_MS).then(answer => {
+      transport.request<'loadNewsAnswer'>(peer, news, ANSWER_MS).then(answer => {
         if (answer.isOk) observeRevision(peer, answer.value.revision)
       })
     }
   }
 }
 
+function formatStoreNews (news: StoreNews | undefined): { viewAgeMs?: number, storeCalmMs?: number } {
+  if (news === undefined) return {}
+  return { viewAgeMs: Math.round(news.ageMs), storeCalmMs: Number.isFinite(news.calmMs) ? Math.round(news.calmMs) : undefined }
+}
+
 function formatWork (target: string, { running, tokens, held = 0, unread = 0 }: TargetLoad): TargetWork {
   return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(held), unreadTokens: roundTokens(unread) }
 }
