Divide the making of a relay's parts, and take out fields that nobody reads

createRelayParts made every part in one function; what follows the store and peers is createViewParts now. Answers of calls that were held are written in one way.

--- a/packages/relay/src/instance/createRelayParts.ts
+++ b/packages/relay/src/instance/createRelayParts.ts
@@ -1,4 +1,4 @@
-import { PauseDetector } from '@fescuespoke/common'
+import { type PauseDetector } from '@fescuespoke/common'
 import { AttemptBudget } from '../budget/AttemptBudget.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
 import { TargetLoads } from '../loads/TargetLoads.js'
@@ -8,17 +8,16 @@
 import { GenerationPace } from '../placement/GenerationPace.js'
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { WaitingRoom } from '../placement/WaitingRoom.js'
-import { PublishedExchange } from '../published/PublishedExchange.js'
-import { PublishedFollower } from '../published/PublishedFollower.js'
-import { PublishedView } from '../published/PublishedView.js'
-import { ViewNews } from '../published/ViewNews.js'
+import { type PublishedFollower } from '../published/PublishedFollower.js'
+import { type PublishedView } from '../published/PublishedView.js'
 import { type RelayTools } from '../requests/RelayTools.js'
-import { TargetQuality } from '../targets/TargetQuality.js'
 import { ReportWatch } from '../targets/ReportWatch.js'
+import { TargetQuality } from '../targets/TargetQuality.js'
 import { TargetTable } from '../targets/TargetTable.js'
 import { pickGroupTargets } from './computeGroup.js'
+import { createViewParts, getStoreCalmMs, type ViewParts } from './createViewParts.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
-import { RelayPeers } from './RelayPeers.js'
+import { type RelayPeers } from './RelayPeers.js'
 
 /** The parts of a relay instance, joined. */
 export interface RelayParts {
@@ -32,27 +31,37 @@
   readonly tools: RelayTools
 }
 
-/** Age of the store's latest answer to a watcher up to which others rely on it, in milliseconds. */
-const MAX_NEWS_AGE_MS = 3000
+/** What the parts of an instance share. */
+interface Basis {
+  readonly options: RelayInstanceOptions
+  readonly metrics: RelayMetrics
+  readonly log: DecisionLog
+  readonly loads: TargetLoads
+}
 
 /**
  * Creates the parts of a relay instance and joins them.
  * @param options - Options of the instance.
  */
 export function createRelayParts (options: RelayInstanceOptions): RelayParts {
-  const { clock, random, source, client } = options
+  const { clock, client } = options
   const metrics = RelayMetrics.create(options.metrics)
   const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
-  const view = PublishedView.create()
-  const loads = TargetLoads.create(clock)
-  const peers = RelayPeers.create({ ...options, log, getRevision: () => view.getRevision(), observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) }, onGone: peer => loads.forgetPeer(peer) })
-  const { transport } = peers
-  const viewNews = ViewNews.create(clock)
-  const listPeers = (): readonly string[] => peers.listOthers()
-  const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
-  const follower = PublishedFollower.create({ view, source, clock, random, log, askPeers: async () => await exchange.askPeers(), mayRest: () => !peers.isWatcher() && viewNews.getAgeMs() < MAX_NEWS_AGE_MS })
-  const table = TargetTable.create({ clock, getStoreCalmMs: () => peers.isWatcher() ? follower.getCalmMs() : Math.min(follower.getCalmMs(), viewNews.getCalmMs()) })
-  const reportWatch = ReportWatch.create({ clock, client, table, log, isViewDoubtful: () => follower.isDoubtful(), listTargets: () => loads.listHolding() })
+  const basis: Basis = { options, metrics, log, loads: TargetLoads.create(clock) }
+  const views = createViewParts(options, log, basis.loads)
+  const tools = createTools(basis, views)
+  return {
+    ...views,
+    log,
+    tools,
+    loadExchange: createLoadExchange(basis, views, tools),
+    reportWatch: ReportWatch.create({ clock, client, table: tools.table, log, isViewDoubtful: () => views.follower.isDoubtful(), listTargets: () => basis.loads.listHolding() })
+  }
+}
+
+function createTools ({ options, metrics, log, loads }: Basis, views: ViewParts): RelayTools {
+  const { clock, random, client, identity } = options
+  const table = TargetTable.create({ clock, getStoreCalmMs: () => getStoreCalmMs(views) })
   const quality = TargetQuality.create(clock)
   const placer = RelayPlacer.create({
     clock,
@@ -60,33 +69,42 @@
     table,
     loads,
     quality,
-    availabilityZone: options.identity.availabilityZone,
-    pickPreferred: targets => pickGroupTargets(peers.getGroup(), options.identity.availabilityZone, targets)
-  })
-  const pauses = PauseDetector.create({
-    clock,
-    onPause: pauseMs => {
-      log.recordBelief('paused', { pauseMs: Math.round(pauseMs), revision: view.getRevision() })
-      follower.refresh()
-    }
+    availabilityZone: identity.availabilityZone,
+    pickPreferred: targets => pickGroupTargets(views.peers.getGroup(), identity.availabilityZone, targets)
   })
-  const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => peers.countFleet() })
+  const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => views.peers.countFleet() })
   table.addListener(({ target, state }, before) => {
     if (state === 'gone') client.forgetTarget(target)
     log.recordBelief('target changed', { target: target.name, service: target.service, address: target.address, before, state })
   })
-  const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: options.identity.peerAddress, metrics, log })
-  const waitingRoom = WaitingRoom.create({ clock, placer })
-  const loadExchange = LoadExchange.create({
+  const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: identity.peerAddress, metrics, log })
+  return {
+    clock,
+    random,
+    client,
+    table,
+    quality,
+    placer,
+    pace: GenerationPace.create(),
+    waitingRoom: WaitingRoom.create({ clock, placer }),
+    budget,
+    mover,
+    metrics,
+    log,
+    getViewAgeMs: () => Math.round(views.follower.getAgeMs())
+  }
+}
+
+function createLoadExchange ({ options: { clock }, loads }: Basis, { peers, view, follower, news, exchange }: ViewParts, { placer }: RelayTools): LoadExchange {
+  return LoadExchange.create({
     clock,
-    transport,
+    transport: peers.transport,
     loads,
     listPeers: () => peers.listGroupPeers(),
     getRevision: () => view.getRevision(),
-    observeRevision: (peer, revision) => { exchange.observeRevision(peer, revision) },
+    observeRevision: (peer, revision) => exchange.observeRevision(peer, revision),
     getStoreNews: () => follower.isWell() ? { ageMs: follower.getAgeMs(), calmMs: follower.getCalmMs() } : undefined,
-    observeStoreNews: ({ ageMs, calmMs }) => viewNews.observeAnswer(ageMs, calmMs),
+    observeStoreNews: ({ ageMs, calmMs }) => news.observeAnswer(ageMs, calmMs),
     onChange: () => placer.notifyRoom()
   })
-  return { log, view, follower, loadExchange, reportWatch, pauses, peers, tools: { clock, random, client, table, quality, placer, pace: GenerationPace.create(), waitingRoom, budget, mover, metrics, log, getViewAgeMs: () => Math.round(follower.getAgeMs()) } }
 }
--- a/packages/relay/src/model/RelayConfiguration.ts
+++ b/packages/relay/src/model/RelayConfiguration.ts
@@ -46,8 +46,6 @@
 /** A service in force. */
 export interface ServiceProfile {
   readonly name: string
-  /** Connections that one target accepts from all instances together. */
-  readonly maxConnections: number
   /** Present where the targets are model engines. */
   readonly engine?: EngineProfile
 }
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -164,7 +164,7 @@
   private refuse (request: RelayRequest, sink: AnswerSink, routes: RouteTable | undefined, route: RelayRoute, reason: RefusalReason): void {
     const { tools } = this.options
     const configuration = routes?.configuration ?? { version: 0, routes: [], services: new Map<string, ServiceProfile>(), limits: NO_LIMITS }
-    const service: ServiceProfile = { name: 'none', maxConnections: 0 }
+    const service: ServiceProfile = { name: 'none' }
     const endAtMs = tools.clock.nowMs() + (request.remainingMs ?? route.timeoutMs)
     refuseRequest(tools, { request, sink, configuration, route, service, priority: LOWEST_PRIORITY, endAtMs, signal: sink.gone }, reason)
   }
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -17,9 +17,15 @@
 /** Lowest status by which a target says that it failed. */
 const FAILURE_STATUS = 500
 
+/** The beginning of an answer, or all of it. */
+interface HeldAnswer {
+  readonly head: AttemptHead
+  readonly chunks: readonly Buffer[]
+}
+
 /** What a target gave for a call. */
 type CallAnswer =
-  | { readonly kind: 'answer', readonly head: AttemptHead, readonly chunks: readonly Buffer[], readonly isWhole: boolean }
+  | HeldAnswer & { readonly kind: 'answer', readonly isWhole: boolean }
   | { readonly kind: 'error', readonly error: AttemptError }
 
 /** An attempt on its way. */
@@ -40,7 +46,7 @@
   executed: number
   sent: number
   /** Failed answer of a target, kept in case no other target does better. */
-  failed?: { readonly head: AttemptHead, readonly chunks: readonly Buffer[] }
+  failed?: HeldAnswer
   mayHaveRun: boolean
 }
 
@@ -64,7 +70,7 @@
 
 async function runAttempts (state: CallState): Promise<void> {
   while (!isOver(state)) {
-    if (state.running.size === 0 && !startAttempt(state)) return finishWithout(state)
+    if (state.running.size === 0 && !startAttempt(state)) return await finishWithout(state)
     const event = await waitForEvent(state)
     if (event === 'ended') break
     if (event === 'hedge') startHedge(state)
@@ -213,18 +219,25 @@
   return canRepeat(state) && state.tools.placer.countUsable(state.context.service) > state.excluded.size
 }
 
-async function deliverAnswer ({ context, tools }: CallState, from: RunningAttempt, answer: CallAnswer): Promise<boolean> {
+async function deliverAnswer (state: CallState, from: RunningAttempt, answer: CallAnswer): Promise<boolean> {
   if (answer.kind === 'error') return false
-  const { sink } = context
-  sink.writeHead(answer.head)
-  for (const chunk of answer.chunks) await sink.writeBytes(chunk)
-  if (!answer.isWhole) return await passRest(context, from.attempt)
-  sink.end()
-  tools.metrics.countOutcome(context.route.name, answer.head.status >= FAILURE_STATUS ? 'targetFailed' : 'answered')
-  tools.metrics.observeAnswer(context.route.name, tools.clock.nowMs() - context.request.receivedAtMs)
+  await passBeginning(state, answer)
+  if (!answer.isWhole) return await passRest(state.context, from.attempt)
+  finishAnswer(state, answer)
   return true
 }
 
+async function passBeginning ({ context: { sink } }: CallState, { head, chunks }: HeldAnswer): Promise<void> {
+  sink.writeHead(head)
+  for (const chunk of chunks) await sink.writeBytes(chunk)
+}
+
+function finishAnswer ({ context, tools }: CallState, { head }: HeldAnswer): void {
+  context.sink.end()
+  tools.metrics.countOutcome(context.route.name, head.status >= FAILURE_STATUS ? 'targetFailed' : 'answered')
+  tools.metrics.observeAnswer(context.route.name, tools.clock.nowMs() - context.request.receivedAtMs)
+}
+
 async function passRest ({ sink, signal }: RelayContext, attempt: Attempt): Promise<boolean> {
   while (!signal.aborted) {
     const next = await attempt.readBytes()
@@ -240,14 +253,11 @@
 }
 
 /** No further attempt can be made. */
-function finishWithout (state: CallState): void {
+async function finishWithout (state: CallState): Promise<void> {
   const { context, tools } = state
   if (state.failed !== undefined) {
-    context.sink.writeHead(state.failed.head)
-    for (const chunk of state.failed.chunks) context.sink.writeBytes(chunk)
-    context.sink.end()
-    tools.metrics.countOutcome(context.route.name, 'targetFailed')
-    return
+    await passBeginning(state, state.failed)
+    return finishAnswer(state, state.failed)
   }
   if (state.mayHaveRun) refuseRequest(tools, context, 'lost')
   else refuseRequest(tools, context, state.sent > 0 ? 'notExecuted' : 'noTarget')
--- a/packages/relay/test/support/createTools.ts
+++ b/packages/relay/test/support/createTools.ts
@@ -66,12 +66,11 @@
 /** A service whose targets are engines. */
 export const ENGINES: ServiceProfile = {
   name: 'engines',
-  maxConnections: 100,
   engine: { slots: 4, memoryTokens: 10_000, linkMbps: 1000, tokenBytes: 1000, tokensPerEvent: 4, canMove: true }
 }
 
 /** A service of plain targets. */
-export const CALLS: ServiceProfile = { name: 'calls', maxConnections: 100 }
+export const CALLS: ServiceProfile = { name: 'calls' }
 
 /** Creates a configuration of routes. */
 export function createConfiguration (routes: readonly RelayRoute[], change: Partial<RelayConfiguration> = {}): RelayConfiguration {
