--- a/packages/model/test/explore/mutants.test.ts
+++ b/packages/model/test/explore/mutants.test.ts
@@ -48,6 +48,8 @@
         "moves without wholeOnly: wholeWhenComplete",
         "budget without rememberLargest: sumIsAllowed",
         "budget without dividedByFleet: sumIsAllowed",
+        "budget without halfWhenFresh: sumIsAllowed",
+        "budget without unknownUntilJoined: sumIsAllowed",
       ]
     `)
   })
