Let the second and third watcher of a group rest between watches

Now the first of them watches without rest, the others each half second; when the first is gone or turned away by the store, the group learns half a second later. Ruled out: a rest for all (the notice of an engine is 1.7 s); one watcher (a failure would cost three seconds). Test: PublishedFollower (failed before).

--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -116,8 +116,13 @@
 
   /** Tells whether this instance watches the store for its group; in a fleet of one group all do. */
   isWatcher (): boolean {
+    return this.getWatchRank() < WATCHERS
+  }
+
+  /** Gets the place of this instance among those that watch the store for its group, 0 the first. */
+  getWatchRank (): number {
     const { instances, count } = this.getGroup()
-    return count === 1 || rankByRendezvous(WATCHERS_KEY, instances).slice(0, WATCHERS).includes(this.options.identity.peerAddress)
+    return count === 1 ? 0 : rankByRendezvous(WATCHERS_KEY, instances).indexOf(this.options.identity.peerAddress)
   }
 
   /** Lists the other instances of the group. */
--- a/packages/relay/src/instance/createViewParts.ts
+++ b/packages/relay/src/instance/createViewParts.ts
@@ -21,6 +21,9 @@
 /** Age of the store's latest answer to a watcher up to which others rely on it, in milliseconds. */
 const MAX_NEWS_AGE_MS = 3000
 
+/** Time between watches of those that stand by for the first watcher of a group, in milliseconds. */
+const SECOND_WATCHER_REST_MS = 500
+
 /**
  * Creates the parts that follow what is published, from the store and from peers.
  * @param options - Options of the instance.
@@ -46,6 +49,7 @@
     random,
     log,
     askPeers: async () => await exchange.askPeers(),
+    getRestMs: () => peers.getWatchRank() === 0 ? 0 : SECOND_WATCHER_REST_MS,
     mayRest: () => !peers.isWatcher() && news.getAgeMs() < MAX_NEWS_AGE_MS
   })
   const pauses = PauseDetector.create({
--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -15,6 +15,8 @@
   readonly watchMs?: number
   /** Tells whether peers watch for this instance at present. */
   readonly mayRest?: () => boolean
+  /** Gets the time to rest after a watch was answered, in milliseconds: others watch meanwhile. */
+  readonly getRestMs?: () => number
   /** Fetches what a peer knows when the store does not answer; returns whether a peer answered. */
   readonly askPeers?: () => Promise<boolean>
 }
@@ -65,7 +67,7 @@
       this.watching = new AbortController()
       const outcome = this.mustRead ? await this.readAll() : await this.watch()
       if (this.stopping.signal.aborted) return
-      if (outcome.isOk) this.observeAnswer()
+      if (outcome.isOk) await this.restAfterAnswer()
       else if (!this.watching.signal.aborted) await this.handleError(outcome.error)
     }
   }
@@ -139,6 +141,12 @@
     return changes
   }
 
+  private async restAfterAnswer (): Promise<void> {
+    this.observeAnswer()
+    const restMs = this.options.getRestMs?.() ?? 0
+    if (restMs > 0) await this.options.clock.sleep(restMs, this.watching.signal)
+  }
+
   private observeAnswer (): void {
     const { clock, log } = this.options
     this.confirmedAtMs = clock.nowMs()
--- a/packages/relay/test/published/PublishedFollower.test.ts
+++ b/packages/relay/test/published/PublishedFollower.test.ts
@@ -20,7 +20,7 @@
 const changes = (revision: number, ...keys: string[]): Changes => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
 
 /** Follows a scripted source for a time; a watch beyond its script waits until its end. */
-async function doTest (pages: Page[], watches: Changes[], forMs = 100, mayRest?: (nowMs: number) => boolean, refreshAtMs = Infinity): Promise<Seen> {
+async function doTest (pages: Page[], watches: Changes[], forMs = 100, mayRest?: (nowMs: number) => boolean, refreshAtMs = Infinity, restMs = 0): Promise<Seen> {
   const clock = VirtualClock.create()
   const view = PublishedView.create()
   const calls: string[] = []
@@ -44,7 +44,7 @@
     asked++
     return false
   }
-  const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers, mayRest: () => mayRest?.(clock.nowMs()) ?? false })
+  const follower = PublishedFollower.create({ view, source, clock, random: SeededRandom.create(1), log, askPeers, mayRest: () => mayRest?.(clock.nowMs()) ?? false, getRestMs: () => restMs })
   follower.run()
   if (refreshAtMs < forMs) clock.startTimer(refreshAtMs, () => follower.refresh())
   await clock.advance(forMs)
@@ -104,6 +104,13 @@
     expect(calls.slice(1)).toEqual(['watch after 5 at once', 'watch after 6', 'watch after 6 at once', 'watch after 6 at once', 'watch after 7'])
   })
 
+  it('rests between watches where it is told to', async () => {
+    const often = (): Changes[] => Array.from({ length: 50 }, (_, index) => changes(6 + index))
+    const eager = await doTest([page(5, 'a')], often(), 1000)
+    const rested = await doTest([page(5, 'a')], often(), 1000, undefined, Infinity, 300)
+    expect([eager.calls.length, rested.calls.length]).toEqual([52, 5])
+  })
+
   it('does not press a store that is away', async () => {
     const { calls } = await doTest([], [], 4000)
     expect(calls.length).toBeLessThan(20)
