Untie two circles between files

RecordContent holds the forms of records that AcceptedRecords, convertRecord and readValues share; TargetSchedulerOptions is a file of its own beside TargetScheduler and SchedulerParts.

--- a/packages/configuration/src/records/convertRecord.ts
+++ b/packages/configuration/src/records/convertRecord.ts
@@ -11,7 +11,7 @@
   type WorkspaceV2
 } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
-import { type RecordContent, type RecordKind } from './AcceptedRecords.js'
+import { type RecordContent, type RecordKind } from './RecordContent.js'
 
 const MS_PER_SECOND = 1000
 
--- a/packages/configuration/src/records/convertRecords.ts
+++ b/packages/configuration/src/records/convertRecords.ts
@@ -1,17 +1,10 @@
 import { type Service, type Snapshot, type Target, type Workspace } from '@fescuespoke/common'
 import { type KeptRecord, type RefusedRecord } from '@fescuespoke/schema'
-import {
-  type AcceptedRecord,
-  type AcceptedRecords,
-  formatRecordId,
-  NO_ACCEPTED_RECORDS,
-  type RecordContent,
-  type RecordKind,
-  type ServiceContent
-} from './AcceptedRecords.js'
+import { type AcceptedRecord, type AcceptedRecords, NO_ACCEPTED_RECORDS } from './AcceptedRecords.js'
 import { convertRecord } from './convertRecord.js'
 import { type PublishedRecord, type ReadValues, readValues } from './readValues.js'
 import { computePools, findReferredTargets, resolveReferences } from './resolveReferences.js'
+import { formatRecordId, type RecordContent, type RecordKind, type ServiceContent } from './RecordContent.js'
 
 /**
  * Converts the published values of one revision. A record that cannot be accepted is refused alone, and its
--- a/packages/configuration/src/records/readValues.ts
+++ b/packages/configuration/src/records/readValues.ts
@@ -1,6 +1,6 @@
 import { formatProblem, type Problem } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
-import { formatRecordId, type RecordContent } from './AcceptedRecords.js'
+import { formatRecordId, type RecordContent } from './RecordContent.js'
 import { convertRecord, isRecordKind } from './convertRecord.js'
 
 /** Largest published value, in bytes. */
--- a/packages/configuration/src/records/resolveReferences.ts
+++ b/packages/configuration/src/records/resolveReferences.ts
@@ -1,11 +1,6 @@
 import { formatProblem, type RefusedRecord } from '@fescuespoke/schema'
-import {
-  type AcceptedRecord,
-  type AcceptedRecords,
-  formatRecordId,
-  type RecordKind,
-  type TargetReference
-} from './AcceptedRecords.js'
+import { type AcceptedRecord, type AcceptedRecords } from './AcceptedRecords.js'
+import { formatRecordId, type RecordKind, type TargetReference } from './RecordContent.js'
 
 /** What references are resolved against. */
 export interface ResolveOptions {
--- a/packages/scheduling/src/SchedulerParts.ts
+++ b/packages/scheduling/src/SchedulerParts.ts
@@ -14,7 +14,7 @@
 import { TargetCapacities } from './targets/TargetCapacities.js'
 import { TargetDirectory } from './targets/TargetDirectory.js'
 import { TargetSubsets } from './targets/TargetSubsets.js'
-import { type TargetSchedulerOptions } from './TargetScheduler.js'
+import { type TargetSchedulerOptions } from './TargetSchedulerOptions.js'
 
 /** What a scheduler is made of. */
 export interface SchedulerParts {
--- a/packages/scheduling/src/TargetScheduler.ts
+++ b/packages/scheduling/src/TargetScheduler.ts
@@ -1,8 +1,7 @@
-import { type AuditEntry, type CancelTimer, type Clock, type PeerTransport, type Random, type Snapshot, type Target } from '@fescuespoke/common'
-import { type CacheEvent, type SchedulingSettings, type TargetState, type TargetStatus } from '@fescuespoke/schema'
+import { type CancelTimer, type Snapshot, type Target } from '@fescuespoke/common'
+import { type CacheEvent, type TargetState, type TargetStatus } from '@fescuespoke/schema'
 import { type Maybe, Result } from 'true-myth'
 import { MAX_OUTPUT_TOKENS } from './lengths/LengthTable.js'
-import { type AliveInstance } from './credits/findCoordinator.js'
 import { type Candidate, type PlacementNeed } from './placement/Candidate.js'
 import { type PickedTarget } from './placement/TargetPicker.js'
 import { type WaitingRequest } from './queue/WaitingRequests.js'
@@ -10,26 +9,7 @@
 import { createSchedulerParts, type SchedulerParts } from './SchedulerParts.js'
 import { type SchedulerCounters } from './SchedulerCounters.js'
 import { type TargetEvidence } from './targets/TargetDirectory.js'
-
-/** Options of a scheduler. */
-export interface TargetSchedulerOptions {
-  /** Name of this instance. */
-  readonly instance: string
-  readonly availabilityZone: string
-  readonly region: string
-  readonly clock: Clock
-  readonly random: Random
-  readonly transport: PeerTransport
-  /** Lists the instances that are thought to be alive, this one included; the same array while nothing changes. */
-  readonly listAliveInstances: () => readonly AliveInstance[]
-  readonly settings?: Partial<SchedulingSettings>
-  /** Requests of one target that policies with a fixed division allow for all instances together. */
-  readonly fixedSequences?: number
-  /** Gets the accepted revision, for the audit trail. */
-  readonly getRevision?: () => number
-  /** Records a change in the audit trail. */
-  readonly recordAudit?: (entry: AuditEntry) => void
-}
+import { type TargetSchedulerOptions } from './TargetSchedulerOptions.js'
 
 /** Interval at which credits are renewed and waiting requests tried again. */
 const TICK_MS = 100
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -1,4 +1,5 @@
-import { TargetScheduler, type TargetSchedulerOptions } from './TargetScheduler.js'
+import { TargetScheduler } from './TargetScheduler.js'
+import { type TargetSchedulerOptions } from './TargetSchedulerOptions.js'
 
 /**
  * Creates the scheduler of one instance.
