--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,22 +1,4 @@
-// Bundles the process for the platform into target/, from the sources of all packages.
-import { build } from 'esbuild'
-import { readdirSync } from 'node:fs'
-import { fileURLToPath } from 'node:url'
-import { join } from 'node:path'
+// Bundles the process for the platform into target/.
+import { bundleProgram } from './bundleProgram.mjs'
 
-const root = fileURLToPath(new URL('..', import.meta.url))
-const packages = readdirSync(join(root, 'packages'))
-
-await build({
-  absWorkingDir: root,
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/fescuespoke-platform.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifySyntax: true,
-  alias: Object.fromEntries(packages.map(name => [`@fescuespoke/${name}`, join(root, 'packages', name, 'src/index.ts')])),
-  external: ['cbor-extract', 'node-gyp-build-optional-packages'],
-  logLevel: 'warning'
-})
+await bundleProgram('platform/src/main.ts', 'target/fescuespoke-platform.cjs')
