Let the relay keep one copy of what it wrote twice

Cause: read as a whole, the change had the expected output of a generation in two places, the status of a failure in two, and two loops that hold a request while something is not known yet; isOversized had no caller. Change: estimateOutput, FAILURE_STATUS beside AttemptHead, RelayService.waitWhile, PublishedFollower.getWatchMs; isOversized is gone. The pace of a generation goes by the stated estimate as before, also above the stated maximum.

--- a/packages/relay/src/placement/GenerationPace.ts
+++ b/packages/relay/src/placement/GenerationPace.ts
@@ -1,4 +1,5 @@
 import { type GenerationSize } from '../requests/RelayRequest.js'
+import { estimateOutput } from './estimateTokens.js'
 
 /** Duration of a token that is assumed of a service until one of its generations has ended, in milliseconds. */
 const ASSUMED_TOKEN_MS = 10
@@ -6,9 +7,6 @@
 /** Weight of the newest generation in the pace of its service. */
 const NEWEST_WEIGHT = 0.1
 
-/** Share of the stated maximum that is expected where no estimate was given. */
-const MAXIMUM_SHARE = 0.5
-
 /** How long the generations of each service take for a token, learned from those that ended. */
 export class GenerationPace {
   /** Creates a pace that has seen nothing. */
@@ -39,8 +37,7 @@
    * @param size - Sizes that the caller stated.
    */
   estimateMs (service: string, size: GenerationSize | undefined): number {
-    const tokens = size?.expectedOutputTokens ?? (size?.maxOutputTokens ?? 0) * MAXIMUM_SHARE
-    return tokens * this.getTokenMs(service)
+    return size === undefined ? 0 : estimateOutput(size) * this.getTokenMs(service)
   }
 
   private getTokenMs (service: string): number {
--- a/packages/relay/src/placement/estimateTokens.ts
+++ b/packages/relay/src/placement/estimateTokens.ts
@@ -1,4 +1,3 @@
-import { type EngineProfile } from '../model/RelayConfiguration.js'
 import { type GenerationSize } from '../requests/RelayRequest.js'
 
 /** Share of the output that is still expected and counted as memory, since runs end at different times. */
@@ -17,16 +16,15 @@
  */
 export function estimateTokens (size: GenerationSize | undefined, producedTokens: number): number {
   if (size === undefined) return ASSUMED_TOKENS + producedTokens
-  const expected = Math.min(size.expectedOutputTokens ?? Infinity, size.maxOutputTokens * (size.expectedOutputTokens === undefined ? MAXIMUM_SHARE : 1))
+  const expected = Math.min(estimateOutput(size), size.maxOutputTokens)
   const remaining = Math.max(0, expected - producedTokens)
   return size.promptTokens + producedTokens + EXPECTED_SHARE * remaining
 }
 
 /**
- * Tells whether a generation can never fit into the memory of an engine.
+ * Estimates the output of a generation as its caller states it, in tokens; it is often far off.
  * @param size - Sizes that the caller stated.
- * @param profile - What the engine can do.
  */
-export function isOversized (size: GenerationSize | undefined, profile: EngineProfile): boolean {
-  return size !== undefined && size.promptTokens >= profile.memoryTokens
+export function estimateOutput ({ expectedOutputTokens, maxOutputTokens }: GenerationSize): number {
+  return expectedOutputTokens ?? maxOutputTokens * MAXIMUM_SHARE
 }
--- a/packages/relay/src/published/PublishedFollower.ts
+++ b/packages/relay/src/published/PublishedFollower.ts
@@ -80,7 +80,7 @@
   /** Tells whether something may have been published that this process does not know: the store does not answer in time. */
   isDoubtful (): boolean {
     const isResting = this.canRest()
-    return !this.isWell() || this.mustConfirm || (!isResting && this.getAgeMs() > (this.options.watchMs ?? DEFAULT_WATCH_MS) + DOUBT_MS)
+    return !this.isWell() || this.mustConfirm || (!isResting && this.getAgeMs() > this.getWatchMs() + DOUBT_MS)
   }
 
   /** Gets the age in milliseconds of the last answer of the store. */
@@ -105,6 +105,10 @@
     this.watching.abort()
   }
 
+  private getWatchMs (): number {
+    return this.options.watchMs ?? DEFAULT_WATCH_MS
+  }
+
   private canRest (): boolean {
     return !this.mustRead && !this.mustConfirm && this.options.mayRest?.() === true
   }
@@ -131,7 +135,7 @@
   private async watch (): Promise<Result<unknown, PublishedError>> {
     // A store that was away is asked for an answer at once: an answer that it holds back would tell of its return late.
     const mustAnswer = this.mustConfirm || this.failures > 0
-    return await this.watchOnce(mustAnswer ? 0 : this.options.watchMs ?? DEFAULT_WATCH_MS)
+    return await this.watchOnce(mustAnswer ? 0 : this.getWatchMs())
   }
 
   private async watchOnce (waitMs: number): Promise<Result<PublishedChanges, PublishedError>> {
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -111,7 +111,7 @@
     const pauseMs = getPauseMs()
     if (pauseMs === 0) return 0
     const startedMs = clock.nowMs()
-    while (isViewDoubtful() && clock.nowMs() - startedMs < MAX_VIEW_WAIT_MS && !sink.gone.aborted) await clock.sleep(VIEW_CHECK_MS)
+    await this.waitWhile(isViewDoubtful, { endMs: startedMs + MAX_VIEW_WAIT_MS, checkMs: VIEW_CHECK_MS, sink })
     log.recordDecision(request.id, 'read after a pause', { pauseMs: Math.round(pauseMs), waitedMs: Math.round(clock.nowMs() - startedMs) })
     return pauseMs
   }
@@ -131,15 +131,20 @@
 
   /** A process that has just started knows its routes in a moment, unless the store and all peers are away. */
   private async waitForRoutes (request: RelayRequest, sink: AnswerSink): Promise<RouteTable | undefined> {
-    const { clock, log } = this.options.tools
+    const { tools: { clock, log }, getRoutes } = this.options
     const maxMs = Math.min(MAX_START_WAIT_MS, (request.remainingMs ?? MAX_START_WAIT_MS) * START_WAIT_SHARE)
-    const endMs = request.receivedAtMs + maxMs
-    while (this.options.getRoutes() === undefined && clock.nowMs() < endMs && !sink.gone.aborted) await clock.sleep(START_CHECK_MS)
-    const routes = this.options.getRoutes()
+    await this.waitWhile(() => getRoutes() === undefined, { endMs: request.receivedAtMs + maxMs, checkMs: START_CHECK_MS, sink })
+    const routes = getRoutes()
     log.recordDecision(request.id, 'waited for a configuration', { version: routes?.configuration.version, waitedMs: Math.round(clock.nowMs() - request.receivedAtMs) })
     return routes
   }
 
+  /** Waits while something holds, until a reading of the clock, or until the caller has left. */
+  private async waitWhile (holds: () => boolean, { endMs, checkMs, sink }: { endMs: number, checkMs: number, sink: AnswerSink }): Promise<void> {
+    const { clock } = this.options.tools
+    while (holds() && clock.nowMs() < endMs && !sink.gone.aborted) await clock.sleep(checkMs)
+  }
+
   private findHolder (routes: RouteTable, route: RelayRoute, key = ''): KeyHolder | undefined | 'unknownKey' {
     return routes.mustHaveKey(route) ? routes.findHolder(key).unwrapOr<KeyHolder | 'unknownKey'>('unknownKey') : undefined
   }
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -1,12 +1,9 @@
-import { type AttemptError, type AttemptHead } from '../targets/RelayTargetClient.js'
+import { type AttemptError, type AttemptHead, FAILURE_STATUS } from '../targets/RelayTargetClient.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayTools } from './RelayTools.js'
 import { StallWatch } from './StallWatch.js'
 import { type StreamRun } from './StreamRun.js'
 
-/** Lowest status by which a target says that it failed. */
-const FAILURE_STATUS = 500
-
 /** Statuses from here on are no success. */
 const FIRST_OTHER_STATUS = 300
 
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -1,5 +1,5 @@
 import { type TargetUse } from '../placement/TargetUse.js'
-import { type Attempt, type AttemptError, type AttemptHead } from '../targets/RelayTargetClient.js'
+import { type Attempt, type AttemptError, type AttemptHead, FAILURE_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptVerdict } from '../targets/TargetQuality.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
@@ -14,9 +14,6 @@
 /** Shortest such wait in milliseconds. */
 const MIN_HEDGE_MS = 100
 
-/** Lowest status by which a target says that it failed. */
-const FAILURE_STATUS = 500
-
 /** The beginning of an answer, or all of it. */
 interface HeldAnswer {
   readonly head: AttemptHead
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -23,6 +23,9 @@
   readonly isFramed: boolean
 }
 
+/** Lowest status by which a target says that it failed. */
+export const FAILURE_STATUS = 500
+
 /** Where a request goes on that ran at another target before. */
 export interface Continuation {
   /** Host and port of the target that holds or held the run's memory. */
