Let instances take turns on the link of a leaving engine by what peers still hold there

Cause: on notice, each instance waited for a time worked out once from copies within the zone.

Change: an instance begins when those before it in the order report that they hold nothing there any more (sent at once when a run has left), or after the time that their copies may take without news. A second copy before the last one only when the link was contended or much was produced meanwhile. Copies that are not used are freed, with a timeout. A moved run reports its memory at the destination at once. RunMover is split into RunMover, RunMove and CopyTurn.

--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
-import { type HeldMemory } from '../moves/computeCopyDelay.js'
+import { type HeldMemory } from '../moves/CopyTurn.js'
 
 /** Load of one instance at one target. */
 export interface TargetLoad {
@@ -54,7 +54,7 @@
     if (next.running <= 0 && next.tokens <= 0) this.ownLoads.delete(target)
     else this.ownLoads.set(target, next)
     this.hasChanged = true
-    if ((change.pendingPrefillTokens ?? 0) > 0) this.onUrgent?.()
+    if ((change.pendingPrefillTokens ?? 0) > 0) this.notifyUrgent()
   }
 
   /**
@@ -65,6 +65,11 @@
     this.onUrgent = onUrgent
   }
 
+  /** Requests that peers receive the loads of this instance at once. */
+  notifyUrgent (): void {
+    this.onUrgent?.()
+  }
+
   /**
    * Returns the load of this instance at a target.
    * @param target - Name of the target.
--- /dev/null
+++ b/packages/relay/src/moves/RunMove.ts
@@ -0,0 +1,184 @@
+import { type Clock } from '@fescuespoke/common'
+import { type Result } from 'true-myth'
+import { type AttemptBudget } from '../budget/AttemptBudget.js'
+import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type RelayTarget } from '../model/RelayTarget.js'
+import { type RelayPlacer } from '../placement/RelayPlacer.js'
+import { type TargetReservation } from '../placement/TargetReservation.js'
+import { type CopyError, type RelayTargetClient, type RunCopy } from '../targets/RelayTargetClient.js'
+import { computeCopyDurationMs, REMOTE_COPY_FACTOR } from './computeCopyDuration.js'
+import { type MovableRun } from './MovableRun.js'
+
+/** Components that a move uses. */
+export interface RunMoveDependencies {
+  readonly clock: Clock
+  readonly client: RelayTargetClient
+  readonly placer: RelayPlacer
+  readonly budget: AttemptBudget
+  readonly log: DecisionLog
+}
+
+/** A run and the engine that it leaves. */
+export interface RunMoveOptions {
+  readonly run: MovableRun
+  readonly source: RelayTarget
+  /** Clock reading of the notice that the source shuts down. */
+  readonly noticeAtMs: number
+}
+
+/** Result of a move, or the reason why it was abandoned. */
+export type MoveResult = 'moved' | 'over' | 'noDestination' | CopyError['reason']
+
+/** Time after the notice at which attempts to move a run end, in milliseconds. */
+export const MOVE_DEADLINE_MS = 3000
+
+/** Time after the notice at which a run is stopped for its last copy regardless of its size, in milliseconds. */
+export const LAST_COPY_DEADLINE_MS = 1100
+
+/** Duration of the last copy, during which the run is stopped, that callers do not notice, in milliseconds. */
+const SHORT_COPY_MS = 20
+
+/** Duration beyond which a copy that should be shorter has waited for copies of other runs, in milliseconds. */
+const CONTENDED_COPY_MS = 60
+
+/** Maximum number of copies that are made while the run continues, before it is stopped for the last copy. */
+const MAX_PRE_COPIES = 6
+
+/** Maximum time to wait for one copy, in milliseconds. */
+const COPY_TIMEOUT_MS = 2000
+
+/** Maximum time to wait until an unused copy is freed, in milliseconds. */
+const DROP_TIMEOUT_MS = 300
+
+/** Delay before a move is tried again, in milliseconds. */
+const RETRY_DELAY_MS = 40
+
+/** Score penalty of a destination outside the availability zone of the source; a copy to it takes twice as long. */
+const REMOTE_DESTINATION_WEIGHT = 2
+
+/** One move of a run to another engine: copies its memory while it runs, then stops it and copies the rest. */
+export class RunMove {
+  /**
+   * Creates a move that has not started.
+   * @param dependencies - Components that the move uses.
+   * @param options - The run and its source.
+   */
+  static create (dependencies: RunMoveDependencies, options: RunMoveOptions): RunMove {
+    return new RunMove(dependencies, options)
+  }
+
+  private readonly excludedTargets: Set<string>
+  /** Latest copy at a destination that the run does not use yet. */
+  private unusedCopy: RunCopy | undefined
+
+  /** @internal */
+  private constructor (private readonly dependencies: RunMoveDependencies, private readonly options: RunMoveOptions) {
+    this.excludedTargets = new Set([options.source.name])
+  }
+
+  /** Tries destinations until the run is moved, has ended, or cannot be moved any more. */
+  async run (): Promise<MoveResult> {
+    let result: MoveResult = 'over'
+    while (this.canContinue()) {
+      result = await this.tryDestination()
+      if (result === 'moved' || result === 'noRun') break
+      await this.dependencies.clock.sleep(RETRY_DELAY_MS)
+    }
+    await this.dropUnusedCopy()
+    return result
+  }
+
+  private canContinue (): boolean {
+    const { run, source } = this.options
+    return !run.isClosed() && run.getTargetName() === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
+  }
+
+  private getNoticeAgeMs (): number {
+    return this.dependencies.clock.nowMs() - this.options.noticeAtMs
+  }
+
+  private async tryDestination (): Promise<MoveResult> {
+    const { run, source } = this.options
+    const reservation = this.dependencies.placer.reserveBestTarget({
+      service: run.service, tokens: run.getExpectedTokens(), excludedTargets: this.excludedTargets, localZone: source.availabilityZone, remoteZoneWeight: REMOTE_DESTINATION_WEIGHT
+    })
+    if (reservation === undefined) return 'noDestination'
+    const result = await this.copyToDestination(reservation)
+    if (result === 'moved') return result
+    reservation.release()
+    await this.dropUnusedCopy()
+    if (result === 'noRoom') this.excludedTargets.add(reservation.target.name)
+    return result
+  }
+
+  private async copyToDestination (reservation: TargetReservation): Promise<MoveResult> {
+    for (let copies = 0; copies < MAX_PRE_COPIES && this.canContinue(); copies++) {
+      const preCopy = await this.preCopy(reservation)
+      if (preCopy.isErr) return preCopy.error.reason
+      if (preCopy.value === 'ready') break
+    }
+    return this.canContinue() ? await this.finishMove(reservation) : 'over'
+  }
+
+  /** Copies the run while it continues; returns whether the last copy can be short after that. */
+  private async preCopy (reservation: TargetReservation): Promise<Result<'ready' | 'repeat', CopyError>> {
+    const { clock } = this.dependencies
+    const { run } = this.options
+    const heldTokens = run.getHeldTokens()
+    const startedAtMs = clock.nowMs()
+    const copy = await this.copyRun(reservation, false)
+    return copy.map(value => {
+      const expectedMs = this.unusedCopy === undefined ? this.computeCopyMs(heldTokens, reservation) : 0
+      this.unusedCopy = value
+      const isContended = clock.nowMs() - startedAtMs > expectedMs + CONTENDED_COPY_MS
+      const isShort = this.computeCopyMs(run.getHeldTokens() - heldTokens, reservation) < SHORT_COPY_MS
+      return (isShort && !isContended) || this.getNoticeAgeMs() > LAST_COPY_DEADLINE_MS ? 'ready' : 'repeat'
+    })
+  }
+
+  private computeCopyMs (tokens: number, { target }: TargetReservation): number {
+    const { run: { service: { engine } }, source } = this.options
+    if (engine === undefined) return 0
+    return computeCopyDurationMs(tokens, engine) * (target.availabilityZone === source.availabilityZone ? 1 : REMOTE_COPY_FACTOR)
+  }
+
+  /** Stops the run, copies the rest and lets it continue at the destination, or at its source if the destination has no room. */
+  private async finishMove (reservation: TargetReservation): Promise<MoveResult> {
+    const { run, source } = this.options
+    const lastCopy = await this.copyRun(reservation, true)
+    const handle = lastCopy.isOk ? lastCopy.value.handle : lastCopy.error.handle
+    if (handle === undefined) return lastCopy.isErr ? lastCopy.error.reason : 'over'
+    const copy = { handle, producedEvents: lastCopy.isOk ? lastCopy.value.producedEvents : 0 }
+    this.unusedCopy = copy
+    if (run.isClosed()) return 'over'
+    this.unusedCopy = undefined
+    this.dependencies.budget.takeAttempt(run.service.name, 'move')
+    if (!lastCopy.isOk) reservation.release()
+    run.continueAt({
+      reservation: lastCopy.isOk ? reservation : this.dependencies.placer.reserveTarget(source, run.getExpectedTokens()),
+      continuation: { address: source.address, handle: copy.handle },
+      source,
+      producedEvents: copy.producedEvents
+    })
+    return 'moved'
+  }
+
+  private async copyRun (reservation: TargetReservation, isLast: boolean): Promise<Result<RunCopy, CopyError>> {
+    const { client, clock, log } = this.dependencies
+    const { run, source } = this.options
+    const startedAtMs = clock.nowMs()
+    const copy = await client.copyRun({ requestId: run.requestId, from: source, to: reservation.target, isLast, timeoutMs: COPY_TIMEOUT_MS })
+    const outcome = copy.isOk ? 'copied' : copy.error.reason
+    log.recordDecision(run.requestId, 'run copied', {
+      source: source.name, destination: reservation.target.name, isLast, tokens: run.getHeldTokens(), outcome, cause: copy.isErr ? copy.error.cause : undefined, tookMs: Math.round(clock.nowMs() - startedAtMs)
+    })
+    return copy
+  }
+
+  /** Frees the memory of a copy at its destination. */
+  private async dropUnusedCopy (): Promise<void> {
+    const { unusedCopy } = this
+    this.unusedCopy = undefined
+    if (unusedCopy !== undefined) await this.dependencies.client.dropCopy(this.options.source, unusedCopy.handle, DROP_TIMEOUT_MS)
+  }
+}
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -55,6 +55,12 @@
     this.heldTokens = heldTokens
   }
 
+  /** Removes the memory of the request after it was copied to another engine, and lets peers know at once. */
+  clearTokens (): void {
+    this.setTokens(0)
+    this.options.loads.notifyUrgent()
+  }
+
   /** Releases the target. Later calls have no effect. */
   release (): void {
     if (this.isReleased) return
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -106,6 +106,7 @@
     }
     this.pendingContinuation = next
     const { currentAttempt } = this
+    currentAttempt?.reservation.clearTokens()
     this.dependencies.clock.startTimer(REMAINING_EVENTS_TIMEOUT_MS, () => currentAttempt?.abortController.abort())
     this.notifyWaiter?.()
   }
@@ -123,6 +124,11 @@
     return next
   }
 
+  /** Returns whether the run was stopped because it continues at another engine. */
+  isContinuing (): boolean {
+    return this.pendingContinuation !== undefined
+  }
+
   /** Returns whether the run was stopped for a move and all events that it had produced have arrived. */
   hasReceivedAllBeforeMove (): boolean {
     return this.pendingContinuation !== undefined && this.pendingContinuation.producedEvents > 0 && this.eventCount >= this.pendingContinuation.producedEvents
@@ -131,6 +137,7 @@
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
   startReading (): void {
     this.splitter = EventSplitter.create()
+    if (this.hasWrittenHead) this.updateTokens()
   }
 
   /**
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -97,7 +97,7 @@
   dependencies.mover.addRun(run)
   try {
     const end = await readStream(dependencies, context, run)
-    dependencies.health.recordOutcome(reservation.target.name, ATTEMPT_OUTCOMES[end])
+    dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
     dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), cause: attempt.getCause() })
     return end
   } finally {
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -115,8 +115,9 @@
    * Frees a copy that is not needed.
    * @param source - Engine at which the copy was made.
    * @param handle - Identifier of the copy.
+   * @param timeoutMs - Maximum time to wait, in milliseconds; the engine frees the copy by itself some seconds later.
    */
-  dropCopy(source: RelayTarget, handle: string): Promise<void>
+  dropCopy(source: RelayTarget, handle: string, timeoutMs: number): Promise<void>
   /**
    * Fetches the status that a target reports about itself.
    * @param target - The target.
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -191,6 +191,29 @@
     expect([...dependencies.loads.listOwnLoads()]).toEqual([])
   })
 
+  it('free the copy at a destination that has no room for the rest of the run', async () => {
+    let copies = 0
+    const answerCopy = async ({ to }: CopyOptions): Promise<Result<RunCopy, CopyError>> =>
+      to.name === 'b' && copies++ > 0 ? Result.err({ reason: 'noRoom' }) : Result.ok({ handle: `h-${to.name}`, producedEvents: 0 })
+    const { sink, dependencies } = await doTest({ a: [long], b: [remainder], c: [remainder] }, { answerCopy, actions: [[200, markLeaving('a')]] })
+    expect(sink.endState).toBe('complete')
+    expect(dependencies.client.listTargets()).toEqual(['a', 'c'])
+    expect(dependencies.client.dropped).toEqual(['h-b'])
+  })
+
+  it('do not count as failures of the source', async () => {
+    const { dependencies } = await doTest({ a: [long], b: [remainder] }, { actions: [[200, markLeaving('a')]], durationMs: 2000 })
+    expect(dependencies.health.getFailureRate('a')).toBe(0)
+  })
+
+  it('report the memory at the destination at once, and none at the source', async () => {
+    const loads: unknown[] = []
+    await doTest({ a: [long], b: [{ steps: [5000, createEvent(3), 'END'] }] }, {
+      actions: [[200, markLeaving('a')], [400, ({ loads: ownLoads }) => loads.push(ownLoads.getOwnLoad('a').heldTokens ?? 0, ownLoads.getOwnLoad('b').heldTokens)]]
+    })
+    expect(loads).toEqual([0, 1008])
+  })
+
   it('include a run whose connection is silent', async () => {
     const { sink, dependencies } = await doTest({ a: [{ steps: [createEvent(1)] }], b: [{ steps: [createEvent(2), 'END'] }] })
     expect(sink.endState).toBe('complete')
