Continue a run from its first copy when its engine is gone before the last one

Change: a copy that a move did not use is kept with the run. When the stream is lost, the source is asked to stop the run; the run continues from the copy when the source has stopped it, does not know it or cannot be reached (asked twice where it should be running). Otherwise the answer is broken off as before.

--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -8,6 +8,7 @@
 import { type CopyError, type RelayTargetClient, type RunCopy } from '../targets/RelayTargetClient.js'
 import { computeCopyDurationMs, REMOTE_COPY_FACTOR } from './computeCopyDuration.js'
 import { type MovableRun } from './MovableRun.js'
+import { type StandbyCopy } from './StandbyCopy.js'
 
 /** Components that a move uses. */
 export interface RunMoveDependencies {
@@ -48,7 +49,7 @@
 const COPY_TIMEOUT_MS = 2000
 
 /** Maximum time to wait until an unused copy is freed, in milliseconds. */
-const DROP_TIMEOUT_MS = 300
+export const DROP_TIMEOUT_MS = 300
 
 /** Delay before a move is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 40
@@ -68,8 +69,8 @@
   }
 
   private readonly excludedTargets: Set<string>
-  /** Latest copy at a destination that the run does not use yet. */
-  private unusedCopy: RunCopy | undefined
+  /** Copy that the run does not use yet. */
+  private standbyCopy: StandbyCopy | undefined
 
   /** @internal */
   private constructor (private readonly dependencies: RunMoveDependencies, private readonly options: RunMoveOptions) {
@@ -81,13 +82,19 @@
     let result: MoveResult = 'over'
     while (this.canContinue()) {
       result = await this.tryDestination()
-      if (result === 'moved' || result === 'noRun') break
+      if (result === 'moved' || result === 'noRun' || result === 'unreachable') break
       await this.dependencies.clock.sleep(RETRY_DELAY_MS)
     }
-    await this.dropUnusedCopy()
     return result
   }
 
+  /** Returns the copy that the run has not used and releases it from this move; undefined when there is none. */
+  takeStandbyCopy (): StandbyCopy | undefined {
+    const { standbyCopy } = this
+    this.standbyCopy = undefined
+    return standbyCopy
+  }
+
   private canContinue (): boolean {
     const { run, source } = this.options
     return !run.isClosed() && run.getTargetName() === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
@@ -104,9 +111,9 @@
     })
     if (reservation === undefined) return 'noDestination'
     const result = await this.copyToDestination(reservation)
-    if (result === 'moved') return result
+    if (result === 'moved' || (result === 'unreachable' && this.standbyCopy !== undefined)) return result
     reservation.release()
-    await this.dropUnusedCopy()
+    await this.dropStandbyCopy()
     if (result === 'noRoom') this.excludedTargets.add(reservation.target.name)
     return result
   }
@@ -128,8 +135,8 @@
     const startedAtMs = clock.nowMs()
     const copy = await this.copyRun(reservation, false)
     return copy.map(value => {
-      const expectedMs = this.unusedCopy === undefined ? this.computeCopyMs(heldTokens, reservation) : 0
-      this.unusedCopy = value
+      const expectedMs = this.standbyCopy === undefined ? this.computeCopyMs(heldTokens, reservation) : 0
+      this.standbyCopy = { source: this.options.source, reservation, handle: value.handle }
       const isContended = clock.nowMs() - startedAtMs > expectedMs + CONTENDED_COPY_MS
       const isShort = this.computeCopyMs(run.getHeldTokens() - heldTokens, reservation) < SHORT_COPY_MS
       return (isShort && !isContended) || this.getNoticeAgeMs() > LAST_COPY_DEADLINE_MS ? 'ready' : 'repeat'
@@ -148,17 +155,16 @@
     const lastCopy = await this.copyRun(reservation, true)
     const handle = lastCopy.isOk ? lastCopy.value.handle : lastCopy.error.handle
     if (handle === undefined) return lastCopy.isErr ? lastCopy.error.reason : 'over'
-    const copy = { handle, producedEvents: lastCopy.isOk ? lastCopy.value.producedEvents : 0 }
-    this.unusedCopy = copy
+    this.standbyCopy = { source, reservation, handle }
     if (run.isClosed()) return 'over'
-    this.unusedCopy = undefined
+    this.standbyCopy = undefined
     this.dependencies.budget.takeAttempt(run.service.name, 'move')
     if (!lastCopy.isOk) reservation.release()
     run.continueAt({
       reservation: lastCopy.isOk ? reservation : this.dependencies.placer.reserveTarget(source, run.getExpectedTokens()),
-      continuation: { address: source.address, handle: copy.handle },
+      continuation: { address: source.address, handle },
       source,
-      producedEvents: copy.producedEvents
+      producedEvents: lastCopy.isOk ? lastCopy.value.producedEvents : 0
     })
     return 'moved'
   }
@@ -176,9 +182,8 @@
   }
 
   /** Frees the memory of a copy at its destination. */
-  private async dropUnusedCopy (): Promise<void> {
-    const { unusedCopy } = this
-    this.unusedCopy = undefined
-    if (unusedCopy !== undefined) await this.dependencies.client.dropCopy(this.options.source, unusedCopy.handle, DROP_TIMEOUT_MS)
+  private async dropStandbyCopy (): Promise<void> {
+    const copy = this.takeStandbyCopy()
+    if (copy !== undefined) await this.dependencies.client.dropCopy(copy.source, copy.handle, DROP_TIMEOUT_MS)
   }
 }
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -1,11 +1,14 @@
+import { type Result } from 'true-myth'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type EngineProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type CopyError, type RunCopy } from '../targets/RelayTargetClient.js'
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
 import { waitForCopyTurn } from './CopyTurn.js'
 import { type MovableRun } from './MovableRun.js'
-import { LAST_COPY_DEADLINE_MS, MOVE_DEADLINE_MS, type MoveResult, RunMove, type RunMoveDependencies } from './RunMove.js'
+import { type StandbyCopy } from './StandbyCopy.js'
+import { DROP_TIMEOUT_MS, LAST_COPY_DEADLINE_MS, MOVE_DEADLINE_MS, type MoveResult, RunMove, type RunMoveDependencies } from './RunMove.js'
 
 /** Options of a mover. */
 export interface RunMoverOptions extends RunMoveDependencies {
@@ -22,6 +25,15 @@
 /** Interval at which runs that the engine has not started are tried again, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 40
 
+/** Maximum time to wait until an engine has stopped a run whose stream was interrupted, in milliseconds. */
+const STOP_TIMEOUT_MS = 300
+
+/** Delay before an engine is asked a second time to stop a run, in milliseconds. */
+const STOP_RETRY_DELAY_MS = 50
+
+/** Outcomes of the last copy after which no engine executes the run; an engine that cannot be reached is taken as gone. */
+const RECOVERABLE_OUTCOMES: ReadonlySet<string> = new Set(['copied', 'noRun', 'noRoom', 'unreachable'])
+
 /** Completion value that weighs as much as one token of held memory when runs are sorted. */
 const VALUE_PER_HELD_TOKEN = 10
 
@@ -37,6 +49,7 @@
 
   private readonly runs = new Set<MovableRun>()
   private readonly moving = new Set<MovableRun>()
+  private readonly standbyCopies = new Map<MovableRun, StandbyCopy>()
   /** Name of the engine of the last attempted move of each run; it prevents an immediate retry of a move that failed. */
   private readonly lastSourceByRun = new WeakMap<MovableRun, string>()
 
@@ -61,6 +74,26 @@
    */
   removeRun (run: MovableRun): void {
     this.runs.delete(run)
+    this.dropStandbyCopy(run)
+  }
+
+  /**
+   * Lets a run whose stream was interrupted continue from a copy of its memory, if there is one and the previous engine no longer
+   * executes the run.
+   * @param run - The run.
+   */
+  async recoverRun (run: MovableRun): Promise<void> {
+    const copy = this.standbyCopies.get(run)
+    if (copy === undefined) return
+    const lastCopy = await this.stopAtSource(run, copy)
+    const outcome = lastCopy.isOk ? 'copied' : lastCopy.error.reason
+    const isStopped = RECOVERABLE_OUTCOMES.has(outcome)
+    this.options.log.recordDecision(run.requestId, 'run recovered', { source: copy.source.name, destination: copy.reservation.target.name, lastCopy: outcome, isStopped })
+    if (!isStopped) return this.dropStandbyCopy(run)
+    this.standbyCopies.delete(run)
+    this.options.budget.takeAttempt(run.service.name, 'move')
+    const { handle, producedEvents } = lastCopy.unwrapOr({ handle: copy.handle, producedEvents: 0 })
+    run.continueAt({ reservation: copy.reservation, continuation: { address: copy.source.address, handle }, source: copy.source, producedEvents })
   }
 
   /**
@@ -126,12 +159,39 @@
 
   private async moveRun (run: MovableRun, source: RelayTarget, noticeAtMs: number): Promise<MoveResult> {
     this.moving.add(run)
-    const result = await RunMove.create(this.options, { run, source, noticeAtMs }).run()
+    const move = RunMove.create(this.options, { run, source, noticeAtMs })
+    const result = await move.run()
     this.moving.delete(run)
+    this.keepStandbyCopy(run, move.takeStandbyCopy())
     if (result !== 'noRun' && (!run.isClosed() || result === 'moved')) this.recordMove(run, source, result, noticeAtMs)
     return result
   }
 
+  /** Stops a run at its source if it still executes there, and copies the rest of its memory. */
+  private async stopAtSource (run: MovableRun, { source, reservation }: StandbyCopy): Promise<Result<RunCopy, CopyError>> {
+    const stop = async (): Promise<Result<RunCopy, CopyError>> => await this.options.client.copyRun({ requestId: run.requestId, from: source, to: reservation.target, isLast: true, timeoutMs: STOP_TIMEOUT_MS })
+    const lastCopy = await stop()
+    const isExpectedToRun = this.options.table.getTracked(source.name)?.state === 'ready'
+    const isUnclear = lastCopy.isErr && (lastCopy.error.reason === 'busy' || (lastCopy.error.reason === 'unreachable' && isExpectedToRun))
+    if (!isUnclear) return lastCopy
+    await this.options.clock.sleep(STOP_RETRY_DELAY_MS)
+    return await stop()
+  }
+
+  private keepStandbyCopy (run: MovableRun, copy: StandbyCopy | undefined): void {
+    if (copy === undefined) return
+    this.standbyCopies.set(run, copy)
+    if (run.isClosed()) this.dropStandbyCopy(run)
+  }
+
+  private dropStandbyCopy (run: MovableRun): void {
+    const copy = this.standbyCopies.get(run)
+    if (copy === undefined) return
+    this.standbyCopies.delete(run)
+    copy.reservation.release()
+    this.options.client.dropCopy(copy.source, copy.handle, DROP_TIMEOUT_MS)
+  }
+
   private recordMove (run: MovableRun, source: RelayTarget, result: MoveResult, noticeAtMs: number): void {
     this.options.metrics.countMove(result)
     this.options.log.recordDecision(run.requestId, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - noticeAtMs) })
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -37,7 +37,7 @@
   while (reservation !== undefined) {
     const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
     if (end === 'complete') return
-    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await run.takeContinuation() ?? continueAtSource(dependencies, run, previousMove, end))
+    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end))
     if (context.signal.aborted) return finishAborted(dependencies, context, run)
     previousMove = next
     if (next !== undefined) reservation = next.reservation
@@ -47,6 +47,14 @@
   finishWithoutEngine(dependencies, context, run)
 }
 
+/** Returns the continuation after a move, or from a copy if the stream was interrupted. */
+async function takeContinuation ({ mover }: RelayDependencies, run: StreamRun, end: StreamEnd): Promise<RunContinuation | undefined> {
+  const next = await run.takeContinuation()
+  if (next !== undefined || end !== 'lost') return next
+  await mover.recoverRun(run)
+  return await run.takeContinuation()
+}
+
 /** Returns the continuation at the source, which keeps the memory of a stopped run, if the destination refused the run. */
 function continueAtSource ({ placer, table }: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): RunContinuation | undefined {
   const isRefused = end === 'notExecuted' || end === 'notSent' || end === 'notHere'
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -214,6 +214,27 @@
     expect(loads).toEqual([0, 1008])
   })
 
+  it('continue a run from its first copy when the engine is gone before the last copy', async () => {
+    const answerCopy = async ({ isLast }: CopyOptions): Promise<Result<RunCopy, CopyError>> =>
+      isLast ? Result.err({ reason: 'unreachable' }) : Result.ok({ handle: 'h', producedEvents: 1 })
+    const { sink, dependencies } = await doTest({ a: [{ steps: [createEvent(1), 100, createEvent(2), 300, { error: 'lost' }] }], b: [remainder] }, { answerCopy, actions: [[200, markLeaving('a')]] })
+    expect(sink.describe()).toBe(`200 ${JSON.stringify(createEvent(1) + createEvent(2) + createEvent(3))} complete`)
+    expect(dependencies.client.attempts[1]?.options).toMatchObject({ lastEventId: '2', continuation: { address: 'a:1', handle: 'h' } })
+    expect([...dependencies.loads.listOwnLoads()]).toEqual([])
+  })
+
+  it('do not continue a run from a copy while its engine may still execute it', async () => {
+    const answerCopy = async ({ isLast }: CopyOptions): Promise<Result<RunCopy, CopyError>> =>
+      isLast ? Result.err({ reason: dependencies.clock.nowMs() < 400 ? 'unreachable' : 'busy' }) : Result.ok({ handle: 'h', producedEvents: 1 })
+    const dependencies = { clock: { nowMs: () => 0 } }
+    const { sink, dependencies: used } = await doTest({ a: [{ steps: [createEvent(1), 500, { error: 'lost' }] }], b: [remainder] }, {
+      answerCopy, actions: [[0, own => { dependencies.clock = own.clock }], [200, markLeaving('a')]]
+    })
+    expect(sink.endState).toBe('brokenOff')
+    expect(used.client.listTargets()).toEqual(['a'])
+    expect([...used.loads.listOwnLoads()]).toEqual([])
+  })
+
   it('include a run whose connection is silent', async () => {
     const { sink, dependencies } = await doTest({ a: [{ steps: [createEvent(1)] }], b: [{ steps: [createEvent(2), 'END'] }] })
     expect(sink.endState).toBe('complete')
