Stop a run only on an idle link, and keep turns to the end of the notice

Cause: 55 of 86 late drafts were stopped for a last copy that waited behind first copies of other instances: all that still waited began together 1,200 ms after the notice, and from 1,100 ms on a run was stopped whatever the link did.

Change: a run is stopped after a copy that met an idle link, never otherwise; what has a first copy continues from it when the engine goes. An instance begins in its turn, or after the time that those before it may take, however late that is. A stalled run is stopped at once, as before.

Left are first events that are late (18) and engines that hold more than their link carries in the notice.

--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -25,6 +25,8 @@
   readonly source: RelayTarget
   /** Clock reading of the notice that the source shuts down. */
   readonly noticeAtMs: number
+  /** Whether the run is stopped after its first copy in any case, because nothing of it reaches the caller in the meantime. */
+  readonly mustStopAtOnce?: boolean
 }
 
 /** Result of a move, or the reason why it was abandoned. */
@@ -33,18 +35,12 @@
 /** Time after the notice at which attempts to move a run end, in milliseconds. */
 export const MOVE_DEADLINE_MS = 3000
 
-/** Time after the notice at which a run is stopped for its last copy regardless of its size, in milliseconds. */
-export const LAST_COPY_DEADLINE_MS = 1100
-
 /** Duration of the last copy, during which the run is stopped, that callers do not notice, in milliseconds. */
 const SHORT_COPY_MS = 20
 
 /** Duration beyond which a copy that should be shorter has waited for copies of other runs, in milliseconds. */
 const CONTENDED_COPY_MS = 60
 
-/** Maximum number of copies that are made while the run continues, before it is stopped for the last copy. */
-const MAX_PRE_COPIES = 6
-
 /** Maximum time to wait for one copy, in milliseconds. */
 const COPY_TIMEOUT_MS = 2000
 
@@ -108,7 +104,8 @@
     const reservation = this.reserveDestination()
     if (reservation === undefined) return 'noDestination'
     const result = await this.copyToDestination(reservation)
-    if (result === 'moved' || (result === 'unreachable' && this.standbyCopy !== undefined)) return result
+    const isCopyKept = (result === 'unreachable' || result === 'over') && this.standbyCopy !== undefined
+    if (result === 'moved' || isCopyKept) return result
     reservation.release()
     await this.dropStandbyCopy()
     if (result === 'noRoom') this.excludedTargets.add(reservation.target.name)
@@ -132,15 +129,16 @@
   }
 
   private async copyToDestination (reservation: TargetReservation): Promise<MoveResult> {
-    for (let copies = 0; copies < MAX_PRE_COPIES && this.canContinue(); copies++) {
+    while (this.canContinue()) {
       const preCopy = await this.preCopy(reservation)
       if (preCopy.isErr) return preCopy.error.reason
-      if (preCopy.value === 'ready') break
+      if (preCopy.value === 'ready' || this.options.mustStopAtOnce === true) return this.canContinue() ? await this.finishMove(reservation) : 'over'
+      await this.dependencies.clock.sleep(RETRY_DELAY_MS)
     }
-    return this.canContinue() ? await this.finishMove(reservation) : 'over'
+    return 'over'
   }
 
-  /** Copies the run while it continues; returns whether the last copy can be short after that. */
+  /** Copies the run while it continues; returns whether the last copy, during which it is stopped, will be short after that. */
   private async preCopy (reservation: TargetReservation): Promise<Result<'ready' | 'repeat', CopyError>> {
     const { clock } = this.dependencies
     const { run } = this.options
@@ -152,7 +150,7 @@
       this.standbyCopy = { source: this.options.source, reservation, handle: value.handle }
       const isContended = clock.nowMs() - startedAtMs > expectedMs + CONTENDED_COPY_MS
       const isShort = this.computeCopyMs(run.getHeldTokens() - heldTokens, reservation) < SHORT_COPY_MS
-      return (isShort && !isContended) || this.getNoticeAgeMs() > LAST_COPY_DEADLINE_MS ? 'ready' : 'repeat'
+      return isShort && !isContended ? 'ready' : 'repeat'
     })
   }
 
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -8,7 +8,7 @@
 import { waitForCopyTurn } from './CopyTurn.js'
 import { type MovableRun } from './MovableRun.js'
 import { type StandbyCopy } from './StandbyCopy.js'
-import { DROP_TIMEOUT_MS, LAST_COPY_DEADLINE_MS, MOVE_DEADLINE_MS, type MoveResult, RunMove, type RunMoveDependencies } from './RunMove.js'
+import { DROP_TIMEOUT_MS, MOVE_DEADLINE_MS, type MoveResult, RunMove, type RunMoveDependencies, type RunMoveOptions } from './RunMove.js'
 
 /** Options of a mover. */
 export interface RunMoverOptions extends RunMoveDependencies {
@@ -19,9 +19,6 @@
   readonly metrics: RelayMetrics
 }
 
-/** Maximum time after the notice until an instance starts to copy its runs, in milliseconds. */
-const MAX_COPY_DELAY_MS = 1200
-
 /** Interval at which runs that the engine has not started are tried again, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 40
 
@@ -103,8 +100,7 @@
   moveStalledRun (run: MovableRun): void {
     const tracked = this.options.table.getTracked(run.getTargetName() ?? '')
     if (tracked === undefined || this.isMoving(run) || run.service.engine?.canMove !== true) return
-    // The run is stopped at once because none of its output reaches the caller in the meantime.
-    this.moveRun(run, tracked.target, this.options.clock.nowMs() - LAST_COPY_DEADLINE_MS)
+    this.moveRun({ run, source: tracked.target, noticeAtMs: this.options.clock.nowMs(), mustStopAtOnce: true })
   }
 
   /**
@@ -136,7 +132,7 @@
 
   private async waitForTurn (source: RelayTarget, noticeAtMs: number, profile: EngineProfile): Promise<void> {
     const { clock, loads, instance } = this.options
-    await waitForCopyTurn({ clock, loads, instance, engine: source.name, profile, latestStartMs: noticeAtMs + MAX_COPY_DELAY_MS })
+    await waitForCopyTurn({ clock, loads, instance, engine: source.name, profile, latestStartMs: noticeAtMs + MOVE_DEADLINE_MS })
   }
 
   /** Moves runs in their order. Runs that the engine has not started cannot be copied yet and are tried again after the others. */
@@ -146,7 +142,7 @@
     while (queue.length > 0 && clock.nowMs() - noticeAtMs < MOVE_DEADLINE_MS) {
       const run = queue.shift()!
       if (run.isClosed() || run.getTargetName() !== source.name) continue
-      const result = await this.moveRun(run, source, noticeAtMs)
+      const result = await this.moveRun({ run, source, noticeAtMs })
       if (result !== 'noRun') continue
       queue.push(run)
       await clock.sleep(START_CHECK_INTERVAL_MS)
@@ -157,13 +153,14 @@
     return run.service.engine?.canMove === true && !this.moving.has(run) && this.lastSourceByRun.get(run) !== source.name
   }
 
-  private async moveRun (run: MovableRun, source: RelayTarget, noticeAtMs: number): Promise<MoveResult> {
+  private async moveRun (options: RunMoveOptions): Promise<MoveResult> {
+    const { run } = options
     this.moving.add(run)
-    const move = RunMove.create(this.options, { run, source, noticeAtMs })
+    const move = RunMove.create(this.options, options)
     const result = await move.run()
     this.moving.delete(run)
     this.keepStandbyCopy(run, move.takeStandbyCopy())
-    if (result !== 'noRun' && (!run.isClosed() || result === 'moved')) this.recordMove(run, source, result, noticeAtMs)
+    if (result !== 'noRun' && (!run.isClosed() || result === 'moved')) this.recordMove(options, result)
     return result
   }
 
@@ -192,7 +189,7 @@
     this.options.client.dropCopy(copy.source, copy.handle, DROP_TIMEOUT_MS)
   }
 
-  private recordMove (run: MovableRun, source: RelayTarget, result: MoveResult, noticeAtMs: number): void {
+  private recordMove ({ run, source, noticeAtMs }: RunMoveOptions, result: MoveResult): void {
     this.options.metrics.countMove(result)
     this.options.log.recordDecision(run.requestId, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - noticeAtMs) })
   }
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -145,6 +145,20 @@
     expect(dependencies.client.copies.map(({ isLast }) => isLast)).toEqual([false, false, false, false, true])
   })
 
+  it('never stop a run while copies of other runs delay its own', async () => {
+    let clock: TestDependencies['clock'] | undefined
+    const answerCopy = async ({ isLast }: CopyOptions): Promise<Result<RunCopy, CopyError>> => {
+      if (isLast) return Result.err({ reason: 'unreachable' })
+      await clock?.sleep(200)
+      return Result.ok({ handle: 'h', producedEvents: 1 })
+    }
+    const { sink, dependencies } = await doTest({ a: [{ steps: [createEvent(1), 100, createEvent(2), 1900, { error: 'lost' }] }], b: [remainder] }, {
+      answerCopy, actions: [[0, testDependencies => { clock = testDependencies.clock }], [200, markLeaving('a')]], route: { maxGapMs: 1000 }
+    })
+    expect(sink.endState).toBe('complete')
+    expect(dependencies.client.copies.map(({ isLast }) => isLast)).toEqual([...Array.from({ length: 8 }, () => false), true])
+  })
+
   it('try another engine when one has no memory left', async () => {
     const answerCopy = async ({ to }: CopyOptions): Promise<Result<RunCopy, CopyError>> =>
       to.name === 'b' ? Result.err({ reason: 'noRoom' }) : Result.ok({ handle: 'h', producedEvents: 0 })
