Wait on as long as an earlier instance gets runs off a leaving engine

Cause: the time that an instance waits for those before it was worked out anew only when one of them had finished.

Change: the time starts anew whenever those before it hold less than before.

--- a/packages/relay/src/moves/CopyTurn.ts
+++ b/packages/relay/src/moves/CopyTurn.ts
@@ -45,23 +45,22 @@
 
 /**
  * Waits until all instances that copy their runs off an engine before this one have finished. An instance that reports no progress
- * is waited for only as long as its copies take, so that a lost message costs time but never blocks a move.
+ * is waited for only as long as its copies may take, to destinations in other zones, so that a lost message costs time but never blocks a move.
  * @param options - Options of the wait.
  */
 export async function waitForCopyTurn ({ clock, loads, instance, engine, profile, latestStartMs }: CopyTurnOptions): Promise<void> {
-  let earlierCount = Infinity
+  let previousTokens = Infinity
   let turnMs = latestStartMs
   while (clock.nowMs() < Math.min(turnMs, latestStartMs)) {
     const earlier = listEarlierInstances(engine, instance, loads.listHeldMemory(engine))
     if (earlier.length === 0) return
-    if (earlier.length < earlierCount) turnMs = clock.nowMs() + estimateTurnMs(earlier, profile)
-    earlierCount = earlier.length
+    const tokens = sumTokens(earlier)
+    if (tokens < previousTokens) turnMs = clock.nowMs() + computeCopyDurationMs(tokens, profile) * REMOTE_COPY_FACTOR + earlier.length * HANDOVER_MS
+    previousTokens = tokens
     await clock.sleep(CHECK_INTERVAL_MS)
   }
 }
 
-/** Estimates the time in which other instances finish their copies, in milliseconds; their destinations may be in other zones. */
-function estimateTurnMs (earlier: readonly HeldMemory[], profile: EngineProfile): number {
-  const tokens = earlier.reduce((sum, peer) => sum + peer.tokens, 0)
-  return computeCopyDurationMs(tokens, profile) * REMOTE_COPY_FACTOR + earlier.length * HANDOVER_MS
+function sumTokens (peers: readonly HeldMemory[]): number {
+  return peers.reduce((sum, { tokens }) => sum + tokens, 0)
 }
