Use no retry budget for attempts that did not reach their target

Cause: drafts were refused after 7 to 37 ms because the one engine that they were sent to had gone (ECONNREFUSED) and no attempt was left in the budget: a process that has just started knows no peers and has no share of the extra attempts. The limit is on what arrives at targets, and nothing had arrived.

Change: attempts of which no byte was sent take nothing from the budget, for calls and streams; their number stays bounded by the targets, each of which is tried once.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -43,6 +43,8 @@
   executedAttempts = 0
   /** Number of attempts that were sent. */
   sentAttempts = 0
+  /** Number of attempts that did not reach their target; they use no budget. */
+  unsentAttempts = 0
   currentAttempt: StreamAttempt | undefined
   private lastEventId: string | undefined
   private eventCount = 0
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -42,6 +42,8 @@
   /** Number of attempts that ran or may have run. */
   executedAttempts: number
   sentAttempts: number
+  /** Number of attempts that did not reach their target; they use no budget. */
+  unsentAttempts: number
   /** Failed answer of a target, kept in case no other target succeeds. */
   failedAnswer?: BufferedAnswer
   mayHaveRun: boolean
@@ -54,7 +56,7 @@
  * @param context - The request.
  */
 export async function runRelayedCall (dependencies: RelayDependencies, context: RelayContext): Promise<void> {
-  const state: CallState = { context, dependencies, excludedTargets: new Set(), runningAttempts: new Set(), executedAttempts: 0, sentAttempts: 0, mayHaveRun: false }
+  const state: CallState = { context, dependencies, excludedTargets: new Set(), runningAttempts: new Set(), executedAttempts: 0, sentAttempts: 0, unsentAttempts: 0, mayHaveRun: false }
   try {
     await runAttempts(state)
   } finally {
@@ -87,7 +89,7 @@
   if (state.sentAttempts > 0 && !canRepeat(state)) return false
   const reservation = dependencies.placer.reserveBestTarget({ service: context.service, tokens: 0, excludedTargets })
   if (reservation === undefined) return false
-  if (state.sentAttempts > 0 && !dependencies.budget.takeAttempt(context.service.name, 'retry')) {
+  if (state.sentAttempts > state.unsentAttempts && !dependencies.budget.takeAttempt(context.service.name, 'retry')) {
     reservation.release()
     return false
   }
@@ -198,7 +200,10 @@
     if (state.runningAttempts.size > 0 || canStartAnother(state)) return false
     return await deliverAnswer(state, from, answer)
   },
-  notSent: () => false,
+  notSent: state => {
+    state.unsentAttempts++
+    return false
+  },
   notExecuted: () => false,
   notHere: () => false,
   lost: state => recordLostAttempt(state),
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -75,7 +75,7 @@
     maxWaitMs: Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs,
     signal: context.signal
   })
-  if (reservation === undefined || run.sentAttempts === 0 || budget.takeAttempt(service.name, 'retry')) return reservation
+  if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
   reservation.release()
   return undefined
 }
@@ -105,6 +105,7 @@
   dependencies.mover.addRun(run)
   try {
     const end = await readStream(dependencies, context, run)
+    if (end === 'notSent') run.unsentAttempts++
     dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
     dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), cause: attempt.getCause() })
     return end
--- a/packages/relay/test/requests/runRelayedCall.test.ts
+++ b/packages/relay/test/requests/runRelayedCall.test.ts
@@ -73,6 +73,12 @@
     expect(dependencies.client.listTargets()).toEqual(['a'])
   })
 
+  it('tries other targets without budget while none was reached', async () => {
+    const { sink, dependencies } = await doTest({ a: [{ error: 'notSent' }], b: [{ error: 'notSent' }], c: [good] }, { extra: 0 })
+    expect(sink.describe()).toBe('200 "hello" complete')
+    expect(dependencies.client.listTargets()).toEqual(['a', 'b', 'c'])
+  })
+
   it('repeats a call whose answer was interrupted before the caller received any of it', async () => {
     const { sink } = await doTest({ a: [{ steps: ['he', { error: 'lost' }] }], b: [good] })
     expect(sink.describe()).toBe('200 "hello" complete')
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -15,6 +15,8 @@
   readonly answerCopy?: (options: CopyOptions) => Promise<Result<RunCopy, CopyError>>
   /** Actions at clock readings in milliseconds. */
   readonly actions?: ReadonlyArray<readonly [number, (dependencies: TestDependencies, sink: FakeSink) => void]>
+  /** Attempts that may be added independent of the number of requests. */
+  readonly extra?: number
   /** Time for which the run is observed, in milliseconds. */
   readonly durationMs?: number
 }
@@ -28,7 +30,7 @@
 
 /** Runs one stream with engines, of which the first one is the least used. */
 async function doTest (scripts: Record<string, ScriptedAnswer[]>, options: Options = {}): Promise<Outcome> {
-  const dependencies = createTestDependencies()
+  const dependencies = createTestDependencies({ extra: options.extra })
   for (const [name, answers] of Object.entries(scripts)) {
     dependencies.table.updateTarget(createTarget(name, { service: ENGINES.name }))
     dependencies.client.scripts.set(name, answers)
@@ -73,6 +75,12 @@
     expect(dependencies.client.listTargets()).toEqual(['a', 'b'])
   })
 
+  it('are sent to another engine without budget when the first was not reached', async () => {
+    const { sink, dependencies } = await doTest({ a: [{ error: 'notSent' }], b: [complete] }, { extra: 0 })
+    expect(sink.endState).toBe('complete')
+    expect(dependencies.client.listTargets()).toEqual(['a', 'b'])
+  })
+
   it('are not restarted when they may have run, even if no event was forwarded', async () => {
     const { sink, dependencies } = await doTest({ a: [{ error: 'lost' }], b: [complete] })
     expect(sink.describe()).toBe('502 lost')
