Log the era and revision of the store with each complete read

Cause for the change: of the three hypotheses on the configuration that was not in force, the logs could not show a store whose revisions fall. Keys that the view ignores as older left no line.

Change: the client reads the era that the store states with each answer (none is era 0), and `published keys read` gives era, revision, the revision that the view had, and the number of keys that came back older. No decision changes.

Checked: type check, linter and the tests of relay and platform (298) pass.

--- a/packages/relay/src/published/PublishedItem.ts
+++ b/packages/relay/src/published/PublishedItem.ts
@@ -14,6 +14,8 @@
   readonly items: readonly PublishedItem[]
   /** Revision of the store at the time of the answer. */
   readonly revision: number
+  /** Era of the store; it rises each time the store returns from an older copy, after which its revisions start lower. */
+  readonly era: number
   /** Key after which the next page starts; absent on the last page. */
   readonly nextAfter?: string
 }
@@ -23,6 +25,8 @@
   readonly items: readonly PublishedItem[]
   /** Revision from which to continue. */
   readonly revision: number
+  /** Era of the store in which the revisions are valid. */
+  readonly era: number
 }
 
 /** Reason for which the store gave no answer; `compacted` means that the requested history was compacted away. */
--- a/packages/relay/src/published/PublishedView.ts
+++ b/packages/relay/src/published/PublishedView.ts
@@ -61,6 +61,14 @@
     this.applyChanges([...items, ...absent.map(({ key }) => ({ key, revision }))], revision)
   }
 
+  /**
+   * Counts items that are older than what this view holds for their keys.
+   * @param items - The items.
+   */
+  countOlder (items: readonly PublishedItem[]): number {
+    return items.filter(({ key, revision }) => revision < (this.items.get(key)?.revision ?? 0)).length
+  }
+
   /**
    * Adds a listener.
    * @param listener - Receives all later changes.
--- a/packages/relay/src/published/PublishedWatcher.ts
+++ b/packages/relay/src/published/PublishedWatcher.ts
@@ -118,17 +118,20 @@
     const items: PublishedItem[] = []
     let after = ''
     let revision: number | undefined
+    let era = 0
     for (let page = 0; page < MAX_PAGES; page++) {
       const answer = await source.fetchPage(after)
       if (answer.isErr) return answer
       revision ??= answer.value.revision
+      era = answer.value.era
       items.push(...answer.value.items)
       if (answer.value.nextAfter === undefined) break
       after = answer.value.nextAfter
     }
+    const heldRevision = view.getRevision()
     view.applyFullRead(items, revision ?? 0)
     this.needsFullRead = false
-    this.options.log.recordStateChange('published keys read', { keys: items.length, revision })
+    this.options.log.recordStateChange('published keys read', { keys: items.length, era, revision, heldRevision, older: view.countOlder(items) })
     return await this.watchOnce(0)
   }
 
--- a/packages/relay/test/published/PublishedWatcher.test.ts
+++ b/packages/relay/test/published/PublishedWatcher.test.ts
@@ -16,8 +16,8 @@
   readonly peerFetchCount: number
 }
 
-const createPage = (revision: number, ...keys: string[]): PageResult => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
-const createChanges = (revision: number, ...keys: string[]): ChangesResult => Result.ok({ revision, items: keys.map(key => ({ key, revision, value: key })) })
+const createPage = (revision: number, ...keys: string[]): PageResult => Result.ok({ revision, era: 0, items: keys.map(key => ({ key, revision, value: key })) })
+const createChanges = (revision: number, ...keys: string[]): ChangesResult => Result.ok({ revision, era: 0, items: keys.map(key => ({ key, revision, value: key })) })
 
 /** Watches a scripted source for some time; a watch after the end of the script waits until its timeout. */
 async function doTest (pages: PageResult[], watches: ChangesResult[], durationMs = 100, canSkipWatch?: (nowMs: number) => boolean, refreshAtMs = Infinity, watchDelayMs = 0): Promise<Outcome> {
@@ -36,7 +36,7 @@
       if (next !== undefined) return next
       await clock.sleep(waitMs, signal)
       if (signal.aborted) return Result.err('timeout')
-      return Result.ok({ items: [], revision: after })
+      return Result.ok({ items: [], revision: after, era: 0 })
     }
   }
   const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
@@ -54,7 +54,7 @@
 
 describe('PublishedWatcher', () => {
   it('reads all pages, then watches from the revision of the first page', async () => {
-    const first: PageResult = Result.ok({ revision: 5, items: [{ key: 'a', revision: 1, value: 'a' }], nextAfter: 'a' })
+    const first: PageResult = Result.ok({ revision: 5, era: 0, items: [{ key: 'a', revision: 1, value: 'a' }], nextAfter: 'a' })
     const { view, calls } = await doTest([first, createPage(9, 'b')], [])
     expect(view.listItems().map(({ key }) => key)).toEqual(['a', 'b'])
     expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5 at once'])
