--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -1,4 +1,5 @@
 import { Maybe, Result } from 'true-myth'
+import { type RelayTarget } from '../model/RelayTarget.js'
 import { RouteTable } from '../model/RouteTable.js'
 import { type DecodedItem } from '../published/PublishedDecoder.js'
 import { type PublishedItem } from '../published/PublishedItem.js'
@@ -129,7 +130,7 @@
   }
 
   private applyItems (items: readonly PublishedItem[]): void {
-    for (const item of items) this.applyDecodedItem(this.options.decodeItem(item), item)
+    for (const item of items) this.applyDecodedItem(this.components.decodeItem(item), item)
     this.components.dependencies.placer.notifyCapacity()
     this.updateReadiness()
   }
@@ -137,22 +138,28 @@
   private updateReadiness (): void {
     if (this.phase !== 'starting' || this.routes === undefined) return
     this.phase = 'ready'
-    this.components.log.recordStateChange('ready', { version: this.routes.configuration.version, revision: this.components.view.getRevision() })
+    this.components.log.recordStateChange('ready', { version: this.routes.configuration.version, ...this.components.view.getPosition() })
   }
 
   private applyDecodedItem (decoded: DecodedItem, item: PublishedItem): void {
     const { log, dependencies } = this.components
     if (decoded.kind === 'configuration') this.applyConfiguration(decoded.configuration, item)
-    else if (decoded.kind === 'target') dependencies.table.updateTarget(decoded.target)
+    else if (decoded.kind === 'target') this.applyTarget(decoded.target, item)
     else if (decoded.kind === 'targetRemoved' || decoded.kind === 'targetUnreadable') dependencies.table.handleRemoval(decoded.name)
-    if (decoded.kind === 'targetUnreadable' || decoded.kind === 'refused') log.recordStateChange('published key refused', { key: item.key, revision: item.revision, problem: decoded.problem })
+    if (decoded.kind === 'targetUnreadable' || decoded.kind === 'refused') log.recordStateChange('published key refused', { key: item.key, era: item.era, revision: item.revision, problem: decoded.problem })
+  }
+
+  private applyTarget (target: RelayTarget, { era, revision }: PublishedItem): void {
+    const { log, dependencies } = this.components
+    const isUsed = dependencies.table.updateTarget(target)
+    if (!isUsed) log.recordStateChange('older target entry ignored', { target: target.name, phase: target.phase, sequence: target.sequence, era, revision })
   }
 
   private applyConfiguration (configuration: RouteTable['configuration'], item: PublishedItem): void {
     const previousVersion = this.routes?.configuration.version
     if (previousVersion !== undefined && configuration.version <= previousVersion) return
     this.routes = RouteTable.create(configuration)
-    this.components.log.recordStateChange('configuration in force', { before: previousVersion, version: configuration.version, revision: item.revision, routes: configuration.routes.length })
+    this.components.log.recordStateChange('configuration in force', { before: previousVersion, version: configuration.version, era: item.era, revision: item.revision, routes: configuration.routes.length })
   }
 
   private async runMaintenance (): Promise<void> {
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -2,6 +2,7 @@
 import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
+import { parseSummary, type PublishedSummary } from '../published/PublishedPosition.js'
 import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
 import { FleetSizeEstimator } from './FleetSizeEstimator.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
@@ -13,10 +14,10 @@
   readonly random: Random
   readonly logger: Logger
   readonly log: DecisionLog
-  /** Returns the revision of the published keys that this instance has. */
-  readonly getRevision: () => number
-  /** Handles the revision of the published keys that a peer reported. */
-  readonly handlePeerRevision: (peer: string, revision: number) => void
+  /** Returns what this instance has of the published keys. */
+  readonly getSummary: () => PublishedSummary
+  /** Handles what a peer has of the published keys. */
+  readonly handlePeerSummary: (peer: string, summary: PublishedSummary) => void
   /** Called when a peer is declared dead. */
   readonly onPeerDead: (peer: string) => void
 }
@@ -72,8 +73,8 @@
       transport: this.network,
       clock,
       random,
-      getGossipPayload: () => ({ revision: options.getRevision(), listVersion: 0, listAgeMs: 0 }),
-      handleGossipPayload: (from, { revision }) => options.handlePeerRevision(from, revision),
+      getGossipPayload: () => ({ ...options.getSummary(), listVersion: 0, listAgeMs: 0 }),
+      handleGossipPayload: (from, payload) => options.handlePeerSummary(from, parseSummary(payload)),
       limits: PROBE_LIMITS
     })
     this.fleetSize = FleetSizeEstimator.create({ clock, countAlive: () => this.membership.listAlive().length, countSeeds: () => this.seeds.length })
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -8,6 +8,7 @@
 import { GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
+import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedWatcher } from '../published/PublishedWatcher.js'
 import { type PublishedView } from '../published/PublishedView.js'
 import { type RelayDependencies } from '../requests/RelayDependencies.js'
@@ -23,6 +24,7 @@
 export interface RelayComponents {
   readonly log: DecisionLog
   readonly view: PublishedView
+  readonly decodeItem: PublishedDecoder
   readonly watcher: PublishedWatcher
   readonly loadExchange: LoadExchange
   readonly reportPoller: TargetReportPoller
@@ -101,8 +103,8 @@
     transport: peers.transport,
     loads,
     listPeers: () => peers.listGroupPeers(),
-    getRevision: () => view.getRevision(),
-    handlePeerRevision: (peer, revision) => exchange.handlePeerRevision(peer, revision),
+    getSummary: () => view.getSummary(),
+    handlePeerSummary: (peer, summary) => exchange.handlePeerSummary(peer, summary),
     getStoreStatus: () => watcher.isStoreAvailable() ? { answerAgeMs: watcher.getAgeMs(), timeSinceOutageMs: watcher.getTimeSinceOutageMs() } : undefined,
     handlePeerStoreStatus: ({ answerAgeMs, timeSinceOutageMs }) => peerStoreStatus.recordAnswer(answerAgeMs, timeSinceOutageMs),
     onPeerLoad: () => placer.notifyCapacity()
--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -1,6 +1,9 @@
 import { PauseDetector } from '@fescuespoke/common'
 import { type TargetLoads } from '../loads/TargetLoads.js'
-import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type DecisionLog, type LogFields } from '../logs/DecisionLog.js'
+import { createCachedDecoder } from '../published/createCachedDecoder.js'
+import { type DecodedItem, type PublishedDecoder } from '../published/PublishedDecoder.js'
+import { type PublishedItem } from '../published/PublishedItem.js'
 import { PublishedExchange } from '../published/PublishedExchange.js'
 import { PublishedWatcher } from '../published/PublishedWatcher.js'
 import { PublishedView } from '../published/PublishedView.js'
@@ -12,6 +15,7 @@
 export interface ViewComponents {
   readonly peers: RelayPeers
   readonly view: PublishedView
+  readonly decodeItem: PublishedDecoder
   readonly peerStoreStatus: PeerStoreStatus
   readonly exchange: PublishedExchange
   readonly watcher: PublishedWatcher
@@ -32,13 +36,17 @@
  */
 export function createViewComponents (options: RelayInstanceOptions, log: DecisionLog, loads: TargetLoads): ViewComponents {
   const { clock, random, source } = options
-  const view = PublishedView.create()
+  const decodeItem = createCachedDecoder(options.decodeItem)
+  const view = PublishedView.create({
+    getVersion: item => getVersion(decodeItem(item)),
+    onIgnored: (item, held) => log.recordStateChange('published key ignored', { ...describeItem(item, decodeItem), heldEra: held.era, heldRevision: held.revision, heldVersion: getVersion(decodeItem(held)) })
+  })
   const peerStoreStatus = PeerStoreStatus.create(clock)
   const peers = RelayPeers.create({
     ...options,
     log,
-    getRevision: () => view.getRevision(),
-    handlePeerRevision: (peer, revision) => { exchange.handlePeerRevision(peer, revision) },
+    getSummary: () => view.getSummary(),
+    handlePeerSummary: (peer, summary) => { exchange.handlePeerSummary(peer, summary) },
     onPeerDead: peer => loads.removePeer(peer)
   })
   const exchange = PublishedExchange.create({ clock, transport: peers.transport, view, log, listPeers: () => peers.listAlivePeers() })
@@ -52,14 +60,18 @@
     getWatchDelayMs: () => peers.getWatchRank() === 0 ? 0 : STANDBY_WATCH_DELAY_MS,
     canSkipWatch: () => !peers.isWatcher() && peerStoreStatus.getAgeMs() < MAX_PEER_ANSWER_AGE_MS
   })
+  view.addRestoreListener((before, position) => {
+    watcher.recordRestore()
+    log.recordStateChange('store returned from an older copy', { ...position, heldEra: before.era, heldRevision: before.revision })
+  })
   const pauseDetector = PauseDetector.create({
     clock,
     onPause: pauseMs => {
-      log.recordStateChange('paused', { pauseMs: Math.round(pauseMs), revision: view.getRevision() })
+      log.recordStateChange('paused', { pauseMs: Math.round(pauseMs), ...view.getPosition() })
       watcher.refresh()
     }
   })
-  return { peers, view, peerStoreStatus, exchange, watcher, pauseDetector }
+  return { peers, view, decodeItem, peerStoreStatus, exchange, watcher, pauseDetector }
 }
 
 /**
@@ -70,3 +82,13 @@
 export function getTimeSinceStoreOutageMs ({ peers, watcher, peerStoreStatus }: ViewComponents): number {
   return peers.isWatcher() ? watcher.getTimeSinceOutageMs() : Math.min(watcher.getTimeSinceOutageMs(), peerStoreStatus.getTimeSinceOutageMs())
 }
+
+function getVersion (decoded: DecodedItem): number | undefined {
+  return decoded.kind === 'configuration' ? decoded.configuration.version : undefined
+}
+
+function describeItem (item: PublishedItem, decodeItem: PublishedDecoder): LogFields {
+  const { key, era, revision } = item
+  const decoded = decodeItem(item)
+  return { key, era, revision, version: getVersion(decoded), problem: decoded.kind === 'refused' ? decoded.problem : undefined }
+}
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,5 +1,6 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
 import { type TargetWork } from '@fescuespoke/schema'
+import { comparePositions, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
 /** Availability of the store as seen by an instance. */
@@ -17,14 +18,14 @@
   readonly loads: TargetLoads
   /** Lists the peers that receive loads. */
   readonly listPeers: () => readonly string[]
-  /** Returns the revision of the published keys that this instance has. */
-  readonly getRevision: () => number
+  /** Returns what this instance has of the published keys. */
+  readonly getSummary: () => PublishedSummary
   /**
-   * Handles the revision that a peer reported.
+   * Handles what a peer has of the published keys.
    * @param peer - Name of the peer.
-   * @param revision - The revision.
+   * @param summary - What the peer reported.
    */
-  readonly handlePeerRevision: (peer: string, revision: number) => void
+  readonly handlePeerSummary: (peer: string, summary: PublishedSummary) => void
   /** Returns the store status of this instance; undefined when the store does not answer. */
   readonly getStoreStatus?: () => StoreStatus | undefined
   /** Handles the store status that a peer reported. */
@@ -61,18 +62,18 @@
 
   private readonly stopController = new AbortController()
   private lastSentAtMs = -Infinity
-  private lastSentRevision = 0
+  private lastSentSummary: PublishedSummary = { ...START_POSITION, version: 0 }
   private isSendScheduled = false
   private firstPeerIndex = 0
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
-    options.transport.setHandler('loadNews', ({ entries, revision, viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity }, from) => {
+    options.transport.setHandler('loadNews', ({ entries, viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
       if (answerAgeMs !== undefined) options.handlePeerStoreStatus?.({ answerAgeMs, timeSinceOutageMs })
       options.loads.updatePeer(from, new Map(entries.map(entry => [entry.target, parseLoad(entry)])))
-      options.handlePeerRevision(from, revision)
+      options.handlePeerSummary(from, parseSummary(summary))
       options.onPeerLoad()
-      return { type: 'loadNewsAnswer', revision: options.getRevision() }
+      return { type: 'loadNewsAnswer', ...options.getSummary() }
     })
   }
 
@@ -102,8 +103,9 @@
   }
 
   private shouldSend (): boolean {
-    const { loads, clock, getRevision } = this.options
-    const isChanged = loads.consumeChanged() || getRevision() !== this.lastSentRevision
+    const { loads, clock, getSummary } = this.options
+    const summary = getSummary()
+    const isChanged = loads.consumeChanged() || comparePositions(summary, this.lastSentSummary) !== 0 || summary.version !== this.lastSentSummary.version
     return isChanged || clock.nowMs() - this.lastSentAtMs >= REFRESH_INTERVAL_MS
   }
 
@@ -116,14 +118,14 @@
   }
 
   private sendToPeers (): void {
-    const { clock, transport, loads, getRevision, getStoreStatus, handlePeerRevision } = this.options
+    const { clock, transport, loads, getSummary, getStoreStatus, handlePeerSummary } = this.options
     this.lastSentAtMs = clock.nowMs()
-    this.lastSentRevision = getRevision()
+    this.lastSentSummary = getSummary()
     const entries = [...loads.listOwnLoads()].map(([target, load]) => formatLoad(target, load))
-    const message = { type: 'loadNews' as const, revision: this.lastSentRevision, entries, ...formatStoreStatus(getStoreStatus?.()) }
+    const message = { type: 'loadNews' as const, ...this.lastSentSummary, entries, ...formatStoreStatus(getStoreStatus?.()) }
     for (const peer of this.selectPeers()) {
       transport.request<'loadNewsAnswer'>(peer, message, ANSWER_TIMEOUT_MS).then(answer => {
-        if (answer.isOk) handlePeerRevision(peer, answer.value.revision)
+        if (answer.isOk) handlePeerSummary(peer, parseSummary(answer.value))
       })
     }
   }
--- a/packages/relay/src/model/RelayTarget.ts
+++ b/packages/relay/src/model/RelayTarget.ts
@@ -7,6 +7,8 @@
   readonly name: string
   /** Wall-clock start time of the incarnation in milliseconds, as reported by the target; 0 when it reports none. */
   readonly startedAtMs: number
+  /** Number that rises with each entry that the incarnation publishes; 0 when it publishes none. */
+  readonly sequence: number
   readonly service: string
   /** Host and port. */
   readonly address: string
--- a/packages/relay/src/published/PublishedExchange.ts
+++ b/packages/relay/src/published/PublishedExchange.ts
@@ -1,6 +1,7 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type PublishedItem } from './PublishedItem.js'
+import { comparePositions, type PublishedPosition, type PublishedSummary } from './PublishedPosition.js'
 import { type PublishedView } from './PublishedView.js'
 
 /** Options of a published exchange. */
@@ -19,7 +20,7 @@
 /** Maximum number of peers that are tried when the store does not answer. */
 const MAX_PEERS_PER_FETCH = 3
 
-/** Transfers published keys between instances, each with its own revision. */
+/** Transfers published keys between instances, each with its own position. */
 export class PublishedExchange {
   /**
    * Creates an exchange.
@@ -31,14 +32,16 @@
 
   private readonly fetching = new Set<string>()
   private nextPeerIndex = 0
+  /** Highest version that a peer had and this instance could not use; it is not fetched again. */
+  private unusableVersion = 0
 
   /** @internal */
   private constructor (private readonly options: PublishedExchangeOptions) {
     const { transport, view } = options
-    transport.setHandler('publishedRequest', ({ haveRevision }) => ({
+    transport.setHandler('publishedRequest', ({ haveEra = 0, haveRevision, haveVersion = 0 }) => ({
       type: 'publishedAnswer',
-      revision: view.getRevision(),
-      items: view.listChanges(haveRevision).map(({ key, revision, value }) => ({ key, revision, text: value }))
+      ...view.getPosition(),
+      items: view.listChanges({ era: haveEra, revision: haveRevision, version: haveVersion }).map(({ value, ...item }) => ({ ...item, text: value }))
     }))
   }
 
@@ -56,25 +59,38 @@
   }
 
   /**
-   * Fetches changes from a peer that reported a higher revision.
+   * Fetches changes from a peer that reported a later position or a higher version of a value.
    * @param peer - Name of the peer.
-   * @param revision - Revision that the peer reported.
+   * @param summary - What the peer has.
    */
-  async handlePeerRevision (peer: string, revision: number): Promise<void> {
-    if (revision > this.options.view.getRevision()) await this.fetchFromPeer(peer)
+  async handlePeerSummary (peer: string, summary: PublishedSummary): Promise<void> {
+    const own = this.options.view.getSummary()
+    const hasNewerVersion = summary.version > Math.max(own.version, this.unusableVersion)
+    if (comparePositions(summary, own) <= 0 && !hasNewerVersion) return
+    const isFetched = await this.fetchFromPeer(peer)
+    const isUnusable = isFetched && this.options.view.getSummary().version < summary.version
+    if (isUnusable) this.unusableVersion = Math.max(this.unusableVersion, summary.version)
   }
 
   private async fetchFromPeer (peer: string): Promise<boolean> {
     const { transport, view, log } = this.options
     if (this.fetching.has(peer)) return false
     this.fetching.add(peer)
-    const previousRevision = view.getRevision()
-    const answer = await transport.request<'publishedAnswer'>(peer, { type: 'publishedRequest', haveRevision: previousRevision }, ANSWER_TIMEOUT_MS)
+    const before = view.getSummary()
+    const answer = await transport.request<'publishedAnswer'>(peer, { type: 'publishedRequest', haveEra: before.era, haveRevision: before.revision, haveVersion: before.version }, ANSWER_TIMEOUT_MS)
     this.fetching.delete(peer)
     if (answer.isErr) return false
-    const items: PublishedItem[] = answer.value.items.map(({ key, revision, text }) => ({ key, revision, value: text }))
-    view.applyChanges(items, answer.value.revision)
-    if (answer.value.revision > previousRevision) log.recordStateChange('published keys taken over', { peer, before: previousRevision, revision: answer.value.revision, keys: items.length })
+    const { era = 0, revision, items } = answer.value
+    this.applyAnswer(items.map(({ key, era: itemEra = 0, revision: itemRevision, text }) => ({ key, era: itemEra, revision: itemRevision, value: text })), { era, revision })
+    const after = view.getSummary()
+    if (comparePositions(after, before) > 0 || after.version > before.version) log.recordStateChange('published keys taken over', { peer, keys: items.length, heldEra: before.era, before: before.revision, ...after })
     return true
   }
+
+  /** A peer of a later era has sent all its keys, since each of them is later than this instance's position. */
+  private applyAnswer (items: readonly PublishedItem[], position: PublishedPosition): void {
+    const { view } = this.options
+    if (position.era > view.getPosition().era) view.applyFullRead(items, position)
+    else view.applyChanges(items, position)
+  }
 }
--- a/packages/relay/src/published/PublishedItem.ts
+++ b/packages/relay/src/published/PublishedItem.ts
@@ -1,10 +1,9 @@
 import { type Result } from 'true-myth'
+import { type PublishedPosition } from './PublishedPosition.js'
 
-/** The last write or deletion of a key. */
-export interface PublishedItem {
+/** The last write or deletion of a key, with its position. */
+export interface PublishedItem extends PublishedPosition {
   readonly key: string
-  /** Revision of the write or deletion. */
-  readonly revision: number
   /** Text of the value; absent when the key was deleted. */
   readonly value?: string
 }
@@ -12,10 +11,8 @@
 /** One page of keys in key order. Pages do not form a consistent snapshot. */
 export interface PublishedPage {
   readonly items: readonly PublishedItem[]
-  /** Revision of the store at the time of the answer. */
-  readonly revision: number
-  /** Era of the store; it rises each time the store returns from an older copy, after which its revisions start lower. */
-  readonly era: number
+  /** Position of the store at the time of the answer. */
+  readonly position: PublishedPosition
   /** Key after which the next page starts; absent on the last page. */
   readonly nextAfter?: string
 }
@@ -23,14 +20,15 @@
 /** Changes after a revision. */
 export interface PublishedChanges {
   readonly items: readonly PublishedItem[]
-  /** Revision from which to continue. */
-  readonly revision: number
-  /** Era of the store in which the revisions are valid. */
-  readonly era: number
+  /** Position from which to continue. */
+  readonly position: PublishedPosition
 }
 
-/** Reason for which the store gave no answer; `compacted` means that the requested history was compacted away. */
-export type PublishedError = 'compacted' | 'refused' | 'unreachable' | 'timeout' | 'malformed'
+/**
+ * Reason for which the store gave no usable answer. `compacted`: the requested history was compacted away. `restored`: the store
+ * has returned from an older copy since the previous answer. `outdated`: the answer is from before the store returned.
+ */
+export type PublishedError = 'compacted' | 'restored' | 'outdated' | 'refused' | 'unreachable' | 'timeout' | 'malformed'
 
 /** Reads keys from the store in which the platform publishes. */
 export interface PublishedSource {
--- a/packages/relay/src/published/PublishedView.ts
+++ b/packages/relay/src/published/PublishedView.ts
@@ -1,29 +1,62 @@
 import { type PublishedItem } from './PublishedItem.js'
+import { comparePositions, type PublishedPosition, type PublishedSummary, START_POSITION } from './PublishedPosition.js'
 
-/** Receives changed keys in the order of their revisions. */
+/** Receives changed keys in the order of their positions. */
 export type ItemsListener = (items: readonly PublishedItem[]) => void
 
+/**
+ * Called when the store has returned from an older copy, before the changes that follow from it.
+ * @param before - Last position of the view in the previous era.
+ * @param position - First position of the view in the new era.
+ */
+export type RestoreListener = (before: PublishedPosition, position: PublishedPosition) => void
+
+/** Options of a published view. */
+export interface PublishedViewOptions {
+  /** Returns the version that the value of a key carries; undefined when it carries none. */
+  readonly getVersion?: (item: PublishedItem) => number | undefined
+  /**
+   * Called when an item is ignored, although its position is later, because the held value carries a higher version.
+   * @param item - The item.
+   * @param held - The item in this view.
+   */
+  readonly onIgnored?: (item: PublishedItem, held: PublishedItem) => void
+}
+
 /** Maximum number of deletions that are kept so that an older answer cannot restore a deleted key. */
 const MAX_TOMBSTONES = 4096
 
-/** Local view of the published keys. The revision of each key only increases. */
+/**
+ * Local view of the published keys. Each key only moves forward: by the version that its value carries, otherwise by its position.
+ * A value with a version is never deleted, and outlives the return of the store from a copy that has a lower version.
+ */
 export class PublishedView {
-  /** Creates an empty view. */
-  static create (): PublishedView {
-    return new PublishedView()
+  /**
+   * Creates an empty view.
+   * @param options - Options of the view.
+   */
+  static create (options: PublishedViewOptions = {}): PublishedView {
+    return new PublishedView(options)
   }
 
   private readonly items = new Map<string, PublishedItem>()
   private readonly tombstones = new Map<string, PublishedItem>()
   private readonly listeners = new Set<ItemsListener>()
-  private revision = 0
+  private readonly restoreListeners = new Set<RestoreListener>()
+  private position = START_POSITION
+  private version = 0
 
   /** @internal */
-  private constructor () {}
+  private constructor (private readonly options: PublishedViewOptions) {}
+
+  /** Returns the position up to which all changes are included; `START_POSITION` before the first complete read. */
+  getPosition (): PublishedPosition {
+    return this.position
+  }
 
-  /** Returns the revision up to which all changes are included; 0 before the first complete read. */
-  getRevision (): number {
-    return this.revision
+  /** Returns what this instance reports to its peers. */
+  getSummary (): PublishedSummary {
+    return { ...this.position, version: this.version }
   }
 
   /** Lists the existing keys. */
@@ -32,41 +65,32 @@
   }
 
   /**
-   * Lists changes after a revision, including those deletions that are still kept.
-   * @param after - The revision.
+   * Lists what a peer may not have: changes after its position, including those deletions that are still kept, and values with a
+   * higher version.
+   * @param peer - What the peer has.
    */
-  listChanges (after: number): PublishedItem[] {
-    return [...this.items.values(), ...this.tombstones.values()].filter(item => item.revision > after)
+  listChanges (peer: PublishedSummary): PublishedItem[] {
+    return [...this.items.values(), ...this.tombstones.values()].filter(item => comparePositions(item, peer) > 0 || this.getItemVersion(item) > peer.version)
   }
 
   /**
    * Applies changes; a change that is older than the current state of its key is ignored.
    * @param items - The changes.
-   * @param revision - Revision up to which these changes are complete.
+   * @param position - Position up to which these changes are complete; not of a later era than this view, which needs a complete read.
    */
-  applyChanges (items: readonly PublishedItem[], revision: number): void {
-    const changed = items.filter(item => this.applyItem(item)).sort((a, b) => a.revision - b.revision)
-    this.revision = Math.max(this.revision, revision)
-    this.notifyListeners(changed)
+  applyChanges (items: readonly PublishedItem[], position: PublishedPosition): void {
+    this.apply(items, position)
   }
 
   /**
    * Applies a complete read: deletes keys that it does not contain and that were not written after it started.
    * @param items - All keys of the store.
-   * @param revision - Revision of the store when the read started.
+   * @param position - Position of the store when the read started; it may be the first of a new era.
    */
-  applyFullRead (items: readonly PublishedItem[], revision: number): void {
+  applyFullRead (items: readonly PublishedItem[], position: PublishedPosition): void {
     const present = new Set(items.map(({ key }) => key))
-    const absent = this.listItems().filter(item => !present.has(item.key) && item.revision <= revision)
-    this.applyChanges([...items, ...absent.map(({ key }) => ({ key, revision }))], revision)
-  }
-
-  /**
-   * Counts items that are older than what this view holds for their keys.
-   * @param items - The items.
-   */
-  countOlder (items: readonly PublishedItem[]): number {
-    return items.filter(({ key, revision }) => revision < (this.items.get(key)?.revision ?? 0)).length
+    const absent = this.listItems().filter(item => !present.has(item.key) && comparePositions(item, position) <= 0 && this.getItemVersion(item) === 0)
+    this.apply([...items, ...absent.map(({ key }) => ({ key, ...position }))], position)
   }
 
   /**
@@ -77,27 +101,66 @@
     this.listeners.add(listener)
   }
 
+  /**
+   * Adds a listener for returns of the store from an older copy.
+   * @param listener - Receives the positions before and after each later return.
+   */
+  addRestoreListener (listener: RestoreListener): void {
+    this.restoreListeners.add(listener)
+  }
+
+  private apply (items: readonly PublishedItem[], position: PublishedPosition): void {
+    this.advance(position)
+    const changed = items.filter(item => this.applyItem(item)).sort(comparePositions)
+    if (changed.length === 0) return
+    for (const listener of this.listeners) listener(changed)
+  }
+
+  private advance (position: PublishedPosition): void {
+    const before = this.position
+    if (comparePositions(position, before) <= 0) return
+    this.position = position
+    if (position.era === before.era || before.revision === START_POSITION.revision) return
+    for (const listener of this.restoreListeners) listener(before, position)
+  }
+
   private applyItem (item: PublishedItem): boolean {
-    const current = this.items.get(item.key) ?? this.tombstones.get(item.key)
-    const isTombstone = item.value === undefined
-    // A deletion that was inferred from a complete read carries the revision of the read, which may equal that of the last write.
-    const isOlder = current !== undefined && (item.revision < current.revision || (item.revision === current.revision && (current.value === undefined || !isTombstone)))
-    if (isOlder) return false
+    const held = this.items.get(item.key) ?? this.tombstones.get(item.key)
+    if (held === undefined ? this.isOfEarlierEra(item) : !this.isNewer(item, held)) return false
     this.items.delete(item.key)
     this.tombstones.delete(item.key)
-    if (isTombstone) this.addTombstone(item)
+    if (item.value === undefined) this.addTombstone(item)
     else this.items.set(item.key, item)
+    this.version = Math.max(this.version, this.getItemVersion(item))
     return true
   }
 
+  /** Returns whether the store may have lost an item: it is of an earlier era and carries no version that would outlive the era. */
+  private isOfEarlierEra (item: PublishedItem): boolean {
+    return item.era < this.position.era && this.getItemVersion(item) === 0
+  }
+
+  private isNewer (item: PublishedItem, held: PublishedItem): boolean {
+    const order = comparePositions(item, held)
+    if (order === 0) return isInferredDeletion(item, held) && this.getItemVersion(held) === 0
+    const versionOrder = this.getItemVersion(item) - this.getItemVersion(held)
+    if (versionOrder === 0) return order > 0 && !this.isOfEarlierEra(item)
+    if (versionOrder < 0 && order > 0) this.options.onIgnored?.(item, held)
+    return versionOrder > 0
+  }
+
+  private getItemVersion (item: PublishedItem): number {
+    return this.options.getVersion?.(item) ?? 0
+  }
+
   private addTombstone (item: PublishedItem): void {
     this.tombstones.set(item.key, item)
     const [oldest] = this.tombstones.keys()
     if (this.tombstones.size > MAX_TOMBSTONES && oldest !== undefined) this.tombstones.delete(oldest)
   }
+}
 
-  private notifyListeners (changed: readonly PublishedItem[]): void {
-    if (changed.length === 0) return
-    for (const listener of this.listeners) listener(changed)
-  }
+/** A deletion that was inferred from a complete read carries the position of the read, which may equal that of the last write. */
+function isInferredDeletion (item: PublishedItem, held: PublishedItem): boolean {
+  return item.value === undefined && held.value !== undefined
 }
--- a/packages/relay/src/published/PublishedWatcher.ts
+++ b/packages/relay/src/published/PublishedWatcher.ts
@@ -1,7 +1,8 @@
 import { addJitter, type Clock, type Random } from '@fescuespoke/common'
-import { type Result } from 'true-myth'
+import { Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
-import { type PublishedChanges, type PublishedError, type PublishedItem, type PublishedSource } from './PublishedItem.js'
+import { type PublishedError, type PublishedItem, type PublishedSource } from './PublishedItem.js'
+import { type PublishedPosition, START_POSITION } from './PublishedPosition.js'
 import { type PublishedView } from './PublishedView.js'
 
 /** Options of a published watcher. */
@@ -36,6 +37,9 @@
 /** Maximum number of pages of one complete read; the remaining pages are not read. */
 const MAX_PAGES = 200
 
+/** Errors after which all keys are read again. */
+const HISTORY_ERRORS: ReadonlySet<PublishedError> = new Set(['compacted', 'restored'])
+
 /** Keeps the view up to date with the store: reads all keys once, then watches for changes from the revision of that read. */
 export class PublishedWatcher {
   /**
@@ -49,6 +53,8 @@
   private readonly stopController = new AbortController()
   private watchController = new AbortController()
   private needsFullRead = true
+  /** Whether the history was lost since the last answer; a second loss counts as a failure, so that it is retried with a delay. */
+  private wasHistoryLost = false
   private needsConfirmation = false
   private failures = 0
   private lastAnswerAtMs = -Infinity
@@ -99,6 +105,11 @@
     this.watchController.abort()
   }
 
+  /** Records that the store has returned from an older copy, which ends its previous data like an outage. */
+  recordRestore (): void {
+    this.outageEndMs = this.options.clock.nowMs()
+  }
+
   /** Stops the watcher. */
   stop (): void {
     this.stopController.abort()
@@ -114,24 +125,23 @@
   }
 
   private async readAll (): Promise<Result<unknown, PublishedError>> {
-    const { source, view } = this.options
+    const { source, view, log } = this.options
     const items: PublishedItem[] = []
     let after = ''
-    let revision: number | undefined
-    let era = 0
+    let position: PublishedPosition | undefined
     for (let page = 0; page < MAX_PAGES; page++) {
       const answer = await source.fetchPage(after)
       if (answer.isErr) return answer
-      revision ??= answer.value.revision
-      era = answer.value.era
+      position ??= answer.value.position
+      if (answer.value.position.era !== position.era) return Result.err('restored')
       items.push(...answer.value.items)
       if (answer.value.nextAfter === undefined) break
       after = answer.value.nextAfter
     }
-    const heldRevision = view.getRevision()
-    view.applyFullRead(items, revision ?? 0)
+    const held = view.getPosition()
+    view.applyFullRead(items, position ?? START_POSITION)
     this.needsFullRead = false
-    this.options.log.recordStateChange('published keys read', { keys: items.length, era, revision, heldRevision, older: view.countOlder(items) })
+    log.recordStateChange('published keys read', { keys: items.length, ...position, heldEra: held.era, heldRevision: held.revision })
     return await this.watchOnce(0)
   }
 
@@ -141,10 +151,15 @@
     return await this.watchOnce(needsImmediateAnswer ? 0 : this.getWatchTimeoutMs())
   }
 
-  private async watchOnce (waitMs: number): Promise<Result<PublishedChanges, PublishedError>> {
+  private async watchOnce (waitMs: number): Promise<Result<unknown, PublishedError>> {
     const { source, view } = this.options
-    const changes = await source.watchChanges(view.getRevision(), waitMs, this.watchController.signal)
-    if (changes.isOk) view.applyChanges(changes.value.items, changes.value.revision)
+    const { revision, era } = view.getPosition()
+    const changes = await source.watchChanges(revision, waitMs, this.watchController.signal)
+    if (changes.isErr) return changes
+    const { items, position } = changes.value
+    // The revision may have been given out again in another era, so that changes before it were missed.
+    if (position.era !== era) return Result.err(position.era > era ? 'restored' : 'outdated')
+    view.applyChanges(items, position)
     return changes
   }
 
@@ -158,6 +173,7 @@
     const { clock, log } = this.options
     this.lastAnswerAtMs = clock.nowMs()
     this.needsConfirmation = false
+    this.wasHistoryLost = false
     if (this.failures === 0) return
     this.outageEndMs = clock.nowMs()
     log.recordStateChange('store regained', { failures: this.failures })
@@ -165,11 +181,14 @@
   }
 
   private async handleError (error: PublishedError): Promise<void> {
-    const { clock, random, log, fetchFromPeers } = this.options
-    if (error === 'compacted') {
+    const { clock, random, log, fetchFromPeers, view } = this.options
+    if (HISTORY_ERRORS.has(error)) {
       this.needsFullRead = true
-      log.recordStateChange('history of the store lost', { revision: this.options.view.getRevision() })
-      return
+      log.recordStateChange('history of the store lost', { error, ...view.getPosition() })
+      if (!this.wasHistoryLost) {
+        this.wasHistoryLost = true
+        return
+      }
     }
     if (this.failures === 0) log.recordStateChange('store lost', { error, ageMs: Math.round(this.getAgeMs()) })
     this.failures++
--- a/packages/relay/src/targets/TargetTable.ts
+++ b/packages/relay/src/targets/TargetTable.ts
@@ -12,6 +12,8 @@
   readonly stateSinceMs: number
   /** Clock reading at which the slow start of the target ends. */
   readonly slowStartEndMs: number
+  /** Whether the target counts as gone only because its entry expired during an outage of the store; it may still be alive. */
+  readonly hasExpired: boolean
 }
 
 /** Receives the new state of a target and its previous state. */
@@ -54,11 +56,14 @@
   /**
    * Updates a target from its published entry.
    * @param target - The target.
+   * @returns Whether the entry was used; an entry that its incarnation published before the tracked one is ignored.
    */
-  updateTarget (target: RelayTarget): void {
+  updateTarget (target: RelayTarget): boolean {
     const tracked = this.tracked.get(target.name)
+    if (tracked !== undefined && isOutdated(target, tracked)) return false
     const hasReportedLeaving = tracked !== undefined && this.reportedLeaving.has(tracked.target) && tracked.target.startedAtMs === target.startedAtMs
     if (!hasReportedLeaving) this.setState(target, target.phase === 'leaving' ? 'leaving' : 'ready')
+    return true
   }
 
   /**
@@ -87,7 +92,7 @@
   expireEntries (): void {
     const nowMs = this.options.clock.nowMs()
     for (const { target, state, stateSinceMs } of [...this.tracked.values()]) {
-      if (state === 'missing' && nowMs - stateSinceMs >= EXPIRY_GRACE_MS) this.setState(target, 'gone')
+      if (state === 'missing' && nowMs - stateSinceMs >= EXPIRY_GRACE_MS) this.setState(target, 'gone', true)
       if (state === 'gone' && nowMs - stateSinceMs >= GONE_RETENTION_MS) this.tracked.delete(target.name)
     }
   }
@@ -118,7 +123,7 @@
     this.listeners.add(listener)
   }
 
-  private setState (target: RelayTarget, state: TargetState): void {
+  private setState (target: RelayTarget, state: TargetState, hasExpired = false): void {
     const previous = this.tracked.get(target.name)
     const nowMs = this.options.clock.nowMs()
     const isSame = previous !== undefined && previous.state === state && previous.target.startedAtMs === target.startedAtMs
@@ -126,10 +131,18 @@
       target,
       state,
       stateSinceMs: isSame ? previous.stateSinceMs : nowMs,
-      slowStartEndMs: isSame ? previous.slowStartEndMs : nowMs + target.slowStartRemainingMs
+      slowStartEndMs: isSame ? previous.slowStartEndMs : nowMs + target.slowStartRemainingMs,
+      hasExpired
     }
     this.tracked.set(target.name, tracked)
     if (isSame) return
     for (const listener of this.listeners) listener(tracked, previous?.state)
   }
 }
+
+/** Returns whether an entry is from before the tracked one; the store may list such entries after it returned from an older copy. */
+function isOutdated ({ startedAtMs, sequence }: RelayTarget, { target, state, hasExpired }: TrackedTarget): boolean {
+  const isComparable = startedAtMs > 0 && startedAtMs === target.startedAtMs && sequence > 0
+  const wasRemoved = state === 'gone' && !hasExpired
+  return isComparable && (sequence < target.sequence || (sequence === target.sequence && wasRemoved))
+}
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -6,7 +6,7 @@
 const profile = ENGINES.engine!
 
 function createCandidate (name: string, change: Partial<TargetCandidate> = {}): TargetCandidate {
-  const tracked = { target: createTarget(name), state: 'ready' as const, stateSinceMs: 0, slowStartEndMs: 0 }
+  const tracked = { target: createTarget(name), state: 'ready' as const, stateSinceMs: 0, slowStartEndMs: 0, hasExpired: false }
   return { tracked, load: { running: 1, tokens: 1000 }, failureRate: 0, isUnreachable: false, isInSlowStart: false, isLocal: true, ...change }
 }
 
--- a/packages/relay/test/published/PublishedView.test.ts
+++ b/packages/relay/test/published/PublishedView.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { type PublishedItem } from '../../src/published/PublishedItem.js'
+import { type PublishedPosition } from '../../src/published/PublishedPosition.js'
 import { PublishedView } from '../../src/published/PublishedView.js'
 
 function doTest (act: (view: PublishedView) => void): string[] {
@@ -9,53 +10,56 @@
   return view.listItems().map(({ key, revision, value }) => `${key}=${value ?? ''}@${revision}`).sort()
 }
 
-const put = (key: string, revision: number): PublishedItem => ({ key, revision, value: `v${revision}` })
-const remove = (key: string, revision: number): PublishedItem => ({ key, revision })
+const ERA = 0
+
+const at = (revision: number, era = ERA): PublishedPosition => ({ era, revision })
+const put = (key: string, revision: number, era = ERA): PublishedItem => ({ key, era, revision, value: `v${revision}` })
+const remove = (key: string, revision: number, era = ERA): PublishedItem => ({ key, era, revision })
 
 describe('PublishedView', () => {
   it('applies a newer value', () => {
-    expect(doTest(view => view.applyChanges([put('a', 1), put('a', 2)], 2))).toEqual(['a=v2@2'])
+    expect(doTest(view => view.applyChanges([put('a', 1), put('a', 2)], at(2)))).toEqual(['a=v2@2'])
   })
 
   it('ignores an older value', () => {
-    expect(doTest(view => { view.applyChanges([put('a', 5)], 5); view.applyChanges([put('a', 3)], 3) })).toEqual(['a=v5@5'])
+    expect(doTest(view => { view.applyChanges([put('a', 5)], at(5)); view.applyChanges([put('a', 3)], at(3)) })).toEqual(['a=v5@5'])
   })
 
   it('does not restore a deleted key', () => {
-    expect(doTest(view => { view.applyChanges([put('a', 1), remove('a', 4)], 4); view.applyChanges([put('a', 3)], 3) })).toEqual([])
+    expect(doTest(view => { view.applyChanges([put('a', 1), remove('a', 4)], at(4)); view.applyChanges([put('a', 3)], at(3)) })).toEqual([])
   })
 
   it('restores a key that was written again', () => {
-    expect(doTest(view => view.applyChanges([put('a', 1), remove('a', 4), put('a', 6)], 6))).toEqual(['a=v6@6'])
+    expect(doTest(view => view.applyChanges([put('a', 1), remove('a', 4), put('a', 6)], at(6)))).toEqual(['a=v6@6'])
   })
 
   it('deletes keys that a complete read does not contain', () => {
-    expect(doTest(view => { view.applyChanges([put('a', 1), put('b', 2)], 2); view.applyFullRead([put('b', 2)], 7) })).toEqual(['b=v2@2'])
+    expect(doTest(view => { view.applyChanges([put('a', 1), put('b', 2)], at(2)); view.applyFullRead([put('b', 2)], at(7)) })).toEqual(['b=v2@2'])
   })
 
   it('keeps keys that were written after a complete read started', () => {
-    expect(doTest(view => { view.applyChanges([put('a', 9)], 9); view.applyFullRead([], 7) })).toEqual(['a=v9@9'])
+    expect(doTest(view => { view.applyChanges([put('a', 9)], at(9)); view.applyFullRead([], at(7)) })).toEqual(['a=v9@9'])
   })
 
   it('never lowers its revision', () => {
     const view = PublishedView.create()
-    view.applyChanges([], 9)
-    view.applyChanges([], 3)
-    expect(view.getRevision()).toBe(9)
+    view.applyChanges([], at(9))
+    view.applyChanges([], at(3))
+    expect(view.getPosition()).toEqual(at(9))
   })
 
   it('lists changes after a revision, including deletions', () => {
     const view = PublishedView.create()
-    view.applyChanges([put('a', 1), put('b', 2), remove('a', 3)], 3)
-    expect(view.listChanges(2)).toEqual([remove('a', 3)])
+    view.applyChanges([put('a', 1), put('b', 2), remove('a', 3)], at(3))
+    expect(view.listChanges({ ...at(2), version: 0 })).toEqual([remove('a', 3)])
   })
 
   it('notifies listeners of changed keys only', () => {
     const notifiedKeys: string[] = []
     const view = PublishedView.create()
     view.addListener(items => notifiedKeys.push(items.map(({ key }) => key).join()))
-    view.applyChanges([put('a', 1)], 1)
-    view.applyChanges([put('a', 1)], 1)
+    view.applyChanges([put('a', 1)], at(1))
+    view.applyChanges([put('a', 1)], at(1))
     expect(notifiedKeys).toEqual(['a'])
   })
 
@@ -64,8 +68,48 @@
     fc.assert(fc.property(fc.array(change, { maxLength: 8 }), fc.infiniteStream(fc.nat()), (changes, order) => {
       const items = changes.map(({ key, isDeleted }, index) => isDeleted ? remove(key, index + 1) : put(key, index + 1))
       const shuffled = items.map(item => ({ item, at: order.next().value as number })).sort((a, b) => a.at - b.at).map(({ item }) => item)
-      expect(doTest(view => { for (const item of shuffled) view.applyChanges([item], item.revision) }))
-        .toEqual(doTest(view => view.applyChanges(items, items.length)))
+      expect(doTest(view => { for (const item of shuffled) view.applyChanges([item], at(item.revision)) }))
+        .toEqual(doTest(view => view.applyChanges(items, at(items.length))))
     }))
   })
 })
+
+describe('PublishedView of a store that returned from an older copy', () => {
+  const getVersion = ({ value }: PublishedItem): number | undefined => value?.startsWith('v') === true ? Number(value.slice(1)) : undefined
+  const configure = (version: number, revision: number, era: number): PublishedItem => ({ key: 'c', era, revision, value: `v${version}` })
+  const register = (key: string, revision: number, era: number): PublishedItem => ({ key, era, revision, value: 'ready' })
+
+  /** Applies a complete read of era 1, then that of a copy which has an older configuration and another target. */
+  function doTest (act: (view: PublishedView) => void = () => undefined): { items: string, position: PublishedPosition, ignored: number, restores: number } {
+    let ignored = 0
+    let restores = 0
+    const view = PublishedView.create({ getVersion, onIgnored: () => ignored++ })
+    view.addRestoreListener(() => restores++)
+    view.applyFullRead([configure(12, 100, 1), register('t', 99, 1)], at(100, 1))
+    view.applyFullRead([configure(9, 70, 2), register('u', 80, 2)], at(85, 2))
+    act(view)
+    return { items: view.listItems().map(({ key, era, revision, value }) => `${key}=${value}@${era}.${revision}`).sort().join(' '), position: view.getPosition(), ignored, restores }
+  }
+
+  it('keeps the configuration with the higher version and takes over all other keys', () => {
+    expect(doTest()).toEqual({ items: 'c=v12@1.100 u=ready@2.80', position: at(85, 2), ignored: 1, restores: 1 })
+  })
+
+  it('takes the configuration that is written again, and the next one', () => {
+    expect(doTest(view => view.applyChanges([configure(12, 86, 2)], at(86, 2))).items).toBe('c=v12@2.86 u=ready@2.80')
+    expect(doTest(view => view.applyChanges([configure(14, 87, 2)], at(87, 2))).items).toBe('c=v14@2.87 u=ready@2.80')
+  })
+
+  it('ignores keys of the previous era that a peer sends late, except for a higher version', () => {
+    expect(doTest(view => view.applyChanges([register('w', 101, 1), configure(13, 102, 1)], at(102, 1)))).toMatchObject({ items: 'c=v13@1.102 u=ready@2.80', position: at(85, 2) })
+  })
+
+  it('sends a peer in the same position the configuration that the store lacks', () => {
+    doTest(view => expect(view.listChanges({ ...at(85, 2), version: 9 })).toEqual([configure(12, 100, 1)]))
+  })
+
+  it('keeps the configuration when the store has none', () => {
+    expect(doTest(view => view.applyFullRead([], at(10, 3))).items).toBe('c=v12@1.100')
+    expect(doTest(view => view.applyChanges([{ key: 'c', ...at(90, 2) }], at(90, 2))).items).toBe('c=v12@1.100 u=ready@2.80')
+  })
+})
--- a/packages/relay/test/published/PublishedWatcher.test.ts
+++ b/packages/relay/test/published/PublishedWatcher.test.ts
@@ -3,7 +3,8 @@
 import { describe, expect, it } from 'vitest'
 import { DecisionLog } from '../../src/logs/DecisionLog.js'
 import { PublishedWatcher } from '../../src/published/PublishedWatcher.js'
-import { type PublishedChanges, type PublishedError, type PublishedPage, type PublishedSource } from '../../src/published/PublishedItem.js'
+import { type PublishedChanges, type PublishedError, type PublishedItem, type PublishedPage, type PublishedSource } from '../../src/published/PublishedItem.js'
+import { type PublishedPosition } from '../../src/published/PublishedPosition.js'
 import { PublishedView } from '../../src/published/PublishedView.js'
 
 type PageResult = Result<PublishedPage, PublishedError>
@@ -16,8 +17,10 @@
   readonly peerFetchCount: number
 }
 
-const createPage = (revision: number, ...keys: string[]): PageResult => Result.ok({ revision, era: 0, items: keys.map(key => ({ key, revision, value: key })) })
-const createChanges = (revision: number, ...keys: string[]): ChangesResult => Result.ok({ revision, era: 0, items: keys.map(key => ({ key, revision, value: key })) })
+const at = (revision: number, era = 1): PublishedPosition => ({ era, revision })
+const createItem = (key: string, revision: number, era = 1): PublishedItem => ({ key, ...at(revision, era), value: key })
+const createPage = (revision: number, ...keys: string[]): PageResult => Result.ok({ position: at(revision), items: keys.map(key => ({ key, ...at(revision), value: key })) })
+const createChanges = (revision: number, ...keys: string[]): ChangesResult => Result.ok({ position: at(revision), items: keys.map(key => ({ key, ...at(revision), value: key })) })
 
 /** Watches a scripted source for some time; a watch after the end of the script waits until its timeout. */
 async function doTest (pages: PageResult[], watches: ChangesResult[], durationMs = 100, canSkipWatch?: (nowMs: number) => boolean, refreshAtMs = Infinity, watchDelayMs = 0): Promise<Outcome> {
@@ -36,7 +39,7 @@
       if (next !== undefined) return next
       await clock.sleep(waitMs, signal)
       if (signal.aborted) return Result.err('timeout')
-      return Result.ok({ items: [], revision: after, era: 0 })
+      return Result.ok({ items: [], position: { ...view.getPosition(), revision: after } })
     }
   }
   const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
@@ -54,7 +57,7 @@
 
 describe('PublishedWatcher', () => {
   it('reads all pages, then watches from the revision of the first page', async () => {
-    const first: PageResult = Result.ok({ revision: 5, era: 0, items: [{ key: 'a', revision: 1, value: 'a' }], nextAfter: 'a' })
+    const first: PageResult = Result.ok({ position: at(5), items: [{ key: 'a', ...at(1), value: 'a' }], nextAfter: 'a' })
     const { view, calls } = await doTest([first, createPage(9, 'b')], [])
     expect(view.listItems().map(({ key }) => key)).toEqual(['a', 'b'])
     expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5 at once'])
@@ -116,4 +119,30 @@
     expect(calls.length).toBeLessThan(20)
     expect(calls.length).toBeGreaterThan(3)
   })
+
+  it('reads all keys again when the store has returned from an older copy, although the revision exists there', async () => {
+    const restoredChanges: ChangesResult = Result.ok({ position: at(8, 2), items: [createItem('c', 8, 2)] })
+    const restoredPage: PageResult = Result.ok({ position: at(8, 2), items: [createItem('b', 7, 2), createItem('c', 8, 2)] })
+    const { view, calls } = await doTest([createPage(5, 'a'), restoredPage], [createChanges(6), restoredChanges])
+    expect(view.listItems().map(({ key }) => key)).toEqual(['b', 'c'])
+    expect(calls.slice(3)).toEqual(["page after ''", 'watch after 8 at once', 'watch after 8'])
+  })
+
+  it('reads all keys again when the store returns from an older copy between two pages', async () => {
+    const firstPage: PageResult = Result.ok({ position: at(5), items: [createItem('a', 5)], nextAfter: 'a' })
+    const restoredPage = (key: string, nextAfter?: string): PageResult => Result.ok({ position: at(3, 2), items: [createItem(key, 3, 2)], nextAfter })
+    const { view } = await doTest([firstPage, restoredPage('b'), restoredPage('b')], [])
+    expect(view.listItems()).toEqual([createItem('b', 3, 2)])
+  })
+
+  it('ignores an answer from before the store returned from an older copy', async () => {
+    const restoredPage: PageResult = Result.ok({ position: at(3, 2), items: [createItem('b', 3, 2)] })
+    const { view } = await doTest([restoredPage], [createChanges(9, 'a')])
+    expect([view.getPosition(), view.listItems()]).toEqual([at(3, 2), [createItem('b', 3, 2)]])
+  })
+
+  it('delays its calls when the history is lost again before the store has answered', async () => {
+    const { calls } = await doTest(Array.from({ length: 50 }, () => createPage(5, 'a')), Array.from({ length: 50 }, () => Result.err('compacted')), 1000)
+    expect(calls.length).toBeLessThan(15)
+  })
 })
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -47,7 +47,7 @@
   return { sink, dependencies }
 }
 
-const markLeaving = (name: string) => (dependencies: TestDependencies): void => dependencies.table.updateTarget(createTarget(name, { service: ENGINES.name, phase: 'leaving' }))
+const markLeaving = (name: string) => (dependencies: TestDependencies): void => { dependencies.table.updateTarget(createTarget(name, { service: ENGINES.name, phase: 'leaving' })) }
 
 const complete: ScriptedAnswer = { steps: [createEvent(1), createEvent(2), 'END'] }
 
--- /dev/null
+++ b/packages/relay/test/support/ViewFleet.ts
@@ -0,0 +1,114 @@
+import { createLogger, type PeerHandler, type PeerTransport, type Random, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { Result } from 'true-myth'
+import { LoadExchange } from '../../src/loads/LoadExchange.js'
+import { TargetLoads } from '../../src/loads/TargetLoads.js'
+import { DecisionLog } from '../../src/logs/DecisionLog.js'
+import { PublishedExchange } from '../../src/published/PublishedExchange.js'
+import { type PublishedSource } from '../../src/published/PublishedItem.js'
+import { PublishedView, type PublishedViewOptions } from '../../src/published/PublishedView.js'
+import { PublishedWatcher } from '../../src/published/PublishedWatcher.js'
+
+/** The published keys and the loads of one instance. */
+export interface ViewInstance {
+  readonly view: PublishedView
+  readonly loads: TargetLoads
+  readonly exchange: PublishedExchange
+  readonly loadExchange: LoadExchange
+  /** Present when the instance reads a store. */
+  readonly watcher?: PublishedWatcher
+}
+
+/** Options of a fleet. */
+export interface ViewFleetOptions {
+  readonly names: readonly string[]
+  readonly view?: PublishedViewOptions
+  /** Creates the source through which an instance reads the store; without it, instances only hear of their peers. */
+  readonly createSource?: (name: string) => PublishedSource
+  readonly random?: Random
+  /** Maximum delay of a message between instances, in milliseconds, and share of the messages that are lost. */
+  readonly maxDelayMs?: number
+  readonly lossShare?: number
+}
+
+/** Instances that exchange their published keys and loads in virtual time. */
+export class ViewFleet {
+  /** Creates instances that reach one another by name, and that are not running. */
+  static create (options: ViewFleetOptions, clock = VirtualClock.create()): ViewFleet {
+    return new ViewFleet(options, clock)
+  }
+
+  readonly instances = new Map<string, ViewInstance>()
+  /** Instances whose messages are lost. */
+  readonly isolated = new Set<string>()
+  private readonly handlers = new Map<string, Map<string, PeerHandler<never>>>()
+  private readonly log: DecisionLog
+  private readonly random: Random
+
+  private constructor (private readonly options: ViewFleetOptions, readonly clock: VirtualClock) {
+    this.log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+    this.random = options.random ?? SeededRandom.create(1)
+    for (const name of options.names) this.createInstance(name)
+  }
+
+  /** Starts an instance. */
+  run (name: string): void {
+    const { watcher, loadExchange } = this.getInstance(name)
+    watcher?.run()
+    loadExchange.run()
+  }
+
+  /** Stops an instance. */
+  stop (name: string): void {
+    const { watcher, loadExchange } = this.getInstance(name)
+    watcher?.stop()
+    loadExchange.stop()
+  }
+
+  /** Stops an instance and starts a new one under its name, which has nothing of what the previous one had. */
+  restart (name: string): void {
+    this.stop(name)
+    this.createInstance(name)
+    this.run(name)
+  }
+
+  /** Returns an instance. */
+  getInstance (name: string): ViewInstance {
+    return this.instances.get(name)!
+  }
+
+  private createInstance (name: string): void {
+    const { clock, log, random, options: { names, createSource, view: viewOptions } } = this
+    const view = PublishedView.create(viewOptions)
+    const loads = TargetLoads.create(clock)
+    const transport = this.createTransport(name)
+    const listPeers = (): string[] => names.filter(other => other !== name)
+    const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
+    const loadExchange = LoadExchange.create({
+      clock, transport, loads, listPeers, getSummary: () => view.getSummary(), handlePeerSummary: (peer, summary) => { exchange.handlePeerSummary(peer, summary) }, onPeerLoad: () => undefined
+    })
+    const source = createSource?.(name)
+    const watcher = source === undefined ? undefined : PublishedWatcher.create({ view, source, clock, random, log, fetchFromPeers: async () => await exchange.fetchFromPeers() })
+    this.instances.set(name, { view, loads, exchange, loadExchange, watcher })
+  }
+
+  private createTransport (name: string): PeerTransport {
+    const ownHandlers = new Map<string, PeerHandler<never>>()
+    this.handlers.set(name, ownHandlers)
+    return {
+      request: async (peer, message) => {
+        if (await this.isLost(name, peer)) return Result.err('unreachable')
+        const handler = this.handlers.get(peer)?.get(message.type)
+        if (handler === undefined) return Result.err('unreachable')
+        const answer = await handler(message as never, name)
+        return await this.isLost(name, peer) ? Result.err('unreachable') : Result.ok(answer) as never
+      },
+      setHandler: (type, handler) => { ownHandlers.set(type, handler as never) }
+    }
+  }
+
+  private async isLost (from: string, to: string): Promise<boolean> {
+    const { maxDelayMs = 0, lossShare = 0 } = this.options
+    if (maxDelayMs > 0) await this.clock.sleep(this.random.nextFloat() * maxDelayMs)
+    return this.isolated.has(from) || this.isolated.has(to) || this.random.nextFloat() < lossShare
+  }
+}
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -42,7 +42,7 @@
 
 /** Creates a target in availability zone z1. */
 export function createTarget (name: string, change: Partial<RelayTarget> = {}): RelayTarget {
-  return { name, startedAtMs: 1, service: 'calls', address: `${name}:1`, availabilityZone: 'z1', slots: 6, phase: 'ready', slowStartRemainingMs: 0, ...change }
+  return { name, startedAtMs: 1, sequence: 0, service: 'calls', address: `${name}:1`, availabilityZone: 'z1', slots: 6, phase: 'ready', slowStartRemainingMs: 0, ...change }
 }
 
 /** Creates a route of kind `idempotent` to service `calls`. */
--- a/packages/relay/test/targets/TargetTable.test.ts
+++ b/packages/relay/test/targets/TargetTable.test.ts
@@ -1,5 +1,6 @@
 import { VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
+import { type TargetPhase } from '../../src/model/RelayTarget.js'
 import { TargetTable } from '../../src/targets/TargetTable.js'
 import { createTarget } from '../support/createTestDependencies.js'
 
@@ -74,3 +75,28 @@
     expect(doTest(table => table.handleRemoval('z')).changes).toEqual([])
   })
 })
+
+describe('TargetTable of a store that returned from an older copy', () => {
+  /** Applies entries of one incarnation after the entry with number 5, and returns the changes that listeners received. */
+  function doTest (...entries: ReadonlyArray<{ sequence: number, phase?: TargetPhase } | 'removal' | 'expiry'>): string[] {
+    const clock = VirtualClock.create()
+    const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => entries.includes('expiry') ? 0 : 60_000 })
+    const changes: string[] = []
+    table.updateTarget(createTarget('a', { sequence: 5 }))
+    table.addListener(({ state }) => changes.push(state))
+    for (const entry of entries) {
+      if (typeof entry === 'object') table.updateTarget(createTarget('a', entry))
+      else table.handleRemoval('a')
+      if (entry !== 'expiry') continue
+      clock.jump(1600)
+      table.expireEntries()
+    }
+    return changes
+  }
+
+  it('keeps a target leaving when an earlier entry lists it as ready', () => expect(doTest({ sequence: 6, phase: 'leaving' }, { sequence: 5 })).toEqual(['leaving']))
+  it('keeps a removed target gone when its last entry is listed again', () => expect(doTest('removal', { sequence: 5 })).toEqual(['gone']))
+  it('uses a removed target that publishes a later entry', () => expect(doTest('removal', { sequence: 6 })).toEqual(['gone', 'ready']))
+  it('uses a target whose entry the store had lost and that is written again', () => expect(doTest('expiry', { sequence: 5 })).toEqual(['missing', 'gone', 'ready']))
+  it('uses entries without a number', () => expect(doTest('removal', { sequence: 0 })).toEqual(['gone', 'ready']))
+})
