Find a watch on a silent connection before its excuse ends

What callers may have seen: an older configuration in use after all connections of the fleet went silent for good, by instances that new connections would serve.

Cause: a watch waited 2.5 s for changes and 1 s for the answer; then three peers, which may be silent too, were asked one after the other for 0.5 s each before the store was tried on a new connection. In the sum up to 5.2 s, where the platform excuses an instance for 3 s after its connections were disturbed.

Change: a watch waits 1.5 s and 0.7 s for its answer; peers are asked beside the next attempt. Instances that leave watching to peers watch themselves once the last answer that a peer reported is 2.5 s old.

Evidence: the test in virtual time failed before (5,200 ms, bound 3,000) over 40 phases of the watch and passes.

--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -23,7 +23,7 @@
 }
 
 /** Maximum age of the latest store answer of a watcher up to which other instances skip watching, in milliseconds. */
-const MAX_PEER_ANSWER_AGE_MS = 3000
+const MAX_PEER_ANSWER_AGE_MS = 2500
 
 /** Delay between two watches of the standby watchers of a group, in milliseconds. */
 const STANDBY_WATCH_DELAY_MS = 500
--- a/packages/relay/src/published/PublishedItem.ts
+++ b/packages/relay/src/published/PublishedItem.ts
@@ -30,6 +30,16 @@
  */
 export type PublishedError = 'compacted' | 'restored' | 'outdated' | 'refused' | 'unreachable' | 'timeout' | 'malformed'
 
+/** Options of one watch. */
+export interface WatchOptions {
+  /** Maximum time that the store waits for changes, in milliseconds. */
+  readonly waitMs: number
+  /** Time beyond `waitMs` after which the answer counts as lost, in milliseconds. */
+  readonly answerTimeoutMs: number
+  /** Aborts the watch. */
+  readonly signal: AbortSignal
+}
+
 /** Reads keys from the store in which the platform publishes. */
 export interface PublishedSource {
   /**
@@ -40,8 +50,7 @@
   /**
    * Waits for changes.
    * @param after - Revision after which changes are requested.
-   * @param waitMs - Maximum time that the store waits for changes, in milliseconds.
-   * @param signal - Aborts the wait.
+   * @param options - Options of the watch.
    */
-  watchChanges(after: number, waitMs: number, signal: AbortSignal): Promise<Result<PublishedChanges, PublishedError>>
+  watchChanges(after: number, options: WatchOptions): Promise<Result<PublishedChanges, PublishedError>>
 }
--- a/packages/relay/src/published/PublishedWatcher.ts
+++ b/packages/relay/src/published/PublishedWatcher.ts
@@ -22,7 +22,12 @@
   readonly fetchFromPeers?: () => Promise<boolean>
 }
 
-const DEFAULT_WATCH_TIMEOUT_MS = 2500
+/**
+ * Default wait of a watch, and time beyond it after which its answer counts as lost, in milliseconds. Together with the delay of the
+ * next attempt, they bound the time for which a connection that has gone silent hides changes.
+ */
+const DEFAULT_WATCH_TIMEOUT_MS = 1500
+const WATCH_ANSWER_TIMEOUT_MS = 700
 
 /** Delays between attempts while the store does not answer. */
 const MIN_BACKOFF_MS = 100
@@ -154,7 +159,7 @@
   private async watchOnce (waitMs: number): Promise<Result<unknown, PublishedError>> {
     const { source, view } = this.options
     const { revision, era } = view.getPosition()
-    const changes = await source.watchChanges(revision, waitMs, this.watchController.signal)
+    const changes = await source.watchChanges(revision, { waitMs, answerTimeoutMs: WATCH_ANSWER_TIMEOUT_MS, signal: this.watchController.signal })
     if (changes.isErr) return changes
     const { items, position } = changes.value
     // The revision may have been given out again in another era, so that changes before it were missed.
@@ -192,7 +197,8 @@
     }
     if (this.failures === 0) log.recordStateChange('store lost', { error, ageMs: Math.round(this.getAgeMs()) })
     this.failures++
-    await fetchFromPeers?.()
+    // Not awaited: peers may be silent as well, and the store may answer on a new connection.
+    fetchFromPeers?.()
     const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** Math.min(this.failures, 8))
     await clock.sleep(addJitter(random, backoffMs), this.stopController.signal)
   }
--- a/packages/relay/test/published/PublishedWatcher.test.ts
+++ b/packages/relay/test/published/PublishedWatcher.test.ts
@@ -33,7 +33,7 @@
       calls.push(`page after '${after}'`)
       return pages.shift() ?? Result.err('unreachable')
     },
-    watchChanges: async (after, waitMs, signal) => {
+    watchChanges: async (after, { waitMs, signal }) => {
       calls.push(`watch after ${after}${waitMs === 0 ? ' at once' : ''}`)
       const next = watches.shift()
       if (next !== undefined) return next
@@ -146,3 +146,44 @@
     expect(calls.length).toBeLessThan(15)
   })
 })
+
+describe('PublishedWatcher on a connection that went silent', () => {
+  /** Time after which a disruption no longer excuses an instance that uses old keys, in milliseconds. */
+  const EXCUSED_MS = 3000
+
+  const SILENT_PEERS_MS = 1500
+
+  /** Returns how long after the silence began a key arrived that was written then. The silence ends with the first new connection. */
+  async function doTest (silentAtMs: number): Promise<number> {
+    const clock = VirtualClock.create()
+    const view = PublishedView.create()
+    let isConnectionNew = false
+    const source: PublishedSource = {
+      fetchPage: async () => createPage(5, 'a'),
+      watchChanges: async (after, { waitMs, answerTimeoutMs, signal }) => {
+        if (isConnectionNew && after < 6) return createChanges(6, 'b')
+        const isAnswered = isConnectionNew || clock.nowMs() + waitMs < silentAtMs
+        await clock.sleep(isAnswered ? waitMs : waitMs + answerTimeoutMs, signal)
+        isConnectionNew ||= !isAnswered
+        return isAnswered ? createChanges(after) : Result.err('timeout')
+      }
+    }
+    const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+    const fetchFromPeers = async (): Promise<boolean> => {
+      await clock.sleep(SILENT_PEERS_MS)
+      return false
+    }
+    let arrivedAtMs = Infinity
+    view.addListener(items => { if (items.some(({ key }) => key === 'b')) arrivedAtMs = clock.nowMs() })
+    const watcher = PublishedWatcher.create({ view, source, clock, random: SeededRandom.create(1), log, fetchFromPeers })
+    watcher.run()
+    await clock.advance(silentAtMs + 10_000)
+    watcher.stop()
+    return arrivedAtMs - silentAtMs
+  }
+
+  it('gets changes before its disruption no longer excuses old keys', async () => {
+    const arrivals = await Promise.all(Array.from({ length: 40 }, async (_, index) => await doTest(1000 + index * 100)))
+    expect(Math.max(...arrivals)).toBeLessThan(EXCUSED_MS)
+  })
+})
--- a/packages/relay/test/support/RestorableStore.ts
+++ b/packages/relay/test/support/RestorableStore.ts
@@ -67,7 +67,7 @@
   createSource (instance: string): PublishedSource {
     return {
       fetchPage: async after => await this.answer(instance, () => this.readPage(after)),
-      watchChanges: async (after, waitMs, signal) => {
+      watchChanges: async (after, { waitMs, signal }) => {
         const { clock } = this.options
         const endMs = clock.nowMs() + waitMs
         const { era } = this.position
