Read and log the limits that targets name

Cause for the change: a target in need names in its answers how many requests a second it accepts from all instances together. Nothing read it, and the logs of the incident cannot tell when an instance could have known.

Change: the limit is read from each answer, also from failures and rejections. Sending to a target and recording its limit is one function for calls and streams. No decision changes.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 export * from './budget/AttemptBudget.js'
 export * from './instance/RelayInstance.js'
 export * from './instance/RelayInstanceOptions.js'
+export * from './limits/TargetLimits.js'
 export * from './loads/TargetLoads.js'
 export * from './logs/DecisionLog.js'
 export * from './model/RelayConfiguration.js'
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -1,5 +1,6 @@
 import { type PauseDetector } from '@fescuespoke/common'
 import { AttemptBudget } from '../budget/AttemptBudget.js'
+import { TargetLimits } from '../limits/TargetLimits.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
 import { TargetLoads } from '../loads/TargetLoads.js'
 import { DecisionLog } from '../logs/DecisionLog.js'
@@ -65,6 +66,7 @@
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
+  const limits = TargetLimits.create({ clock, log })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -86,6 +88,7 @@
     client,
     table,
     health,
+    limits,
     placer,
     generationTimes: GenerationTimeEstimator.create(),
     admissionQueue: AdmissionQueue.create({ clock, placer }),
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Random } from '@fescuespoke/common'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
+import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RunMover } from '../moves/RunMover.js'
@@ -17,6 +18,7 @@
   readonly client: RelayTargetClient
   readonly table: TargetTable
   readonly health: TargetHealth
+  readonly limits: TargetLimits
   readonly placer: RelayPlacer
   readonly generationTimes: GenerationTimeEstimator
   readonly admissionQueue: AdmissionQueue
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -4,6 +4,7 @@
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { sendToTarget } from './sendToTarget.js'
 
 /** Maximum size of an answer that is buffered completely before its first byte is forwarded, in bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
@@ -116,7 +117,7 @@
   excludedTargets.add(reservation.target.name)
   if (state.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   state.sentAttempts++
-  const attempt = dependencies.client.sendRequest(reservation.target, {
+  const attempt = sendToTarget(dependencies, reservation, {
     request: context.request,
     workspace: context.workspace,
     remainingMs: context.deadlineAtMs - dependencies.clock.nowMs(),
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -7,6 +7,7 @@
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { sendToTarget } from './sendToTarget.js'
 import { StreamRun } from './StreamRun.js'
 
 /** Maximum time to wait for an engine with free capacity, as a share of the route's latency objective and of the remaining time. */
@@ -88,7 +89,7 @@
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   if (continuation === undefined) run.excludedTargets.add(reservation.target.name)
   run.sentAttempts++
-  const attempt = dependencies.client.sendRequest(reservation.target, {
+  const attempt = sendToTarget(dependencies, reservation, {
     request,
     workspace: context.workspace,
     remainingMs: context.deadlineAtMs - dependencies.clock.nowMs(),
--- /dev/null
+++ b/packages/relay/src/requests/sendToTarget.ts
@@ -0,0 +1,16 @@
+import { type TargetReservation } from '../placement/TargetReservation.js'
+import { type Attempt, type AttemptOptions } from '../targets/RelayTargetClient.js'
+import { type RelayDependencies } from './RelayDependencies.js'
+
+/**
+ * Sends a request to a reserved target, and records the limit that its answer names.
+ * @param dependencies - Components that handle the request.
+ * @param reservation - Reservation of the target.
+ * @param options - Options of the attempt.
+ */
+export function sendToTarget ({ client, clock, limits }: RelayDependencies, { target }: TargetReservation, options: AttemptOptions): Attempt {
+  const sentAtMs = clock.nowMs()
+  const attempt = client.sendRequest(target, options)
+  attempt.head.then(() => limits.recordAnswer(target, attempt.getNamedLimit(), sentAtMs))
+  return attempt
+}
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -12,6 +12,9 @@
  */
 export type AttemptError = 'notSent' | 'notExecuted' | 'notHere' | 'lost' | 'aborted'
 
+/** Requests a second that a target accepts from all instances together, or `none` when its answer names no limit. */
+export type NamedLimit = number | 'none'
+
 /** Status and headers of a target's answer. */
 export interface AttemptHead {
   readonly status: number
@@ -61,6 +64,8 @@
   isSent(): boolean
   /** Returns the error that the connection reported when the answer failed, for the log. */
   getCause(): string | undefined
+  /** Returns the limit that the answer names; undefined when the answer does not tell, or before `head` has resolved. */
+  getNamedLimit(): NamedLimit | undefined
   /** Ends the attempt as lost because no data arrived for too long. */
   markLost(): void
 }
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import {
-  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type RelayTargetClient, type RunCopy, type TargetReport
+  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type NamedLimit, type RelayTargetClient, type RunCopy, type TargetReport
 } from '../../src/targets/RelayTargetClient.js'
 
 /** One step of a scripted answer: text, a pause in milliseconds, its end, or an error. */
@@ -12,6 +12,7 @@
 export interface ScriptedAnswer {
   readonly status?: number
   readonly isSigned?: boolean
+  readonly limit?: NamedLimit
   readonly steps?: readonly AnswerStep[]
   readonly error?: AttemptError
   /** Time until the head, in milliseconds. */
@@ -116,6 +117,10 @@
     return undefined
   }
 
+  getNamedLimit (): NamedLimit | undefined {
+    return this.script.error === undefined ? this.script.limit ?? 'none' : this.script.limit
+  }
+
   markLost (): void {
     this.finish('lost')
   }
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -1,5 +1,6 @@
 import { createLogger, MetricsRegistry, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { AttemptBudget } from '../../src/budget/AttemptBudget.js'
+import { TargetLimits } from '../../src/limits/TargetLimits.js'
 import { TargetLoads } from '../../src/loads/TargetLoads.js'
 import { DecisionLog } from '../../src/logs/DecisionLog.js'
 import { RelayMetrics } from '../../src/logs/RelayMetrics.js'
@@ -34,10 +35,11 @@
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: options.getTimeSinceStoreOutageMs ?? (() => 60_000) })
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
+  const limits = TargetLimits.create({ clock, log })
   const placer = RelayPlacer.create({ clock, random, table, loads, health, availabilityZone: 'z1' })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: 'own', metrics, log })
-  return { clock, random, client, loads, table, health, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client, loads, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in availability zone z1. */
