--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -26,9 +26,9 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number } = {}): TestDependencies {
-  const clock = VirtualClock.create()
-  const random = SeededRandom.create(1)
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number } = {}): TestDependencies {
+  const { clock = VirtualClock.create(), seed = 1 } = options
+  const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
   const metrics = RelayMetrics.create(MetricsRegistry.create({ clock }))
   const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
