Share the limit that a target names by turns of all instances

What callers and targets saw: a target in need that named 3.1 requests a second for all instances together got 34 in 4 s, where one and a half times that and 5 are allowed.

Cause: no code knew the limit; each instance chose targets by load alone.

Change: an instance takes turns with the others at a target that names a limit. Turns follow one another at the rate of the limit; instance r of N has every Nth, for one request, and an unused one is lost after 1 s and three turns. Gossip carries limits and the progress of the turns. All sends go through the reservation of a target, so repeats, hedges and moved runs count. A target without a turn is no candidate; where all of a service name limits and no turn comes in time, the request is refused at once as not run (reason limited), with the time to the next turn.

--- a/packages/peers/src/framing/messageKeys.ts
+++ b/packages/peers/src/framing/messageKeys.ts
@@ -13,5 +13,5 @@
   'heldTokens', 'heldSequences', 'wantTokens', 'wantSequences',
   'heldMean', 'heldDeviation', 'totalTokens', 'totalSequences',
   'key', 'text', 'digest', 'keptDigest', 'afterKey', 'nextAfterKey', 'baseRevision', 'deleted', 'kept', 'baseVersion', 'removed',
-  'items', 'running', 'unreadTokens', 'viewAgeMs', 'era', 'haveEra'
+  'items', 'running', 'unreadTokens', 'viewAgeMs', 'era', 'haveEra', 'limits', 'limit', 'startedAtMs', 'turns'
 ]
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Logger, type PeerTransport, type Random, rankByRendezvous } from '@fescuespoke/common'
 import { type Member, Membership, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
+import { type TargetLimitNews } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { parseSummary, type PublishedSummary } from '../published/PublishedPosition.js'
@@ -18,6 +19,10 @@
   readonly getSummary: () => PublishedSummary
   /** Handles what a peer has of the published keys. */
   readonly handlePeerSummary: (peer: string, summary: PublishedSummary) => void
+  /** Lists the limits of targets that are reported to a peer. */
+  readonly listLimitNews: () => TargetLimitNews[]
+  /** Handles the limits of targets that a peer reported. */
+  readonly handleLimitNews: (peer: string, news: readonly TargetLimitNews[]) => void
   /** Called when a peer is declared dead. */
   readonly onPeerDead: (peer: string) => void
 }
@@ -73,8 +78,11 @@
       transport: this.network,
       clock,
       random,
-      getGossipPayload: () => ({ ...options.getSummary(), listVersion: 0, listAgeMs: 0 }),
-      handleGossipPayload: (from, payload) => options.handlePeerSummary(from, parseSummary(payload)),
+      getGossipPayload: () => ({ ...options.getSummary(), listVersion: 0, listAgeMs: 0, limits: options.listLimitNews() }),
+      handleGossipPayload: (from, payload) => {
+        options.handlePeerSummary(from, parseSummary(payload))
+        options.handleLimitNews(from, payload.limits ?? [])
+      },
       limits: PROBE_LIMITS
     })
     this.fleetSize = FleetSizeEstimator.create({ clock, countAlive: () => this.membership.listAlive().length, countSeeds: () => this.seeds.length })
@@ -126,6 +134,15 @@
     return count === 1 ? 0 : rankByRendezvous(WATCHERS_KEY, instances).indexOf(this.options.identity.peerAddress)
   }
 
+  /**
+   * Returns the rank of this instance among all instances that are considered alive; 0 is the first.
+   * @param key - Key on which the order depends.
+   */
+  getRank (key: string): number {
+    const thisInstance = this.options.identity.peerAddress
+    return rankByRendezvous(key, [thisInstance, ...this.listAlivePeers()]).indexOf(thisInstance)
+  }
+
   /** Lists the other instances of the group. */
   listGroupPeers (): readonly string[] {
     return this.getGroup().instances.filter(name => name !== this.options.identity.peerAddress)
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -40,6 +40,7 @@
   readonly metrics: RelayMetrics
   readonly log: DecisionLog
   readonly loads: TargetLoads
+  readonly limits: TargetLimits
 }
 
 /**
@@ -50,8 +51,9 @@
   const { clock, client } = options
   const metrics = RelayMetrics.create(options.metrics)
   const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock) }
-  const viewComponents = createViewComponents(options, log, shared.loads)
+  const limits = TargetLimits.create({ clock, log, countInstances: () => viewComponents.peers.estimateFleetSize(), getRank: target => viewComponents.peers.getRank(target) })
+  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits }
+  const viewComponents = createViewComponents(options, log, shared.loads, limits)
   const dependencies = createDependencies(shared, viewComponents)
   return {
     ...viewComponents,
@@ -62,17 +64,17 @@
   }
 }
 
-function createDependencies ({ options, metrics, log, loads }: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
+function createDependencies ({ options, metrics, log, loads, limits }: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
-  const limits = TargetLimits.create({ clock, log })
   const placer = RelayPlacer.create({
     clock,
     random,
     table,
     loads,
     health,
+    limits,
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets)
   })
--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -1,4 +1,5 @@
 import { PauseDetector } from '@fescuespoke/common'
+import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type DecisionLog, type LogFields } from '../logs/DecisionLog.js'
 import { createCachedDecoder } from '../published/createCachedDecoder.js'
@@ -33,8 +34,9 @@
  * @param options - Options of the instance.
  * @param log - Log of the instance.
  * @param loads - Loads of targets; the load of a peer is removed when the peer is declared dead.
+ * @param limits - Limits of targets, which peers tell one another.
  */
-export function createViewComponents (options: RelayInstanceOptions, log: DecisionLog, loads: TargetLoads): ViewComponents {
+export function createViewComponents (options: RelayInstanceOptions, log: DecisionLog, loads: TargetLoads, limits: TargetLimits): ViewComponents {
   const { clock, random, source } = options
   const decodeItem = createCachedDecoder(options.decodeItem)
   const view = PublishedView.create({
@@ -47,6 +49,8 @@
     log,
     getSummary: () => view.getSummary(),
     handlePeerSummary: (peer, summary) => { exchange.handlePeerSummary(peer, summary) },
+    listLimitNews: () => limits.listNews(),
+    handleLimitNews: (peer, news) => limits.mergeNews(peer, news),
     onPeerDead: peer => loads.removePeer(peer)
   })
   const exchange = PublishedExchange.create({ clock, transport: peers.transport, view, log, listPeers: () => peers.listAlivePeers() })
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Random } from '@fescuespoke/common'
+import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
@@ -14,6 +15,7 @@
   readonly table: TargetTable
   readonly loads: TargetLoads
   readonly health: TargetHealth
+  readonly limits: TargetLimits
   readonly availabilityZone: string
   /**
    * Returns the names of the engines whose total load this instance knows well.
@@ -62,21 +64,22 @@
    */
   reserveBestTarget (requirements: TargetRequirements): TargetReservation | undefined {
     const { service, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight } = requirements
-    const { random, table } = this.options
+    const { random, table, limits } = this.options
     const usable = table.listUsable(service.name)
     const createCandidate = this.createCandidateFactory(usable, requirements)
-    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name)).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
+    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && limits.getWaitMs(target) === 0).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
     return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
   }
 
   /**
-   * Reserves a specific target regardless of its load.
+   * Reserves a specific target regardless of its load and its limit.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
    * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
    */
   reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
+    this.options.limits.recordRequest(target)
     return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
@@ -88,6 +91,17 @@
     return this.options.table.listUsable(service.name).length
   }
 
+  /**
+   * Returns the time until this instance may send another request to any target of a service, in milliseconds; 0 unless all targets
+   * name limits, and `Infinity` when it leaves all of them to other instances.
+   * @param service - The service.
+   */
+  getLimitWaitMs (service: ServiceProfile): number {
+    const { table, limits } = this.options
+    const usable = table.listUsable(service.name)
+    return usable.length === 0 ? 0 : Math.min(...usable.map(({ target }) => limits.getWaitMs(target)))
+  }
+
   /**
    * Adds a listener.
    * @param listener - Called when capacity may have become available.
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -8,6 +8,7 @@
   noRoute: 404,
   unknownKey: 401,
   noTarget: 503,
+  limited: 503,
   overloaded: 503,
   stopping: 503,
   notExecuted: 503,
@@ -26,6 +27,9 @@
   timeoutNotRun: [200, 600]
 }
 
+/** Delay for a caller refused because of a limit when this instance leaves the targets to other instances, in milliseconds. */
+const LIMITED_RETRY_AFTER_MS = 1000
+
 /** Maximum retry delay as a share of the caller's remaining time, since callers wait no longer than that. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3
 
@@ -52,10 +56,19 @@
 }
 
 /** Computes a random delay in the range of the reason, so that callers refused at the same time do not retry at the same time. */
-function computeRetryAfterMs ({ clock, random }: RelayDependencies, { deadlineAtMs }: RelayContext, reason: RefusalReason): number | undefined {
-  const range = RETRY_AFTER_RANGES_MS[reason]
+function computeRetryAfterMs (dependencies: RelayDependencies, context: RelayContext, reason: RefusalReason): number | undefined {
+  const { clock, random } = dependencies
+  const { deadlineAtMs } = context
+  const range = reason === 'limited' ? computeLimitedRangeMs(dependencies, context) : RETRY_AFTER_RANGES_MS[reason]
   if (range === undefined) return undefined
   const [shortestMs, longestMs] = range
   const randomMs = shortestMs + random.nextFloat() * (longestMs - shortestMs)
   return Math.max(0, Math.min(randomMs, (deadlineAtMs - clock.nowMs()) * MAX_RETRY_AFTER_SHARE))
 }
+
+/** Computes the range from the next request that a limit allows to the one after it. */
+function computeLimitedRangeMs ({ placer }: RelayDependencies, { service }: RelayContext): readonly [number, number] {
+  const waitMs = placer.getLimitWaitMs(service)
+  const shortestMs = Number.isFinite(waitMs) ? waitMs : LIMITED_RETRY_AFTER_MS
+  return [shortestMs, 2 * shortestMs]
+}
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -263,7 +263,8 @@
     return finishAnswer(state, state.failedAnswer)
   }
   if (state.mayHaveRun) refuseRequest(dependencies, context, 'lost')
-  else refuseRequest(dependencies, context, state.sentAttempts > 0 ? 'notExecuted' : 'noTarget')
+  else if (state.sentAttempts > 0) refuseRequest(dependencies, context, 'notExecuted')
+  else refuseRequest(dependencies, context, dependencies.placer.getLimitWaitMs(context.service) > 0 ? 'limited' : 'noTarget')
 }
 
 /** Finishes a call whose caller has left or whose deadline is reached. */
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -6,6 +6,7 @@
 import { canRepeat, readStream, type StreamEnd } from './readStream.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
+import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { sendToTarget } from './sendToTarget.js'
 import { StreamRun } from './StreamRun.js'
@@ -65,15 +66,16 @@
 }
 
 async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue, budget } = dependencies
+  const { clock, admissionQueue, budget, placer } = dependencies
   const { service, request, route } = context
   const remainingMs = context.deadlineAtMs - clock.nowMs()
   const waitedMs = clock.nowMs() - request.receivedAtMs
+  const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
     requirements: { service, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
-    maxWaitMs: Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs,
+    maxWaitMs: placer.getLimitWaitMs(service) > maxWaitMs ? 0 : maxWaitMs,
     signal: context.signal
   })
   if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
@@ -129,7 +131,12 @@
   if (context.signal.aborted) return finishAborted(dependencies, context, run)
   if (run.hasStarted()) return abortAnswer(dependencies, context, run, 'brokenOff')
   if (run.executedAttempts > 0) return refuseRequest(dependencies, context, 'lost')
-  refuseRequest(dependencies, context, dependencies.placer.countUsable(context.service) === 0 ? 'noTarget' : 'overloaded')
+  refuseRequest(dependencies, context, findUnplacedReason(dependencies, context))
+}
+
+function findUnplacedReason ({ placer }: RelayDependencies, { service }: RelayContext): RefusalReason {
+  if (placer.countUsable(service) === 0) return 'noTarget'
+  return placer.getLimitWaitMs(service) > 0 ? 'limited' : 'overloaded'
 }
 
 /** Finishes a stream whose caller has left or whose deadline is reached. */
--- a/packages/relay/test/limits/limitedTarget.test.ts
+++ b/packages/relay/test/limits/limitedTarget.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { pickIndex, type Random, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
 import { runRelayedCall } from '../../src/requests/runRelayedCall.js'
 import { CALLS, createContext, createRoute, createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
@@ -25,6 +25,7 @@
 const NAMED_AT_MS = 2000
 const DURATION_MS = 20_000
 const ANSWER_MS = 40
+const GOSSIP_INTERVAL_MS = 500
 
 /** Most requests that a target may get in a window. */
 const computeAllowed = (limit: number): number => 1.5 * limit * WINDOW_MS / 1000 + 5
@@ -34,16 +35,17 @@
   const clock = VirtualClock.create()
   const random = SeededRandom.create(5)
   const targets = limits.map((_, index) => String.fromCharCode('a'.charCodeAt(0) + index))
-  const instances = Array.from({ length: instanceCount }, (_, index) => createInstance(clock, targets, index))
+  const instances = Array.from({ length: instanceCount }, (_, index) => createInstance(clock, targets, index, instanceCount))
   const setLimits = (): void => {
     for (const { client } of instances) for (const [index, name] of targets.entries()) client.scripts.set(name, [{ limit: limits[index], steps: [ANSWER_MS, 'END'] }])
   }
   clock.startTimer(NAMED_AT_MS, setLimits)
+  for (let atMs = 0; atMs < DURATION_MS; atMs += GOSSIP_INTERVAL_MS) clock.startTimer(atMs, () => exchangeLimits(instances, random))
   let served = 0
   let refused = 0
   const sendOne = async (): Promise<void> => {
     const { context, sink } = createContext(createRoute(), CALLS, { receivedAtMs: clock.nowMs() })
-    await runRelayedCall(instances[Math.floor(random.nextFloat() * instanceCount)]!, { ...context, deadlineAtMs: clock.nowMs() + 1000 })
+    await runRelayedCall(instances[pickIndex(random, instanceCount)]!, { ...context, deadlineAtMs: clock.nowMs() + 1000 })
     if (sink.describe().startsWith('200')) served++
     else refused++
   }
@@ -52,8 +54,18 @@
   return { mostInWindow: targets.map(name => countMostInWindow(instances, name)), served, refused }
 }
 
-function createInstance (clock: VirtualClock, targets: readonly string[], index: number): TestDependencies {
-  const instance = createTestDependencies({ clock, seed: index + 1 })
+/** Lets each instance exchange the limits that it knows with a random other one. */
+function exchangeLimits (instances: readonly TestDependencies[], random: Random): void {
+  for (const [index, { limits }] of instances.entries()) {
+    const peerIndex = pickIndex(random, instances.length)
+    const peer = instances[peerIndex]!
+    peer.limits.mergeNews(`n${index}`, limits.listNews())
+    limits.mergeNews(`n${peerIndex}`, peer.limits.listNews())
+  }
+}
+
+function createInstance (clock: VirtualClock, targets: readonly string[], index: number, instanceCount: number): TestDependencies {
+  const instance = createTestDependencies({ clock, seed: index + 1, instanceCount, getRank: () => index })
   for (const name of targets) {
     instance.table.updateTarget(createTarget(name))
     instance.client.scripts.set(name, [{ steps: [ANSWER_MS, 'END'] }])
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -26,7 +26,7 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, instanceCount?: number, getRank?: () => number } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -35,8 +35,8 @@
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: options.getTimeSinceStoreOutageMs ?? (() => 60_000) })
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
-  const limits = TargetLimits.create({ clock, log })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, availabilityZone: 'z1' })
+  const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availabilityZone: 'z1' })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const mover = RunMover.create({ clock, client, table, placer, budget, loads, instance: 'own', metrics, log })
   return { clock, random, client, loads, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, mover, metrics, log, getViewAgeMs: () => 0 }
