State eras and limits to peers only where there are any

Cause: instances refuse peer messages with unknown fields and close the connection.

Change: era and version are sent once the store states an era, limits where a target names one. Elsewhere messages have the fields that they had.

Checked: a test holds the fields of all messages without an era; it fails without the change.

--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -3,7 +3,7 @@
 import { type TargetLimitNews } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
-import { parseSummary, type PublishedSummary } from '../published/PublishedPosition.js'
+import { formatSummary, parseSummary, type PublishedSummary } from '../published/PublishedPosition.js'
 import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
 import { FleetSizeEstimator } from './FleetSizeEstimator.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
@@ -78,7 +78,7 @@
       transport: this.network,
       clock,
       random,
-      getGossipPayload: () => ({ ...options.getSummary(), listVersion: 0, listAgeMs: 0, limits: options.listLimitNews() }),
+      getGossipPayload: () => ({ ...formatSummary(options.getSummary()), listVersion: 0, listAgeMs: 0, ...formatLimitNews(options.listLimitNews()) }),
       handleGossipPayload: (from, payload) => {
         options.handlePeerSummary(from, parseSummary(payload))
         options.handleLimitNews(from, payload.limits ?? [])
@@ -188,3 +188,8 @@
     if (state === 'dead') this.options.onPeerDead(instance)
   }
 }
+
+/** Instances of an earlier release do not know the field, so it is sent only where targets name limits. */
+function formatLimitNews (limits: TargetLimitNews[]): { limits?: TargetLimitNews[] } {
+  return limits.length === 0 ? {} : { limits }
+}
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,6 +1,6 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
 import { type TargetWork } from '@fescuespoke/schema'
-import { comparePositions, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
+import { comparePositions, formatSummary, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
 /** Availability of the store as seen by an instance. */
@@ -73,7 +73,7 @@
       options.loads.updatePeer(from, new Map(entries.map(entry => [entry.target, parseLoad(entry)])))
       options.handlePeerSummary(from, parseSummary(summary))
       options.onPeerLoad()
-      return { type: 'loadNewsAnswer', ...options.getSummary() }
+      return { type: 'loadNewsAnswer', ...formatSummary(options.getSummary()) }
     })
   }
 
@@ -122,7 +122,7 @@
     this.lastSentAtMs = clock.nowMs()
     this.lastSentSummary = getSummary()
     const entries = [...loads.listOwnLoads()].map(([target, load]) => formatLoad(target, load))
-    const message = { type: 'loadNews' as const, ...this.lastSentSummary, entries, ...formatStoreStatus(getStoreStatus?.()) }
+    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries, ...formatStoreStatus(getStoreStatus?.()) }
     for (const peer of this.selectPeers()) {
       transport.request<'loadNewsAnswer'>(peer, message, ANSWER_TIMEOUT_MS).then(answer => {
         if (answer.isOk) handlePeerSummary(peer, parseSummary(answer.value))
--- a/packages/relay/src/published/PublishedExchange.ts
+++ b/packages/relay/src/published/PublishedExchange.ts
@@ -1,7 +1,8 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
+import { type PublishedRequest } from '@fescuespoke/schema'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type PublishedItem } from './PublishedItem.js'
-import { comparePositions, type PublishedPosition, type PublishedSummary } from './PublishedPosition.js'
+import { comparePositions, formatPosition, type PublishedPosition, type PublishedSummary } from './PublishedPosition.js'
 import { type PublishedView } from './PublishedView.js'
 
 /** Options of a published exchange. */
@@ -40,8 +41,8 @@
     const { transport, view } = options
     transport.setHandler('publishedRequest', ({ haveEra = 0, haveRevision, haveVersion = 0 }) => ({
       type: 'publishedAnswer',
-      ...view.getPosition(),
-      items: view.listChanges({ era: haveEra, revision: haveRevision, version: haveVersion }).map(({ value, ...item }) => ({ ...item, text: value }))
+      ...formatPosition(view.getPosition()),
+      items: view.listChanges({ era: haveEra, revision: haveRevision, version: haveVersion }).map(({ key, value, ...position }) => ({ key, ...formatPosition(position), text: value }))
     }))
   }
 
@@ -77,7 +78,7 @@
     if (this.fetching.has(peer)) return false
     this.fetching.add(peer)
     const before = view.getSummary()
-    const answer = await transport.request<'publishedAnswer'>(peer, { type: 'publishedRequest', haveEra: before.era, haveRevision: before.revision, haveVersion: before.version }, ANSWER_TIMEOUT_MS)
+    const answer = await transport.request<'publishedAnswer'>(peer, formatRequest(before), ANSWER_TIMEOUT_MS)
     this.fetching.delete(peer)
     if (answer.isErr) return false
     const { era = 0, revision, items } = answer.value
@@ -94,3 +95,8 @@
     else view.applyChanges(items, position)
   }
 }
+
+function formatRequest ({ era, revision, version }: PublishedSummary): PublishedRequest {
+  const type = 'publishedRequest' as const
+  return era === 0 ? { type, haveRevision: revision } : { type, haveEra: era, haveRevision: revision, haveVersion: version }
+}
--- a/packages/relay/src/published/PublishedPosition.ts
+++ b/packages/relay/src/published/PublishedPosition.ts
@@ -24,10 +24,34 @@
   return a.era - b.era || a.revision - b.revision
 }
 
+/** Fields of a message that state what an instance has of the published keys. */
+export interface SummaryFields {
+  readonly era?: number
+  readonly revision: number
+  readonly version?: number
+}
+
+/**
+ * Formats a position as fields of a message. The revision tells all while the store states no era; instances of an earlier release
+ * accept no other field.
+ * @param position - The position.
+ */
+export function formatPosition ({ era, revision }: PublishedPosition): SummaryFields {
+  return era === 0 ? { revision } : { era, revision }
+}
+
+/**
+ * Formats what an instance has as fields of a message; see `formatPosition`.
+ * @param summary - What the instance has.
+ */
+export function formatSummary ({ era, revision, version }: PublishedSummary): SummaryFields {
+  return era === 0 ? { revision } : { era, revision, version }
+}
+
 /**
  * Parses what a peer reported in a message; a peer that states no era or version counts as having the lowest ones.
  * @param message - Fields of the message.
  */
-export function parseSummary ({ era = 0, revision, version = 0 }: { readonly era?: number, readonly revision: number, readonly version?: number }): PublishedSummary {
+export function parseSummary ({ era = 0, revision, version = 0 }: SummaryFields): PublishedSummary {
   return { era, revision, version }
 }
--- a/packages/relay/test/published/PublishedExchange.test.ts
+++ b/packages/relay/test/published/PublishedExchange.test.ts
@@ -30,6 +30,16 @@
     expect([...instances.values()].map(({ view }) => view.listItems()[0]?.value)).toEqual(['new', 'new'])
   })
 
+  it.each([0, 1])('are announced with fields that an earlier release knows unless the store states an era (%s)', async era => {
+    const fleet = ViewFleet.create({ names: ['a', 'b'] })
+    fleet.instances.get('a')!.view.applyFullRead([{ key: 'k', ...at(5, era), value: 'v' }], at(5, era))
+    fleet.run('a')
+    fleet.run('b')
+    await fleet.clock.advance(500)
+    const fields = new Set(fleet.messages.flatMap(message => [...Object.keys(message), ...(message.type === 'publishedAnswer' ? message.items.flatMap(item => Object.keys(item)) : [])]))
+    expect([...fields].filter(field => /era|version/i.test(field)).sort()).toEqual(era === 0 ? [] : ['era', 'version'])
+  })
+
   it('can be fetched from a peer when the store cannot be read', async () => {
     const { instances } = ViewFleet.create({ names: ['a', 'b'] })
     instances.get('a')!.view.applyChanges([{ key: 'k', ...at(9), value: 'v' }], at(9))
--- a/packages/relay/test/support/ViewFleet.ts
+++ b/packages/relay/test/support/ViewFleet.ts
@@ -1,4 +1,4 @@
-import { createLogger, type PeerHandler, type PeerTransport, type Random, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { type AnyPeerMessage, createLogger, type PeerHandler, type PeerTransport, type Random, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { LoadExchange } from '../../src/loads/LoadExchange.js'
 import { TargetLoads } from '../../src/loads/TargetLoads.js'
@@ -38,6 +38,8 @@
   }
 
   readonly instances = new Map<string, ViewInstance>()
+  /** Messages that instances sent, requests as well as answers. */
+  readonly messages: AnyPeerMessage[] = []
   /** Instances whose messages are lost. */
   readonly isolated = new Set<string>()
   private readonly handlers = new Map<string, Map<string, PeerHandler<never>>>()
@@ -100,6 +102,7 @@
         const handler = this.handlers.get(peer)?.get(message.type)
         if (handler === undefined) return Result.err('unreachable')
         const answer = await handler(message as never, name)
+        this.messages.push(message, answer as AnyPeerMessage)
         return await this.isLost(name, peer) ? Result.err('unreachable') : Result.ok(answer) as never
       },
       setHandler: (type, handler) => { ownHandlers.set(type, handler as never) }
