Read all pages of the store, however many there are

Cause: a complete read ended after 200 pages, and every key beyond them counted as deleted.

Change: pages are read until the last one. A page that does not go on is an error, as are pages from two eras.

Evidence: the test with 300 pages got 200 keys before.

--- a/packages/relay/src/published/PublishedWatcher.ts
+++ b/packages/relay/src/published/PublishedWatcher.ts
@@ -1,7 +1,7 @@
 import { addJitter, type Clock, type Random } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
-import { type PublishedError, type PublishedItem, type PublishedSource } from './PublishedItem.js'
+import { type PublishedChanges, type PublishedError, type PublishedItem, type PublishedPage, type PublishedSource } from './PublishedItem.js'
 import { type PublishedPosition, START_POSITION } from './PublishedPosition.js'
 import { type PublishedView } from './PublishedView.js'
 
@@ -39,9 +39,6 @@
 /** Delay beyond the watch timeout after which the view counts as stale, in milliseconds. */
 const ANSWER_DELAY_TOLERANCE_MS = 300
 
-/** Maximum number of pages of one complete read; the remaining pages are not read. */
-const MAX_PAGES = 200
-
 /** Errors after which all keys are read again. */
 const HISTORY_ERRORS: ReadonlySet<PublishedError> = new Set(['compacted', 'restored'])
 
@@ -130,26 +127,35 @@
   }
 
   private async readAll (): Promise<Result<unknown, PublishedError>> {
-    const { source, view, log } = this.options
-    const items: PublishedItem[] = []
-    let after = ''
-    let position: PublishedPosition | undefined
-    for (let page = 0; page < MAX_PAGES; page++) {
-      const answer = await source.fetchPage(after)
-      if (answer.isErr) return answer
-      position ??= answer.value.position
-      if (answer.value.position.era !== position.era) return Result.err('restored')
-      items.push(...answer.value.items)
-      if (answer.value.nextAfter === undefined) break
-      after = answer.value.nextAfter
-    }
+    const { view, log } = this.options
+    const read = await this.readPages()
+    if (read.isErr) return read
+    const { items, position } = read.value
     const held = view.getPosition()
-    view.applyFullRead(items, position ?? START_POSITION)
+    view.applyFullRead(items, position)
     this.needsFullRead = false
     log.recordStateChange('published keys read', { keys: items.length, ...position, heldEra: held.era, heldRevision: held.revision })
     return await this.watchOnce(0)
   }
 
+  /** Reads all pages; the position is that of the first one. */
+  private async readPages (): Promise<Result<PublishedChanges, PublishedError>> {
+    const { source } = this.options
+    const items: PublishedItem[] = []
+    let position: PublishedPosition | undefined
+    for (let after: string | undefined = ''; after !== undefined;) {
+      const page: Result<PublishedPage, PublishedError> = await source.fetchPage(after)
+      if (page.isErr) return Result.err(page.error)
+      const { nextAfter } = page.value
+      position ??= page.value.position
+      if (page.value.position.era !== position.era) return Result.err('restored')
+      if (nextAfter === after) return Result.err('malformed')
+      items.push(...page.value.items)
+      after = nextAfter
+    }
+    return Result.ok({ items, position: position ?? START_POSITION })
+  }
+
   private async watch (): Promise<Result<unknown, PublishedError>> {
     // After an outage, the store must answer immediately; waiting for changes would delay the detection of its recovery.
     const needsImmediateAnswer = this.needsConfirmation || this.failures > 0
--- a/packages/relay/test/published/PublishedWatcher.test.ts
+++ b/packages/relay/test/published/PublishedWatcher.test.ts
@@ -63,6 +63,18 @@
     expect(calls.slice(0, 3)).toEqual(["page after ''", "page after 'a'", 'watch after 5 at once'])
   })
 
+  it('reads all pages of a store with many keys', async () => {
+    const keys = Array.from({ length: 300 }, (_, index) => `k${1000 + index}`)
+    const pages = keys.map((key, index): PageResult => Result.ok({ position: at(5), items: [createItem(key, 5)], nextAfter: index < keys.length - 1 ? key : undefined }))
+    expect((await doTest(pages, [])).view.listItems().length).toBe(300)
+  })
+
+  it('does not use a read whose pages do not go on', async () => {
+    const page: PageResult = Result.ok({ position: at(5), items: [createItem('a', 5)], nextAfter: 'a' })
+    const { view } = await doTest([page, page, page], [], 150)
+    expect(view.listItems()).toEqual([])
+  })
+
   it('continues from the revision of each answer', async () => {
     const { calls } = await doTest([createPage(5, 'a')], [createChanges(6), createChanges(8, 'b')])
     expect(calls).toEqual(["page after ''", 'watch after 5 at once', 'watch after 6', 'watch after 8'])
