Load only the parts of libraries that the platform process uses

Cause: an instance that starts loads all of undici (fetch, WebSocket, caches, mocks), all of hdr-histogram-js and prom-client, of which it uses the client, the histograms, and the text format of a metrics request. A profile of the load named them: undici half of the time, prom-client 23 of 151 ms.

--- a/packages/common/src/metrics/formatExposition.ts
+++ b/packages/common/src/metrics/formatExposition.ts
@@ -1,5 +1,5 @@
 import { type MetricReading, type MetricSeriesReading, type MetricsReading } from '@fescuespoke/schema'
-import { type Metric, Registry } from 'prom-client'
+import { type Metric } from 'prom-client'
 
 interface Sample {
   readonly metricName: string
@@ -19,10 +19,12 @@
 }
 
 /**
- * Formats metrics in the Prometheus text exposition format, version 0.0.4.
+ * Formats metrics in the Prometheus text exposition format, version 0.0.4. The library is loaded with the first call, since loading
+ * it delays a start.
  * @param reading - The metrics.
  */
 export async function formatExposition (reading: MetricsReading): Promise<string> {
+  const { Registry } = await import('prom-client')
   const registry = new Registry()
   for (const metric of reading.metrics) registry.registerMetric(convertMetric(metric))
   return await registry.metrics()
