Generate the checks of peer messages instead of compiling the schema at run time

Cause: each process compiled the schema of each type of message when the first one arrived, on the way to its first peers, and loaded the compiler at its start. The generator now writes the checks as code; createValidator, which other programs use, is no longer in the bundle of the platform process.

--- a/packages/peers/src/framing/MessageCodec.ts
+++ b/packages/peers/src/framing/MessageCodec.ts
@@ -1,5 +1,5 @@
 import { type AnyPeerMessage } from '@fescuespoke/common'
-import { createValidator, peerSchema, type Validator } from '@fescuespoke/schema'
+import { PEER_MESSAGE_CHECKS } from '@fescuespoke/schema'
 import { Decoder, Encoder } from 'cbor-x'
 import { Result } from 'true-myth'
 import { MESSAGE_KEYS } from './messageKeys.js'
@@ -28,7 +28,6 @@
 
   private readonly encoder = new Encoder(CODEC_OPTIONS)
   private readonly decoder = new Decoder(CODEC_OPTIONS)
-  private readonly validators = createValidators()
 
   /** @internal */
   private constructor () {}
@@ -48,9 +47,8 @@
   decodeEnvelope (bytes: Uint8Array): Result<Envelope, 'malformed'> {
     const decoded = this.decodeBytes(bytes)
     if (!isEnvelope(decoded)) return Result.err('malformed')
-    const validate = this.validators.get(decoded.message.type)
-    if (validate === undefined || validate(decoded.message).isErr) return Result.err('malformed')
-    return Result.ok(decoded)
+    const isValid = PEER_MESSAGE_CHECKS.get(decoded.message.type)?.(decoded.message) === true
+    return isValid ? Result.ok(decoded) : Result.err('malformed')
   }
 
   private decodeBytes (bytes: Uint8Array): unknown {
@@ -67,26 +65,3 @@
   const { kind, id, message } = value as Partial<Record<keyof Envelope, unknown>>
   return ENVELOPE_KINDS.has(kind) && Number.isSafeInteger(id) && typeof message === 'object' && message !== null
 }
-
-function createValidators (): Map<unknown, Validator<AnyPeerMessage>> {
-  const validators = new Map<unknown, Validator<AnyPeerMessage>>()
-  for (const [name, definition] of Object.entries(peerSchema.definitions)) {
-    const type = findMessageType(definition)
-    if (type !== undefined) validators.set(type, createLazyValidator(name))
-  }
-  return validators
-}
-
-/** Returns a validator that compiles its schema on first use, since most instances never receive most message types. */
-function createLazyValidator (definition: string): Validator<AnyPeerMessage> {
-  let validate: Validator<AnyPeerMessage> | undefined
-  return value => {
-    validate ??= createValidator('peer', definition)
-    return validate(value)
-  }
-}
-
-function findMessageType (definition: object): unknown {
-  const { properties } = definition as { properties?: { type?: { const?: unknown } } }
-  return properties?.type?.const
-}
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -1,5 +1,6 @@
 // Generates types and schema constants from packages/schema/schemas, and the settings reference in docs.
 import { readFileSync, writeFileSync, mkdirSync, existsSync } from 'node:fs'
+import { createRequire } from 'node:module'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { load } from 'js-yaml'
@@ -9,6 +10,9 @@
 const schemaDirectory = join(root, 'packages/schema/schemas')
 const outputDirectory = join(root, 'packages/schema/src/generated')
 const schemaNames = ['caller', 'platform', 'peer', 'records1', 'records2', 'settings', 'operator']
+const requireFromSchema = createRequire(join(root, 'packages/schema/package.json'))
+const { Ajv } = requireFromSchema('ajv')
+const { default: createStandaloneCode } = requireFromSchema('ajv/dist/standalone')
 const isCheckOnly = process.argv.includes('--check')
 
 function readSchema (name) {
@@ -46,6 +50,20 @@
   return `${types}\n${constant}`
 }
 
+function removeDescriptions (schema) {
+  return JSON.parse(JSON.stringify(schema, (key, value) => key === 'description' && typeof value === 'string' ? undefined : value))
+}
+
+/** Generates a check for each type of message between instances, so that no instance compiles the schema when it starts. */
+function generatePeerChecks ({ definitions }) {
+  const types = Object.entries(definitions).map(([name, definition]) => [definition.properties?.type?.const, name]).filter(([type]) => type !== undefined)
+  const ajv = new Ajv({ validateSchema: false, strict: false, messages: false, code: { source: true, esm: true, lines: true } })
+  ajv.addSchema({ $id: 'peer', definitions: removeDescriptions(definitions) }, 'peer')
+  const code = createStandaloneCode(ajv, Object.fromEntries(types.map(([type, name]) => [type, `peer#/definitions/${name}`])))
+  const lengthFunction = '/** Counts the characters of a text, as the schema does. */\nconst countCharacters = text => [...text].length\n'
+  return `// @ts-nocheck\n/* Generated from schemas/peer.yaml by scripts/generate.mjs. */\n${lengthFunction}${code.replaceAll('require("ajv/dist/runtime/ucs2length").default', 'countCharacters').replace('"use strict";', '')}\n`
+}
+
 function formatAllowedValues (property) {
   if (property.enum) return property.enum.join(', ')
   if (property.pattern) return `string matching \`${property.pattern}\``
@@ -84,5 +102,6 @@
   const text = await generateModule(name, readSchema(name))
   isUpToDate = writeOrCheck(join(outputDirectory, `${name}.generated.ts`), text) && isUpToDate
 }
+isUpToDate = writeOrCheck(join(outputDirectory, 'peerChecks.generated.ts'), generatePeerChecks(readSchema('peer'))) && isUpToDate
 isUpToDate = writeOrCheck(join(root, 'docs/settings.md'), generateSettingsPage(readSchema('settings'))) && isUpToDate
 process.exitCode = isUpToDate ? 0 : 1
