Probe a bounded number of neighbors instead of all instances in turn

Cause: two probes a second went to random members. Beyond 20 instances each of them opened a connection, with a handshake, that was closed 10 s later; 20 connections out and 20 in were open at a time, each with heartbeats. Instances now probe neighbors at distances of 1, 2, 4 ... in the order of hashed names, 8 at 195 instances, and tell neighbors at once of a member that they found silent. Gossip messages hold up to 32 members on the platform.

Ruled out: neighbors by positions on a ring of hashes (in-degrees differ: 5 s after the loss of 39 of 195, no instance knew all of it); a fan-out of 5 (38 of 156 with 16 members a message, and 1 of 64 too late at 80).

--- a/packages/peers/src/membership/Membership.ts
+++ b/packages/peers/src/membership/Membership.ts
@@ -5,6 +5,7 @@
 import { convertToMemberUpdate, type Member, type MemberChange } from './Member.js'
 import { type MemberTable } from './MemberTable.js'
 import { DEFAULT_MEMBERSHIP_LIMITS, type MembershipLimits, type MembershipOptions } from './MembershipOptions.js'
+import { pickNeighbors } from './pickNeighbors.js'
 import { pickSample, ProbeOrder } from './ProbeOrder.js'
 import { Prober } from './Prober.js'
 import { recordMemberChange } from './recordMemberChange.js'
@@ -13,9 +14,10 @@
 export type MemberListener = (change: MemberChange) => void
 
 /**
- * Detects which instances of the fleet are alive. Each instance probes one other instance per interval. If that instance
- * does not answer, further instances are requested to probe it. Updates are gossiped with the probes. The cost per
- * instance therefore does not grow with the fleet. New instances are discovered through the published list.
+ * Detects which instances of the fleet are alive. Each instance probes one of its neighbors per interval. If that instance
+ * does not answer, further instances are requested to probe it. Updates are gossiped with the probes. The messages per
+ * instance therefore do not grow with the fleet, and its connections only with the logarithm of its size. New instances are
+ * discovered through the published list.
  *
  * Based on A. Das, I. Gupta and A. Motivala, "SWIM: scalable weakly-consistent infection-style process group membership
  * protocol", 2002. The view is weakly consistent: use it for preferences, never to decide whether a request may run.
@@ -39,6 +41,7 @@
   private readonly stopController = new AbortController()
   private probeLoop: Promise<void> | undefined
   private aliveInstances: readonly string[] | undefined
+  private neighbors: ReadonlySet<string> | undefined
   private lastSyncAtMs = -Infinity
   private lastSearchAtMs = -Infinity
 
@@ -56,7 +59,7 @@
       onMemberJoined: () => { this.lastSyncAtMs = Math.min(this.lastSyncAtMs, clock.nowMs() - this.limits.syncMs) }
     })
     this.table = this.gossip.table
-    this.prober = Prober.create({ membership: options, limits: this.limits, gossip: this.gossip, signal: this.stopController.signal })
+    this.prober = Prober.create({ membership: options, limits: this.limits, gossip: this.gossip, onFailure: () => this.pushGossip(), signal: this.stopController.signal })
     this.listedInstances = ListedInstances.create(instance)
     this.probeOrder = ProbeOrder.create(random)
     this.setHandlers()
@@ -81,9 +84,10 @@
     this.pushGossip()
   }
 
-  /** Spreads changed gossip data by probing some members immediately instead of at the next interval. */
+  /** Spreads changed gossip data by probing some neighbors immediately instead of at the next interval. */
   pushGossip (): void {
-    const recipients = pickSample(this.options.random, this.table.listNames(['alive']), this.limits.gossipFanout)
+    const neighbors = this.getNeighbors()
+    const recipients = pickSample(this.options.random, this.table.listNames(['alive']).filter(name => neighbors.has(name)), this.limits.gossipFanout)
     for (const instance of recipients) this.prober.sendPing(instance)
   }
 
@@ -171,7 +175,8 @@
     this.expireSuspects()
     this.table.pruneDeadMembers(this.computeDeadRetentionMs())
     const suspects = pickSample(this.options.random, this.table.listNames(['suspect']), this.limits.indirectProbeCount)
-    const next = this.probeOrder.takeNext(name => this.table.isPresent(name), () => this.table.listNames(['alive', 'leaving', 'suspect']))
+    const neighbors = this.getNeighbors()
+    const next = this.probeOrder.takeNext(name => neighbors.has(name), () => [...neighbors])
     const probeCandidates = next === undefined || suspects.includes(next) ? [] : [next]
     await Promise.all([
       ...probeCandidates.map(async name => { await this.prober.probeMember(name) }),
@@ -180,6 +185,12 @@
     ])
   }
 
+  /** Returns the members that this instance probes. */
+  private getNeighbors (): ReadonlySet<string> {
+    this.neighbors ??= new Set(pickNeighbors(this.options.instance, this.table.listNames(['alive', 'leaving', 'suspect'])))
+    return this.neighbors
+  }
+
   private async announceDeparture (): Promise<void> {
     this.gossip.setLocalState('dead')
     const recipients = pickSample(this.options.random, this.table.listNames(['alive']), this.limits.indirectProbeCount)
@@ -210,6 +221,7 @@
   private handleMemberChange (change: MemberChange): void {
     const { instance } = change.member
     this.aliveInstances = undefined
+    this.neighbors = undefined
     if (change.previousState === undefined || change.previousState === 'dead') this.probeOrder.insert(instance)
     if (change.previousState === change.member.state && !change.isRestart) return
     if (this.options.audit !== undefined) recordMemberChange(this.options.audit, change, this.options.getGossipPayload().revision)
--- a/packages/peers/src/membership/Prober.ts
+++ b/packages/peers/src/membership/Prober.ts
@@ -20,6 +20,8 @@
   readonly membership: MembershipOptions
   readonly limits: MembershipLimits
   readonly gossip: GossipExchange
+  /** Called after a member was found not to answer. */
+  readonly onFailure: () => void
   /** Aborted when the membership stops; members are not updated afterwards. */
   readonly signal: AbortSignal
 }
@@ -71,13 +73,15 @@
   }
 
   private handleProbeFailure (instance: string, elapsedMs: number): void {
-    const { limits, gossip: { table }, signal } = this.options
+    const { limits, gossip: { table }, onFailure, signal } = this.options
     const maxProbeMs = 3 * limits.probeTimeoutMs
     // After a pause of the local process, answers may be waiting unread, so the state is not changed.
     const wasPaused = elapsedMs > maxProbeMs + limits.probeTimeoutMs / 2
     const member = table.get(instance)
     if (member === undefined || wasPaused || signal.aborted) return
     const transition = PROBE_FAILURE_TRANSITIONS[member.state]
-    if (transition !== undefined) table.setState(instance, transition.state, transition.cause)
+    if (transition === undefined) return
+    table.setState(instance, transition.state, transition.cause)
+    onFailure()
   }
 }
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -27,7 +27,7 @@
 }
 
 /** Limits of the membership protocol in milliseconds. `suspicionMs` is the time in which a suspected instance may refute the suspicion. */
-export const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000 }
+export const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000, maxGossipMembers: 32 }
 
 /** Maximum number of addresses in one answer to a caller. */
 const MAX_ADDRESSES = 64
