Tell peers of changed requests, not of the memory that grows all the time

Cause: any change of a load made an instance send its loads to ten peers at the next of five ticks a second, and each update of a running generation is one: 43 messages a second, with as many answers, for one generation of one instance. Loads now count as changed when a number of requests or a waiting prompt differs from what was told last; the memory of running generations goes along at least once a second, and peers estimate what a generation will need anyway. A call that comes and goes between two ticks is not told any more.

Ruled out: a longer interval for all changes, since instances that do not know of each other's prompts place theirs behind them.

--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -44,7 +44,8 @@
 
   private readonly ownLoads = new Map<string, TargetLoad>()
   private readonly peerLoads = new Map<string, PeerLoads>()
-  private hasChanged = false
+  /** Loads of this instance when they last counted as changed. */
+  private reportedLoads: LoadsByTarget = new Map()
   private onUrgent: (() => void) | undefined
 
   /** @internal */
@@ -59,7 +60,6 @@
     const next = sumLoads(this.getOwnLoad(target), change)
     if (next.running <= 0 && next.tokens <= 0) this.ownLoads.delete(target)
     else this.ownLoads.set(target, next)
-    this.hasChanged = true
     if ((change.pendingPrefillTokens ?? 0) > 0) this.notifyUrgent()
   }
 
@@ -135,14 +135,21 @@
     return [...this.ownLoads].filter(([, { running, tokens }]) => running > 0 && tokens > 0).map(([target]) => target)
   }
 
-  /** Returns whether loads of this instance changed since the last call, and resets the flag. */
+  /**
+   * Returns whether the requests of this instance changed since the last change that was returned. The memory of running generations
+   * grows all the time and does not count: peers estimate what a generation will need.
+   */
   consumeChanged (): boolean {
-    const { hasChanged } = this
-    this.hasChanged = false
-    return hasChanged
+    const isUnchanged = this.ownLoads.size === this.reportedLoads.size && [...this.ownLoads].every(([target, load]) => hasSameRequests(load, this.reportedLoads.get(target)))
+    if (!isUnchanged) this.reportedLoads = new Map(this.ownLoads)
+    return !isUnchanged
   }
 }
 
+function hasSameRequests (a: TargetLoad, b: TargetLoad | undefined): boolean {
+  return a.running === b?.running && (a.pendingPrefillTokens ?? 0) === (b.pendingPrefillTokens ?? 0)
+}
+
 function sumLoads (a: TargetLoad, b: Partial<TargetLoad>): TargetLoad {
   return {
     running: a.running + (b.running ?? 0),
