Confirm the limits of the configuration before a request is refused for its size

Cause: a head or a body that exceeded the limits in force was refused with 431 or 413 at once, also when a newer configuration that this instance did not have yet allowed it. Such a final refusal now waits, like that for an unknown route or key, until the latest configuration is confirmed; a body is read on when that allows it. While the store and peers cannot tell, the answer is 503 with a time to return.

A request beyond the limits of the latest configuration still gets 413 or 431.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -3,6 +3,7 @@
 import { RouteTable } from '../model/RouteTable.js'
 import { type DecodedItem } from '../published/PublishedDecoder.js'
 import { type PublishedItem } from '../published/PublishedItem.js'
+import { checkCallerLimits, type LimitCheckOptions, type LimitVerdict } from '../requests/checkCallerLimits.js'
 import { RelayService } from '../requests/RelayService.js'
 import { createRelayComponents, type RelayComponents } from './createRelayComponents.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
@@ -81,6 +82,15 @@
     return Maybe.of(this.routes)
   }
 
+  /**
+   * Checks a request that exceeds limits for callers against those of the latest configuration.
+   * @param options - Options of the check.
+   */
+  async checkCallerLimits (options: LimitCheckOptions): Promise<LimitVerdict> {
+    const { clock } = this.options
+    return await checkCallerLimits({ clock, getRoutes: () => this.routes, confirmView: async limits => await this.components.confirmation.confirmView(limits) }, options)
+  }
+
   /**
    * Lists the addresses that a caller in an availability zone should use; prefers instances in the same zone when there are enough.
    * @param availabilityZone - Availability zone of the caller.
--- a/packages/relay/src/published/ViewConfirmation.ts
+++ b/packages/relay/src/published/ViewConfirmation.ts
@@ -29,6 +29,10 @@
 /** Age up to which knowledge counts as current, in milliseconds; an open watch tells of changes within that time. */
 export const MAX_KNOWLEDGE_AGE_MS = 500
 
+/** Maximum time to wait for a confirmation, in milliseconds, and as a share of the caller's remaining time. */
+const MAX_CONFIRMATION_WAIT_MS = 1000
+const CONFIRMATION_WAIT_SHARE = 0.3
+
 /** Interval at which the answer of the store is awaited, in milliseconds, for all confirmations together. */
 const ANSWER_CHECK_INTERVAL_MS = 10
 
@@ -88,3 +92,12 @@
     }
   }
 }
+
+/**
+ * Returns the clock reading at which a request stops waiting for a confirmation.
+ * @param nowMs - Current clock reading.
+ * @param request - When the request was received, and for how long its caller waited at most then.
+ */
+export function computeConfirmationEndMs (nowMs: number, { receivedAtMs, remainingMs = Infinity }: { readonly receivedAtMs: number, readonly remainingMs?: number }): number {
+  return Math.min(nowMs + MAX_CONFIRMATION_WAIT_MS, receivedAtMs + remainingMs * CONFIRMATION_WAIT_SHARE)
+}
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { type KeyHolder, type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
 import { type RouteError, type RouteTable } from '../model/RouteTable.js'
-import { type ConfirmationLimits } from '../published/ViewConfirmation.js'
+import { computeConfirmationEndMs, type ConfirmationLimits } from '../published/ViewConfirmation.js'
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
 import { type AnswerSink } from './AnswerSink.js'
 import { refuseRequest } from './refuseRequest.js'
@@ -67,10 +67,6 @@
 const MAX_START_WAIT_MS = 2000
 const START_WAIT_SHARE = 0.6
 
-/** Maximum time to wait for a confirmation that a route or a key is unknown, in milliseconds, and as a share of the caller's remaining time. */
-const MAX_CONFIRMATION_WAIT_MS = 1000
-const CONFIRMATION_WAIT_SHARE = 0.3
-
 /** Interval at which a request checks for the first configuration, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 25
 
@@ -162,7 +158,7 @@
   private async lookUpAgain (mismatch: RouteMismatch, request: RelayRequest, sink: AnswerSink): Promise<Result<RouteMatch, RouteMismatch>> {
     const { confirmView = async () => true, dependencies: { clock }, getRoutes } = this.options
     const { routes } = mismatch
-    const endAtMs = Math.min(clock.nowMs() + MAX_CONFIRMATION_WAIT_MS, request.receivedAtMs + (request.remainingMs ?? Infinity) * CONFIRMATION_WAIT_SHARE)
+    const endAtMs = computeConfirmationEndMs(clock.nowMs(), request)
     const isConfirmed = await confirmView({ endAtMs, signal: sink.callerSignal, isOutdated: () => getRoutes() !== routes })
     const latest = getRoutes()
     if (latest === undefined || latest === routes) return Result.err(isConfirmed ? mismatch : { ...mismatch, reason: 'notConfirmed' })
