Pass no redirect and no client error on that the target has not signed

Cause: the signature was looked at for successes only. After an address is taken over by something else, its 404 reached callers as the target's own, and a proper request ended as if it were wrong. Such an answer now counts as lost, like an unsigned success: an idempotent call runs elsewhere, others get 502, since the request may have run.

--- a/packages/relay/src/calls/classifyCallAnswer.ts
+++ b/packages/relay/src/calls/classifyCallAnswer.ts
@@ -1,19 +1,16 @@
-import { type AttemptError, type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
+import { type AttemptError, MIN_FAILURE_STATUS } from '../targets/RelayTargetClient.js'
 import { type CallAnswer } from './CallAnswer.js'
 
 /** Classification of a target's answer. */
 export type CallAnswerClass = 'good' | 'failed' | AttemptError
 
 /**
- * Classifies the answer of an attempt. A success that the target has not signed counts as lost.
+ * Classifies the answer of an attempt. An answer below the failures that the target has not signed counts as lost: it may come from
+ * whatever else listens at the address of the target, and the request may have run.
  * @param answer - The answer.
  */
 export function classifyCallAnswer (answer: CallAnswer): CallAnswerClass {
   if (answer.kind === 'error') return answer.error
   if (answer.head.status >= MIN_FAILURE_STATUS) return 'failed'
-  return isUnsignedSuccess(answer.head) ? 'lost' : 'good'
-}
-
-function isUnsignedSuccess ({ status, isSigned }: AttemptHead): boolean {
-  return status < MIN_NON_SUCCESS_STATUS && !isSigned
+  return answer.head.isSigned ? 'good' : 'lost'
 }
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -61,7 +61,7 @@
   const firstHead = run.getFirstHead()
   if (firstHead !== undefined) return isSignedSuccess(head) && head.status === firstHead.status && head.isEventStream && firstHead.isEventStream
   if (head.status >= MIN_FAILURE_STATUS) return !canRepeat(context, run, 'lost')
-  return head.status >= MIN_NON_SUCCESS_STATUS || head.isSigned
+  return head.isSigned
 }
 
 function isSignedSuccess ({ status, isSigned }: AttemptHead): boolean {
--- a/packages/relay/test/calls/classifyCallAnswer.test.ts
+++ b/packages/relay/test/calls/classifyCallAnswer.test.ts
@@ -6,15 +6,15 @@
 }
 
 describe('classifyCallAnswer', () => {
-  it('uses the status, and the signature of a success', () => {
+  it('uses the status, and the signature of an answer that is no failure', () => {
     const answers = [200, 299, 300, 404, 499, 500, 503].map(status => `${status} signed: ${doTest(status, true)}, unsigned: ${doTest(status, false)}`)
     expect(answers).toMatchInlineSnapshot(`
       [
         "200 signed: good, unsigned: lost",
         "299 signed: good, unsigned: lost",
-        "300 signed: good, unsigned: good",
-        "404 signed: good, unsigned: good",
-        "499 signed: good, unsigned: good",
+        "300 signed: good, unsigned: lost",
+        "404 signed: good, unsigned: lost",
+        "499 signed: good, unsigned: lost",
         "500 signed: failed, unsigned: failed",
         "503 signed: failed, unsigned: failed",
       ]
