Send large values in turn to peers that state that the store does not answer them

Cause: a peer leaves a large value out of its answers for 1 s, since the one that asks is expected to read the store. Where the store refused many instances, all of them waited for that second and were then served by one peer at a time of theirs, all over the same link. A request now states that the store does not answer its sender; large values are sent to one such sender at a time, and the others soon ask the next instance that has reported the change, among them those that were just served.

--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -57,7 +57,7 @@
     targetNews,
     onPeerDead: peer => loads.removePeer(peer)
   })
-  const exchange = PublishedExchange.create({ clock, transport: peers.transport, view, log, listPeers: () => peers.listAlivePeers() })
+  const exchange = PublishedExchange.create({ clock, transport: peers.transport, view, log, listPeers: () => peers.listAlivePeers(), isStoreLost: () => !watcher.isStoreAvailable() })
   const watcher = PublishedWatcher.create({
     view,
     source,
--- a/packages/relay/src/published/LargeValueDeferral.ts
+++ b/packages/relay/src/published/LargeValueDeferral.ts
@@ -15,12 +15,15 @@
 /** Time in which a peer is expected to read a large value from the store, in milliseconds. */
 export const DEFERRAL_MS = 1000
 
+/** Time for which a peer that cannot read the store has the link of this instance for large values, before the next one gets them, in milliseconds. */
+export const TURN_MS = 500
+
 /** Time after which a peer that did not ask again is forgotten, in milliseconds. */
 const RETENTION_MS = 30_000
 
 /**
  * Leaves large values out of the answers to peers. The link of the store is wide, while that of an instance would have to carry the
- * value once for each peer that asks; a peer that cannot read the store gets it after a delay.
+ * value once for each peer that asks; a peer that cannot read the store gets it in its turn if it says so, and after a delay otherwise.
  */
 export class LargeValueDeferral {
   /**
@@ -32,6 +35,7 @@
   }
 
   private readonly deferrals = new Map<string, Deferral>()
+  private turnEndMs = -Infinity
 
   /** @internal */
   private constructor (private readonly clock: Clock) {}
@@ -41,10 +45,13 @@
    * @param peer - Name of the peer.
    * @param have - Position of the peer.
    * @param changes - What the peer may not have.
+   * @param cannotReadStore - Whether the peer stated that the store does not answer it; one such peer at a time gets large values at once.
    */
-  selectChanges (peer: string, have: PublishedPosition, changes: PublishedChanges): PublishedChanges {
+  selectChanges (peer: string, have: PublishedPosition, changes: PublishedChanges, cannotReadStore = false): PublishedChanges {
     const first = findFirst(changes.items.filter(item => this.canReadFromStore(item, have, changes.position)))
-    if (first === undefined || this.hasWaited(peer, have, first)) return changes
+    if (first === undefined) return changes
+    const maySend = cannotReadStore ? this.takeTurn() : this.hasWaited(peer, have, first)
+    if (maySend) return changes
     return {
       items: changes.items.filter(item => !this.canReadFromStore(item, have, changes.position)),
       position: { era: first.era, revision: first.revision - 1 }
@@ -66,6 +73,14 @@
     return this.clock.nowMs() - deferral.sinceMs >= DEFERRAL_MS
   }
 
+  /** Returns whether no other peer has its turn, and begins one. */
+  private takeTurn (): boolean {
+    const nowMs = this.clock.nowMs()
+    if (nowMs < this.turnEndMs) return false
+    this.turnEndMs = nowMs + TURN_MS
+    return true
+  }
+
   private prune (): void {
     const nowMs = this.clock.nowMs()
     for (const [peer, { sinceMs }] of this.deferrals) if (nowMs - sinceMs >= RETENTION_MS) this.deferrals.delete(peer)
--- a/packages/relay/src/published/PublishedExchange.ts
+++ b/packages/relay/src/published/PublishedExchange.ts
@@ -15,6 +15,8 @@
   readonly log: DecisionLog
   /** Lists the peers that are considered alive. */
   readonly listPeers: () => readonly string[]
+  /** Returns whether the store does not answer this instance; by default, it does. */
+  readonly isStoreLost?: () => boolean
 }
 
 /** Maximum time to wait for the answer of a peer, in milliseconds. */
@@ -23,6 +25,9 @@
 /** Time in which changes that a peer has reported are expected to arrive, in milliseconds. */
 export const PEER_CHANGES_TIMEOUT_MS = 100
 
+/** Delay until another peer is asked for large values that the store does not send and a peer has left out, in milliseconds. */
+const NEXT_PEER_DELAY_MS = 100
+
 /** Time for which changes have to be missing until only one fetch runs at a time, in milliseconds. */
 const LONG_BEHIND_MS = 500
 
@@ -45,6 +50,8 @@
   /** Peers whose last fetch failed; a fetch from one of them keeps no other from starting. */
   private readonly failedPeers = new Set<string>()
   private nextPeerIndex = 0
+  /** Peers that have reported changes which this instance lacks. */
+  private readonly peersAhead = new Set<string>()
   /** Highest version that a peer had and this instance could not use; it is not fetched again. */
   private unusableVersion = 0
   /** Latest position that a peer reported, and the time since which this instance lacks changes that peers have reported. */
@@ -54,8 +61,8 @@
   /** @internal */
   private constructor (private readonly options: PublishedExchangeOptions) {
     this.deferral = LargeValueDeferral.create(options.clock)
-    options.transport.setHandler('publishedRequest', ({ haveEra = 0, haveRevision, haveVersion = 0 }, from) => {
-      const { items, position } = this.selectChanges(from, { era: haveEra, revision: haveRevision, version: haveVersion })
+    options.transport.setHandler('publishedRequest', ({ haveEra = 0, haveRevision, haveVersion = 0, isStoreLost }, from) => {
+      const { items, position } = this.selectChanges(from, { era: haveEra, revision: haveRevision, version: haveVersion }, isStoreLost)
       return {
         type: 'publishedAnswer',
         ...formatPosition(position),
@@ -87,6 +94,7 @@
     this.recordPosition(summary)
     const hasNewerVersion = summary.version > Math.max(own.version, this.unusableVersion)
     if (comparePositions(summary, own) <= 0 && !hasNewerVersion) return
+    this.peersAhead.add(peer)
     const isFetched = await this.fetchFromPeer(peer)
     const reached = this.options.view.getSummary()
     const isUnusable = isFetched && comparePositions(reached, summary) >= 0 && reached.version < summary.version
@@ -94,16 +102,27 @@
     if (isFetched && comparePositions(reached, summary) < 0) this.scheduleFetch(peer)
   }
 
-  /** Fetches from a peer again when it sends the large values that it has left out, unless the store has brought them by then. */
+  /**
+   * Fetches the large values that a peer has left out: from it when it sends them, unless the store has brought them by then, or soon
+   * from another peer when the store does not answer.
+   */
   private scheduleFetch (peer: string): void {
     if (this.isFetchScheduled) return
     this.isFetchScheduled = true
-    this.options.clock.startTimer(DEFERRAL_MS, () => {
+    const needsLargeValues = this.needsLargeValues()
+    this.options.clock.startTimer(needsLargeValues ? NEXT_PEER_DELAY_MS : DEFERRAL_MS, async () => {
       this.isFetchScheduled = false
-      if (this.lacksReportedChanges()) this.fetchFromPeer(peer)
+      if (!this.lacksReportedChanges()) return this.peersAhead.clear()
+      const next = needsLargeValues ? this.takeNextPeerAhead(peer) : peer
+      if (await this.fetchFromPeer(next) && this.lacksReportedChanges() && needsLargeValues) this.scheduleFetch(next)
     })
   }
 
+  private takeNextPeerAhead (peer: string): string {
+    const peers = [...this.peersAhead]
+    return peers[(peers.indexOf(peer) + 1) % peers.length] ?? peer
+  }
+
   /** Returns whether changes that peers have reported did not arrive in the expected time. */
   isBehindPeers (): boolean {
     return this.lacksReportedChanges() && this.options.clock.nowMs() - this.behindSinceMs >= PEER_CHANGES_TIMEOUT_MS
@@ -136,11 +155,18 @@
     return true
   }
 
+  private needsLargeValues (): boolean {
+    return this.isLongBehind() && this.options.isStoreLost?.() === true
+  }
+
+  private isLongBehind (): boolean {
+    return this.lacksReportedChanges() && this.options.clock.nowMs() - this.behindSinceMs >= LONG_BEHIND_MS
+  }
+
   /** Returns whether a fetch may start. While changes are missing for long, large values are among them, of which one at a time has room on the link. */
   private canFetch (peer: string): boolean {
     if (this.fetching.has(peer)) return false
-    const isLongBehind = this.lacksReportedChanges() && this.options.clock.nowMs() - this.behindSinceMs >= LONG_BEHIND_MS
-    return !isLongBehind || [...this.fetching].every(other => this.failedPeers.has(other))
+    return !this.isLongBehind() || [...this.fetching].every(other => this.failedPeers.has(other))
   }
 
   /**
@@ -148,7 +174,7 @@
    * @returns Number of keys in the last answer.
    */
   private async fetchSince (peer: string, since: PublishedSummary): Promise<Maybe<number>> {
-    const answer = await this.options.transport.request<'publishedAnswer'>(peer, formatRequest(since), KEYS_ANSWER_TIMEOUT_MS)
+    const answer = await this.options.transport.request<'publishedAnswer'>(peer, this.createRequest(since), KEYS_ANSWER_TIMEOUT_MS)
     if (answer.isErr) return Maybe.nothing()
     const { era = 0, revision, items } = answer.value
     this.applyAnswer(items.map(({ key, era: itemEra = 0, revision: itemRevision, text }) => ({ key, era: itemEra, revision: itemRevision, value: text })), { era, revision }, since)
@@ -156,6 +182,11 @@
     return lacksDeletions ? await this.fetchSince(peer, { ...since, revision: START_POSITION.revision }) : Maybe.just(items.length)
   }
 
+  /** Asks for large values as well when the store does not send them, and only one fetch runs at a time. */
+  private createRequest (since: PublishedSummary): PublishedRequest {
+    return this.needsLargeValues() ? { ...formatRequest(since), isStoreLost: true } : formatRequest(since)
+  }
+
   private applyAnswer (items: readonly PublishedItem[], position: PublishedPosition, since: PublishedPosition): void {
     const { view } = this.options
     if (hasAllKeys(position, since)) view.applyFullRead(items, position)
@@ -163,10 +194,10 @@
   }
 
   /** Selects what a peer gets now of what it may not have. */
-  private selectChanges (peer: string, have: PublishedSummary): PublishedChanges {
+  private selectChanges (peer: string, have: PublishedSummary, isStoreLost?: boolean): PublishedChanges {
     const changes = { items: this.options.view.listChanges(have), position: this.getAnswerPosition(have) }
     // An answer that does not know all deletions is followed by one with all keys.
-    return isAtStart(changes.position) ? changes : this.deferral.selectChanges(peer, have, changes)
+    return isAtStart(changes.position) ? changes : this.deferral.selectChanges(peer, have, changes, isStoreLost)
   }
 
   /** Returns up to where an answer is complete: nowhere, if deletions since the position of a peer in the same era are no longer known. */
--- a/packages/relay/test/published/LargeValueDeferral.test.ts
+++ b/packages/relay/test/published/LargeValueDeferral.test.ts
@@ -1,6 +1,6 @@
 import { VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
-import { DEFERRAL_MS, LARGE_VALUE_CHARACTERS, LargeValueDeferral } from '../../src/published/LargeValueDeferral.js'
+import { DEFERRAL_MS, LARGE_VALUE_CHARACTERS, LargeValueDeferral, TURN_MS } from '../../src/published/LargeValueDeferral.js'
 import { type PublishedItem } from '../../src/published/PublishedItem.js'
 
 const LARGE = 'x'.repeat(LARGE_VALUE_CHARACTERS)
@@ -17,6 +17,7 @@
   readonly haveRevision?: number
   readonly haveEra?: number
   readonly items?: readonly PublishedItem[]
+  readonly cannotReadStore?: boolean
 }
 
 /** Returns the keys that peers get, and the position up to which they are complete. */
@@ -24,9 +25,9 @@
   const clock = VirtualClock.create()
   const deferral = LargeValueDeferral.create(clock)
   const answers: string[] = []
-  for (const { atMs, peer = 'p', haveRevision = 3, haveEra = 1, items = ITEMS } of asks) {
+  for (const { atMs, peer = 'p', haveRevision = 3, haveEra = 1, items = ITEMS, cannotReadStore } of asks) {
     await clock.advance(atMs - clock.nowMs())
-    const changes = deferral.selectChanges(peer, { era: haveEra, revision: haveRevision }, { items, position: { era: 1, revision: 9 } })
+    const changes = deferral.selectChanges(peer, { era: haveEra, revision: haveRevision }, { items, position: { era: 1, revision: 9 } }, cannotReadStore)
     answers.push(`${changes.items.map(({ key }) => key).join()} until ${changes.position.revision}`)
   }
   return answers
@@ -54,6 +55,11 @@
     expect(await doTest([{ atMs: 0 }, { atMs: DEFERRAL_MS, items: replaced, haveRevision: 7 }])).toEqual([WITHOUT, 'small,later until 7'])
   })
 
+  it('is sent at once to a peer that the store does not answer, and in turn to the next ones', async () => {
+    const ask = (atMs: number, peer: string): Ask => ({ atMs, peer, cannotReadStore: true })
+    expect(await doTest([ask(0, 'p'), ask(100, 'q'), ask(TURN_MS, 'q'), ask(TURN_MS, 'r'), ask(2 * TURN_MS, 'r')])).toEqual([WITH, WITHOUT, WITH, WITHOUT, WITH])
+  })
+
   it('is left out for each peer by itself', async () => {
     expect(await doTest([{ atMs: 0 }, { atMs: DEFERRAL_MS, peer: 'q' }])).toEqual([WITHOUT, WITHOUT])
   })
--- a/packages/relay/test/support/ViewFleet.ts
+++ b/packages/relay/test/support/ViewFleet.ts
@@ -93,7 +93,7 @@
     const loads = TargetLoads.create(clock)
     const transport = this.createTransport(name)
     const listPeers = (): string[] => names.filter(other => other !== name)
-    const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers })
+    const exchange = PublishedExchange.create({ clock, transport, view, log, listPeers, isStoreLost: () => watcher?.isStoreAvailable() === false })
     const peerStoreStatus = PeerStoreStatus.create(clock)
     const source = createSource?.(name)
     const schedule = createWatchSchedule({ peerStoreStatus, isWatcher: () => Number.isFinite(getWatchRank(name)), isBehindPeers: () => exchange.isBehindPeers(), getWatchRank: () => getWatchRank(name) })
