Rank the watchers of a group once for each change of the group

Cause: an instance that skips watching checks ten times a second whether it still may, and ranked the instances of its group by hash each time; 1.1 of 18 ms a second of an idle instance in the profile of the issue, and asked again for each question whether the view is stale.

--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -57,6 +57,8 @@
   private readonly newsPush: NewsPush
   private readonly fleetSize: FleetSizeEstimator
   private group: InstanceGroup | undefined
+  /** Rank among the watchers of the group; asked for several times a second. */
+  private watchRank: number | undefined
   private seeds: readonly string[] = []
 
   /** @internal */
@@ -131,8 +133,8 @@
 
   /** Returns the rank of this instance among the watchers of its group; 0 is the first. */
   getWatchRank (): number {
-    const { instances, count } = this.getGroup()
-    return count === 1 ? 0 : rankByRendezvous(WATCHERS_KEY, instances).indexOf(this.options.identity.peerAddress)
+    this.watchRank ??= this.computeWatchRank()
+    return this.watchRank
   }
 
   /**
@@ -183,6 +185,11 @@
     await this.network.close()
   }
 
+  private computeWatchRank (): number {
+    const { instances, count } = this.getGroup()
+    return count === 1 ? 0 : rankByRendezvous(WATCHERS_KEY, instances).indexOf(this.options.identity.peerAddress)
+  }
+
   private getThisInstance (): ZonedInstance {
     const { peerAddress, availabilityZone } = this.options.identity
     return { instance: peerAddress, availabilityZone }
@@ -191,6 +198,7 @@
   private handleMemberChange ({ instance, state }: Member, cause: string, previousState: string | undefined): void {
     this.options.log.recordStateChange('peer changed', { peer: instance, before: previousState, state, cause })
     this.group = undefined
+    this.watchRank = undefined
     if (state === 'dead') this.options.onPeerDead(instance)
   }
 }
