--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -87,8 +87,12 @@
    * @param options - Options of the check.
    */
   async checkCallerLimits (options: LimitCheckOptions): Promise<LimitVerdict> {
-    const { clock } = this.options
-    return await checkCallerLimits({ clock, getRoutes: () => this.routes, confirmView: async limits => await this.components.confirmation.confirmView(limits) }, options)
+    const { options: { clock }, components: { confirmation, log } } = this
+    const startedAtMs = clock.nowMs()
+    const versionBefore = this.routes?.configuration.version
+    const verdict = await checkCallerLimits({ clock, getRoutes: () => this.routes, confirmView: async limits => await confirmation.confirmView(limits) }, options)
+    log.recordDecision(options.requestId, 'size checked again', { verdict, waitedMs: Math.round(clock.nowMs() - startedAtMs), versionBefore, version: this.routes?.configuration.version })
+    return verdict
   }
 
   /**
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -26,7 +26,7 @@
   readonly onPeerDead: (peer: string) => void
 }
 
-/** Limits of the membership protocol in milliseconds. `suspicionMs` is the time in which a suspected instance may refute the suspicion. */
+/** Limits of the membership protocol: times in milliseconds, of which `suspicionMs` is that in which a suspected instance may refute the suspicion, and the members in one gossip message. */
 export const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000, maxGossipMembers: 32 }
 
 /** Maximum number of addresses in one answer to a caller. */
--- a/packages/relay/src/published/PublishedExchange.ts
+++ b/packages/relay/src/published/PublishedExchange.ts
@@ -50,7 +50,7 @@
   /** Peers whose last fetch failed; a fetch from one of them keeps no other from starting. */
   private readonly failedPeers = new Set<string>()
   private nextPeerIndex = 0
-  /** Peers that have reported changes which this instance lacks. */
+  /** Peers that have reported changes since this instance last had all of them. */
   private readonly peersAhead = new Set<string>()
   /** Highest version that a peer had and this instance could not use; it is not fetched again. */
   private unusableVersion = 0
@@ -112,13 +112,14 @@
     const needsLargeValues = this.needsLargeValues()
     this.options.clock.startTimer(needsLargeValues ? NEXT_PEER_DELAY_MS : DEFERRAL_MS, async () => {
       this.isFetchScheduled = false
-      if (!this.lacksReportedChanges()) return this.peersAhead.clear()
-      const next = needsLargeValues ? this.takeNextPeerAhead(peer) : peer
+      if (!this.lacksReportedChanges()) return
+      const next = needsLargeValues ? this.findNextPeerAhead(peer) : peer
       if (await this.fetchFromPeer(next) && this.lacksReportedChanges() && needsLargeValues) this.scheduleFetch(next)
     })
   }
 
-  private takeNextPeerAhead (peer: string): string {
+  /** Returns the peer after another one among those that have reported changes. */
+  private findNextPeerAhead (peer: string): string {
     const peers = [...this.peersAhead]
     return peers[(peers.indexOf(peer) + 1) % peers.length] ?? peer
   }
@@ -137,7 +138,9 @@
     if (comparePositions(position, this.latestPosition) <= 0) return
     const wasBehind = this.lacksReportedChanges()
     this.latestPosition = position
-    if (!wasBehind) this.behindSinceMs = this.options.clock.nowMs()
+    if (wasBehind) return
+    this.behindSinceMs = this.options.clock.nowMs()
+    this.peersAhead.clear()
   }
 
   private async fetchFromPeer (peer: string): Promise<boolean> {
--- a/packages/relay/src/requests/checkCallerLimits.ts
+++ b/packages/relay/src/requests/checkCallerLimits.ts
@@ -8,6 +8,7 @@
 
 /** Options of a check. */
 export interface LimitCheckOptions {
+  readonly requestId: string
   /** Returns whether the request is within limits. */
   readonly isWithin: (limits: CallerLimits) => boolean
   /** Clock reading at which the head of the request was received. */
