Let an error in one handler end one request, not the process

Cause: an error that the handler of a peer message threw became a rejected promise that nobody handled, which ends a Node.js process with all its requests; so did any other error that no task handled.

Evidence: the new test of the peer network failed before, with the rejection unhandled.

--- a/packages/peers/src/network/PeerCounters.ts
+++ b/packages/peers/src/network/PeerCounters.ts
@@ -12,6 +12,7 @@
   | 'slowFrame'
   | 'overflow'
   | 'unexpected'
+  | 'handlerFailed'
 
 /** Traffic and fault counters since the start of the process. */
 export interface PeerCounters {
--- a/packages/peers/src/network/PeerNetwork.ts
+++ b/packages/peers/src/network/PeerNetwork.ts
@@ -217,7 +217,13 @@
   private async answerRequest (connection: PeerConnection, from: string, { kind, id, message }: Envelope): Promise<void> {
     const handler = this.handlers.get(message.type)
     if (kind !== 'request' || handler === undefined) return
-    const answer = await handler(message, from)
-    if (answer !== undefined) connection.sendEnvelope({ kind: 'answer', id, message: answer })
+    try {
+      const answer = await handler(message, from)
+      if (answer !== undefined) connection.sendEnvelope({ kind: 'answer', id, message: answer })
+    } catch (error) {
+      // A fault in one handler ends one request, whose sender waits for its timeout, and not the process.
+      this.counters.recordFault('handlerFailed')
+      this.options.logger?.error({ err: error, peer: from, type: message.type }, 'handler of a peer message failed')
+    }
   }
 }
--- a/packages/peers/test/network/PeerNetwork.faults.test.ts
+++ b/packages/peers/test/network/PeerNetwork.faults.test.ts
@@ -228,6 +228,22 @@
     expect(a.getCounters().connections).toBe(1)
   })
 
+  it('goes on when the handler of a message fails', async () => {
+    const unhandled: unknown[] = []
+    const recordUnhandled = (error: unknown): void => { unhandled.push(error) }
+    process.on('unhandledRejection', recordUnhandled)
+    const clock = VirtualClock.create()
+    const a = await createPeer('a', { clock })
+    const b = await createPeer('b')
+    b.setHandler('listRequest', () => { throw new Error('a fault of the handler') })
+    const answer = a.request('b', { type: 'listRequest', haveVersion: 1 }, 500)
+    await expect.poll(() => b.getCounters().faults, { timeout: TIMEOUT_MS }).toEqual({ handlerFailed: 1 })
+    await clock.advance(500)
+    expect([(await answer).isErr, await sendLengthsRequest(a, 'b')]).toEqual([true, 'answered by b'])
+    process.off('unhandledRejection', recordUnhandled)
+    expect([unhandled, a.getCounters().connections]).toEqual([[], 1])
+  })
+
   it('times out when no answer is received', async () => {
     const clock = VirtualClock.create()
     const a = await createPeer('a', { clock })
