Never take an observation since a restart for that of a resumed stream

Cause: an instance claimed that a service had a single software version once it had observed the targets for the timeout of the route, at least 30 s and at most 60 s. Callers have more time than that (39,120 ms), so after a restart of all instances they returned with streams from before it to instances that counted as complete and knew only the later version. Origins were also forgotten while their callers could still return, an entry that changed its version under the same name was not recorded, and a pause was noticed only at the next reading of the clock.

Change: the period is the longest of 60 s, the timeout of the route and the time that the caller states, also for peers that ask for less. A period longer than the history is never complete. Streams that were not told are told when the observation starts again. A changed version counts as another incarnation. The first bytes of an answer are not used when another version has taken the name and address of the target. The pause detector is asked before each answer about origins.

The check for a pause before each answer has no test of its own.

OriginExchange.test.ts uses the new period in place of 30 s; its expectations are unchanged.

--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -71,7 +71,7 @@
     watcher.recordRestore()
     log.recordStateChange('store returned from an older copy', { ...position, heldEra: before.era, heldRevision: before.revision })
   })
-  const history = VersionHistory.create({ clock, isViewStale: () => watcher.isStale() })
+  const history = VersionHistory.create({ clock, isViewStale: () => watcher.isStale() || pauseDetector.isRecovering() })
   const pauseDetector = PauseDetector.create({
     clock,
     onPause: pauseMs => {
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -170,7 +170,7 @@
   private async findService (request: RelayRequest, { configuration }: RouteTable, route: RelayRoute): Promise<Result<ServiceChoice, RefusalReason>> {
     const { origins, random } = this.options.dependencies
     const mustContinue = isResumed(request, route)
-    const origin = mustContinue ? await origins.findOrigin({ route, requestId: request.resumedId, currentId: request.id, deadlineAtMs: computeDeadlineMs(request, route) }) : undefined
+    const origin = mustContinue ? await origins.findOrigin({ route, requestId: request.resumedId, currentId: request.id, deadlineAtMs: computeDeadlineMs(request, route), callerRemainingMs: request.remainingMs }) : undefined
     if (mustContinue && origin === undefined) return Result.err('unknownOrigin')
     const name = origin === undefined ? pickService(route.services, random) : route.services.find(({ service }) => service === origin.service)?.service
     const service = configuration.services.get(name ?? '')
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -243,7 +243,7 @@
   private recordOrigin (origin: StreamOrigin): void {
     const { context: { route, request }, dependencies } = this
     this.origin = origin
-    if (route.isResumable) dependencies.origins.recordStream(route, request.resumedId ?? request.id, origin)
+    if (route.isResumable) dependencies.origins.recordStream(route, request.resumedId ?? request.id, origin, request.remainingMs)
   }
 
   /** Returns whether the run was stopped for a move, or may have been; waits for a move in progress. */
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -1,4 +1,6 @@
+import { type RelayTarget } from '../model/RelayTarget.js'
 import { type AttemptError, type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
+import { isSameOrigin } from '../versions/StreamOrigin.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { StallDetector } from './StallDetector.js'
@@ -69,10 +71,14 @@
 }
 
 async function forwardEvents (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, head: AttemptHead, stallDetector: StallDetector): Promise<StreamEnd> {
-  const { attempt } = run.currentAttempt!
-  for (;;) {
+  const { attempt, reservation: { target } } = run.currentAttempt!
+  for (let isFirst = true; ; isFirst = false) {
     const next = await attempt.readBytes()
     if (next.isErr) return next.error
+    if (isFirst && wasReplaced(dependencies, target)) {
+      dependencies.log.recordDecision(context.request.id, 'answer not used', { target: target.name, softwareVersion: target.softwareVersion, isReplaced: true, afterEvent: run.getLastEventId() })
+      return 'lost'
+    }
     if (next.value === undefined) return await run.isCutOff(head) ? 'lost' : await finishStream(dependencies, context, run, head)
     stallDetector.suspend()
     const result = await run.forwardBytes(head, next.value)
@@ -85,6 +91,12 @@
   }
 }
 
+/** Returns whether another software version has taken the name and address of a target since the request was sent; it may have answered. */
+function wasReplaced ({ table }: RelayDependencies, target: RelayTarget): boolean {
+  const latest = table.getTracked(target.name)?.target
+  return latest !== undefined && latest.address === target.address && !isSameOrigin(latest, target)
+}
+
 async function finishStream (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, head: AttemptHead): Promise<StreamEnd> {
   const end = run.describeEnd(head)
   await run.finish(head)
--- a/packages/relay/src/targets/TargetTable.ts
+++ b/packages/relay/src/targets/TargetTable.ts
@@ -146,7 +146,7 @@
   private setState (target: RelayTarget, state: TargetState, hasExpired = false): void {
     const previous = this.tracked.get(target.name)
     const nowMs = this.options.clock.nowMs()
-    const isSame = previous !== undefined && previous.state === state && previous.target.startedAtMs === target.startedAtMs
+    const isSame = previous !== undefined && previous.state === state && isSameIncarnation(previous.target, target)
     const tracked: TrackedTarget = {
       target,
       state,
@@ -160,6 +160,11 @@
   }
 }
 
+/** Returns whether two entries are of one process, whose service and software version do not change. */
+function isSameIncarnation (a: RelayTarget, b: RelayTarget): boolean {
+  return a.startedAtMs === b.startedAtMs && isSameOrigin(a, b)
+}
+
 /** Returns whether an entry is from before the tracked one; the store may list such entries after it returned from an older copy. */
 function isOutdated ({ startedAtMs, sequence }: RelayTarget, { target, state, hasExpired }: TrackedTarget): boolean {
   const isComparable = startedAtMs > 0 && startedAtMs === target.startedAtMs && sequence > 0
--- a/packages/relay/src/versions/OriginExchange.ts
+++ b/packages/relay/src/versions/OriginExchange.ts
@@ -26,6 +26,8 @@
   readonly currentId: string
   /** Clock reading at which the answer is of no use any more. */
   readonly deadlineAtMs: number
+  /** Time for which the caller still waits, in milliseconds; absent when the caller does not say. */
+  readonly callerRemainingMs?: number
 }
 
 /** Number of peers that are told of a stream and, since peers join and leave, number of those that are asked first. */
@@ -50,9 +52,11 @@
 /** Time for which a peer that closed the connection gets no messages about origins, in milliseconds; it may be of an earlier release. */
 const PEER_PAUSE_MS = 5000
 
-/** Minimum and maximum time in which callers resume a stream, in milliseconds; callers may have more time than the route. */
-const MIN_LIFETIME_MS = 30_000
-const MAX_LIFETIME_MS = 60_000
+/**
+ * Minimum time in which callers resume a stream, in milliseconds. Callers may have more time than the present timeout of the route, and
+ * with 30 s an instance that started after a stream took a later version for the only one that the stream could have.
+ */
+const MIN_LIFETIME_MS = 60_000
 
 /** Remembers where resumable streams began, tells peers while a service has several software versions, and asks them when a caller resumes a stream. */
 export class OriginExchange {
@@ -81,7 +85,8 @@
       return { type: 'originNewsAnswer' }
     })
     transport.setHandler('originRequest', ({ requestId, services, windowMs }) => {
-      const { origins, isComplete } = history.getObserved(services, windowMs)
+      // A peer of an earlier release requests a period that may be too short.
+      const { origins, isComplete } = history.getObserved(services, Math.max(MIN_LIFETIME_MS, windowMs))
       return { type: 'originAnswer', origin: this.memory.getOrigin(requestId), origins: [...origins], isComplete }
     })
   }
@@ -91,9 +96,10 @@
    * @param route - Route of the request.
    * @param requestId - Id of the request that brought the first event of the stream.
    * @param origin - Origin of the stream.
+   * @param callerRemainingMs - Time for which the caller still waits, in milliseconds; absent when the caller does not say.
    */
-  recordStream (route: RelayRoute, requestId: string, origin: StreamOrigin): void {
-    const lifetimeMs = computeLifetimeMs(route)
+  recordStream (route: RelayRoute, requestId: string, origin: StreamOrigin, callerRemainingMs?: number): void {
+    const lifetimeMs = computeLifetimeMs(route, callerRemainingMs)
     const isAmbiguous = findOnlyOrigin([this.options.history.getObserved(listServices(route), lifetimeMs)]) === undefined
     const stream: RememberedStream = { requestId, origin, expiresAtMs: this.options.clock.nowMs() + lifetimeMs, isUntold: !isAmbiguous }
     this.memory.record(stream)
@@ -117,7 +123,7 @@
 
   /** Asks the peers that should know a stream, then others; falls back to the only origin that it can have. */
   private async askPeers (stream: ResumedStream): Promise<StreamOrigin | undefined> {
-    const observed: ObservedOrigins[] = [this.options.history.getObserved(listServices(stream.route), computeLifetimeMs(stream.route))]
+    const observed: ObservedOrigins[] = [this.options.history.getObserved(listServices(stream.route), computeLifetimeMs(stream.route, stream.callerRemainingMs))]
     const peers = this.listPeers(stream.requestId ?? stream.currentId)
     for (const group of [peers.slice(0, FIRST_ASKED_PEERS), peers.slice(FIRST_ASKED_PEERS, FIRST_ASKED_PEERS + MAX_OTHER_ASKED_PEERS)]) {
       const origin = await this.askGroup(stream, group, observed)
@@ -138,11 +144,11 @@
     })
   }
 
-  private async askPeer ({ route, requestId, currentId, deadlineAtMs }: ResumedStream, peer: string): Promise<OriginAnswer | undefined> {
+  private async askPeer ({ route, requestId, currentId, deadlineAtMs, callerRemainingMs }: ResumedStream, peer: string): Promise<OriginAnswer | undefined> {
     const { clock, transport } = this.options
     const timeoutMs = Math.min(ASK_TIMEOUT_MS, deadlineAtMs - clock.nowMs())
     if (timeoutMs <= 0) return undefined
-    const message = { type: 'originRequest' as const, requestId: requestId ?? currentId, services: listServices(route), windowMs: computeLifetimeMs(route) }
+    const message = { type: 'originRequest' as const, requestId: requestId ?? currentId, services: listServices(route), windowMs: computeLifetimeMs(route, callerRemainingMs) }
     const answer = await transport.request<'originAnswer'>(peer, message, timeoutMs)
     if (answer.isErr) this.handleFailure(peer, answer.error)
     return answer.unwrapOr(undefined)
@@ -198,8 +204,9 @@
   return origins.size === 1 ? [...origins.values()][0] : undefined
 }
 
-function computeLifetimeMs ({ timeoutMs }: RelayRoute): number {
-  return Math.min(MAX_LIFETIME_MS, Math.max(MIN_LIFETIME_MS, timeoutMs))
+/** Computes the time in which a caller may resume a stream; the caller may have more time than the route. */
+function computeLifetimeMs ({ timeoutMs }: RelayRoute, callerRemainingMs = 0): number {
+  return Math.round(Math.max(MIN_LIFETIME_MS, timeoutMs, callerRemainingMs))
 }
 
 function listServices ({ services }: RelayRoute): string[] {
--- a/packages/relay/src/versions/OriginMemory.ts
+++ b/packages/relay/src/versions/OriginMemory.ts
@@ -27,6 +27,8 @@
 
   /** Streams in the order in which they were recorded. */
   private readonly streams = new Map<string, RememberedStream>()
+  /** Ids of the streams of which peers have not been told. */
+  private readonly untoldIds = new Set<string>()
 
   /** @internal */
   private constructor (private readonly clock: Clock) {}
@@ -36,11 +38,12 @@
    * @param stream - The stream.
    */
   record (stream: RememberedStream): void {
-    this.streams.delete(stream.requestId)
+    this.removeStream(stream.requestId)
     this.streams.set(stream.requestId, stream)
+    if (stream.isUntold) this.untoldIds.add(stream.requestId)
     for (const { requestId, expiresAtMs } of this.streams.values()) {
       if (expiresAtMs > this.clock.nowMs() && this.streams.size <= MAX_STREAMS) return
-      this.streams.delete(requestId)
+      this.removeStream(requestId)
     }
   }
 
@@ -55,8 +58,14 @@
 
   /** Returns the streams of which peers have not been told, and marks them as told. */
   takeUntold (): RememberedStream[] {
-    const untold = [...this.streams.values()].filter(({ isUntold, expiresAtMs }) => isUntold && expiresAtMs > this.clock.nowMs())
+    const untold = [...this.untoldIds].flatMap(requestId => this.streams.get(requestId) ?? []).filter(({ expiresAtMs }) => expiresAtMs > this.clock.nowMs())
+    this.untoldIds.clear()
     for (const stream of untold) this.streams.set(stream.requestId, { ...stream, isUntold: false })
     return untold
   }
+
+  private removeStream (requestId: string): void {
+    this.streams.delete(requestId)
+    this.untoldIds.delete(requestId)
+  }
 }
--- a/packages/relay/src/versions/VersionHistory.ts
+++ b/packages/relay/src/versions/VersionHistory.ts
@@ -26,8 +26,8 @@
   lastLostAtMs: number
 }
 
-/** Time for which origins without targets are kept, in milliseconds. */
-const MAX_PERIOD_MS = 120_000
+/** Time for which origins without targets are kept, in milliseconds; an observation of a longer period is never complete. */
+const MAX_PERIOD_MS = 600_000
 
 /** Time after a change in which a version of a service counts as growing or declining, in milliseconds. */
 const TREND_PERIOD_MS = 30_000
@@ -54,7 +54,7 @@
 
   /**
    * Adds a listener.
-   * @param listener - Called when the first target of an origin has joined.
+   * @param listener - Called when the first target of an origin has joined, and when the observation starts again.
    */
   addListener (listener: () => void): void {
     this.listeners.add(listener)
@@ -77,6 +77,7 @@
   /** Starts the observation again, after a time in which changes may have been missed. */
   restart (): void {
     this.observedSinceMs = this.options.clock.nowMs()
+    this.notifyListeners()
   }
 
   /**
@@ -88,7 +89,7 @@
     this.checkView()
     const startMs = this.options.clock.nowMs() - periodMs
     const presences = [...this.presences.values()].filter(({ origin, targets, lastLostAtMs }) => services.includes(origin.service) && (targets.size > 0 || lastLostAtMs >= startMs))
-    return { origins: presences.map(({ origin }) => origin), isComplete: this.observedSinceMs <= startMs }
+    return { origins: presences.map(({ origin }) => origin), isComplete: periodMs <= MAX_PERIOD_MS && this.observedSinceMs <= startMs }
   }
 
   /**
@@ -112,7 +113,10 @@
     this.keysByTarget.set(name, key)
     presence.targets.add(name)
     if (isAccepting) presence.lastJoinedAtMs = this.options.clock.nowMs()
-    if (presence.targets.size > 1) return
+    if (presence.targets.size === 1) this.notifyListeners()
+  }
+
+  private notifyListeners (): void {
     for (const listener of this.listeners) listener()
   }
 
--- a/packages/relay/test/versions/OriginExchange.test.ts
+++ b/packages/relay/test/versions/OriginExchange.test.ts
@@ -29,7 +29,7 @@
 
 const ROUTE = createRoute({ kind: 'stream', isResumable: true, timeoutMs: 6000 })
 const V1 = { service: 'calls', softwareVersion: 'v1' }
-const LIFETIME_MS = 30_000
+const LIFETIME_MS = 60_000
 
 /** Creates a fleet that sees targets of v1. */
 function doTest (count = 6): Fleet {
@@ -173,6 +173,60 @@
     expect(countTold()).toBe(3)
   })
 
+  it('tells the streams that it had not told when its observation is interrupted', async () => {
+    const { clock, instances, countTold } = doTest()
+    await clock.advance(LIFETIME_MS)
+    instances[0]!.exchange.recordStream(ROUTE, 'q', V1)
+    await clock.advance(100)
+    instances[0]!.history.restart()
+    instances[0]!.history.restart()
+    await clock.advance(100)
+    expect(countTold()).toBe(3)
+  })
+
+  // A caller may have more time than the route's present timeout.
+  it('does not take an observation of 59.9 s for that of a stream, whatever the timeout of the route', async () => {
+    const { clock, resume } = doTest()
+    await clock.advance(LIFETIME_MS - 100)
+    expect(await resume(0, 'unheard')).toMatch(/^unknown/)
+  })
+
+  it('answers a peer that requests a shorter period for the whole one', async () => {
+    const { clock, network } = doTest()
+    await clock.advance(LIFETIME_MS - 100)
+    const answering = network.createPeer('earlier').request<'originAnswer'>('i0', { type: 'originRequest', requestId: 'q', services: ['calls'], windowMs: 30_000 }, 50)
+    await clock.advance(50)
+    expect((await answering).unwrapOr(undefined)).toMatchObject({ isComplete: false })
+  })
+
+  it('requires the observation of a longer period for a caller that has more time', async () => {
+    const { clock, instances } = doTest()
+    await clock.advance(LIFETIME_MS)
+    const findFor = async (callerRemainingMs: number): Promise<unknown> => {
+      const finding = instances[0]!.exchange.findOrigin({ route: ROUTE, requestId: 'unheard', currentId: 'q2', deadlineAtMs: Infinity, callerRemainingMs })
+      await clock.advance(200)
+      return await finding
+    }
+    expect([await findFor(39_120), await findFor(70_000)]).toEqual([V1, undefined])
+  })
+
+  it('remembers a stream for as long as its caller can resume it', async () => {
+    const { clock, instances, show, resume } = doTest()
+    show('v1.1')
+    instances[0]!.exchange.recordStream(ROUTE, 'q', V1, 90_000)
+    await clock.advance(80_000)
+    expect(await resume(1)).toMatch(/^v1 /)
+  })
+
+  it('does not know a stream from before a start of all instances of which each sees another version', async () => {
+    const { clock, start, show, resume } = doTest()
+    for (const index of [3, 4, 5]) show('v1.1', [index])
+    await clock.advance(LIFETIME_MS - 5000)
+    for (const index of [0, 1, 2]) start(index)
+    await clock.advance(5000)
+    expect([await resume(0, 'unheard'), await resume(3, 'unheard')]).toEqual([expect.stringContaining('unknown'), expect.stringContaining('unknown')])
+  })
+
   it('counts targets without a version as one version', async () => {
     const { clock, instances, resume } = doTest()
     await clock.advance(LIFETIME_MS)
--- a/packages/relay/test/versions/VersionHistory.test.ts
+++ b/packages/relay/test/versions/VersionHistory.test.ts
@@ -55,6 +55,17 @@
     expect(await doTest(({ table }) => { table.updateTarget(createTarget('a', { softwareVersion: 'v2', startedAtMs: 2 })) })).toBe('v1,v2 incomplete')
   })
 
+  it('counts both versions of an entry that was changed under its name', async () => {
+    expect(await doTest(({ table }) => { table.updateTarget(createTarget('a', { softwareVersion: 'v2' })) })).toBe('v1,v2 incomplete')
+  })
+
+  it('is never complete for a period that is longer than the time for which it keeps origins', async () => {
+    const clock = VirtualClock.create()
+    const history = VersionHistory.create({ clock, isViewStale: () => false })
+    await clock.advance(1_000_000)
+    expect([600_000, 600_001].map(periodMs => history.getObserved(['calls'], periodMs).isComplete)).toEqual([true, false])
+  })
+
   it('counts leaving targets', async () => {
     expect(await doTest(async ({ clock, table }) => { table.updateTarget(createTarget('a', { softwareVersion: 'v1', phase: 'leaving' })); await clock.advance(PERIOD_MS + 1) })).toBe('v1 complete')
   })
--- a/packages/relay/test/versions/release.test.ts
+++ b/packages/relay/test/versions/release.test.ts
@@ -36,7 +36,7 @@
   for (const [index, atMs] of restartsAtMs.entries()) fleet.clock.startTimer(atMs, () => fleet.restartInstance(index))
   for (let atMs = 0; atMs < DURATION_MS; atMs += STREAM_INTERVAL_MS) fleet.clock.startTimer(atMs, () => { fleet.sendStream() })
   await fleet.clock.advance(DURATION_MS + 10_000)
-  return { mixed: fleet.versionsByStream.filter(versions => versions.size > 1).length, counts: fleet.counts }
+  return { mixed: fleet.countMixed(), counts: fleet.counts }
 
   function pick (names: readonly string[]): string {
     return names[pickIndex(random, names.length)] ?? ''
--- a/packages/relay/test/versions/singleVersion.test.ts
+++ b/packages/relay/test/versions/singleVersion.test.ts
@@ -103,6 +103,21 @@
   })
 })
 
+describe('a target that is replaced by another version under its name and address while a request is on its way', () => {
+  const replaced: ReadonlyArray<readonly [number, (dependencies: TestDependencies) => void]> = [[150, update('b', { softwareVersion: 'v1.1', startedAtMs: 2 })]]
+
+  it('does not go on with a stream', async () => {
+    const { targets, end } = await doTest({ a: { script: CUT, softwareVersion: 'v1' }, b: { script: { steps: [200, createEvent(2), 'END'] }, softwareVersion: 'v1', running: 1 } }, { actions: replaced })
+    expect([targets, end]).toEqual([['a', 'b'], expect.stringContaining('brokenOff')])
+    expect(end).not.toContain('d2')
+  })
+
+  it('goes on with it when the entry names the same version', async () => {
+    const { end } = await doTest({ a: { script: CUT, softwareVersion: 'v1' }, b: { script: { steps: [200, createEvent(2), 'END'] }, softwareVersion: 'v1', running: 1 } }, { actions: [[150, update('b', { softwareVersion: 'v1', startedAtMs: 2 })]] })
+    expect(end).toContain('complete')
+  })
+})
+
 describe('a stream that has not begun', () => {
   it('is repeated at an engine of any version', async () => {
     const { targets } = await doTest({ a: { script: { afterMs: 100, error: 'lost' }, softwareVersion: 'v1' }, b: { script: REST, softwareVersion: 'v1.1', running: 1 } })
