Send nothing to the targets of an evacuated zone

Operators request with the key op/evacuate/ZONE that an availability zone gets nothing more. The key is decoded to an evacuation, and removing it ends the evacuation. A zone that is evacuated closes its targets for calls, streams, repeats and copies with the reason evacuated; waiting requests are refused at once when no other target is left. The gateway checks the zone again when a connection is ready. Copies out of the zone are made, copies into it are not.

Tested: packages/relay/test/places, platform/test/evacuatedZone.test.ts and those of the touched folders pass. In virtual time, 8 instances of which 3 hear of peers only know of the request and of its withdrawal within 5,000 ms.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -167,7 +167,8 @@
     if (decoded.kind === 'configuration') this.applyConfiguration(decoded.configuration, item)
     else if (decoded.kind === 'target') this.applyTarget(decoded.target, item)
     else if (decoded.kind === 'targetRemoved' || decoded.kind === 'targetUnreadable') dependencies.table.handleRemoval(decoded.name)
-    if (decoded.kind === 'targetUnreadable' || decoded.kind === 'refused') log.recordStateChange('published key refused', { key: item.key, era: item.era, revision: item.revision, problem: decoded.problem })
+    else if (decoded.kind === 'evacuation') this.components.evacuatedZones.setZone(decoded.availabilityZone, decoded.isActive)
+    if ('problem' in decoded && decoded.problem !== undefined) log.recordStateChange('published key refused', { key: item.key, era: item.era, revision: item.revision, problem: decoded.problem })
   }
 
   private applyTarget (target: RelayTarget, { era, revision }: PublishedItem): void {
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -25,6 +25,8 @@
   readonly budget: AttemptBudgetLimits
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly graceMs: number
+  /** Maximum time that the store waits for changes in one watch, in milliseconds; by default as for the watcher. */
+  readonly watchTimeoutMs?: number
   /** Maximum time for which callers cache a list of addresses, in milliseconds. */
   readonly maxAddressTtlMs: number
   readonly clock: Clock
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -13,6 +13,7 @@
 import { GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
+import { EvacuatedZones } from '../places/EvacuatedZones.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedWatcher } from '../published/PublishedWatcher.js'
 import { type ViewConfirmation } from '../published/ViewConfirmation.js'
@@ -41,6 +42,7 @@
   readonly watcher: PublishedWatcher
   readonly loadExchange: LoadExchange
   readonly reportPoller: TargetReportPoller
+  readonly evacuatedZones: EvacuatedZones
   readonly pauseDetector: PauseDetector
   readonly history: VersionHistory
   readonly confirmation: ViewConfirmation
@@ -57,6 +59,7 @@
   readonly limits: TargetLimits
   readonly evidence: CrashEvidence
   readonly backoffs: TargetBackoffs
+  readonly evacuatedZones: EvacuatedZones
   readonly gateway: TargetGateway
 }
 
@@ -71,7 +74,8 @@
   const limits = TargetLimits.create({ clock, log, countInstances: () => viewComponents.peers.estimateFleetSize(), getRank: target => viewComponents.peers.getRank(target) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evidence = CrashEvidence.create({ clock, log })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, gateway: TargetGateway.create({ client, backoffs }) }
+  const evacuatedZones = EvacuatedZones.create({ log })
+  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
   const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
   evidence.addListener(() => viewComponents.peers.pushNews())
@@ -80,6 +84,7 @@
   return {
     ...viewComponents,
     log,
+    evacuatedZones,
     dependencies,
     loadExchange: createLoadExchange(shared, viewComponents, dependencies),
     reportPoller: TargetReportPoller.create({ clock, gateway: shared.gateway, table: dependencies.table, log, isViewStale: () => viewComponents.watcher.isStale(), listTargets: () => shared.loads.listEnginesInUse() })
@@ -87,7 +92,7 @@
 }
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
-  const { options, metrics, log, loads, limits, backoffs, gateway } = shared
+  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, gateway } = shared
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
@@ -98,7 +103,7 @@
     loads,
     health,
     limits,
-    availability: TargetAvailability.create({ backoffs, limits, health }),
+    availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, health }),
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
     listDeclining: service => viewComponents.history.listDeclining(service)
--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -64,6 +64,7 @@
     clock,
     random,
     log,
+    watchTimeoutMs: options.watchTimeoutMs,
     fetchFromPeers: async () => await exchange.fetchFromPeers(),
     ...createWatchSchedule({ peerStoreStatus, isWatcher: () => peers.isWatcher(), isBehindPeers: () => exchange.isBehindPeers(), getWatchRank: () => peers.getWatchRank() })
   })
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -12,6 +12,7 @@
   unknownOrigin: 503,
   limited: 503,
   backoff: 503,
+  evacuated: 503,
   crashesEngines: 503,
   overloaded: 503,
   stopping: 503,
@@ -29,6 +30,7 @@
   unknownOrigin: [200, 600],
   limited: [50, 200],
   backoff: [50, 200],
+  evacuated: [300, 900],
   crashesEngines: [2000, 4000],
   overloaded: [500, 2500],
   stopping: [50, 200],
@@ -37,7 +39,7 @@
 }
 
 /** Reasons for which a caller is told to return when a target opens, if all targets of its service are closed. */
-const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'notExecuted'])
+const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'evacuated', 'notExecuted'])
 
 /** Delay for a caller refused because of a limit when this instance leaves the targets to other instances, in milliseconds. */
 const LIMITED_RETRY_AFTER_MS = 1000
--- a/packages/relay/src/targets/TargetGateway.ts
+++ b/packages/relay/src/targets/TargetGateway.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type EvacuatedZones } from '../places/EvacuatedZones.js'
 import { type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type NamedLimit, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from './RelayTargetClient.js'
 import { type TargetBackoffs } from './TargetBackoffs.js'
 
@@ -7,9 +8,11 @@
 export interface TargetGatewayOptions {
   readonly client: RelayTargetClient
   readonly backoffs: TargetBackoffs
+  readonly evacuatedZones: EvacuatedZones
 }
 
 const CLOSED_CAUSE = 'the target wants no requests yet'
+const EVACUATED_CAUSE = 'the zone of the target is evacuated'
 
 /** Sends requests, copies and reports to targets, unless the target wants none at that moment; time may have passed since its selection. */
 export class TargetGateway {
@@ -30,16 +33,17 @@
    * @param options - Options of the attempt.
    */
   sendRequest (target: RelayTarget, options: AttemptOptions): Attempt {
-    if (this.isClosed(target)) return UNSENT_ATTEMPT
-    return this.options.client.sendRequest(target, { ...options, mayStart: () => !this.isClosed(target) })
+    if (!this.mayReceive(target)) return this.isEvacuated(target) ? EVACUATED_ATTEMPT : UNSENT_ATTEMPT
+    return this.options.client.sendRequest(target, { ...options, mayStart: () => this.mayReceive(target) })
   }
 
   /**
-   * Copies the memory of a running generation, unless one of both engines is closed.
+   * Copies the memory of a running generation, unless one of both engines is closed. Runs move out of an evacuated zone, but not into it.
    * @param options - Options of the copy.
    */
   async copyRun (options: CopyOptions): Promise<Result<RunCopy, CopyError>> {
     if (this.isClosed(options.from) || this.isClosed(options.to)) return Result.err({ reason: 'closed', cause: CLOSED_CAUSE })
+    if (this.isEvacuated(options.to)) return Result.err({ reason: 'closed', cause: EVACUATED_CAUSE })
     return await this.options.client.copyRun(options)
   }
 
@@ -71,18 +75,31 @@
     return this.isClosed(target) ? 'unknown' : await this.options.client.fetchReachability(target, timeoutMs)
   }
 
+  private mayReceive (target: RelayTarget): boolean {
+    return !this.isClosed(target) && !this.isEvacuated(target)
+  }
+
+  private isEvacuated (target: RelayTarget): boolean {
+    return this.options.evacuatedZones.getWaitMs(target) > 0
+  }
+
   private isClosed (target: RelayTarget): boolean {
     return this.options.backoffs.getWaitMs(target) > 0
   }
 }
 
-/** Attempt of which nothing is sent. */
-const UNSENT_ATTEMPT: Attempt = {
-  head: Promise.resolve(Result.err<AttemptHead, AttemptError>('notSent')),
-  readBytes: async () => Result.err('notSent'),
-  isSent: () => false,
-  isBrokenOff: () => false,
-  getCause: () => CLOSED_CAUSE,
-  getNamedLimit: (): NamedLimit | undefined => undefined,
-  markLost: () => {}
+function createUnsentAttempt (cause: string): Attempt {
+  return {
+    head: Promise.resolve(Result.err<AttemptHead, AttemptError>('notSent')),
+    readBytes: async () => Result.err('notSent'),
+    isSent: () => false,
+    isBrokenOff: () => false,
+    getCause: () => cause,
+    getNamedLimit: (): NamedLimit | undefined => undefined,
+    markLost: () => {}
+  }
 }
+
+/** Attempts of which nothing is sent. */
+const UNSENT_ATTEMPT = createUnsentAttempt(CLOSED_CAUSE)
+const EVACUATED_ATTEMPT = createUnsentAttempt(EVACUATED_CAUSE)
