Bound the requests of all instances to a cold target

A service states with cold_per_s how many requests a second its targets take while they are cold. Instances share them by the settings bounds.cold_overage and bounds.cold_slack: at most as many instances as the bound allows requests in a second use a target, each at most its share of the bound in 1.5 s. Turns need no common count, since counts that differ would let all instances send in the same second. The census of instances that may be running is not lowered by a partition; while it has not settled after a start, cold targets are closed.

A target that becomes cold again is seen from its entry, from the header X-Fescuespoke-Cold-Ms of its answers, and from peers that had such an answer.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -174,13 +174,15 @@
   private applyTarget (target: RelayTarget, { era, revision }: PublishedItem): void {
     const { log, dependencies } = this.components
     const isUsed = dependencies.table.updateTarget(target)
-    if (!isUsed) log.recordStateChange('older target entry ignored', { target: target.name, phase: target.phase, sequence: target.sequence, era, revision })
+    if (isUsed) this.components.coldTargets.recordEntry(target)
+    else log.recordStateChange('older target entry ignored', { target: target.name, phase: target.phase, sequence: target.sequence, era, revision })
   }
 
   private applyConfiguration (configuration: RouteTable['configuration'], item: PublishedItem): void {
     const previousVersion = this.routes?.configuration.version
     if (previousVersion !== undefined && configuration.version <= previousVersion) return
     this.routes = RouteTable.create(configuration)
+    this.components.coldTargets.setServices(configuration.services)
     this.components.log.recordStateChange('configuration in force', { before: previousVersion, version: configuration.version, era: item.era, revision: item.revision, routes: configuration.routes.length })
   }
 
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Logger, type MetricsRegistry, type Random } from '@fescuespoke/common'
 import { type AttemptBudgetLimits } from '../budget/AttemptBudget.js'
+import { type ColdBound } from '../limits/computeColdInterval.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedSource } from '../published/PublishedItem.js'
 import { type RelayTargetClient } from '../targets/RelayTargetClient.js'
@@ -25,6 +26,8 @@
   readonly budget: AttemptBudgetLimits
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly graceMs: number
+  /** Requests that a cold target may get beyond its rate; by default as for the platform. */
+  readonly coldBound?: ColdBound
   /** Maximum time that the store waits for changes in one watch, in milliseconds; by default as for the watcher. */
   readonly watchTimeoutMs?: number
   /** Maximum time for which callers cache a list of addresses, in milliseconds. */
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -5,6 +5,7 @@
 import { formatSummary, parseSummary, type PublishedSummary } from '../published/PublishedPosition.js'
 import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
 import { FleetSizeEstimator } from './FleetSizeEstimator.js'
+import { type CensusState, InstanceCensus } from './InstanceCensus.js'
 import { NewsPush } from './NewsPush.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 import { type TargetNewsExchange } from './TargetNewsExchange.js'
@@ -52,6 +53,8 @@
     return new RelayPeers(options)
   }
 
+  /** Census of the instances that may be running. */
+  readonly census: InstanceCensus
   private readonly network: PeerNetwork
   private readonly membership: Membership
   private readonly newsPush: NewsPush
@@ -87,6 +90,7 @@
       },
       limits: PROBE_LIMITS
     })
+    this.census = InstanceCensus.create({ clock, instance, listSeeds: () => this.seeds })
     this.newsPush = NewsPush.create({ clock, push: () => this.membership.pushGossip() })
     this.fleetSize = FleetSizeEstimator.create({ clock, countAlive: () => this.membership.listAlive().length, countSeeds: () => this.seeds.length })
     this.membership.addListener(change => this.handleMemberChange(change.member, change.cause, change.previousState))
@@ -111,6 +115,7 @@
    */
   setSeeds (seeds: readonly string[]): void {
     this.seeds = seeds.filter(seed => seed !== this.options.identity.peerAddress)
+    this.census.refresh()
     this.membership.setListedInstances(seeds.map(seed => ({ id: seed, role: 'entry', state: 'live', peerAddress: seed })))
   }
 
@@ -197,8 +202,15 @@
 
   private handleMemberChange ({ instance, state }: Member, cause: string, previousState: string | undefined): void {
     this.options.log.recordStateChange('peer changed', { peer: instance, before: previousState, state, cause })
+    this.census.recordInstance(instance, classifyMember(state, previousState))
     this.group = undefined
     this.watchRank = undefined
     if (state === 'dead') this.options.onPeerDead(instance)
   }
 }
+
+/** Classifies a member for the census: an instance that announced that it leaves and was declared dead has ended. */
+function classifyMember (state: Member['state'], previousState: string | undefined): CensusState {
+  if (state !== 'dead') return 'present'
+  return previousState === 'leaving' ? 'left' : 'lost'
+}
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -4,6 +4,7 @@
 import { CrashEvidence } from '../crashes/CrashEvidence.js'
 import { CrashGuard } from '../crashes/CrashGuard.js'
 import { TrialSchedule } from '../crashes/TrialSchedule.js'
+import { ColdTargets } from '../limits/ColdTargets.js'
 import { TargetLimits } from '../limits/TargetLimits.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
 import { TargetLoads } from '../loads/TargetLoads.js'
@@ -43,6 +44,7 @@
   readonly loadExchange: LoadExchange
   readonly reportPoller: TargetReportPoller
   readonly evacuatedZones: EvacuatedZones
+  readonly coldTargets: ColdTargets
   readonly pauseDetector: PauseDetector
   readonly history: VersionHistory
   readonly confirmation: ViewConfirmation
@@ -60,6 +62,7 @@
   readonly evidence: CrashEvidence
   readonly backoffs: TargetBackoffs
   readonly evacuatedZones: EvacuatedZones
+  readonly coldTargets: ColdTargets
   readonly gateway: TargetGateway
 }
 
@@ -72,19 +75,21 @@
   const metrics = RelayMetrics.create(options.metrics)
   const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
   const limits = TargetLimits.create({ clock, log, countInstances: () => viewComponents.peers.estimateFleetSize(), getRank: target => viewComponents.peers.getRank(target) })
+  const coldTargets = ColdTargets.create({ clock, log, bound: options.coldBound, getFleet: target => viewComponents.peers.census.getFleet(target) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evidence = CrashEvidence.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
-  const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, crashes: evidence, getNotices: () => notices }))
+  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, coldTargets, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
+  const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
   evidence.addListener(() => viewComponents.peers.pushNews())
-  const notices = TargetNotices.create({ table: dependencies.table, backoffs: shared.backoffs, log })
+  const notices = TargetNotices.create({ table: dependencies.table, backoffs: shared.backoffs, coldTargets, log })
   client.addNoticeListener((target, notice) => notices.handleNotice(target, notice))
   return {
     ...viewComponents,
     log,
     evacuatedZones,
+    coldTargets,
     dependencies,
     loadExchange: createLoadExchange(shared, viewComponents, dependencies),
     reportPoller: TargetReportPoller.create({ clock, gateway: shared.gateway, table: dependencies.table, log, isViewStale: () => viewComponents.watcher.isStale(), listTargets: () => shared.loads.listEnginesInUse() })
@@ -92,7 +97,7 @@
 }
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
-  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, gateway } = shared
+  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, coldTargets, gateway } = shared
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
@@ -103,7 +108,8 @@
     loads,
     health,
     limits,
-    availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, health }),
+    coldTargets,
+    availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }),
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
     listDeclining: service => viewComponents.history.listDeclining(service)
--- a/packages/relay/src/model/RelayConfiguration.ts
+++ b/packages/relay/src/model/RelayConfiguration.ts
@@ -48,6 +48,8 @@
   readonly name: string
   /** Present when the targets are model engines. */
   readonly engine?: EngineProfile
+  /** Requests a second that a target takes from all instances together while it is cold; without it, there is no bound. */
+  readonly coldRequestsPerSecond?: number
 }
 
 /** Limits on the requests that callers send. */
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Random } from '@fescuespoke/common'
+import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
@@ -18,6 +19,7 @@
   readonly loads: TargetLoads
   readonly health: TargetHealth
   readonly limits: TargetLimits
+  readonly coldTargets: ColdTargets
   readonly availability: TargetAvailability
   readonly availabilityZone: string
   /**
@@ -90,6 +92,7 @@
    */
   reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
     this.options.limits.recordRequest(target)
+    this.options.coldTargets.recordRequest(target)
     return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
@@ -141,7 +144,7 @@
   }
 
   private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
-    const { clock, loads, health, availability, availabilityZone, pickPreferred, listDeclining } = this.options
+    const { clock, loads, health, availability, availabilityZone, coldTargets, pickPreferred, listDeclining } = this.options
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
     const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
@@ -151,7 +154,7 @@
       load: loads.getTotalLoad(tracked.target.name),
       failureRate: health.getFailureRate(tracked.target.name),
       isUnreachable: availability.isUnreachable(tracked.target),
-      isInSlowStart: clock.nowMs() < tracked.slowStartEndMs,
+      isInSlowStart: clock.nowMs() < tracked.slowStartEndMs || coldTargets.isCold(tracked.target),
       isLocal: isLocal(tracked),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
       isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target))
--- a/packages/relay/src/requests/RelayRequest.ts
+++ b/packages/relay/src/requests/RelayRequest.ts
@@ -35,7 +35,7 @@
 
 /** Reason for which a request was answered without the answer of a target. */
 export type RefusalReason =
-  'notConfigured' | 'noRoute' | 'unknownKey' | 'notConfirmed' | 'noTarget' | 'unknownOrigin' | 'limited' | 'backoff' | 'evacuated' | 'crashesEngines' | 'overloaded' | 'stopping' | 'timeoutNotRun' | 'timeout' | 'lost' | 'notExecuted'
+  'notConfigured' | 'noRoute' | 'unknownKey' | 'notConfirmed' | 'noTarget' | 'unknownOrigin' | 'limited' | 'backoff' | 'evacuated' | 'warming' | 'crashesEngines' | 'overloaded' | 'stopping' | 'timeoutNotRun' | 'timeout' | 'lost' | 'notExecuted'
 
 /** An answer that does not come from a target. */
 export interface RelayRefusal {
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -13,6 +13,7 @@
   limited: 503,
   backoff: 503,
   evacuated: 503,
+  warming: 503,
   crashesEngines: 503,
   overloaded: 503,
   stopping: 503,
@@ -31,6 +32,7 @@
   limited: [50, 200],
   backoff: [50, 200],
   evacuated: [300, 900],
+  warming: [50, 200],
   crashesEngines: [2000, 4000],
   overloaded: [500, 2500],
   stopping: [50, 200],
@@ -39,7 +41,7 @@
 }
 
 /** Reasons for which a caller is told to return when a target opens, if all targets of its service are closed. */
-const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'evacuated', 'notExecuted'])
+const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'evacuated', 'warming', 'notExecuted'])
 
 /** Delay for a caller refused because of a limit when this instance leaves the targets to other instances, in milliseconds. */
 const LIMITED_RETRY_AFTER_MS = 1000
--- a/packages/relay/src/targets/TargetAvailability.ts
+++ b/packages/relay/src/targets/TargetAvailability.ts
@@ -1,11 +1,12 @@
+import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type EvacuatedZones } from '../places/EvacuatedZones.js'
 import { type TargetBackoffs } from './TargetBackoffs.js'
 import { type TargetHealth } from './TargetHealth.js'
 
-/** Reason for which nothing may be sent to a target for a while: it wants no requests, this instance has no turn at it, or its zone is evacuated. */
-export type ClosureReason = 'backoff' | 'limited' | 'evacuated'
+/** Reason for which nothing may be sent to a target for a while: it wants no requests, this instance has no turn at it because of a limit or because it is cold, or its zone is evacuated. */
+export type ClosureReason = 'backoff' | 'limited' | 'evacuated' | 'warming'
 
 /** Time for which a target is closed, in milliseconds, and the reason that lasts longest. */
 export interface Closure {
@@ -18,6 +19,7 @@
   readonly backoffs: TargetBackoffs
   readonly limits: TargetLimits
   readonly evacuatedZones: EvacuatedZones
+  readonly coldTargets: ColdTargets
   readonly health: TargetHealth
 }
 
@@ -39,7 +41,8 @@
     this.waits = [
       ['backoff', target => options.backoffs.getWaitMs(target)],
       ['limited', target => options.limits.getWaitMs(target)],
-      ['evacuated', target => options.evacuatedZones.getWaitMs(target)]
+      ['evacuated', target => options.evacuatedZones.getWaitMs(target)],
+      ['warming', target => options.coldTargets.getWaitMs(target)]
     ]
   }
 
--- a/packages/relay/src/targets/TargetNotices.ts
+++ b/packages/relay/src/targets/TargetNotices.ts
@@ -1,4 +1,5 @@
 import { type LeavingTargetNews } from '@fescuespoke/schema'
+import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type TargetIncarnation } from './LeavingTargets.js'
@@ -10,6 +11,7 @@
 export interface TargetNoticesOptions {
   readonly table: TargetTable
   readonly backoffs: TargetBackoffs
+  readonly coldTargets: ColdTargets
   readonly log: DecisionLog
 }
 
@@ -26,7 +28,8 @@
   /** Functions that apply the notices of each kind. */
   private readonly handlers: { readonly [Kind in TargetNotice['kind']]: (target: RelayTarget, notice: Extract<TargetNotice, { kind: Kind }>) => void } = {
     leaving: target => this.markLeaving(target, 'answer', 0),
-    backoff: (target, notice) => this.options.backoffs.recordBackoff(target, notice)
+    backoff: (target, notice) => this.options.backoffs.recordBackoff(target, notice),
+    cold: (target, { remainingMs }) => this.options.coldTargets.recordAnswer(target, remainingMs)
   }
 
   /** @internal */
--- a/packages/relay/test/support/CrashFleet.ts
+++ b/packages/relay/test/support/CrashFleet.ts
@@ -2,6 +2,7 @@
 import { InMemoryNetwork, Membership } from '@fescuespoke/peers'
 import { NewsPush } from '../../src/instance/NewsPush.js'
 import { PROBE_LIMITS } from '../../src/instance/RelayPeers.js'
+import { InstanceCensus } from '../../src/instance/InstanceCensus.js'
 import { TargetNewsExchange } from '../../src/instance/TargetNewsExchange.js'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import { RouteTable } from '../../src/model/RouteTable.js'
@@ -182,8 +183,9 @@
   }
 
   /** Starts the gossip of an instance. */
-  private startMembership (instance: string, { clock, random, evidence, limits, notices }: TestDependencies, transport: PeerTransport): Membership {
-    const news = TargetNewsExchange.create({ limits, crashes: evidence, getNotices: () => notices })
+  private startMembership (instance: string, { clock, random, evidence, limits, coldTargets, notices }: TestDependencies, transport: PeerTransport): Membership {
+    const census = InstanceCensus.create({ clock, instance, listSeeds: () => [] })
+    const news = TargetNewsExchange.create({ limits, coldTargets, getCensus: () => census, crashes: evidence, getNotices: () => notices })
     const membership = Membership.create({
       instance,
       incarnation: random.nextString(9),
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -5,6 +5,8 @@
 import { CrashEvidence } from '../../src/crashes/CrashEvidence.js'
 import { CrashGuard } from '../../src/crashes/CrashGuard.js'
 import { TrialSchedule } from '../../src/crashes/TrialSchedule.js'
+import { ColdTargets } from '../../src/limits/ColdTargets.js'
+import { type ColdFleet } from '../../src/limits/computeColdInterval.js'
 import { TargetLimits } from '../../src/limits/TargetLimits.js'
 import { TargetLoads } from '../../src/loads/TargetLoads.js'
 import { DecisionLog } from '../../src/logs/DecisionLog.js'
@@ -40,10 +42,11 @@
   readonly notices: TargetNotices
   readonly evidence: CrashEvidence
   readonly evacuatedZones: EvacuatedZones
+  readonly coldTargets: ColdTargets
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[] } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[], getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -52,13 +55,14 @@
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: options.getTimeSinceStoreOutageMs ?? (() => 60_000) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
+  const coldTargets = createColdTargets(clock, log, options.getColdFleet)
   const gateway = TargetGateway.create({ client: options.client ?? client, backoffs, evacuatedZones })
-  const notices = TargetNotices.create({ table, backoffs, log })
+  const notices = TargetNotices.create({ table, backoffs, coldTargets, log })
   client.addNoticeListener((target, notice) => notices.handleNotice(target, notice))
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -67,7 +71,11 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+}
+
+function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
+  return ColdTargets.create({ clock, log, getFleet })
 }
 
 /** Creates a target in availability zone z1. */
