Serve requests in the home regions of their route and workspace

A route or a workspace may state allowed_regions. Its requests are placed, repeated and moved only at targets in these regions; where both have a list, both apply. The settings list the region of each availability zone, and a zone without one is in no list. An answer with addresses for a host whose routes all have home regions names only instances there or in the caller's region.

Requests that wait are told apart by their regions, so that one without a target does not keep others from theirs.

--- a/packages/relay/src/calls/finishCall.ts
+++ b/packages/relay/src/calls/finishCall.ts
@@ -25,5 +25,5 @@
 function findRefusalReason ({ mayHaveRun, sentAttempts, context, dependencies }: CallRun): RefusalReason {
   if (mayHaveRun) return 'lost'
   if (sentAttempts > 0) return 'notExecuted'
-  return dependencies.placer.findClosure(context.service)?.reason ?? 'noTarget'
+  return dependencies.placer.findClosure(context.service, context)?.reason ?? 'noTarget'
 }
--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -55,7 +55,7 @@
 /** Returns whether another attempt may follow a failed answer; the next iteration of the call's loop starts it. */
 function canStartAnother (run: CallRun): boolean {
   const { context, dependencies, excludedTargets } = run
-  return run.canRepeat() && dependencies.placer.countUsable(context.service, { excludedTargets }) > 0
+  return run.canRepeat() && dependencies.placer.countUsable(context.service, { allowedRegions: context.allowedRegions, excludedTargets }) > 0
 }
 
 async function deliverAnswer (run: CallRun, { callAttempt, answer }: AnsweredAttempt): Promise<boolean> {
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -29,8 +29,8 @@
 
 /** Reserves another target, and takes the attempt from the budget if a target was reached before. */
 function reserveTarget (run: CallRun): TargetReservation | undefined {
-  const { context: { service }, dependencies: { placer, budget } } = run
-  const reservation = placer.reserveBestTarget({ service, tokens: 0, excludedTargets: run.excludedTargets })
+  const { context: { service, allowedRegions }, dependencies: { placer, budget } } = run
+  const reservation = placer.reserveBestTarget({ service, allowedRegions, tokens: 0, excludedTargets: run.excludedTargets })
   if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
   reservation.release()
   return undefined
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -5,8 +5,10 @@
 import { type PublishedItem } from '../published/PublishedItem.js'
 import { checkCallerLimits, type LimitCheckOptions, type LimitVerdict } from '../requests/checkCallerLimits.js'
 import { RelayService } from '../requests/RelayService.js'
+import { type RegionMap } from '../places/RegionMap.js'
 import { createRelayComponents, type RelayComponents } from './createRelayComponents.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
+import { type InstancePlace } from './RelayPeers.js'
 
 /** Lifecycle phase of an instance. */
 export type RelayPhase = 'starting' | 'ready' | 'draining' | 'stopped'
@@ -98,9 +100,13 @@
   /**
    * Lists the addresses that a caller in an availability zone should use; prefers instances in the same zone when there are enough.
    * @param availabilityZone - Availability zone of the caller.
+   * @param host - Host that the caller will call; where all its routes have home regions, only instances there or in the caller's region are listed.
    */
-  listAddresses (availabilityZone: string): string[] {
-    return this.components.peers.listCallerAddresses(availabilityZone, this.isReady())
+  listAddresses (availabilityZone: string, host = ''): string[] {
+    const homeRegions = this.routes?.findHomeRegions(host)
+    const { peers, regions } = this.components
+    const mayList = homeRegions === undefined ? undefined : createRegionFilter(regions, [...homeRegions, regions.findRegion(availabilityZone)])
+    return peers.listCallerAddresses(availabilityZone, this.isReady(), mayList)
   }
 
   /**
@@ -195,3 +201,11 @@
     }
   }
 }
+
+/** Creates a filter of instances in some regions. The region that an instance states goes before that of its zone. */
+function createRegionFilter (regions: RegionMap, allowed: ReadonlyArray<string | undefined>): (instance: InstancePlace) => boolean {
+  return ({ region, availabilityZone }) => {
+    const stated = region === undefined || region === '' ? regions.findRegion(availabilityZone) : region
+    return stated !== undefined && allowed.includes(stated)
+  }
+}
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -26,6 +26,8 @@
   readonly budget: AttemptBudgetLimits
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly graceMs: number
+  /** Regions by availability zone. */
+  readonly zones?: ReadonlyMap<string, string>
   /** Requests that a cold target may get beyond its rate; by default as for the platform. */
   readonly coldBound?: ColdBound
   /** Maximum time that the store waits for changes in one watch, in milliseconds; by default as for the watcher. */
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -10,6 +10,9 @@
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 import { type TargetNewsExchange } from './TargetNewsExchange.js'
 
+/** Availability zone and region of an instance. */
+export type InstancePlace = Pick<Member, 'availabilityZone' | 'region'>
+
 /** Options of the peers of a relay instance. */
 export interface RelayPeersOptions {
   readonly identity: RelayIdentity
@@ -165,10 +168,11 @@
    * Lists the addresses that a caller should use.
    * @param availabilityZone - Availability zone of the caller.
    * @param isSelfReady - Whether this instance accepts requests.
+   * @param mayList - Returns whether an instance may be listed; by default, all may.
    */
-  listCallerAddresses (availabilityZone: string, isSelfReady: boolean): string[] {
+  listCallerAddresses (availabilityZone: string, isSelfReady: boolean, mayList: (instance: InstancePlace) => boolean = () => true): string[] {
     const thisInstance = this.options.identity.peerAddress
-    const members = this.membership.listMembers().filter(({ state, instance }) => instance === thisInstance ? isSelfReady : state === 'alive')
+    const members = this.membership.listMembers().filter(({ state, instance }) => instance === thisInstance ? isSelfReady : state === 'alive').filter(mayList)
     const localMembers = members.filter(member => member.availabilityZone === availabilityZone)
     const selected = localMembers.length >= MIN_LOCAL_INSTANCES ? localMembers : members
     return selected.map(({ url }) => url).slice(0, MAX_ADDRESSES)
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -15,6 +15,7 @@
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
 import { EvacuatedZones } from '../places/EvacuatedZones.js'
+import { RegionMap } from '../places/RegionMap.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedWatcher } from '../published/PublishedWatcher.js'
 import { type ViewConfirmation } from '../published/ViewConfirmation.js'
@@ -45,6 +46,7 @@
   readonly reportPoller: TargetReportPoller
   readonly evacuatedZones: EvacuatedZones
   readonly coldTargets: ColdTargets
+  readonly regions: RegionMap
   readonly pauseDetector: PauseDetector
   readonly history: VersionHistory
   readonly confirmation: ViewConfirmation
@@ -63,6 +65,7 @@
   readonly backoffs: TargetBackoffs
   readonly evacuatedZones: EvacuatedZones
   readonly coldTargets: ColdTargets
+  readonly regions: RegionMap
   readonly gateway: TargetGateway
 }
 
@@ -76,10 +79,11 @@
   const log = DecisionLog.create({ logger: options.logger, clock, countDropped: () => metrics.countDroppedLine() })
   const limits = TargetLimits.create({ clock, log, countInstances: () => viewComponents.peers.estimateFleetSize(), getRank: target => viewComponents.peers.getRank(target) })
   const coldTargets = ColdTargets.create({ clock, log, bound: options.coldBound, getFleet: target => viewComponents.peers.census.getFleet(target) })
+  const regions = RegionMap.create({ zones: options.zones })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evidence = CrashEvidence.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, coldTargets, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
+  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, coldTargets, regions, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
   const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
   evidence.addListener(() => viewComponents.peers.pushNews())
@@ -90,6 +94,7 @@
     log,
     evacuatedZones,
     coldTargets,
+    regions,
     dependencies,
     loadExchange: createLoadExchange(shared, viewComponents, dependencies),
     reportPoller: TargetReportPoller.create({ clock, gateway: shared.gateway, table: dependencies.table, log, isViewStale: () => viewComponents.watcher.isStale(), listTargets: () => shared.loads.listEnginesInUse() })
@@ -97,7 +102,7 @@
 }
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
-  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, coldTargets, gateway } = shared
+  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, coldTargets, regions, gateway } = shared
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
@@ -110,6 +115,7 @@
     limits,
     coldTargets,
     availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }),
+    regions,
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
     listDeclining: service => viewComponents.history.listDeclining(service)
--- a/packages/relay/src/model/RelayConfiguration.ts
+++ b/packages/relay/src/model/RelayConfiguration.ts
@@ -29,6 +29,8 @@
   readonly isResumable: boolean
   /** Longest gap between two events that is acceptable in a stream, in milliseconds. */
   readonly maxGapMs?: number
+  /** Regions in which its requests may be served; absent when all are allowed. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** Capabilities of the engines of a service. */
@@ -65,6 +67,8 @@
   readonly workspace: string
   /** Priority of its requests, 0 the highest; it overrides the priority of the route. */
   readonly priority?: number
+  /** Regions in which its requests may be served; absent when all are allowed. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** One version of the whole published configuration. A request keeps the version with which it started. */
--- a/packages/relay/src/model/RouteTable.ts
+++ b/packages/relay/src/model/RouteTable.ts
@@ -33,8 +33,17 @@
    * @param path - Path of the request without the query.
    */
   findRoute (host: string, path: string): Maybe<RelayRoute> {
-    const hostname = host.toLowerCase().replace(/:\d+$/, '')
-    return Maybe.of(this.routesByHost.get(hostname)?.find(({ prefix }) => path.startsWith(prefix)))
+    return Maybe.of(this.routesByHost.get(normalizeHost(host))?.find(({ prefix }) => path.startsWith(prefix)))
+  }
+
+  /**
+   * Returns the regions in which requests to a host may be served; undefined when it has no route, or one that allows all regions.
+   * @param host - Host; its port and letter case are ignored.
+   */
+  findHomeRegions (host: string): readonly string[] | undefined {
+    const routes = this.routesByHost.get(normalizeHost(host)) ?? []
+    const lists = routes.map(({ allowedRegions = [] }) => allowedRegions)
+    return lists.length === 0 || lists.some(list => list.length === 0) ? undefined : [...new Set(lists.flat())]
   }
 
   /**
@@ -53,3 +62,7 @@
     return this.configuration.keys !== undefined && !route.isPublic
   }
 }
+
+function normalizeHost (host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '')
+}
--- a/packages/relay/src/moves/MovableRun.ts
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -1,5 +1,6 @@
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type AllowedRegions } from '../places/RegionMap.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 
@@ -17,6 +18,8 @@
 export interface MovableRun {
   readonly requestId: string
   readonly service: ServiceProfile
+  /** Regions in which the run may be executed; absent when all are allowed. */
+  readonly allowedRegions?: AllowedRegions
   /** Returns the memory that the run is expected to need, in tokens. */
   getExpectedTokens(): number
   /** Returns the memory that the run holds now, in tokens. */
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -120,8 +120,8 @@
   }
 
   /** Returns the time until a target of the requested service and version opens, in milliseconds; 0 unless all are closed. */
-  private getOpeningMs ({ requirements: { service, origin } }: AdmissionRequest): number {
-    return this.options.placer.findClosure(service, origin)?.waitMs ?? 0
+  private getOpeningMs ({ requirements }: AdmissionRequest): number {
+    return this.options.placer.findClosure(requirements.service, requirements)?.waitMs ?? 0
   }
 
   private scheduleRetry (): void {
@@ -134,9 +134,9 @@
   }
 }
 
-/** Returns whether two requests need targets of the same service and, if one of them continues a stream, of the same version. */
+/** Returns whether two requests need targets of the same service, in the same regions, and, if one of them continues a stream, of the same version. */
 function isForSameTargets ({ requirements: a }: AdmissionRequest, { requirements: b }: AdmissionRequest): boolean {
-  if (a.service.name !== b.service.name) return false
+  if (a.service.name !== b.service.name || a.allowedRegions?.join() !== b.allowedRegions?.join()) return false
   return a.origin === undefined || b.origin === undefined ? a.origin === b.origin : isSameOrigin(a.origin, b.origin)
 }
 
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -4,6 +4,7 @@
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type AllowedRegions, type RegionMap } from '../places/RegionMap.js'
 import { type Closure, type TargetAvailability } from '../targets/TargetAvailability.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
@@ -21,6 +22,7 @@
   readonly limits: TargetLimits
   readonly coldTargets: ColdTargets
   readonly availability: TargetAvailability
+  readonly regions: RegionMap
   readonly availabilityZone: string
   /**
    * Returns the names of the engines whose total load this instance knows well.
@@ -39,6 +41,8 @@
   readonly service: ServiceProfile
   /** Origin of the stream that the target has to continue; absent when any version of the service may begin it. */
   readonly origin?: StreamOrigin
+  /** Regions in which the target has to be; absent when all are allowed. */
+  readonly allowedRegions?: AllowedRegions
   /** Memory that a generation is expected to need, in tokens; 0 for calls. */
   readonly tokens: number
   /** Prompt tokens that the target has to process before a generation starts. */
@@ -75,9 +79,9 @@
    * @param requirements - Requirements on the target.
    */
   reserveBestTarget (requirements: TargetRequirements): TargetReservation | undefined {
-    const { service, origin, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight } = requirements
-    const { random, table, availability } = this.options
-    const usable = table.listUsable(service.name, origin)
+    const { service, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight } = requirements
+    const { random, availability } = this.options
+    const usable = this.listUsable(service, requirements)
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
@@ -99,30 +103,31 @@
   /**
    * Counts the targets of a service that may receive new requests.
    * @param service - The service.
-   * @param limits - Origin of the stream that the targets have to continue, and names of targets that are not counted.
+   * @param limits - Origin of the stream that the targets have to continue, their regions, and names of targets that are not counted.
    */
-  countUsable (service: ServiceProfile, { origin, excludedTargets }: { readonly origin?: StreamOrigin, readonly excludedTargets?: ReadonlySet<string> } = {}): number {
-    return this.options.table.listUsable(service.name, origin).filter(({ target }) => excludedTargets?.has(target.name) !== true).length
+  countUsable (service: ServiceProfile, limits: Partial<Pick<TargetRequirements, 'origin' | 'allowedRegions' | 'excludedTargets'>> = {}): number {
+    const { excludedTargets } = limits
+    return this.listUsable(service, limits).filter(({ target }) => excludedTargets?.has(target.name) !== true).length
   }
 
   /**
    * Returns whether any target meets the requirements apart from its load, its health and its limit.
    * @param requirements - Requirements on the target.
    */
-  hasSuitableTarget ({ service, origin, excludedTargets }: TargetRequirements): boolean {
-    return this.countUsable(service, { origin, excludedTargets }) > 0
+  hasSuitableTarget (requirements: TargetRequirements): boolean {
+    return this.countUsable(requirements.service, requirements) > 0
   }
 
   /**
    * Returns why nothing may be sent to any target of a service and the time until one opens, which is `Infinity` when this instance
    * leaves all of them to other instances; undefined when a target is open or there is none.
    * @param service - The service.
-   * @param origin - Origin of the stream that the targets have to continue.
+   * @param limits - Origin of the stream that the targets have to continue, and their regions.
    */
-  findClosure (service: ServiceProfile, origin?: StreamOrigin): Closure | undefined {
-    const { table, availability } = this.options
+  findClosure (service: ServiceProfile, limits: Pick<TargetRequirements, 'origin' | 'allowedRegions'> = {}): Closure | undefined {
+    const { availability } = this.options
     let earliest: Closure | undefined
-    for (const { target } of table.listUsable(service.name, origin)) {
+    for (const { target } of this.listUsable(service, limits)) {
       const closure = availability.findClosure(target)
       if (closure === undefined) return undefined
       if (earliest === undefined || closure.waitMs < earliest.waitMs) earliest = closure
@@ -143,6 +148,11 @@
     for (const listener of this.listeners) listener()
   }
 
+  private listUsable ({ name }: ServiceProfile, { origin, allowedRegions }: Pick<TargetRequirements, 'origin' | 'allowedRegions'>): TrackedTarget[] {
+    const { table, regions } = this.options
+    return table.listUsable(name, origin, ({ availabilityZone }) => regions.isAllowed(availabilityZone, allowedRegions))
+  }
+
   private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
     const { clock, loads, health, availability, availabilityZone, coldTargets, pickPreferred, listDeclining } = this.options
     const zone = localZone ?? availabilityZone
--- a/packages/relay/src/requests/RelayContext.ts
+++ b/packages/relay/src/requests/RelayContext.ts
@@ -1,4 +1,5 @@
 import { type RelayConfiguration, type RelayRoute, type ServiceProfile } from '../model/RelayConfiguration.js'
+import { type AllowedRegions } from '../places/RegionMap.js'
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
 import { type AnswerSink } from './AnswerSink.js'
 import { type RelayRequest } from './RelayRequest.js'
@@ -11,6 +12,8 @@
   readonly service: ServiceProfile
   /** Origin of the stream that the caller resumes; absent for a new stream. */
   readonly origin?: StreamOrigin
+  /** Regions in which the request may be served, by its route and its workspace; absent when all are allowed. */
+  readonly allowedRegions?: AllowedRegions
   /** Workspace of the caller; absent where requests carry no keys. */
   readonly workspace?: string
   /** Priority, 0 the highest: that of the workspace if it has one, otherwise that of the route. */
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth'
 import { type KeyHolder, type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
 import { type RouteError, type RouteTable } from '../model/RouteTable.js'
+import { intersectRegions } from '../places/intersectRegions.js'
 import { computeConfirmationEndMs, type ConfirmationLimits } from '../published/ViewConfirmation.js'
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
 import { type AnswerSink } from './AnswerSink.js'
@@ -124,7 +125,8 @@
     const refusalReason = this.findRefusalReason(request, route, service, pauseMs)
     if (refusalReason !== undefined) return this.refuse(request, sink, routes, route, refusalReason)
     const priority = keyHolder?.priority ?? route.priority
-    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, workspace: keyHolder?.workspace, priority })
+    const allowedRegions = intersectRegions(route.allowedRegions, keyHolder?.allowedRegions)
+    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, allowedRegions, workspace: keyHolder?.workspace, priority })
   }
 
   /**
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -3,6 +3,7 @@
 import { type MovableRun, type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
+import { type AllowedRegions } from '../places/RegionMap.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type Attempt, type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
@@ -47,6 +48,7 @@
 
   readonly requestId: string
   readonly service: ServiceProfile
+  readonly allowedRegions?: AllowedRegions
   readonly watch: RunWatch
   /** Names of targets to which the request is not sent again. */
   readonly excludedTargets = new Set<string>()
@@ -75,6 +77,7 @@
   private constructor (private readonly dependencies: RelayDependencies, private readonly context: RelayContext) {
     this.requestId = context.request.id
     this.service = context.service
+    this.allowedRegions = context.allowedRegions
     this.watch = dependencies.crashes.watchRuns(context.request)
     this.origin = context.origin
     this.lastEventId = context.request.lastEventId
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -95,8 +95,8 @@
 }
 
 /** Computes the range from the time at which a target opens to twice that time; undefined when one is open. */
-function computeOpeningRangeMs ({ placer }: RelayDependencies, { service, origin }: RelayContext): readonly [number, number] | undefined {
-  const waitMs = placer.findClosure(service, origin)?.waitMs
+function computeOpeningRangeMs ({ placer }: RelayDependencies, context: RelayContext): readonly [number, number] | undefined {
+  const waitMs = placer.findClosure(context.service, context)?.waitMs
   if (waitMs === undefined) return undefined
   const shortestMs = Number.isFinite(waitMs) ? waitMs : LIMITED_RETRY_AFTER_MS
   return [shortestMs, 2 * shortestMs]
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -83,7 +83,7 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
-    requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
+    requirements: { service, origin, allowedRegions: context.allowedRegions, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
@@ -154,10 +154,11 @@
   refuseRequest(dependencies, context, findUnplacedReason(dependencies, context))
 }
 
-function findUnplacedReason ({ placer, crashes }: RelayDependencies, { service, origin, request }: RelayContext): RefusalReason {
+function findUnplacedReason ({ placer, crashes }: RelayDependencies, context: RelayContext): RefusalReason {
+  const { service, request } = context
   if (crashes.getTrialWaitMs(request) !== undefined) return 'crashesEngines'
-  if (placer.countUsable(service, { origin }) === 0) return 'noTarget'
-  return placer.findClosure(service, origin)?.reason ?? 'overloaded'
+  if (placer.countUsable(service, context) === 0) return 'noTarget'
+  return placer.findClosure(service, context)?.reason ?? 'overloaded'
 }
 
 /** Finishes a stream whose caller has left or whose deadline is reached. */
--- a/packages/relay/src/targets/TargetTable.ts
+++ b/packages/relay/src/targets/TargetTable.ts
@@ -119,9 +119,10 @@
    * Lists the targets of a service that may receive new requests: ready targets, or missing targets when none is ready.
    * @param service - Name of the service.
    * @param origin - Origin of the stream that the targets have to continue; only those of its version are listed.
+   * @param isAllowed - Returns whether a target is among those that may be listed; by default, all are.
    */
-  listUsable (service: string, origin?: StreamOrigin): TrackedTarget[] {
-    const isSuitable = (target: RelayTarget): boolean => target.service === service && (origin === undefined || isSameOrigin(target, origin))
+  listUsable (service: string, origin?: StreamOrigin, isAllowed: (target: RelayTarget) => boolean = () => true): TrackedTarget[] {
+    const isSuitable = (target: RelayTarget): boolean => target.service === service && isAllowed(target) && (origin === undefined || isSameOrigin(target, origin))
     const usable = [...this.tracked.values()].filter(({ target, state }) => isSuitable(target) && (state === 'ready' || state === 'missing'))
     const ready = usable.filter(({ state }) => state === 'ready')
     return ready.length > 0 ? ready : usable
--- a/packages/relay/test/model/RouteTable.test.ts
+++ b/packages/relay/test/model/RouteTable.test.ts
@@ -34,3 +34,15 @@
     expect(RouteTable.create(createConfiguration([])).requiresKey(createRoute({ isPublic: false }))).toBe(false)
   })
 })
+
+describe('findHomeRegions', () => {
+  /** Returns the home regions of a host whose routes have lists of regions. */
+  function doTest (...lists: Array<readonly string[] | undefined>): readonly string[] | undefined {
+    const routes = lists.map((allowedRegions, index) => createRoute({ name: `r${index}`, host: 'a.example', prefix: `/${index}/`, allowedRegions }))
+    return RouteTable.create(createConfiguration(routes)).findHomeRegions('A.example:80')
+  }
+
+  it('finds none of an unknown host', () => expect(doTest()).toBeUndefined())
+  it('finds those of all routes', () => expect(doTest(['r1'], ['r2', 'r1'])).toEqual(['r1', 'r2']))
+  it('finds none when a route allows all regions', () => expect([doTest(['r1'], undefined), doTest(['r1'], [])]).toEqual([undefined, undefined]))
+})
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -21,6 +21,7 @@
 import { type RelayRequest } from '../../src/requests/RelayRequest.js'
 import { type RelayDependencies } from '../../src/requests/RelayDependencies.js'
 import { type RelayTargetClient } from '../../src/targets/RelayTargetClient.js'
+import { RegionMap } from '../../src/places/RegionMap.js'
 import { EvacuatedZones } from '../../src/places/EvacuatedZones.js'
 import { TargetAvailability } from '../../src/targets/TargetAvailability.js'
 import { TargetBackoffs } from '../../src/targets/TargetBackoffs.js'
@@ -62,7 +63,7 @@
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), regions: RegionMap.create({ zones: new Map([['z1', 'r1'], ['z2', 'r1'], ['z3', 'r2']]) }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
