--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -5,8 +5,10 @@
 import { type PublishedItem } from '../published/PublishedItem.js'
 import { checkCallerLimits, type LimitCheckOptions, type LimitVerdict } from '../requests/checkCallerLimits.js'
 import { RelayService } from '../requests/RelayService.js'
+import { type RegionMap } from '../places/RegionMap.js'
 import { createRelayComponents, type RelayComponents } from './createRelayComponents.js'
 import { type RelayInstanceOptions } from './RelayInstanceOptions.js'
+import { type InstancePlace } from './RelayPeers.js'
 
 /** Lifecycle phase of an instance. */
 export type RelayPhase = 'starting' | 'ready' | 'draining' | 'stopped'
@@ -98,9 +100,13 @@
   /**
    * Lists the addresses that a caller in an availability zone should use; prefers instances in the same zone when there are enough.
    * @param availabilityZone - Availability zone of the caller.
+   * @param host - Host that the caller will call; where all its routes have home regions, only instances there or in the caller's region are listed.
    */
-  listAddresses (availabilityZone: string): string[] {
-    return this.components.peers.listCallerAddresses(availabilityZone, this.isReady())
+  listAddresses (availabilityZone: string, host = ''): string[] {
+    const homeRegions = this.routes?.findHomeRegions(host)
+    const { peers, regions } = this.components
+    const mayList = homeRegions === undefined ? undefined : createRegionFilter(regions, [...homeRegions, regions.findRegion(availabilityZone)])
+    return peers.listCallerAddresses(availabilityZone, this.isReady(), mayList)
   }
 
   /**
@@ -167,19 +173,22 @@
     if (decoded.kind === 'configuration') this.applyConfiguration(decoded.configuration, item)
     else if (decoded.kind === 'target') this.applyTarget(decoded.target, item)
     else if (decoded.kind === 'targetRemoved' || decoded.kind === 'targetUnreadable') dependencies.table.handleRemoval(decoded.name)
-    if (decoded.kind === 'targetUnreadable' || decoded.kind === 'refused') log.recordStateChange('published key refused', { key: item.key, era: item.era, revision: item.revision, problem: decoded.problem })
+    else if (decoded.kind === 'evacuation') this.components.evacuatedZones.setZone(decoded.availabilityZone, decoded.isActive)
+    if ('problem' in decoded && decoded.problem !== undefined) log.recordStateChange('published key refused', { key: item.key, era: item.era, revision: item.revision, problem: decoded.problem })
   }
 
   private applyTarget (target: RelayTarget, { era, revision }: PublishedItem): void {
     const { log, dependencies } = this.components
     const isUsed = dependencies.table.updateTarget(target)
-    if (!isUsed) log.recordStateChange('older target entry ignored', { target: target.name, phase: target.phase, sequence: target.sequence, era, revision })
+    if (isUsed) this.components.coldTargets.recordEntry(target)
+    else log.recordStateChange('older target entry ignored', { target: target.name, phase: target.phase, sequence: target.sequence, era, revision })
   }
 
   private applyConfiguration (configuration: RouteTable['configuration'], item: PublishedItem): void {
     const previousVersion = this.routes?.configuration.version
     if (previousVersion !== undefined && configuration.version <= previousVersion) return
     this.routes = RouteTable.create(configuration)
+    this.components.coldTargets.setServices(configuration.services)
     this.components.log.recordStateChange('configuration in force', { before: previousVersion, version: configuration.version, era: item.era, revision: item.revision, routes: configuration.routes.length })
   }
 
@@ -192,3 +201,11 @@
     }
   }
 }
+
+/** Creates a filter of instances in some regions. The region that an instance states goes before that of its zone. */
+function createRegionFilter (regions: RegionMap, allowed: ReadonlyArray<string | undefined>): (instance: InstancePlace) => boolean {
+  return ({ region, availabilityZone }) => {
+    const stated = region === undefined || region === '' ? regions.findRegion(availabilityZone) : region
+    return stated !== undefined && allowed.includes(stated)
+  }
+}
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -12,6 +12,8 @@
   unknownOrigin: 503,
   limited: 503,
   backoff: 503,
+  evacuated: 503,
+  warming: 503,
   crashesEngines: 503,
   overloaded: 503,
   stopping: 503,
@@ -29,6 +31,8 @@
   unknownOrigin: [200, 600],
   limited: [50, 200],
   backoff: [50, 200],
+  evacuated: [300, 900],
+  warming: [50, 200],
   crashesEngines: [2000, 4000],
   overloaded: [500, 2500],
   stopping: [50, 200],
@@ -37,7 +41,7 @@
 }
 
 /** Reasons for which a caller is told to return when a target opens, if all targets of its service are closed. */
-const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'notExecuted'])
+const CLOSURE_REASONS: ReadonlySet<RefusalReason> = new Set(['limited', 'backoff', 'evacuated', 'warming', 'notExecuted'])
 
 /** Delay for a caller refused because of a limit when this instance leaves the targets to other instances, in milliseconds. */
 const LIMITED_RETRY_AFTER_MS = 1000
@@ -91,8 +95,8 @@
 }
 
 /** Computes the range from the time at which a target opens to twice that time; undefined when one is open. */
-function computeOpeningRangeMs ({ placer }: RelayDependencies, { service, origin }: RelayContext): readonly [number, number] | undefined {
-  const waitMs = placer.findClosure(service, origin)?.waitMs
+function computeOpeningRangeMs ({ placer }: RelayDependencies, context: RelayContext): readonly [number, number] | undefined {
+  const waitMs = placer.findClosure(context.service, context)?.waitMs
   if (waitMs === undefined) return undefined
   const shortestMs = Number.isFinite(waitMs) ? waitMs : LIMITED_RETRY_AFTER_MS
   return [shortestMs, 2 * shortestMs]
