Probe more members while probes fail, so that many that ended are found in time

An answer with addresses must not name instances that ended more than 7 s before. In virtual time, 60 instances kept that when 30 of them ended at once, but named 8 of 45 and 55 of 57 ended ones too late: each instance probes one neighbor in 500 ms. A round now probes up to four members for each one that the round before did not reach, at most 32; without failures, it probes one as before.

--- a/packages/peers/src/membership/Membership.ts
+++ b/packages/peers/src/membership/Membership.ts
@@ -10,6 +10,13 @@
 import { Prober } from './Prober.js'
 import { recordMemberChange } from './recordMemberChange.js'
 
+/**
+ * Number of members that are probed in a round for each one that was not reached in the round before, and maximum number of members that
+ * are probed in a round. When many instances end at once, probes of one neighbor at a time find the last ones only after many rounds.
+ */
+const PROBES_PER_FAILURE = 4
+const MAX_PROBES = 32
+
 /** Called on each state change or restart of a member. */
 export type MemberListener = (change: MemberChange) => void
 
@@ -44,6 +51,8 @@
   private neighbors: ReadonlySet<string> | undefined
   private lastSyncAtMs = -Infinity
   private lastSearchAtMs = -Infinity
+  /** Number of members that the last round did not reach. */
+  private failedProbes = 0
 
   /** @internal */
   private constructor (private readonly options: MembershipOptions) {
@@ -179,12 +188,24 @@
     const next = this.probeOrder.takeNext(name => neighbors.has(name), () => [...neighbors])
     const probeCandidates = next === undefined || suspects.includes(next) ? [] : [next]
     await Promise.all([
-      ...probeCandidates.map(async name => { await this.prober.probeMember(name) }),
+      this.probeMembers([...probeCandidates, ...this.pickFurtherMembers(probeCandidates)]),
       ...[...suspects, ...this.pickAbsentInstances()].map(async name => { await this.prober.sendPing(name) }),
       this.syncMembers()
     ])
   }
 
+  private async probeMembers (names: readonly string[]): Promise<void> {
+    const outcomes = await Promise.all(names.map(async name => await this.prober.probeMember(name)))
+    this.failedProbes = outcomes.filter(isReached => !isReached).length
+  }
+
+  /** Picks members to probe beside a neighbor while probes fail. */
+  private pickFurtherMembers (probed: readonly string[]): string[] {
+    const count = Math.min(MAX_PROBES, this.failedProbes * PROBES_PER_FAILURE) - probed.length
+    const others = this.table.listNames(['alive']).filter(name => !probed.includes(name))
+    return count > 0 ? pickSample(this.options.random, others, count) : []
+  }
+
   /** Returns the members that this instance probes. */
   private getNeighbors (): ReadonlySet<string> {
     this.neighbors ??= new Set(pickNeighbors(this.options.instance, this.table.listNames(['alive', 'leaving', 'suspect'])))
--- a/packages/peers/src/membership/Prober.ts
+++ b/packages/peers/src/membership/Prober.ts
@@ -55,13 +55,15 @@
    * Probes a member directly. If it does not answer, requests other members to probe it. If they do not reach it
    * either, marks it as suspect, or as dead if it was leaving.
    * @param instance - Name of the member.
+   * @returns Whether it was reached.
    */
-  async probeMember (instance: string): Promise<void> {
+  async probeMember (instance: string): Promise<boolean> {
     const { clock } = this.options.membership
     const startedAtMs = clock.nowMs()
-    if (await this.sendPing(instance)) return
-    if (await this.sendIndirectPings(instance)) return
+    if (await this.sendPing(instance)) return true
+    if (await this.sendIndirectPings(instance)) return true
     this.handleProbeFailure(instance, clock.nowMs() - startedAtMs)
+    return false
   }
 
   private async sendIndirectPings (instance: string): Promise<boolean> {
