--- a/packages/relay/src/instance/InstanceCensus.ts
+++ b/packages/relay/src/instance/InstanceCensus.ts
@@ -38,6 +38,8 @@
   private readonly present = new Set<string>()
   /** Clock readings at which instances were lost, by name. */
   private readonly lost = new Map<string, number>()
+  /** Names of the instances that may be running, and ranks of this one by key; both are asked for with each request to a cold target. */
+  private names: readonly string[] | undefined
   private readonly ranks = new Map<string, number>()
   private grownAtMs: number
   private hasSettled = false
@@ -62,11 +64,12 @@
     this.lost.delete(name)
     if (state === 'present') this.present.add(name)
     if (state === 'lost') this.lost.set(name, clock.nowMs())
-    this.ranks.clear()
+    this.refresh()
   }
 
-  /** Takes changed seeds into account. */
+  /** Takes changed names into account, also those of the seeds. */
   refresh (): void {
+    this.names = undefined
     this.ranks.clear()
   }
 
@@ -116,8 +119,9 @@
   }
 
   /** Lists the instances that may be running, among them seeds that were never reached. */
-  private listNames (): string[] {
-    return [...new Set([this.options.instance, ...this.present, ...this.lost.keys(), ...this.options.listSeeds()])]
+  private listNames (): readonly string[] {
+    this.names ??= [...new Set([this.options.instance, ...this.present, ...this.lost.keys(), ...this.options.listSeeds()])]
+    return this.names
   }
 
   private prune (): void {
@@ -125,7 +129,7 @@
     for (const [name, lostAtMs] of this.lost) {
       if (nowMs - lostAtMs < LOST_RETENTION_MS) continue
       this.lost.delete(name)
-      this.ranks.clear()
+      this.refresh()
     }
   }
 }
--- a/packages/relay/src/limits/ColdTargets.ts
+++ b/packages/relay/src/limits/ColdTargets.ts
@@ -134,8 +134,9 @@
 
   /** Lists cold targets whose answers told of it for a message to a peer. */
   listNews (): ColdTargetNews[] {
-    if (!this.hasRates()) return []
     const nowMs = this.options.clock.nowMs()
+    for (const [name, { endsAtMs }] of this.records) if (nowMs - endsAtMs >= RETENTION_MS) this.records.delete(name)
+    if (!this.hasRates()) return []
     return [...this.records]
       .filter(([, { isFromAnswer, endsAtMs }]) => isFromAnswer && endsAtMs > nowMs)
       .sort(([, a], [, b]) => b.endsAtMs - a.endsAtMs)
@@ -169,7 +170,6 @@
     const isLogged = record.endsAtMs - Math.max(nowMs, knownEndMs) >= LOGGED_EXTENSION_MS
     if (isLogged) log.recordStateChange('target cold', { target: name, remainingMs: Math.round(record.endsAtMs - nowMs), source, ...getFleet(name) })
     this.records.set(name, record)
-    for (const [other, { endsAtMs }] of this.records) if (nowMs - endsAtMs >= RETENTION_MS) this.records.delete(other)
   }
 
   /** Returns the shortest interval between two requests of this instance to a target; undefined when it is not cold or has no bound. */
