Let a moved run use up a turn at a cold engine when it goes on there

The turn of its destination is taken when its copy begins, and the request follows up to some seconds later. It now uses up a turn at that moment as well.

Tested: packages/relay/test/limits/coldRequests.test.ts passes.

--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -133,6 +133,7 @@
     table,
     health,
     limits,
+    coldTargets,
     placer,
     generationTimes: GenerationTimeEstimator.create(),
     admissionQueue: AdmissionQueue.create({ clock, placer }),
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Random } from '@fescuespoke/common'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type CrashGuard } from '../crashes/CrashGuard.js'
+import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
@@ -21,6 +22,7 @@
   readonly table: TargetTable
   readonly health: TargetHealth
   readonly limits: TargetLimits
+  readonly coldTargets: ColdTargets
   readonly placer: RelayPlacer
   readonly generationTimes: GenerationTimeEstimator
   readonly admissionQueue: AdmissionQueue
--- a/packages/relay/test/limits/coldRequests.test.ts
+++ b/packages/relay/test/limits/coldRequests.test.ts
@@ -1,4 +1,5 @@
 import { SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
 import { type ColdFleet } from '../../src/limits/computeColdInterval.js'
 import { createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
@@ -84,6 +85,27 @@
   })
 })
 
+describe('runs that move to a cold engine', () => {
+  it('use up a turn again when they go on there', async () => {
+    const dependencies = createTestDependencies()
+    const { clock, client, table, coldTargets, evacuatedZones } = dependencies
+    setRates(dependencies, 0.1)
+    const [source, destination] = [createTarget('a', { service: 'engines' }), createTarget('b', { service: 'engines', availabilityZone: 'z2', slowStartRemainingMs: 60_000 })]
+    for (const target of [source, destination]) table.updateTarget(target)
+    coldTargets.recordEntry(destination)
+    client.scripts.set('a', [{ steps: ['id: 1\ndata: d\n\n', 3000, 'END'] }])
+    client.scripts.set('b', [good])
+    client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 })
+    // The evacuation keeps the request from the cold engine at first, whatever the random part of the choice is.
+    evacuatedZones.setZone('z2', true)
+    clock.startTimer(100, () => evacuatedZones.setZone('z2', false))
+    clock.startTimer(200, () => table.updateTarget({ ...source, phase: 'leaving' }))
+    const { targets } = await runRequest(dependencies, 'stream')
+    // Turns are 10 s apart: one was taken with the destination, and the run took the next one.
+    expect([targets, coldTargets.getWaitMs(destination) > 10_000 - 200]).toEqual([['a', 'b'], true])
+  })
+})
+
 describe('targets that come back cold to 58 instances', () => {
   const INSTANCES = 58
   const COLD_PER_SECOND = 31
