Learn the speed of each target and place by it

Cause: engines of half speed got as many runs as the others, whose gaps and times to the first event are half as long. Change: TargetSpeeds observes the gaps of streams and the answer times of calls relative to the other targets of the service at comparable load. Instances of a group exchange them in an optional field of loadNews. The choice, the bound on concurrent runs, the shares of groups and the expected durations follow the speed. A speed is 1 unless it is known to differ by a factor of more than 1.25.

--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -162,6 +162,12 @@
     help: 'Times that parts of prompts were blamed for crashes of engines.',
     labels: []
   },
+  judgedSpeeds: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_judged_target_speeds_total',
+    help: 'Times that a target began to count as slower or faster than others, or as ordinary again, by kind.',
+    labels: ['kind']
+  },
   droppedLines: {
     kind: 'counter',
     exposedName: 'fescuespoke_dropped_log_lines_total',
--- a/packages/relay/src/calls/CallAttempt.ts
+++ b/packages/relay/src/calls/CallAttempt.ts
@@ -9,6 +9,8 @@
   readonly abortController: AbortController
   /** Resolves with the answer once it is complete or the buffer is full. */
   readonly answered: Promise<AnsweredAttempt>
+  /** Records the time of a complete answer. */
+  readonly recordAnswer: () => void
 }
 
 /** An attempt and its answer. */
--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,3 +1,4 @@
+import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
 import { type AnsweredAttempt, type CallAttempt, closeCallAttempt } from './CallAttempt.js'
@@ -43,6 +44,7 @@
   const { context, dependencies } = run
   const answerClass = classifyCallAnswer(answer)
   run.runningAttempts.delete(callAttempt)
+  if (answerClass === 'good' && isWholeSuccess(answer) && context.service.engine === undefined) callAttempt.recordAnswer()
   dependencies.health.recordOutcome(callAttempt.reservation.target.name, ATTEMPT_OUTCOMES[answerClass])
   dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(callAttempt, answer, answerClass))
   try {
@@ -52,6 +54,11 @@
   }
 }
 
+/** Returns whether the time of an answer tells the speed of its target; refusals are quick, and large answers depend on links. */
+function isWholeSuccess (answer: CallAnswer): boolean {
+  return answer.kind === 'answer' && answer.isComplete && answer.head.status < MIN_NON_SUCCESS_STATUS
+}
+
 /** Returns whether another attempt may follow a failed answer; the next iteration of the call's loop starts it. */
 function canStartAnother (run: CallRun): boolean {
   const { context, dependencies, excludedTargets } = run
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -42,10 +42,11 @@
   run.excludedTargets.add(reservation.target.name)
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   run.sentAttempts++
+  const recordAnswer = dependencies.speeds.startCall(reservation.target)
   const attempt = sendRequest(run, reservation, abortController.signal)
   recordSent(run, reservation)
   const answered = readCallAnswer(attempt).then(answer => ({ callAttempt, answer }))
-  const callAttempt: CallAttempt = { reservation, attempt, abortController, answered }
+  const callAttempt: CallAttempt = { reservation, attempt, abortController, answered, recordAnswer }
   run.runningAttempts.add(callAttempt)
 }
 
@@ -61,6 +62,6 @@
 
 function recordSent ({ context, dependencies, sentAttempts }: CallRun, { target, score }: TargetReservation): void {
   dependencies.log.recordDecision(context.request.id, 'sent', {
-    route: context.route.name, target: target.name, softwareVersion: target.softwareVersion, score, attempt: sentAttempts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: context.route.name, target: target.name, softwareVersion: target.softwareVersion, score, speed: dependencies.speeds.getSpeed(target), attempt: sentAttempts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
   })
 }
--- a/packages/relay/src/instance/computeGroup.ts
+++ b/packages/relay/src/instance/computeGroup.ts
@@ -1,3 +1,4 @@
+import { sumValues } from '@fescuespoke/common'
 import { type RelayTarget } from '../model/RelayTarget.js'
 
 /** Instances that exchange their loads, and the index of their group in its availability zone. */
@@ -16,6 +17,12 @@
   readonly availabilityZone: string
 }
 
+/** A target in the share of a group. */
+interface SharedTarget {
+  readonly name: string
+  readonly speed: number
+}
+
 /** Maximum number of instances in a group; a fleet up to this size forms a single group. */
 export const MAX_GROUP_SIZE = 12
 
@@ -37,13 +44,41 @@
 }
 
 /**
- * Picks the targets that a group prefers: all targets when there is a single group, otherwise an equal share of those in its zone.
+ * Picks the targets that a group prefers: all targets when there is a single group, otherwise a share of those in its zone. Shares are
+ * equal by the sum of speeds. Few targets change their group when a speed changes, since other groups may not know of it.
  * @param group - The group.
  * @param availabilityZone - Availability zone of the group.
  * @param targets - The targets of a service.
+ * @param getSpeed - Returns the relative speed of a target; by default all are equal.
  */
-export function pickGroupTargets ({ index, count }: InstanceGroup, availabilityZone: string, targets: readonly RelayTarget[]): ReadonlySet<string> {
+export function pickGroupTargets ({ index, count }: InstanceGroup, availabilityZone: string, targets: readonly RelayTarget[], getSpeed: (target: RelayTarget) => number = () => 1): ReadonlySet<string> {
   if (count === 1) return new Set(targets.map(({ name }) => name))
-  const localNames = targets.filter(target => target.availabilityZone === availabilityZone).map(({ name }) => name).sort()
-  return new Set(localNames.filter((_, position) => position % count === index))
+  const local = targets.filter(target => target.availabilityZone === availabilityZone).sort((a, b) => a.name < b.name ? -1 : 1)
+  const shares: SharedTarget[][] = Array.from({ length: count }, () => [])
+  for (const [position, target] of local.entries()) shares[position % count]!.push({ name: target.name, speed: getSpeed(target) })
+  if (shares.flat().some(({ speed }) => speed !== 1)) balanceShares(shares)
+  return new Set(shares[index]!.map(({ name }) => name))
+}
+
+/** Moves single targets from the group with the most speed to the one with the least, as long as this brings them nearer to each other. */
+function balanceShares (shares: SharedTarget[][]): void {
+  for (let moves = shares.flat().length; moves > 0; moves--) {
+    const sorted = [...shares].sort((a, b) => sumSpeeds(a) - sumSpeeds(b))
+    const [least, most] = [sorted[0]!, sorted.at(-1)!]
+    const moved = pickMoved(most, sumSpeeds(most) - sumSpeeds(least))
+    if (moved === undefined) return
+    most.splice(most.indexOf(moved), 1)
+    least.push(moved)
+  }
+}
+
+/** Picks the target whose move leaves the smallest difference; undefined when any move leaves a difference as large as before. */
+function pickMoved (share: readonly SharedTarget[], difference: number): SharedTarget | undefined {
+  const computeRest = ({ speed }: SharedTarget): number => Math.abs(difference - 2 * speed)
+  const useful = share.filter(({ speed }) => speed < difference)
+  return useful.reduce<SharedTarget | undefined>((best, target) => best === undefined || computeRest(target) < computeRest(best) ? target : best, undefined)
+}
+
+function sumSpeeds (share: readonly SharedTarget[]): number {
+  return sumValues(share, ({ speed }) => speed)
 }
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -19,6 +19,7 @@
 import { type VersionHistory } from '../versions/VersionHistory.js'
 import { type PublishedView } from '../published/PublishedView.js'
 import { type RelayDependencies } from '../requests/RelayDependencies.js'
+import { TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { TargetAvailability } from '../targets/TargetAvailability.js'
 import { TargetBackoffs } from '../targets/TargetBackoffs.js'
 import { TargetGateway } from '../targets/TargetGateway.js'
@@ -55,6 +56,7 @@
   readonly log: DecisionLog
   readonly loads: TargetLoads
   readonly limits: TargetLimits
+  readonly speeds: TargetSpeeds
   readonly evidence: CrashEvidence
   readonly backoffs: TargetBackoffs
   readonly gateway: TargetGateway
@@ -71,7 +73,9 @@
   const limits = TargetLimits.create({ clock, log, countInstances: () => viewComponents.peers.estimateFleetSize(), getRank: target => viewComponents.peers.getRank(target) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evidence = CrashEvidence.create({ clock, log })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, gateway: TargetGateway.create({ client, backoffs }) }
+  const loads = TargetLoads.create(clock)
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
+  const shared: SharedComponents = { options, metrics, log, loads, limits, speeds, evidence, backoffs, gateway: TargetGateway.create({ client, backoffs }) }
   const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
   evidence.addListener(() => viewComponents.peers.pushNews())
@@ -87,7 +91,7 @@
 }
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
-  const { options, metrics, log, loads, limits, backoffs, gateway } = shared
+  const { options, metrics, log, loads, limits, speeds, backoffs, gateway } = shared
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
@@ -100,7 +104,8 @@
     limits,
     availability: TargetAvailability.create({ backoffs, limits, health }),
     availabilityZone: identity.availabilityZone,
-    pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
+    speeds,
+    pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets, target => speeds.getSpeed(target)),
     listDeclining: service => viewComponents.history.listDeclining(service)
   })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => viewComponents.peers.estimateFleetSize() })
@@ -118,6 +123,7 @@
     limits,
     placer,
     generationTimes: GenerationTimeEstimator.create(),
+    speeds,
     admissionQueue: AdmissionQueue.create({ clock, placer }),
     budget,
     crashes: createCrashGuard(shared, viewComponents, table),
@@ -145,11 +151,12 @@
   return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers() })
 }
 
-function createLoadExchange ({ options: { clock }, loads }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
+function createLoadExchange ({ options: { clock }, loads, speeds }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
   return LoadExchange.create({
     clock,
     transport: peers.transport,
     loads,
+    speeds,
     listPeers: () => peers.listGroupPeers(),
     getSummary: () => view.getSummary(),
     handlePeerSummary: (peer, summary) => exchange.handlePeerSummary(peer, summary),
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,6 +1,7 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
-import { type TargetWork } from '@fescuespoke/schema'
+import { type TargetSpeedNews, type TargetWork } from '@fescuespoke/schema'
 import { comparePositions, formatSummary, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
+import { type SpeedNews, type TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
 /** Availability of the store as seen by an instance. */
@@ -16,6 +17,8 @@
   readonly clock: Clock
   readonly transport: PeerTransport
   readonly loads: TargetLoads
+  /** Speeds of targets, which peers tell one another with the loads. */
+  readonly speeds?: TargetSpeeds
   /** Lists the peers that receive loads. */
   readonly listPeers: () => readonly string[]
   /** Returns what this instance has of the published keys. */
@@ -45,9 +48,14 @@
 /** Interval at which unchanged loads are sent, in milliseconds. */
 const REFRESH_INTERVAL_MS = 1000
 
+/** Minimum interval between two messages with speeds, which change slowly, in milliseconds. */
+const SPEEDS_INTERVAL_MS = 1000
+
 /** Maximum number of peers to which loads are sent at a time. */
 const MAX_PEERS_PER_SEND = 10
 
+const NO_LOAD: TargetLoad = { running: 0, tokens: 0 }
+
 /** Maximum time to wait for the answer of a peer, in milliseconds. */
 export const LOADS_ANSWER_TIMEOUT_MS = 1000
 
@@ -63,6 +71,7 @@
 
   private readonly stopController = new AbortController()
   private lastSentAtMs = -Infinity
+  private lastSpeedsSentAtMs = -Infinity
   private lastSentSummary: PublishedSummary = { ...START_POSITION, version: 0 }
   private isSendScheduled = false
   private firstPeerIndex = 0
@@ -72,6 +81,7 @@
     options.transport.setHandler('loadNews', ({ entries, viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
       if (answerAgeMs !== undefined) options.handlePeerStoreStatus?.({ answerAgeMs, timeSinceOutageMs })
       options.loads.updatePeer(from, new Map(entries.map(entry => [entry.target, parseLoad(entry)])))
+      options.speeds?.mergeNews(from, new Map(entries.flatMap(({ target, speed }) => speed === undefined ? [] : [[target, speed]])))
       options.handlePeerSummary(from, parseSummary(summary))
       options.onPeerLoad()
       return { type: 'loadNewsAnswer', ...formatSummary(options.getSummary()) }
@@ -118,12 +128,29 @@
     return Array.from({ length: MAX_PEERS_PER_SEND }, (_, index) => peers[(this.firstPeerIndex + index) % peers.length]!)
   }
 
+  /** Creates the entries of a message; one without load tells the speed of a target at which this instance has no requests. */
+  private createEntries (): TargetWork[] {
+    const { loads } = this.options
+    const news = this.takeSpeeds()
+    const ownLoads = loads.listOwnLoads()
+    const unused = [...news.keys()].filter(target => !ownLoads.has(target)).map(target => [target, NO_LOAD] as const)
+    return [...ownLoads, ...unused].map(([target, load]) => formatLoad(target, load, news.get(target)))
+  }
+
+  /** Returns the speeds for the next message; few messages have some, which bounds their bytes. */
+  private takeSpeeds (): SpeedNews {
+    const { clock, speeds } = this.options
+    if (speeds === undefined || clock.nowMs() - this.lastSpeedsSentAtMs < SPEEDS_INTERVAL_MS) return new Map()
+    const news = speeds.listNews()
+    if (news.size > 0) this.lastSpeedsSentAtMs = clock.nowMs()
+    return news
+  }
+
   private sendToPeers (): void {
-    const { clock, transport, loads, getSummary, getStoreStatus, handlePeerSummary } = this.options
+    const { clock, transport, getSummary, getStoreStatus, handlePeerSummary } = this.options
     this.lastSentAtMs = clock.nowMs()
     this.lastSentSummary = getSummary()
-    const entries = [...loads.listOwnLoads()].map(([target, load]) => formatLoad(target, load))
-    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries, ...formatStoreStatus(getStoreStatus?.()) }
+    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries: this.createEntries(), ...formatStoreStatus(getStoreStatus?.()) }
     for (const peer of this.selectPeers()) {
       transport.request<'loadNewsAnswer'>(peer, message, LOADS_ANSWER_TIMEOUT_MS).then(answer => {
         if (answer.isOk) handlePeerSummary(peer, parseSummary(answer.value))
@@ -138,8 +165,9 @@
   return { viewAgeMs: Math.round(status.answerAgeMs), storeCalmMs: Number.isFinite(status.timeSinceOutageMs) ? Math.round(status.timeSinceOutageMs) : undefined }
 }
 
-function formatLoad (target: string, { running, tokens, heldTokens = 0, pendingPrefillTokens = 0 }: TargetLoad): TargetWork {
-  return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(heldTokens), unreadTokens: roundTokens(pendingPrefillTokens) }
+/** Formats an entry; members of an earlier release refuse a message with a speed, so it is absent where there is nothing to tell. */
+function formatLoad (target: string, { running, tokens, heldTokens = 0, pendingPrefillTokens = 0 }: TargetLoad, speed: TargetSpeedNews | undefined): TargetWork {
+  return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(heldTokens), unreadTokens: roundTokens(pendingPrefillTokens), ...(speed === undefined ? {} : { speed }) }
 }
 
 function parseLoad ({ running, tokens, heldTokens, unreadTokens }: TargetWork): TargetLoad {
--- a/packages/relay/src/logs/RelayMetrics.ts
+++ b/packages/relay/src/logs/RelayMetrics.ts
@@ -57,6 +57,14 @@
     this.registry.getCounter('blamedParts', {}).add()
   }
 
+  /**
+   * Counts a target whose speed was judged anew.
+   * @param kind - What it counts as now.
+   */
+  countSpeedChange (kind: 'slower' | 'faster' | 'ordinary'): void {
+    this.registry.getCounter('judgedSpeeds', { kind }).add()
+  }
+
   /** Counts a dropped log line. */
   countDroppedLine (): void {
     this.registry.getCounter('droppedLines', {}).add()
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -3,6 +3,7 @@
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { type Closure, type TargetAvailability } from '../targets/TargetAvailability.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
@@ -20,6 +21,8 @@
   readonly limits: TargetLimits
   readonly availability: TargetAvailability
   readonly availabilityZone: string
+  /** Speeds of targets; without them all targets have the same speed. */
+  readonly speeds?: TargetSpeeds
   /**
    * Returns the names of the engines whose total load this instance knows well.
    * @param targets - All usable engines of a service.
@@ -51,6 +54,8 @@
   readonly isLocalOnly?: boolean
   /** Score penalty of a target outside the local zone; 1 corresponds to a fully used target. */
   readonly remoteZoneWeight?: number
+  /** Longest acceptable gap between two events of a generation, in milliseconds; a slow engine takes only as many as keep it. */
+  readonly maxGapMs?: number
 }
 
 /** Selects targets by their known total load and tracks reservations. */
@@ -78,7 +83,7 @@
     const usable = table.listUsable(service.name, origin)
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
-    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
+    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, prefillTokens: requirements.pendingPrefillTokens })
     return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
   }
 
@@ -140,8 +145,8 @@
     for (const listener of this.listeners) listener()
   }
 
-  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
-    const { clock, loads, health, availability, availabilityZone, pickPreferred, listDeclining } = this.options
+  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service, maxGapMs }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
+    const { clock, loads, health, availability, availabilityZone, speeds, pickPreferred, listDeclining } = this.options
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
     const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
@@ -153,6 +158,8 @@
       isUnreachable: availability.isUnreachable(tracked.target),
       isInSlowStart: clock.nowMs() < tracked.slowStartEndMs,
       isLocal: isLocal(tracked),
+      speed: speeds?.getSpeed(tracked.target),
+      maxRunning: maxGapMs === undefined ? undefined : speeds?.getMaxRunning(tracked.target, maxGapMs),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
       isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target))
     })
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -17,6 +17,10 @@
   readonly isPreferred?: boolean
   /** Whether its software version loses targets while another one gains some. */
   readonly isDeclining?: boolean
+  /** Speed relative to the other targets of its service; 1 by default. */
+  readonly speed?: number
+  /** Number of running requests up to which a slow engine keeps the acceptable gap between two events. */
+  readonly maxRunning?: number
 }
 
 /** Selected target and its score; lower scores are better. */
@@ -52,14 +56,15 @@
 const USABLE_MEMORY_SHARE = 0.92
 
 /**
- * Picks the least used target of a plain service; prefers local targets and targets with few failures.
+ * Picks the target of a plain service that is expected to answer first; prefers local targets and targets with few failures. At equal
+ * speeds, this is the least used one.
  * @param candidates - Targets that may be selected.
  * @param random - Randomizes the choice between similar targets, so that instances do not all pick the same one.
  */
 export function pickCallTarget (candidates: readonly TargetCandidate[], random: Random): TargetChoice | undefined {
   return pickLowestScore(candidates, candidate => {
     const slots = candidate.tracked.target.slots > 0 ? candidate.tracked.target.slots : DEFAULT_SLOTS
-    return candidate.load.running / slots + (candidate.isLocal ? 0 : REMOTE_CALL_WEIGHT) + computePenalty(candidate, random)
+    return ((candidate.load.running + 1) / (candidate.speed ?? 1) - 1) / slots + (candidate.isLocal ? 0 : REMOTE_CALL_WEIGHT) + computePenalty(candidate, random)
   })
 }
 
@@ -74,23 +79,28 @@
   readonly remoteZoneWeight?: number
   /** Whether the generation waits for the prefill of earlier prompts; a generation that continues from a copy does not. */
   readonly mustWaitForPrefill?: boolean
+  /** Prompt tokens of the generation that the engine has to process, which a slow engine does later. */
+  readonly prefillTokens?: number
   /** Memory that the generation holds already; if given, the memory in use now decides whether an engine has room, not the memory expected later. */
   readonly heldTokens?: number
 }
 
 /**
- * Picks the engine with the smallest batch and memory use among those with a free slot and enough memory for a generation.
+ * Picks the engine with the smallest expected time to the first event and between events, by its speed, batch, memory use and pending
+ * prompts, among those with a free slot and enough memory for a generation.
  * @param candidates - Engines that may be selected.
  * @param requirements - Requirements on the engine.
  */
-export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true }: EngineRequirements): TargetChoice | undefined {
+export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0 }: EngineRequirements): TargetChoice | undefined {
   const hasRoom = (load: TargetLoad): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
-  const available = candidates.filter(({ load, isUnreachable }) => !isUnreachable && hasRoom(load))
+  const available = candidates.filter(({ load, isUnreachable, maxRunning = Infinity }) => !isUnreachable && hasRoom(load) && load.running < maxRunning)
   return pickLowestScore(available, candidate => {
     const batch = candidate.load.running / profile.slots
     const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
     const backlog = mustWaitForPrefill ? (candidate.load.pendingPrefillTokens ?? 0) / PREFILL_SCALE_TOKENS : 0
-    return batch + MEMORY_WEIGHT * memory + backlog + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
+    const { speed = 1 } = candidate
+    const ownPrefill = (1 / speed - 1) * prefillTokens / PREFILL_SCALE_TOKENS
+    return (batch + MEMORY_WEIGHT * memory + backlog) / speed + ownPrefill + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
   })
 }
 
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -8,6 +8,7 @@
 import { type GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { type RelayPlacer } from '../placement/RelayPlacer.js'
 import { type AdmissionQueue } from '../placement/AdmissionQueue.js'
+import { type TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { type TargetGateway } from '../targets/TargetGateway.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
 import { type TargetTable } from '../targets/TargetTable.js'
@@ -23,6 +24,7 @@
   readonly limits: TargetLimits
   readonly placer: RelayPlacer
   readonly generationTimes: GenerationTimeEstimator
+  readonly speeds: TargetSpeeds
   readonly admissionQueue: AdmissionQueue
   readonly budget: AttemptBudget
   readonly crashes: CrashGuard
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -5,6 +5,7 @@
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type StreamGaps } from '../speeds/StreamGaps.js'
 import { type Attempt, type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { createStreamOrigin, type StreamOrigin } from '../versions/StreamOrigin.js'
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
@@ -69,6 +70,8 @@
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
+  /** Gaps between the events of the current attempt; undefined for a service without engines. */
+  private gaps: StreamGaps | undefined
   private notifyWaiter: (() => void) | undefined
 
   /** @internal */
@@ -166,6 +169,7 @@
   startReading (): void {
     this.splitter = EventSplitter.create()
     this.wasAskedToStop = false
+    this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
   }
 
@@ -181,9 +185,11 @@
     if (events.length === 0) return result
     if (!followsEvent(events[0]!, this.lastEventId)) return 'unusable'
     if (this.eventCount === 0) this.recordOrigin(createStreamOrigin(this.currentAttempt!.reservation.target))
+    this.gaps?.recordArrival(events.length)
     this.writeHead(head)
     await writeToCaller(this.context, events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes)))
     this.countEvents(events)
+    this.gaps?.recordWritten()
     return result
   }
 
@@ -262,10 +268,16 @@
     }
   }
 
+  private startGaps (): StreamGaps | undefined {
+    const target = this.getTarget()
+    return this.service.engine === undefined || target === undefined ? undefined : this.dependencies.speeds.startStream(target, this.requestId)
+  }
+
   private recordGenerationTime (): void {
-    const { firstEventAtMs, lastEventAtMs, eventCount, service } = this
+    const { firstEventAtMs, lastEventAtMs, eventCount, service, dependencies: { generationTimes, speeds } } = this
+    const target = this.getTarget()
     if (firstEventAtMs === undefined || lastEventAtMs === undefined) return
-    this.dependencies.generationTimes.recordGeneration(service.name, (eventCount - 1) * (service.engine?.tokensPerEvent ?? 1), lastEventAtMs - firstEventAtMs)
+    generationTimes.recordGeneration(service.name, (eventCount - 1) * (service.engine?.tokensPerEvent ?? 1), lastEventAtMs - firstEventAtMs, target === undefined ? undefined : speeds.getSpeed(target))
   }
 
   private recordEventTime (): void {
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,3 +1,4 @@
+import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
@@ -83,7 +84,7 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
-    requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
+    requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets, maxGapMs: route.maxGapMs },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
@@ -116,7 +117,7 @@
   run.currentAttempt = { reservation, attempt, abortController }
   run.watch.startRun(attempt.head)
   dependencies.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, ...describeSpeed(dependencies, context, reservation), attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
   })
   dependencies.mover.addRun(run)
   try {
@@ -132,6 +133,12 @@
   }
 }
 
+/** Returns log fields about the speed of an engine and the expected duration there. */
+function describeSpeed ({ speeds, generationTimes }: RelayDependencies, { service, request }: RelayContext, { target }: TargetReservation): LogFields {
+  const speed = speeds.getSpeed(target)
+  return { speed, expectedMs: Math.round(generationTimes.estimateDurationMs(service.name, request.size, speed)) }
+}
+
 const ATTEMPT_OUTCOMES: Record<StreamEnd, AttemptOutcome> = {
   complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
 }
--- a/packages/relay/test/instance/computeGroup.test.ts
+++ b/packages/relay/test/instance/computeGroup.test.ts
@@ -45,5 +45,15 @@
   const pick = (index: number, count: number): string[] => [...pickGroupTargets({ instances: [], index, count }, 'z1', [...targets, far])]
 
   it('divides the targets of the zone equally among its groups', () => expect([pick(0, 2), pick(1, 2)]).toEqual([['a', 'c', 'e'], ['b', 'd']]))
+  /** Returns the shares of two groups, of which some targets have another speed. */
+  const pickBySpeed = (speeds: Record<string, number>): string[][] => [0, 1].map(index => [...pickGroupTargets({ instances: [], index, count: 2 }, 'z1', targets, ({ name }) => speeds[name] ?? 1)].sort())
+
+  it('gives a group with slow targets more of them', () => expect(pickBySpeed({ a: 0.4, c: 0.4, e: 0.4 })).toEqual([['a', 'c', 'e'], ['b', 'd']]))
+  it('moves a target to a group whose targets are slow', () => expect(pickBySpeed({ b: 0.4, d: 0.4 })).toEqual([['c', 'e'], ['a', 'b', 'd']]))
+  it('keeps the shares when a difference is smaller than any target', () => expect(pickBySpeed({ a: 0.8 })).toEqual([['a', 'c', 'e'], ['b', 'd']]))
+  it('gives each target to one group', () => fc.assert(fc.property(fc.array(fc.double({ min: 0.1, max: 10, noNaN: true }), { minLength: 5, maxLength: 5 }), speeds => {
+    const shares = pickBySpeed(Object.fromEntries(targets.map(({ name }, index) => [name, speeds[index]!])))
+    expect(shares.flat().sort()).toEqual(['a', 'b', 'c', 'd', 'e'])
+  })))
   it('assigns all targets to a single group', () => expect(pick(0, 1).length).toBe(6))
 })
--- a/packages/relay/test/placement/GenerationTimeEstimator.test.ts
+++ b/packages/relay/test/placement/GenerationTimeEstimator.test.ts
@@ -18,5 +18,15 @@
   it('expects half of the maximum output when the caller gave no estimate', () => {
     expect(GenerationTimeEstimator.create().estimateDurationMs('s', { promptTokens: 1, maxOutputTokens: 400 })).toBe(2000)
   })
+  it('estimates by the speed of the engine where it is known', () => {
+    const estimator = GenerationTimeEstimator.create()
+    for (let run = 0; run < 100; run++) estimator.recordGeneration('s', 10, 400, 0.5)
+    expect([undefined, 1, 0.5].map(speed => Math.round(estimator.estimateDurationMs('s', size, speed) / 100))).toEqual([40, 20, 40])
+  })
+  it('estimates the same for any engine and for one of ordinary speed while all are equal', () => {
+    const estimator = GenerationTimeEstimator.create()
+    estimator.recordGeneration('s', 10, 300)
+    expect(estimator.estimateDurationMs('s', size, 1)).toBe(estimator.estimateDurationMs('s', size))
+  })
   it('estimates 0 for a request without sizes', () => expect(GenerationTimeEstimator.create().estimateDurationMs('s', undefined)).toBe(0))
 })
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -26,6 +26,10 @@
   it('avoids an engine in another availability zone', () => expect(doTest({ isLocal: false })).toBe(0))
   it('avoids an engine in its slow start', () => expect(doTest({ isInSlowStart: true })).toBe(0))
   it('excludes an engine without a free slot', () => expect(doTest({ load: { running: 4, tokens: 0 } })).toBe(0))
+  it('avoids a slow engine', () => expect(doTest({ speed: 0.5 })).toBe(0))
+  it('uses a slow engine when the others are much busier', () => expect(doTest({ speed: 0.5, load: { running: 0, tokens: 0 } })).toBe(20))
+  it('prefers a fast engine', () => expect(doTest({ speed: 2 })).toBe(20))
+  it('excludes a slow engine that has as many requests as it can run in time', () => expect(doTest({ speed: 0.5, load: { running: 0, tokens: 0 }, maxRunning: 0 })).toBe(0))
   it('picks randomly between equal engines', () => expect(doTest({})).toBeGreaterThan(3))
 
   it('returns undefined when all engines are full', () => {
@@ -34,6 +38,17 @@
   })
 })
 
+describe('pickEngine with pending prompts', () => {
+  /** Returns the score of an engine with pending prompts. */
+  const getScore = (speed: number | undefined): number => {
+    const candidate = createCandidate('a', { speed, load: { running: 1, tokens: 1000, pendingPrefillTokens: 2000 } })
+    return pickEngine([candidate], { profile, tokens: 1000, random: SeededRandom.create(1), prefillTokens: 1000 })!.score
+  }
+
+  it('has the same score with speed 1 as without any speed', () => expect(getScore(1)).toBe(getScore(undefined)))
+  it('weighs them and the own prompt more at a slow engine', () => expect(getScore(0.5) - getScore(1)).toBeCloseTo(1 / 4 + 2 * 0.2 + 2000 / 5000 + 1000 / 5000))
+})
+
 describe('hasCapacity', () => {
   it('lets a large generation run alone', () => expect(hasCapacity({ running: 0, tokens: 0 }, profile, 9900)).toBe(true))
   it('does not place a large generation next to others', () => expect(hasCapacity({ running: 1, tokens: 100 }, profile, 9900)).toBe(false))
@@ -45,6 +60,8 @@
 
   it('picks the least used target', () => expect(pick(createCandidate('a', { load: { running: 4, tokens: 0 } }), createCandidate('b'))).toBe('b'))
   it('picks a target in another zone when the local targets are busy', () => expect(pick(createCandidate('a', { load: { running: 4, tokens: 0 } }), createCandidate('b', { isLocal: false }))).toBe('b'))
+  it('picks another target than a slow one', () => expect(pick(createCandidate('a', { speed: 0.5 }), createCandidate('b'))).toBe('b'))
+  it('picks a slow target when the others are much busier', () => expect(pick(createCandidate('a', { speed: 0.5, load: { running: 0, tokens: 0 } }), createCandidate('b', { load: { running: 3, tokens: 0 } }))).toBe('a'))
   it('picks a target that cannot be reached when there is no other', () => expect(pick(createCandidate('a', { isUnreachable: true }))).toBe('a'))
   it('returns undefined without candidates', () => expect(pick()).toBeUndefined())
 })
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -19,6 +19,7 @@
 import { type RelayRequest } from '../../src/requests/RelayRequest.js'
 import { type RelayDependencies } from '../../src/requests/RelayDependencies.js'
 import { type RelayTargetClient } from '../../src/targets/RelayTargetClient.js'
+import { TargetSpeeds } from '../../src/speeds/TargetSpeeds.js'
 import { TargetAvailability } from '../../src/targets/TargetAvailability.js'
 import { TargetBackoffs } from '../../src/targets/TargetBackoffs.js'
 import { TargetGateway } from '../../src/targets/TargetGateway.js'
@@ -55,7 +56,8 @@
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, speeds, availability: TargetAvailability.create({ backoffs, limits, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -64,7 +66,7 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in availability zone z1. */
