Name larger instances to more callers

Cause: instances have 0.24 to 1.35 cores, and callers were given all of them alike. Answers with addresses rank instances by weighted rendezvous hashing over the caller's IP address. Equal or unknown sizes give the answer as before.

--- a/packages/peers/src/membership/GossipExchange.ts
+++ b/packages/peers/src/membership/GossipExchange.ts
@@ -39,8 +39,10 @@
   /** @internal */
   private constructor (private readonly options: GossipExchangeOptions) {
     const { clock, membership } = options
-    const { instance, incarnation, url, peerAddress, availabilityZone, region } = membership
-    this.localMember = { instance, incarnation, url, peerAddress, availabilityZone, region, counter: 0, state: 'alive', changedAtMs: clock.nowMs() }
+    const { instance, incarnation, url, peerAddress, availabilityZone, region, cores, linkMbps } = membership
+    // Members of an earlier release do not know these fields, so they are absent where there is nothing to tell.
+    const size = { ...(cores === undefined ? {} : { cores }), ...(linkMbps === undefined ? {} : { linkMbps }) }
+    this.localMember = { instance, incarnation, url, peerAddress, availabilityZone, region, ...size, counter: 0, state: 'alive', changedAtMs: clock.nowMs() }
     this.table = MemberTable.create({ clock, onChange: change => this.handleChange(change) })
   }
 
--- a/packages/peers/src/membership/MembershipOptions.ts
+++ b/packages/peers/src/membership/MembershipOptions.ts
@@ -55,6 +55,9 @@
   readonly peerAddress: string
   readonly availabilityZone: string
   readonly region: string
+  /** Processor cores that the local instance may use, and bandwidth of its link; absent where they are not known. */
+  readonly cores?: number
+  readonly linkMbps?: number
   readonly transport: PeerTransport
   readonly clock: Clock
   readonly random: Random
--- a/packages/peers/test/membership/Membership.test.ts
+++ b/packages/peers/test/membership/Membership.test.ts
@@ -28,6 +28,14 @@
     `)
   })
 
+  it('tells all instances how large each one is, as far as it is known', async () => {
+    const sizes: unknown[] = []
+    await doTest({ size: 3, cores: { i01: 0.5, i03: 2 } }, fleet => {
+      for (const { membership } of fleet.instances.values()) sizes.push(membership.listMembers().map(member => 'cores' in member ? member.cores : 'absent'))
+    })
+    expect(sizes).toEqual(Array.from({ length: 3 }, () => [0.5, 'absent', 2]))
+  })
+
   it('contains only the local instance when no other instance is listed', async () => {
     expect(await doTest({ size: 1 })).toMatchInlineSnapshot(`
       {
--- a/packages/peers/test/membership/TestFleet.ts
+++ b/packages/peers/test/membership/TestFleet.ts
@@ -8,6 +8,8 @@
   readonly seed?: number
   readonly faults?: Partial<NetworkFaults>
   readonly limits?: Partial<MembershipLimits>
+  /** Cores of each instance, by name. */
+  readonly cores?: Readonly<Record<string, number>>
 }
 
 /** Instance of a test fleet. */
@@ -65,6 +67,7 @@
       peerAddress: `${instance}:1`,
       availabilityZone: 'az1',
       region: 'r1',
+      cores: this.options.cores?.[instance],
       transport: peer,
       clock: peer.clock,
       random: SeededRandom.create((this.options.seed ?? 1) * 1000 + this.startedCount),
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -98,9 +98,10 @@
   /**
    * Lists the addresses that a caller in an availability zone should use; prefers instances in the same zone when there are enough.
    * @param availabilityZone - Availability zone of the caller.
+   * @param callerAddress - IP address of the caller.
    */
-  listAddresses (availabilityZone: string): string[] {
-    return this.components.peers.listCallerAddresses(availabilityZone, this.isReady())
+  listAddresses (availabilityZone: string, callerAddress: string): string[] {
+    return this.components.peers.listCallerAddresses(availabilityZone, this.isReady(), callerAddress)
   }
 
   /**
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -8,6 +8,9 @@
 export interface RelayIdentity {
   readonly availabilityZone: string
   readonly region: string
+  /** Processor cores that it may use, and bandwidth of its link; absent where they are not known. */
+  readonly cores?: number
+  readonly linkMbps?: number
   /** Host and port on which it listens for peers; also its name among peers. */
   readonly peerAddress: string
   /** Host and port on which it accepts requests. */
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -6,6 +6,7 @@
 import { computeGroup, type InstanceGroup, type ZonedInstance } from './computeGroup.js'
 import { FleetSizeEstimator } from './FleetSizeEstimator.js'
 import { NewsPush } from './NewsPush.js'
+import { pickAddressesBySize } from './pickAddressesBySize.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 import { type TargetNewsExchange } from './TargetNewsExchange.js'
 
@@ -29,9 +30,6 @@
 /** Limits of the membership protocol: times in milliseconds, of which `suspicionMs` is that in which a suspected instance may refute the suspicion, and the members in one gossip message. */
 export const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000, maxGossipMembers: 32 }
 
-/** Maximum number of addresses in one answer to a caller. */
-const MAX_ADDRESSES = 64
-
 /** Minimum number of instances in the caller's availability zone for which instances in other zones are not listed. */
 const MIN_LOCAL_INSTANCES = 2
 
@@ -64,7 +62,7 @@
   /** @internal */
   private constructor (private readonly options: RelayPeersOptions) {
     const { identity, clock, random, logger } = options
-    const { peerAddress: instance, availabilityZone, region } = identity
+    const { peerAddress: instance, availabilityZone, region, cores, linkMbps } = identity
     const incarnation = random.nextString(INCARNATION_BYTES)
     const { host, port } = parsePeerAddress(instance).unwrapOr({ host: instance, port: 0 })
     this.network = PeerNetwork.create({
@@ -77,6 +75,8 @@
       peerAddress: instance,
       availabilityZone,
       region,
+      cores,
+      linkMbps,
       transport: this.network,
       clock,
       random,
@@ -157,16 +157,17 @@
   }
 
   /**
-   * Lists the addresses that a caller should use.
+   * Lists the addresses that a caller should use; larger instances are named to more callers, see `pickAddressesBySize`.
    * @param availabilityZone - Availability zone of the caller.
    * @param isSelfReady - Whether this instance accepts requests.
+   * @param callerAddress - IP address of the caller.
    */
-  listCallerAddresses (availabilityZone: string, isSelfReady: boolean): string[] {
+  listCallerAddresses (availabilityZone: string, isSelfReady: boolean, callerAddress: string): string[] {
     const thisInstance = this.options.identity.peerAddress
     const members = this.membership.listMembers().filter(({ state, instance }) => instance === thisInstance ? isSelfReady : state === 'alive')
     const localMembers = members.filter(member => member.availabilityZone === availabilityZone)
     const selected = localMembers.length >= MIN_LOCAL_INSTANCES ? localMembers : members
-    return selected.map(({ url }) => url).slice(0, MAX_ADDRESSES)
+    return pickAddressesBySize(selected, callerAddress)
   }
 
   /** Tells some peers soon what this instance has learned, instead of with its next probe. */
