--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -101,12 +101,13 @@
    * Lists the addresses that a caller in an availability zone should use; prefers instances in the same zone when there are enough.
    * @param availabilityZone - Availability zone of the caller.
    * @param host - Host that the caller will call; where all its routes have home regions, only instances there or in the caller's region are listed.
+   * @param callerAddress - IP address of the caller.
    */
-  listAddresses (availabilityZone: string, host = ''): string[] {
+  listAddresses (availabilityZone: string, host = '', callerAddress = ''): string[] {
     const homeRegions = this.routes?.findHomeRegions(host)
     const { peers, regions } = this.components
     const mayList = homeRegions === undefined ? undefined : createRegionFilter(regions, [...homeRegions, regions.findRegion(availabilityZone)])
-    return peers.listCallerAddresses(availabilityZone, this.isReady(), mayList)
+    return peers.listCallerAddresses(availabilityZone, { isSelfReady: this.isReady(), callerAddress, mayList })
   }
 
   /**
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -7,12 +7,23 @@
 import { FleetSizeEstimator } from './FleetSizeEstimator.js'
 import { type CensusState, InstanceCensus } from './InstanceCensus.js'
 import { NewsPush } from './NewsPush.js'
+import { pickAddressesBySize } from './pickAddressesBySize.js'
 import { type RelayIdentity } from './RelayInstanceOptions.js'
 import { type TargetNewsExchange } from './TargetNewsExchange.js'
 
 /** Availability zone and region of an instance. */
 export type InstancePlace = Pick<Member, 'availabilityZone' | 'region'>
 
+/** Options of a list of addresses for a caller. */
+export interface AddressListOptions {
+  /** Whether this instance accepts requests. */
+  readonly isSelfReady: boolean
+  /** IP address of the caller. */
+  readonly callerAddress?: string
+  /** Returns whether an instance may be listed; by default, all may. */
+  readonly mayList?: (instance: InstancePlace) => boolean
+}
+
 /** Options of the peers of a relay instance. */
 export interface RelayPeersOptions {
   readonly identity: RelayIdentity
@@ -33,9 +44,6 @@
 /** Limits of the membership protocol: times in milliseconds, of which `suspicionMs` is that in which a suspected instance may refute the suspicion, and the members in one gossip message. */
 export const PROBE_LIMITS = { probeMs: 500, probeTimeoutMs: 250, suspicionMs: 1500, syncMs: 5000, searchMs: 1000, maxGossipMembers: 32 }
 
-/** Maximum number of addresses in one answer to a caller. */
-const MAX_ADDRESSES = 64
-
 /** Minimum number of instances in the caller's availability zone for which instances in other zones are not listed. */
 const MIN_LOCAL_INSTANCES = 2
 
@@ -70,7 +78,7 @@
   /** @internal */
   private constructor (private readonly options: RelayPeersOptions) {
     const { identity, clock, random, logger } = options
-    const { peerAddress: instance, availabilityZone, region } = identity
+    const { peerAddress: instance, availabilityZone, region, cores, linkMbps } = identity
     const incarnation = random.nextString(INCARNATION_BYTES)
     const { host, port } = parsePeerAddress(instance).unwrapOr({ host: instance, port: 0 })
     this.network = PeerNetwork.create({
@@ -83,6 +91,8 @@
       peerAddress: instance,
       availabilityZone,
       region,
+      cores,
+      linkMbps,
       transport: this.network,
       clock,
       random,
@@ -165,17 +175,16 @@
   }
 
   /**
-   * Lists the addresses that a caller should use.
+   * Lists the addresses that a caller should use; larger instances are named to more callers, see `pickAddressesBySize`.
    * @param availabilityZone - Availability zone of the caller.
-   * @param isSelfReady - Whether this instance accepts requests.
-   * @param mayList - Returns whether an instance may be listed; by default, all may.
+   * @param options - Whether this instance accepts requests, the caller, and which instances may be listed.
    */
-  listCallerAddresses (availabilityZone: string, isSelfReady: boolean, mayList: (instance: InstancePlace) => boolean = () => true): string[] {
+  listCallerAddresses (availabilityZone: string, { isSelfReady, callerAddress = '', mayList = () => true }: AddressListOptions): string[] {
     const thisInstance = this.options.identity.peerAddress
     const members = this.membership.listMembers().filter(({ state, instance }) => instance === thisInstance ? isSelfReady : state === 'alive').filter(mayList)
     const localMembers = members.filter(member => member.availabilityZone === availabilityZone)
     const selected = localMembers.length >= MIN_LOCAL_INSTANCES ? localMembers : members
-    return selected.map(({ url }) => url).slice(0, MAX_ADDRESSES)
+    return pickAddressesBySize(selected, callerAddress)
   }
 
   /** Tells some peers soon what this instance has learned, instead of with its next probe. */
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -22,6 +22,7 @@
 import { type VersionHistory } from '../versions/VersionHistory.js'
 import { type PublishedView } from '../published/PublishedView.js'
 import { type RelayDependencies } from '../requests/RelayDependencies.js'
+import { TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { TargetAvailability } from '../targets/TargetAvailability.js'
 import { TargetBackoffs } from '../targets/TargetBackoffs.js'
 import { TargetGateway } from '../targets/TargetGateway.js'
@@ -61,6 +62,7 @@
   readonly log: DecisionLog
   readonly loads: TargetLoads
   readonly limits: TargetLimits
+  readonly speeds: TargetSpeeds
   readonly evidence: CrashEvidence
   readonly backoffs: TargetBackoffs
   readonly evacuatedZones: EvacuatedZones
@@ -83,8 +85,10 @@
   const backoffs = TargetBackoffs.create({ clock, log })
   const evidence = CrashEvidence.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
-  const shared: SharedComponents = { options, metrics, log, loads: TargetLoads.create(clock), limits, evidence, backoffs, evacuatedZones, coldTargets, regions, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
-  const viewComponents = createViewComponents(options, log, shared.loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
+  const loads = TargetLoads.create(clock)
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
+  const shared: SharedComponents = { options, metrics, log, loads, limits, speeds, evidence, backoffs, evacuatedZones, coldTargets, regions, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
+  const viewComponents = createViewComponents(options, log, loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
   evidence.addListener(() => viewComponents.peers.pushNews())
   const notices = TargetNotices.create({ table: dependencies.table, backoffs: shared.backoffs, coldTargets, log })
@@ -102,7 +106,7 @@
 }
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
-  const { options, metrics, log, loads, limits, backoffs, evacuatedZones, coldTargets, regions, gateway } = shared
+  const { options, metrics, log, loads, limits, speeds, backoffs, evacuatedZones, coldTargets, regions, gateway } = shared
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
@@ -117,7 +121,8 @@
     availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }),
     regions,
     availabilityZone: identity.availabilityZone,
-    pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
+    speeds,
+    pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets, target => speeds.getSpeed(target)),
     listDeclining: service => viewComponents.history.listDeclining(service)
   })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => viewComponents.peers.estimateFleetSize() })
@@ -136,6 +141,7 @@
     coldTargets,
     placer,
     generationTimes: GenerationTimeEstimator.create(),
+    speeds,
     admissionQueue: AdmissionQueue.create({ clock, placer }),
     budget,
     crashes: createCrashGuard(shared, viewComponents, table),
@@ -163,11 +169,12 @@
   return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers() })
 }
 
-function createLoadExchange ({ options: { clock }, loads }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
+function createLoadExchange ({ options: { clock }, loads, speeds }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
   return LoadExchange.create({
     clock,
     transport: peers.transport,
     loads,
+    speeds,
     listPeers: () => peers.listGroupPeers(),
     getSummary: () => view.getSummary(),
     handlePeerSummary: (peer, summary) => exchange.handlePeerSummary(peer, summary),
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -23,6 +23,7 @@
 import { type RelayTargetClient } from '../../src/targets/RelayTargetClient.js'
 import { RegionMap } from '../../src/places/RegionMap.js'
 import { EvacuatedZones } from '../../src/places/EvacuatedZones.js'
+import { TargetSpeeds } from '../../src/speeds/TargetSpeeds.js'
 import { TargetAvailability } from '../../src/targets/TargetAvailability.js'
 import { TargetBackoffs } from '../../src/targets/TargetBackoffs.js'
 import { TargetGateway } from '../../src/targets/TargetGateway.js'
@@ -63,7 +64,8 @@
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), regions: RegionMap.create({ zones: new Map([['z1', 'r1'], ['z2', 'r1'], ['z3', 'r2']]) }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, speeds, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), regions: RegionMap.create({ zones: new Map([['z1', 'r1'], ['z2', 'r1'], ['z3', 'r2']]) }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -72,7 +74,7 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
 }
 
 function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
