Compare the streams of a group, and give long generations to fast engines

Cause: each instance compared only its own streams. And the choice did not weigh how long a generation runs: a gap over the limit is a matter of how long it decodes at a slow engine. Change: in fleets of several groups, instances tell the peers of their group of single streams (typical gap, load), and each computes speeds from all of them. The choice weighs the decode time of the expected output in prompt tokens; generations shorter than their prompt leave fast engines free.

--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -86,7 +86,7 @@
   const evidence = CrashEvidence.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
   const loads = TargetLoads.create(clock)
-  const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics, isLoadPartial: () => viewComponents.peers.getGroup().count > 1 })
   const shared: SharedComponents = { options, metrics, log, loads, limits, speeds, evidence, backoffs, evacuatedZones, coldTargets, regions, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
   const viewComponents = createViewComponents(options, log, loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -121,7 +121,7 @@
   private reserveDestination (): TargetReservation | undefined {
     const { run, source } = this.options
     const requirements: TargetRequirements = {
-      service: run.service, allowedRegions: run.allowedRegions, origin: createStreamOrigin(run.getTarget() ?? source), tokens: run.getExpectedTokens(), excludedTargets: this.excludedTargets, localZone: source.availabilityZone, remoteZoneWeight: REMOTE_DESTINATION_WEIGHT
+      service: run.service, allowedRegions: run.allowedRegions, origin: createStreamOrigin(run.getTarget() ?? source), tokens: run.getExpectedTokens(), outputTokens: Math.max(0, run.getExpectedTokens() - run.getHeldTokens()), excludedTargets: this.excludedTargets, localZone: source.availabilityZone, remoteZoneWeight: REMOTE_DESTINATION_WEIGHT
     }
     const { placer } = this.dependencies
     const heldTokens = run.getHeldTokens()
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -50,6 +50,8 @@
   readonly tokens: number
   /** Prompt tokens that the target has to process before a generation starts. */
   readonly pendingPrefillTokens?: number
+  /** Output that a generation is expected to produce from now on, in tokens. */
+  readonly outputTokens?: number
   /** Names of targets that must not be selected. */
   readonly excludedTargets: ReadonlySet<string>
   /** Availability zone whose targets count as local; by default the zone of this instance. */
@@ -89,7 +91,7 @@
     const usable = this.listUsable(service, requirements)
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
-    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, prefillTokens: requirements.pendingPrefillTokens })
+    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, prefillTokens: requirements.pendingPrefillTokens, outputTokens: requirements.outputTokens })
     return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
   }
 
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -49,6 +49,12 @@
 /** Number of pending prefill tokens that weigh as much as a fully used engine. */
 const PREFILL_SCALE_TOKENS = 5000
 
+/** Number of prompt tokens that an engine processes in the time in which it produces one output token of each of its generations. */
+const PROMPT_TOKENS_PER_OUTPUT_TOKEN = 100
+
+/** Weight of a fast engine for a generation whose output takes less time than its prompt, so that longer ones find capacity there. */
+const FAST_ENGINE_WEIGHT = 0.5
+
 /** Slots assumed for a target that reports none. */
 const DEFAULT_SLOTS = 4
 
@@ -81,6 +87,8 @@
   readonly mustWaitForPrefill?: boolean
   /** Prompt tokens of the generation that the engine has to process, which a slow engine does later. */
   readonly prefillTokens?: number
+  /** Output that the generation is expected to produce, in tokens; it occupies a slow engine longer. */
+  readonly outputTokens?: number
   /** Memory that the generation holds already; if given, the memory in use now decides whether an engine has room, not the memory expected later. */
   readonly heldTokens?: number
 }
@@ -91,16 +99,15 @@
  * @param candidates - Engines that may be selected.
  * @param requirements - Requirements on the engine.
  */
-export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0 }: EngineRequirements): TargetChoice | undefined {
+export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0, outputTokens = 0 }: EngineRequirements): TargetChoice | undefined {
   const hasRoom = (load: TargetLoad): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
   const available = candidates.filter(({ load, isUnreachable, maxRunning = Infinity }) => !isUnreachable && hasRoom(load) && load.running < maxRunning)
   return pickLowestScore(available, candidate => {
     const batch = candidate.load.running / profile.slots
     const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
     const backlog = mustWaitForPrefill ? (candidate.load.pendingPrefillTokens ?? 0) / PREFILL_SCALE_TOKENS : 0
-    const { speed = 1 } = candidate
-    const ownPrefill = (1 / speed - 1) * prefillTokens / PREFILL_SCALE_TOKENS
-    return (batch + MEMORY_WEIGHT * memory + backlog) / speed + ownPrefill + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
+    const ownRun = computeRunScore(candidate, prefillTokens, outputTokens)
+    return (batch + MEMORY_WEIGHT * memory + backlog) / (candidate.speed ?? 1) + ownRun + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
   })
 }
 
@@ -125,6 +132,16 @@
   return running < profile.slots && heldTokens + pendingPrefillTokens + tokens <= profile.memoryTokens * USABLE_MEMORY_SHARE
 }
 
+/**
+ * Computes how much longer or shorter than at an engine of ordinary speed a generation takes. Long generations thus go to fast engines
+ * while these have capacity, and short ones leave it to them.
+ */
+function computeRunScore ({ speed = 1 }: TargetCandidate, prefillTokens: number, outputTokens: number): number {
+  const decodeTokens = outputTokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN
+  if (speed > 1 && decodeTokens < prefillTokens) return FAST_ENGINE_WEIGHT
+  return (1 / speed - 1) * (prefillTokens + decodeTokens) / PREFILL_SCALE_TOKENS
+}
+
 function computePenalty ({ failureRate, isUnreachable, isInSlowStart }: TargetCandidate, random: Random): number {
   return failureRate * FAILURE_WEIGHT + (isUnreachable ? UNREACHABLE_WEIGHT : 0) + (isInSlowStart ? SLOW_START_WEIGHT : 0) + random.nextFloat() * JITTER_WEIGHT
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,6 +1,6 @@
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
-import { estimateTokens } from '../placement/estimateTokens.js'
+import { estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
@@ -84,7 +84,7 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
-    requirements: { service, origin, allowedRegions: context.allowedRegions, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets, maxGapMs: route.maxGapMs },
+    requirements: { service, origin, allowedRegions: context.allowedRegions, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets, maxGapMs: route.maxGapMs, outputTokens: request.size === undefined ? undefined : estimateOutputTokens(request.size) },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
--- a/packages/relay/src/speeds/SpeedRecord.ts
+++ b/packages/relay/src/speeds/SpeedRecord.ts
@@ -1,6 +1,6 @@
 import { selectLatestRuns } from './computeReference.js'
 import { fadeSpeed, FADE_END_MS, judgeSpeed, mergeObservations, ORDINARY_SPEED, type SpeedObservation } from './judgeSpeed.js'
-import { type RunKind, type RunSample, type ObservedRun, TargetRuns } from './TargetRuns.js'
+import { type ObservedRun, RUN_RETENTION_MS, type RunKind, type RunSample, TargetRuns } from './TargetRuns.js'
 
 /** Weight of a run among the runs that are needed for a judgement; the answer times of calls vary more than the gaps of streams. */
 const RUN_WEIGHTS: Record<RunKind, number> = { stream: 1, call: 0.25 }
@@ -24,6 +24,8 @@
   private speed = ORDINARY_SPEED
   private readonly runs = TargetRuns.create()
   private readonly peers = new Map<string, SpeedObservation>()
+  /** Latest stream that each peer observed. */
+  private readonly peerSamples = new Map<string, RunSample>()
   private judgedAtMs: number
   private hasJudgement = false
   private observedAtMs = -Infinity
@@ -43,11 +45,29 @@
   }
 
   /**
-   * Lists the runs of this instance that are not forgotten.
+   * Records a stream that a peer observed.
+   * @param peer - Name of the peer.
+   * @param sample - The stream.
+   */
+  recordPeerSample (peer: string, sample: RunSample): void {
+    this.peerSamples.set(peer, sample)
+  }
+
+  /**
+   * Lists the runs of this instance and its peers that are not forgotten.
    * @param nowMs - Clock reading.
    */
   listRuns (nowMs: number): readonly RunSample[] {
-    return this.runs.listRuns(nowMs)
+    const samples = [...this.peerSamples.values()].filter(({ observedAtMs }) => nowMs - observedAtMs < RUN_RETENTION_MS)
+    return [...samples, ...this.runs.listRuns(nowMs)]
+  }
+
+  /**
+   * Returns the latest stream of this instance; undefined when there is none.
+   * @param nowMs - Clock reading.
+   */
+  findLatestStream (nowMs: number): RunSample | undefined {
+    return this.runs.listRuns(nowMs).findLast(({ kind }) => kind === 'stream')
   }
 
   /**
@@ -81,7 +101,8 @@
    * @returns The observation on which the judgement is based; undefined when there are too few runs.
    */
   judge (nowMs: number): SpeedObservation | undefined {
-    const elapsedMs = this.own === undefined && !this.hasJudgement ? Infinity : nowMs - this.judgedAtMs
+    const isFirst = !this.hasJudgement && (this.own === undefined || this.peerSamples.size > 0)
+    const elapsedMs = isFirst ? Infinity : nowMs - this.judgedAtMs
     const observed = mergeObservations(this.listObservations(nowMs))
     this.judgedAtMs = nowMs
     if (observed === undefined) {
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -8,7 +8,7 @@
 import { isNotable, MAX_SPEED, MIN_SPEED, ORDINARY_SPEED, type SpeedObservation } from './judgeSpeed.js'
 import { SpeedRecord } from './SpeedRecord.js'
 import { StreamGaps } from './StreamGaps.js'
-import { type ObservedRun } from './TargetRuns.js'
+import { type ObservedRun, type RunSample } from './TargetRuns.js'
 
 /** Options of target speeds. */
 export interface TargetSpeedsOptions {
@@ -16,6 +16,8 @@
   readonly loads: TargetLoads
   readonly log: DecisionLog
   readonly metrics: RelayMetrics
+  /** Returns whether this instance knows only a part of the loads of targets; it then tells peers of single streams. By default it knows all. */
+  readonly isLoadPartial?: () => boolean
 }
 
 /** Speeds of targets for a message to a peer, by name. */
@@ -28,6 +30,9 @@
 /** Interval at which records are pruned, in milliseconds. */
 const PRUNE_INTERVAL_MS = 5000
 
+/** Age beyond which peers are not told of a single stream, in milliseconds. */
+const MAX_SAMPLE_AGE_MS = 5000
+
 /** Maximum number of speeds in one message to a peer. */
 const MAX_NEWS = 8
 
@@ -121,6 +126,8 @@
   getSpeed (target: RelayTarget): number {
     const record = this.findRecord(target)
     if (record === undefined) return ORDINARY_SPEED
+    // Peers tell of streams only, which are compared within the service.
+    record.comparedKey ??= target.service
     this.updateJudgement(target.name, record)
     return record.getSpeed(this.options.clock.nowMs())
   }
@@ -146,6 +153,7 @@
     const nowMs = this.options.clock.nowMs()
     this.prune()
     for (const [target, record] of this.records) this.updateJudgement(target, record)
+    if (this.options.isLoadPartial?.() === true) return this.listSamples(nowMs)
     const notable = [...this.records].filter(([, { own, lastNotableAtMs }]) => own !== undefined && nowMs - own.observedAtMs < MAX_NEWS_AGE_MS && nowMs - lastNotableAtMs < NEWS_RETENTION_MS)
     const count = Math.min(MAX_NEWS, notable.length)
     const first = notable.length === 0 ? 0 : this.nextNewsIndex % notable.length
@@ -168,12 +176,27 @@
       const known = this.records.get(target)
       if (known !== undefined && known.startedAtMs > item.startedAtMs) continue
       const record = this.openRecord(target, item.startedAtMs)
+      const sample = parseSample(peer, item, nowMs)
+      if (sample !== undefined) {
+        record.recordPeerSample(peer, sample)
+        continue
+      }
       record.recordPeer(peer, { value: item.value, runs: item.runs, observedAtMs: nowMs - item.ageMs })
       // Peers are told as well if this instance observes something else.
       if (isNotable(item.value)) record.lastNotableAtMs = nowMs
     }
   }
 
+  /** Lists the latest streams of this instance, of which peers compute speeds together with their own. */
+  private listSamples (nowMs: number): SpeedNews {
+    const samples = [...this.records].flatMap(([target, record]) => {
+      const sample = record.findLatestStream(nowMs)
+      const isRecent = sample !== undefined && nowMs - sample.observedAtMs <= MAX_SAMPLE_AGE_MS
+      return isRecent ? [[target, formatSample(record.startedAtMs, sample, nowMs)] as const] : []
+    })
+    return new Map(samples.sort(([, a], [, b]) => a.ageMs - b.ageMs).slice(0, MAX_NEWS))
+  }
+
   /** Returns the record of an incarnation; a later incarnation starts without observations. */
   private openRecord (name: string, startedAtMs: number): SpeedRecord {
     const known = this.records.get(name)
@@ -249,8 +272,19 @@
   return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: Math.max(1, Math.round(own!.runs)), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
 }
 
-function isValid ({ startedAtMs, value, runs, ageMs }: TargetSpeedNews): boolean {
-  return [startedAtMs, value, runs, ageMs].every(Number.isFinite) && value >= MIN_SPEED && value <= MAX_SPEED && runs >= 0 && ageMs >= 0
+/** Formats a single stream; its speed is left to the receiver, which knows more targets with which to compare it. */
+function formatSample (startedAtMs: number, { typicalMs, excessMs, running, observedAtMs }: RunSample, nowMs: number): TargetSpeedNews {
+  return { startedAtMs, value: ORDINARY_SPEED, runs: 1, ageMs: Math.max(0, Math.round(nowMs - observedAtMs)), typicalMs: roundSpeed(typicalMs), excessMs: roundSpeed(excessMs), running: roundSpeed(running) }
+}
+
+/** Returns the stream of which a peer told; undefined when it told of a speed. */
+function parseSample (peer: string, { ageMs, typicalMs, excessMs = 0, running = 0 }: TargetSpeedNews, nowMs: number): RunSample | undefined {
+  return typicalMs === undefined ? undefined : { id: peer, kind: 'stream', typicalMs, excessMs, running, observedAtMs: nowMs - ageMs }
+}
+
+function isValid ({ startedAtMs, value, runs, ageMs, typicalMs = 1, excessMs = 0, running = 0 }: TargetSpeedNews): boolean {
+  const areFinite = [startedAtMs, value, runs, ageMs, typicalMs, excessMs, running].every(Number.isFinite)
+  return areFinite && value >= MIN_SPEED && value <= MAX_SPEED && runs >= 0 && ageMs >= 0 && typicalMs > 0 && running >= 0
 }
 
 function describeReference (reference: SpeedReference | undefined): Record<string, unknown> {
