Place requests at engines that still hold the beginning of their prompt

Cause: an engine that holds the first parts of a prompt does not read them again, but the choice of an engine did not know of it.

Change: PromptPrefixes estimates from own runs, and from news of peers in an optional field of loadNews, which parts each engine holds. The choice subtracts the tokens that are held from the prompt tokens that wait at an engine, so that capacity, batch, zone and group keep their weights. The parts are decoded with their tokens.

--- a/packages/peers/src/framing/messageKeys.ts
+++ b/packages/peers/src/framing/messageKeys.ts
@@ -15,5 +15,6 @@
   'key', 'text', 'digest', 'keptDigest', 'afterKey', 'nextAfterKey', 'baseRevision', 'deleted', 'kept', 'baseVersion', 'removed',
   'items', 'running', 'unreadTokens', 'viewAgeMs', 'era', 'haveEra', 'limits', 'limit', 'startedAtMs', 'turns',
   'streams', 'requestId', 'origin', 'service', 'softwareVersion', 'services', 'windowMs', 'origins', 'isComplete', 'leavingTargets',
-  'engineCrashes', 'suspects', 'parts', 'soundParts', 'part', 'hasBegun', 'isStoreLost'
+  'engineCrashes', 'suspects', 'parts', 'soundParts', 'part', 'hasBegun', 'isStoreLost',
+  'promptPrefixes', 'arrivedTokens'
 ]
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -13,6 +13,7 @@
 import { GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { RelayPlacer } from '../placement/RelayPlacer.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
+import { PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedWatcher } from '../published/PublishedWatcher.js'
 import { type ViewConfirmation } from '../published/ViewConfirmation.js'
@@ -91,6 +92,7 @@
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
+  const prefixes = PromptPrefixes.create({ clock, log })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -101,11 +103,15 @@
     availability: TargetAvailability.create({ backoffs, limits, health }),
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
-    listDeclining: service => viewComponents.history.listDeclining(service)
+    listDeclining: service => viewComponents.history.listDeclining(service),
+    prefixes
   })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => viewComponents.peers.estimateFleetSize() })
   table.addListener(({ target, state }, previousState) => {
-    if (state === 'gone') client.closeConnections(target)
+    if (state === 'gone') {
+      client.closeConnections(target)
+      prefixes.removeTarget(target.name)
+    }
     log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
   })
   const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log })
@@ -117,6 +123,7 @@
     health,
     limits,
     placer,
+    prefixes,
     generationTimes: GenerationTimeEstimator.create(),
     admissionQueue: AdmissionQueue.create({ clock, placer }),
     budget,
@@ -145,7 +152,7 @@
   return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers() })
 }
 
-function createLoadExchange ({ options: { clock }, loads }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
+function createLoadExchange ({ options: { clock }, loads }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer, prefixes }: RelayDependencies): LoadExchange {
   return LoadExchange.create({
     clock,
     transport: peers.transport,
@@ -155,6 +162,7 @@
     handlePeerSummary: (peer, summary) => exchange.handlePeerSummary(peer, summary),
     getStoreStatus: () => watcher.isStoreAvailable() ? { answerAgeMs: watcher.getKnowledgeAgeMs(), timeSinceOutageMs: watcher.getTimeSinceOutageMs() } : undefined,
     handlePeerStoreStatus: ({ answerAgeMs, timeSinceOutageMs }) => peerStoreStatus.recordAnswer(answerAgeMs, timeSinceOutageMs),
+    prefixes,
     onPeerLoad: () => placer.notifyCapacity()
   })
 }
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,5 +1,6 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
-import { type TargetWork } from '@fescuespoke/schema'
+import { type PrefixNews, type TargetWork } from '@fescuespoke/schema'
+import { type PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { comparePositions, formatSummary, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
 
@@ -30,6 +31,8 @@
   readonly getStoreStatus?: () => StoreStatus | undefined
   /** Handles the store status that a peer reported. */
   readonly handlePeerStoreStatus?: (status: StoreStatus) => void
+  /** Beginnings of prompts that engines hold, of which peers are told. */
+  readonly prefixes?: PromptPrefixes
   /** Called after a peer has sent its loads. */
   readonly onPeerLoad: () => void
   /** Interval at which changed loads are sent, in milliseconds. */
@@ -69,9 +72,10 @@
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
-    options.transport.setHandler('loadNews', ({ entries, viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
+    options.transport.setHandler('loadNews', ({ entries, promptPrefixes = [], viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
       if (answerAgeMs !== undefined) options.handlePeerStoreStatus?.({ answerAgeMs, timeSinceOutageMs })
       options.loads.updatePeer(from, new Map(entries.map(entry => [entry.target, parseLoad(entry)])))
+      options.prefixes?.mergeNews(from, promptPrefixes)
       options.handlePeerSummary(from, parseSummary(summary))
       options.onPeerLoad()
       return { type: 'loadNewsAnswer', ...formatSummary(options.getSummary()) }
@@ -123,7 +127,7 @@
     this.lastSentAtMs = clock.nowMs()
     this.lastSentSummary = getSummary()
     const entries = [...loads.listOwnLoads()].map(([target, load]) => formatLoad(target, load))
-    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries, ...formatStoreStatus(getStoreStatus?.()) }
+    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries, ...formatPrefixNews(this.options.prefixes?.listNews()), ...formatStoreStatus(getStoreStatus?.()) }
     for (const peer of this.selectPeers()) {
       transport.request<'loadNewsAnswer'>(peer, message, LOADS_ANSWER_TIMEOUT_MS).then(answer => {
         if (answer.isOk) handlePeerSummary(peer, parseSummary(answer.value))
@@ -138,6 +142,11 @@
   return { viewAgeMs: Math.round(status.answerAgeMs), storeCalmMs: Number.isFinite(status.timeSinceOutageMs) ? Math.round(status.timeSinceOutageMs) : undefined }
 }
 
+/** Formats news about prompts as the optional field of a `loadNews` message. Instances of an earlier release do not know it, so it is absent where there is no news. */
+function formatPrefixNews (news: PrefixNews[] = []): { promptPrefixes?: PrefixNews[] } {
+  return news.length === 0 ? {} : { promptPrefixes: news }
+}
+
 function formatLoad (target: string, { running, tokens, heldTokens = 0, pendingPrefillTokens = 0 }: TargetLoad): TargetWork {
   return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(heldTokens), unreadTokens: roundTokens(pendingPrefillTokens) }
 }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -3,6 +3,8 @@
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type PromptPart } from '../prefixes/PromptPart.js'
+import { type PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { type Closure, type TargetAvailability } from '../targets/TargetAvailability.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
@@ -30,6 +32,8 @@
    * @param service - Name of the service.
    */
   readonly listDeclining?: (service: string) => ReadonlySet<string>
+  /** Beginnings of prompts that engines hold; by default none are known. */
+  readonly prefixes?: PromptPrefixes
 }
 
 /** Requirements on a target. */
@@ -41,6 +45,8 @@
   readonly tokens: number
   /** Prompt tokens that the target has to process before a generation starts. */
   readonly pendingPrefillTokens?: number
+  /** Parts of the prompt in order; absent when they are not known. */
+  readonly promptParts?: readonly PromptPart[]
   /** Names of targets that must not be selected. */
   readonly excludedTargets: ReadonlySet<string>
   /** Availability zone whose targets count as local; by default the zone of this instance. */
@@ -79,7 +85,7 @@
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
+    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens, heldPrefixTokens: choice.heldPrefixTokens })
   }
 
   /**
@@ -88,9 +94,9 @@
    * @param tokens - Memory that the generation is expected to need.
    * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, heldPrefixTokens }: { readonly score?: number, readonly pendingPrefillTokens?: number, readonly heldPrefixTokens?: number } = {}): TargetReservation {
     this.options.limits.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, heldPrefixTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -140,8 +146,9 @@
     for (const listener of this.listeners) listener()
   }
 
-  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
+  private createCandidateFactory (usable: readonly TrackedTarget[], requirements: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
     const { clock, loads, health, availability, availabilityZone, pickPreferred, listDeclining } = this.options
+    const { localZone, service } = requirements
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
     const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
@@ -154,7 +161,16 @@
       isInSlowStart: clock.nowMs() < tracked.slowStartEndMs,
       isLocal: isLocal(tracked),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
-      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target))
+      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target)),
+      heldPrefixTokens: this.estimateHeldPrefixTokens(tracked.target, requirements)
     })
   }
+
+  /** Estimates how many tokens of a prompt an engine does not have to read; undefined when the parts of the prompt are not known. */
+  private estimateHeldPrefixTokens (target: RelayTarget, { service: { engine }, promptParts, pendingPrefillTokens }: TargetRequirements): number | undefined {
+    const { prefixes, loads } = this.options
+    if (prefixes === undefined || engine === undefined || promptParts === undefined || pendingPrefillTokens === undefined) return undefined
+    const { heldTokens = 0, pendingPrefillTokens: arrivingTokens = 0 } = loads.getTotalLoad(target.name)
+    return Math.min(pendingPrefillTokens, prefixes.estimateHeldTokens(target, promptParts, engine.memoryTokens - heldTokens - arrivingTokens))
+  }
 }
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -11,6 +11,8 @@
   readonly onRelease: () => void
   /** Prompt tokens that the target has to process before the request starts. */
   readonly pendingPrefillTokens?: number
+  /** Tokens at the beginning of the prompt that the engine was expected to hold when it was selected. */
+  readonly heldPrefixTokens?: number
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -28,6 +30,7 @@
 
   readonly target: RelayTarget
   readonly score: number
+  readonly heldPrefixTokens: number | undefined
   private tokens: number
   private heldTokens = 0
   private pendingPrefillTokens: number
@@ -37,6 +40,7 @@
   private constructor (private readonly options: TargetReservationOptions) {
     this.target = options.target
     this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
+    this.heldPrefixTokens = options.heldPrefixTokens
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
     options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens })
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -17,12 +17,15 @@
   readonly isPreferred?: boolean
   /** Whether its software version loses targets while another one gains some. */
   readonly isDeclining?: boolean
+  /** Tokens at the beginning of the prompt that the engine is expected to hold; it does not read them again. */
+  readonly heldPrefixTokens?: number
 }
 
 /** Selected target and its score; lower scores are better. */
 export interface TargetChoice {
   readonly tracked: TrackedTarget
   readonly score: number
+  readonly heldPrefixTokens?: number
 }
 
 /** Weights of the score; 1 corresponds to a fully used target. */
@@ -89,7 +92,7 @@
   return pickLowestScore(available, candidate => {
     const batch = candidate.load.running / profile.slots
     const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
-    const backlog = mustWaitForPrefill ? (candidate.load.pendingPrefillTokens ?? 0) / PREFILL_SCALE_TOKENS : 0
+    const backlog = mustWaitForPrefill ? ((candidate.load.pendingPrefillTokens ?? 0) - (candidate.heldPrefixTokens ?? 0)) / PREFILL_SCALE_TOKENS : 0
     return batch + MEMORY_WEIGHT * memory + backlog + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
   })
 }
@@ -123,7 +126,7 @@
   let best: TargetChoice | undefined
   for (const candidate of candidates) {
     const score = computeScore(candidate)
-    if (best === undefined || score < best.score) best = { tracked: candidate.tracked, score }
+    if (best === undefined || score < best.score) best = { tracked: candidate.tracked, score, heldPrefixTokens: candidate.heldPrefixTokens }
   }
   return best
 }
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -8,6 +8,7 @@
 import { type GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { type RelayPlacer } from '../placement/RelayPlacer.js'
 import { type AdmissionQueue } from '../placement/AdmissionQueue.js'
+import { type PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { type TargetGateway } from '../targets/TargetGateway.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
 import { type TargetTable } from '../targets/TargetTable.js'
@@ -22,6 +23,7 @@
   readonly health: TargetHealth
   readonly limits: TargetLimits
   readonly placer: RelayPlacer
+  readonly prefixes: PromptPrefixes
   readonly generationTimes: GenerationTimeEstimator
   readonly admissionQueue: AdmissionQueue
   readonly budget: AttemptBudget
--- a/packages/relay/src/requests/RelayRequest.ts
+++ b/packages/relay/src/requests/RelayRequest.ts
@@ -1,4 +1,5 @@
 import { type RawHeaders } from '../model/RawHeaders.js'
+import { type PromptPart } from '../prefixes/PromptPart.js'
 
 /** Sizes of a generation as stated by the caller. */
 export interface GenerationSize {
@@ -27,6 +28,8 @@
   readonly size?: GenerationSize
   /** Ids of the parts of the prompt that other requests may have as well, in order; absent when the caller names none. */
   readonly sharedParts?: readonly string[]
+  /** Parts of the prompt in order; the last one belongs to the request or its session. Absent when the caller names none. */
+  readonly promptParts?: readonly PromptPart[]
   /** Id of the last event that the caller received, to resume a stream. */
   readonly lastEventId?: string
   /** Id of the request that brought the caller the first event of the stream that it resumes. */
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,5 +1,6 @@
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
+import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
@@ -83,7 +84,7 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
-    requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
+    requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, promptParts: request.promptParts, excludedTargets: run.excludedTargets },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
@@ -115,8 +116,9 @@
   })
   run.currentAttempt = { reservation, attempt, abortController }
   run.watch.startRun(attempt.head)
+  const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
   dependencies.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, heldPrefixTokens: reservation.heldPrefixTokens, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
   })
   dependencies.mover.addRun(run)
   try {
@@ -127,6 +129,7 @@
     dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() })
     return end
   } finally {
+    endPrefixUse()
     signal.removeEventListener('abort', forwardAbort)
     run.closeCurrentAttempt()
   }
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -25,6 +25,11 @@
   it('excludes an engine that cannot be reached', () => expect(doTest({ isUnreachable: true, load: { running: 0, tokens: 0 } })).toBe(0))
   it('avoids an engine in another availability zone', () => expect(doTest({ isLocal: false })).toBe(0))
   it('avoids an engine in its slow start', () => expect(doTest({ isInSlowStart: true })).toBe(0))
+  it('prefers an engine that holds the beginning of the prompt', () => expect(doTest({ heldPrefixTokens: 1000 })).toBe(20))
+  it('avoids an engine that holds less of the prompt than it has to read before', () => expect(doTest({ heldPrefixTokens: 1000, load: { running: 1, tokens: 1000, pendingPrefillTokens: 1300 } })).toBe(0))
+  it('does not leave the zone for a beginning that saves less than that costs', () => expect(doTest({ heldPrefixTokens: 90, isLocal: false })).toBe(0))
+  it('does not leave the group for a beginning that saves less than that costs', () => expect(doTest({ heldPrefixTokens: 2700, isPreferred: false })).toBe(0))
+  it('excludes an engine without a free slot that holds the whole prompt', () => expect(doTest({ heldPrefixTokens: 50_000, load: { running: 4, tokens: 0 } })).toBe(0))
   it('excludes an engine without a free slot', () => expect(doTest({ load: { running: 4, tokens: 0 } })).toBe(0))
   it('picks randomly between equal engines', () => expect(doTest({})).toBeGreaterThan(3))
 
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -58,7 +58,7 @@
 
   private readonly noticeListeners = new Set<TargetNoticeListener>()
 
-  private constructor (private readonly clock: VirtualClock) {}
+  protected constructor (private readonly clock: VirtualClock) {}
 
   addNoticeListener (listener: TargetNoticeListener): void {
     this.noticeListeners.add(listener)
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -13,6 +13,7 @@
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import { RunMover } from '../../src/moves/RunMover.js'
 import { GenerationTimeEstimator } from '../../src/placement/GenerationTimeEstimator.js'
+import { PromptPrefixes } from '../../src/prefixes/PromptPrefixes.js'
 import { RelayPlacer } from '../../src/placement/RelayPlacer.js'
 import { AdmissionQueue } from '../../src/placement/AdmissionQueue.js'
 import { type RelayContext } from '../../src/requests/RelayContext.js'
@@ -55,7 +56,8 @@
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const prefixes = PromptPrefixes.create({ clock, log })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service), prefixes })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -64,7 +66,7 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in availability zone z1. */
