Tell peers of resumable streams at a planned stop

Cause: with an observation of 60 s, the last complete instance of a fleet that restarts in turn takes the origins of its streams with it.

Change: a drain starts the observation again, so that streams that were not told are told. A test restarts all instances one after the other.

The drain itself has no test of its own: the call that it makes is tested in OriginExchange.test.ts.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -120,6 +120,8 @@
     this.drainStartedAtMs = clock.nowMs()
     this.components.log.recordStateChange('drain started', { running: this.service.countRunning(), graceMs })
     this.components.peers.announceLeaving()
+    // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
+    this.components.history.restart()
     const endMs = this.drainStartedAtMs + graceMs - EXIT_MARGIN_MS
     while (clock.nowMs() < endMs && this.shouldKeepDraining()) await clock.sleep(DRAIN_CHECK_INTERVAL_MS)
     this.components.log.recordStateChange('drain ended', { running: this.service.countRunning(), tookMs: Math.round(clock.nowMs() - this.drainStartedAtMs) })
--- a/packages/relay/test/versions/totalRestart.test.ts
+++ b/packages/relay/test/versions/totalRestart.test.ts
@@ -26,6 +26,9 @@
 const RESTART_AT_MS = 9000
 const LEAVE_MS = 1700
 
+/** Time after which instances have observed a single version for long enough, in milliseconds. */
+const OBSERVED_MS = 70_000
+
 /** Times after the restart of all instances at which single ones restart, in milliseconds. */
 const INSTANCE_RESTARTS_AT_MS = [1500, 2100, 2700, 3300, 3900, 4500].map(delayMs => RESTART_AT_MS + delayMs)
 
@@ -102,6 +105,20 @@
     expect(continued).toBeGreaterThanOrEqual(0.5 * begun)
   })
 
+  // The last instance that had observed a single version tells nobody of its streams; all others can still be claimed.
+  it.each([1000, 3000, 8000])('go on when all instances restart one after the other every %i ms after a long time with one version', async intervalMs => {
+    const fleet = ReleaseFleet.create({ instanceCount: INSTANCE_COUNT, seed: 1, doCallersReturn: true, patienceMs: PATIENCE_MS })
+    const { clock } = fleet
+    for (let index = 0; index < 2 * ENGINE_COUNT; index++) fleet.startEngine(`e${index}`, 'v1')
+    const endMs = OBSERVED_MS + INSTANCE_COUNT * intervalMs
+    for (let index = 0; index < INSTANCE_COUNT; index++) clock.startTimer(OBSERVED_MS + index * intervalMs, () => fleet.restartInstance(index))
+    for (let atMs = OBSERVED_MS - 5000; atMs < endMs; atMs += STREAM_INTERVAL_MS / 1.5) clock.startTimer(atMs, () => { fleet.sendStream() })
+    await clock.advance(endMs + PATIENCE_MS + 1000)
+    const { begun, resumed, continued } = computeShares(fleet, 0, endMs)
+    expect(resumed).toBeGreaterThanOrEqual(12)
+    expect(continued).toBeGreaterThanOrEqual(0.5 * begun)
+  })
+
   it.each(SEEDS)('go on during a release (seed %i)', async seed => {
     const fleet = await doTest({ seed, releaseAtMs: RESTART_AT_MS + 1000, instanceRestartsAtMs: INSTANCE_RESTARTS_AT_MS })
     const { begun, resumed, continued } = computeShares(fleet, RESTART_AT_MS + 200, LAST_STREAM_AT_MS)
