--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -16,6 +16,7 @@
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
 import { EvacuatedZones } from '../places/EvacuatedZones.js'
 import { RegionMap } from '../places/RegionMap.js'
+import { PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
 import { type PublishedWatcher } from '../published/PublishedWatcher.js'
 import { type ViewConfirmation } from '../published/ViewConfirmation.js'
@@ -110,6 +111,7 @@
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
+  const prefixes = PromptPrefixes.create({ clock, log })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -122,12 +124,16 @@
     regions,
     availabilityZone: identity.availabilityZone,
     speeds,
+    prefixes,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets, target => speeds.getSpeed(target)),
     listDeclining: service => viewComponents.history.listDeclining(service)
   })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => viewComponents.peers.estimateFleetSize() })
   table.addListener(({ target, state }, previousState) => {
-    if (state === 'gone') client.closeConnections(target)
+    if (state === 'gone') {
+      client.closeConnections(target)
+      prefixes.removeTarget(target.name)
+    }
     log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
   })
   const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log })
@@ -140,6 +146,7 @@
     limits,
     coldTargets,
     placer,
+    prefixes,
     generationTimes: GenerationTimeEstimator.create(),
     speeds,
     admissionQueue: AdmissionQueue.create({ clock, placer }),
@@ -169,7 +176,7 @@
   return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers() })
 }
 
-function createLoadExchange ({ options: { clock }, loads, speeds }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer }: RelayDependencies): LoadExchange {
+function createLoadExchange ({ options: { clock }, loads, speeds }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer, prefixes }: RelayDependencies): LoadExchange {
   return LoadExchange.create({
     clock,
     transport: peers.transport,
@@ -180,6 +187,7 @@
     handlePeerSummary: (peer, summary) => exchange.handlePeerSummary(peer, summary),
     getStoreStatus: () => watcher.isStoreAvailable() ? { answerAgeMs: watcher.getKnowledgeAgeMs(), timeSinceOutageMs: watcher.getTimeSinceOutageMs() } : undefined,
     handlePeerStoreStatus: ({ answerAgeMs, timeSinceOutageMs }) => peerStoreStatus.recordAnswer(answerAgeMs, timeSinceOutageMs),
+    prefixes,
     onPeerLoad: () => placer.notifyCapacity()
   })
 }
--- a/packages/relay/src/loads/LoadExchange.ts
+++ b/packages/relay/src/loads/LoadExchange.ts
@@ -1,5 +1,6 @@
 import { type Clock, type PeerTransport } from '@fescuespoke/common'
-import { type TargetSpeedNews, type TargetWork } from '@fescuespoke/schema'
+import { type PrefixNews, type TargetSpeedNews, type TargetWork } from '@fescuespoke/schema'
+import { type PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { comparePositions, formatSummary, parseSummary, type PublishedSummary, START_POSITION } from '../published/PublishedPosition.js'
 import { type SpeedNews, type TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { type TargetLoad, type TargetLoads } from './TargetLoads.js'
@@ -33,6 +34,8 @@
   readonly getStoreStatus?: () => StoreStatus | undefined
   /** Handles the store status that a peer reported. */
   readonly handlePeerStoreStatus?: (status: StoreStatus) => void
+  /** Beginnings of prompts that engines hold, of which peers are told. */
+  readonly prefixes?: PromptPrefixes
   /** Called after a peer has sent its loads. */
   readonly onPeerLoad: () => void
   /** Interval at which changed loads are sent, in milliseconds. */
@@ -78,10 +81,11 @@
 
   /** @internal */
   private constructor (private readonly options: LoadExchangeOptions) {
-    options.transport.setHandler('loadNews', ({ entries, viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
+    options.transport.setHandler('loadNews', ({ entries, promptPrefixes = [], viewAgeMs: answerAgeMs, storeCalmMs: timeSinceOutageMs = Infinity, ...summary }, from) => {
       if (answerAgeMs !== undefined) options.handlePeerStoreStatus?.({ answerAgeMs, timeSinceOutageMs })
       options.loads.updatePeer(from, new Map(entries.map(entry => [entry.target, parseLoad(entry)])))
       options.speeds?.mergeNews(from, new Map(entries.flatMap(({ target, speed }) => speed === undefined ? [] : [[target, speed]])))
+      options.prefixes?.mergeNews(from, promptPrefixes)
       options.handlePeerSummary(from, parseSummary(summary))
       options.onPeerLoad()
       return { type: 'loadNewsAnswer', ...formatSummary(options.getSummary()) }
@@ -150,7 +154,7 @@
     const { clock, transport, getSummary, getStoreStatus, handlePeerSummary } = this.options
     this.lastSentAtMs = clock.nowMs()
     this.lastSentSummary = getSummary()
-    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries: this.createEntries(), ...formatStoreStatus(getStoreStatus?.()) }
+    const message = { type: 'loadNews' as const, ...formatSummary(this.lastSentSummary), entries: this.createEntries(), ...formatPrefixNews(this.options.prefixes?.listNews()), ...formatStoreStatus(getStoreStatus?.()) }
     for (const peer of this.selectPeers()) {
       transport.request<'loadNewsAnswer'>(peer, message, LOADS_ANSWER_TIMEOUT_MS).then(answer => {
         if (answer.isOk) handlePeerSummary(peer, parseSummary(answer.value))
@@ -165,6 +169,11 @@
   return { viewAgeMs: Math.round(status.answerAgeMs), storeCalmMs: Number.isFinite(status.timeSinceOutageMs) ? Math.round(status.timeSinceOutageMs) : undefined }
 }
 
+/** Formats news about prompts as the optional field of a `loadNews` message. Instances of an earlier release do not know it, so it is absent where there is no news. */
+function formatPrefixNews (news: PrefixNews[] = []): { promptPrefixes?: PrefixNews[] } {
+  return news.length === 0 ? {} : { promptPrefixes: news }
+}
+
 /** Formats an entry; members of an earlier release refuse a message with a speed, so it is absent where there is nothing to tell. */
 function formatLoad (target: string, { running, tokens, heldTokens = 0, pendingPrefillTokens = 0 }: TargetLoad, speed: TargetSpeedNews | undefined): TargetWork {
   return { target, running, tokens: roundTokens(tokens), heldTokens: roundTokens(heldTokens), unreadTokens: roundTokens(pendingPrefillTokens), ...(speed === undefined ? {} : { speed }) }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -5,6 +5,8 @@
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type AllowedRegions, type RegionMap } from '../places/RegionMap.js'
+import { type PromptPart } from '../prefixes/PromptPart.js'
+import { type PromptPrefixes } from '../prefixes/PromptPrefixes.js'
 import { type TargetSpeeds } from '../speeds/TargetSpeeds.js'
 import { type Closure, type TargetAvailability } from '../targets/TargetAvailability.js'
 import { type TargetHealth } from '../targets/TargetHealth.js'
@@ -37,6 +39,8 @@
    * @param service - Name of the service.
    */
   readonly listDeclining?: (service: string) => ReadonlySet<string>
+  /** Beginnings of prompts that engines hold; by default none are known. */
+  readonly prefixes?: PromptPrefixes
 }
 
 /** Requirements on a target. */
@@ -52,6 +56,8 @@
   readonly pendingPrefillTokens?: number
   /** Output that a generation is expected to produce from now on, in tokens. */
   readonly outputTokens?: number
+  /** Parts of the prompt in order; absent when they are not known. */
+  readonly promptParts?: readonly PromptPart[]
   /** Names of targets that must not be selected. */
   readonly excludedTargets: ReadonlySet<string>
   /** Availability zone whose targets count as local; by default the zone of this instance. */
@@ -92,7 +98,7 @@
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, prefillTokens: requirements.pendingPrefillTokens, outputTokens: requirements.outputTokens })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
+    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens, heldPrefixTokens: choice.heldPrefixTokens })
   }
 
   /**
@@ -101,10 +107,10 @@
    * @param tokens - Memory that the generation is expected to need.
    * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, heldPrefixTokens }: { readonly score?: number, readonly pendingPrefillTokens?: number, readonly heldPrefixTokens?: number } = {}): TargetReservation {
     this.options.limits.recordRequest(target)
     this.options.coldTargets.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, heldPrefixTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -160,8 +166,9 @@
     return table.listUsable(name, origin, ({ availabilityZone }) => regions.isAllowed(availabilityZone, allowedRegions))
   }
 
-  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service, maxGapMs }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
+  private createCandidateFactory (usable: readonly TrackedTarget[], requirements: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
     const { clock, loads, health, availability, availabilityZone, coldTargets, speeds, pickPreferred, listDeclining } = this.options
+    const { localZone, service, maxGapMs } = requirements
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
     const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
@@ -176,7 +183,16 @@
       speed: speeds?.getSpeed(tracked.target),
       maxRunning: maxGapMs === undefined ? undefined : speeds?.getMaxRunning(tracked.target, maxGapMs),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
-      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target))
+      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target)),
+      heldPrefixTokens: this.estimateHeldPrefixTokens(tracked.target, requirements)
     })
   }
+
+  /** Estimates how many tokens of a prompt an engine does not have to read; undefined when the parts of the prompt are not known. */
+  private estimateHeldPrefixTokens (target: RelayTarget, { service: { engine }, promptParts, pendingPrefillTokens }: TargetRequirements): number | undefined {
+    const { prefixes, loads } = this.options
+    if (prefixes === undefined || engine === undefined || promptParts === undefined || pendingPrefillTokens === undefined) return undefined
+    const { heldTokens = 0, pendingPrefillTokens: arrivingTokens = 0 } = loads.getTotalLoad(target.name)
+    return Math.min(pendingPrefillTokens, prefixes.estimateHeldTokens(target, promptParts, engine.memoryTokens - heldTokens - arrivingTokens))
+  }
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,6 +1,8 @@
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
+import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
+import { type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
@@ -84,7 +86,7 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const reservation = await admissionQueue.waitForTarget({
-    requirements: { service, origin, allowedRegions: context.allowedRegions, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets, maxGapMs: route.maxGapMs, outputTokens: request.size === undefined ? undefined : estimateOutputTokens(request.size) },
+    requirements: createRequirements(context, run),
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
@@ -96,6 +98,21 @@
   return undefined
 }
 
+function createRequirements ({ service, route, request, allowedRegions }: RelayContext, run: StreamRun): TargetRequirements {
+  const { size, promptParts } = request
+  return {
+    service,
+    origin: run.getOrigin(),
+    allowedRegions,
+    tokens: estimateTokens(size, 0),
+    pendingPrefillTokens: size?.promptTokens ?? 0,
+    promptParts,
+    outputTokens: size === undefined ? undefined : estimateOutputTokens(size),
+    excludedTargets: run.excludedTargets,
+    maxGapMs: route.maxGapMs
+  }
+}
+
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, continuation: Continuation | undefined): Promise<StreamEnd> {
   const { request, signal, priority } = context
   const abortController = new AbortController()
@@ -116,8 +133,9 @@
   })
   run.currentAttempt = { reservation, attempt, abortController }
   run.watch.startRun(attempt.head)
+  const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
   dependencies.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, ...describeSpeed(dependencies, context, reservation), attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, ...describeSpeed(dependencies, context, reservation), attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, heldPrefixTokens: reservation.heldPrefixTokens, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
   })
   dependencies.mover.addRun(run)
   try {
@@ -128,6 +146,7 @@
     dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() })
     return end
   } finally {
+    endPrefixUse()
     signal.removeEventListener('abort', forwardAbort)
     run.closeCurrentAttempt()
   }
