Reserve an engine's capacity before a generation is sent

Cause: while the fleet forms several groups, no instance knows the whole load of an engine. Engines then queue and preempt runs whose prompts have to be processed again.

Change: where engines grant reservations (engine.hold_ms) and the fleet forms several groups, an instance takes a reservation at the engine for the prompt and the whole expected output before it sends the generation. An engine that refuses is closed for this instance for a short time (reason full), and the next one is asked; after six refusals the request waits in the queue. Generations are then sent with one urgency. Otherwise nothing changes.

The result of the call unanswered is added to those of the specification: it tells an engine without a readable answer, to which the request is still sent, from one that cannot be reached.

--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -156,6 +156,14 @@
     help: 'Moves of running generations off leaving targets, by result.',
     labels: ['result']
   },
+  engineReservations: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_engine_reservations_total',
+    help: 'Reservations of capacity at engines, by service and result.',
+    labels: ['service', 'result'],
+    unboundedLabels: ['service'],
+    maxSeries: 64
+  },
   blamedParts: {
     kind: 'counter',
     exposedName: 'fescuespoke_blamed_prompt_parts_total',
--- a/packages/relay/src/calls/finishCall.ts
+++ b/packages/relay/src/calls/finishCall.ts
@@ -1,4 +1,4 @@
-import { refuseRequest } from '../requests/refuseRequest.js'
+import { CLOSURE_REFUSALS, refuseRequest } from '../requests/refuseRequest.js'
 import { type RefusalReason } from '../requests/RelayRequest.js'
 import { type CallRun } from './CallRun.js'
 import { forwardWholeAnswer } from './forwardCallAnswer.js'
@@ -25,5 +25,6 @@
 function findRefusalReason ({ mayHaveRun, sentAttempts, context, dependencies }: CallRun): RefusalReason {
   if (mayHaveRun) return 'lost'
   if (sentAttempts > 0) return 'notExecuted'
-  return dependencies.placer.findClosure(context.service)?.reason ?? 'noTarget'
+  const closure = dependencies.placer.findClosure(context.service)
+  return closure === undefined ? 'noTarget' : CLOSURE_REFUSALS[closure.reason]
 }
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -4,6 +4,7 @@
 import { CrashEvidence } from '../crashes/CrashEvidence.js'
 import { CrashGuard } from '../crashes/CrashGuard.js'
 import { TrialSchedule } from '../crashes/TrialSchedule.js'
+import { EngineHolds } from '../holds/EngineHolds.js'
 import { TargetLimits } from '../limits/TargetLimits.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
 import { TargetLoads } from '../loads/TargetLoads.js'
@@ -91,6 +92,7 @@
   const { clock, random, client, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
+  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: () => viewComponents.peers.getGroup().count > 1 })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -98,7 +100,7 @@
     loads,
     health,
     limits,
-    availability: TargetAvailability.create({ backoffs, limits, health }),
+    availability: TargetAvailability.create({ backoffs, limits, holds, health }),
     availabilityZone: identity.availabilityZone,
     pickPreferred: targets => pickGroupTargets(viewComponents.peers.getGroup(), identity.availabilityZone, targets),
     listDeclining: service => viewComponents.history.listDeclining(service)
@@ -117,6 +119,7 @@
     health,
     limits,
     placer,
+    holds,
     generationTimes: GenerationTimeEstimator.create(),
     admissionQueue: AdmissionQueue.create({ clock, placer }),
     budget,
--- a/packages/relay/src/logs/RelayMetrics.ts
+++ b/packages/relay/src/logs/RelayMetrics.ts
@@ -4,6 +4,9 @@
 /** Outcome of a request in the counters. */
 export type RelayOutcome = 'answered' | 'targetFailed' | 'brokenOff' | 'callerLeft' | RefusalReason
 
+/** What became of a call for a reservation at an engine, or that an unused one was dropped. */
+export type HoldResult = 'taken' | 'refused' | 'failed' | 'dropped'
+
 /** Counts the outcomes of requests and measures their latency. */
 export class RelayMetrics {
   /**
@@ -43,6 +46,15 @@
     this.registry.getCounter('movedRuns', { result }).add()
   }
 
+  /**
+   * Counts a reservation at an engine.
+   * @param service - Name of the service.
+   * @param result - What became of it.
+   */
+  countHold (service: string, result: HoldResult): void {
+    this.registry.getCounter('engineReservations', { service, result }).add()
+  }
+
   /**
    * Records the time from the arrival of a request to the start of its answer.
    * @param route - Name of the route.
--- a/packages/relay/src/model/RelayConfiguration.ts
+++ b/packages/relay/src/model/RelayConfiguration.ts
@@ -41,6 +41,8 @@
   /** Number of tokens in one event. */
   readonly tokensPerEvent: number
   readonly canMove: boolean
+  /** Maximum lifetime of an unused reservation at an engine, in milliseconds; 0 or absent when engines grant none. */
+  readonly maxHoldMs?: number
 }
 
 /** A service in force. */
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -22,6 +22,8 @@
   readonly maxWaitMs: number
   /** Returns whether the request may go on to wait; by default it may. */
   readonly mayWait?: () => boolean
+  /** Whether the request waits for the next attempt to admit requests, even if a target seems free; by default it does not. */
+  readonly mustWait?: boolean
   readonly signal: AbortSignal
 }
 
@@ -66,7 +68,7 @@
    * @returns The reservation; undefined when no target had capacity in time.
    */
   async waitForTarget (options: AdmissionRequest): Promise<TargetReservation | undefined> {
-    const isFirst = !this.queue.some(other => isBefore(other.options, options) && isForSameTargets(other.options, options))
+    const isFirst = options.mustWait !== true && !this.queue.some(other => isBefore(other.options, options) && isForSameTargets(other.options, options))
     const reservation = isFirst ? this.options.placer.reserveBestTarget(options.requirements) : undefined
     if (reservation !== undefined || options.maxWaitMs <= 0 || !this.canBeAdmitted(options) || this.getOpeningMs(options) > options.maxWaitMs || this.queue.length >= (this.options.maxWaiting ?? DEFAULT_MAX_WAITING)) return reservation
     return await this.waitForCapacity(options)
@@ -105,6 +107,8 @@
         const reservation = this.options.placer.reserveBestTarget(options.requirements)
         if (reservation !== undefined || !this.canBeAdmitted(options)) {
           finish(reservation)
+          // The engine may refuse; the requests behind this one are admitted after its answer.
+          if (reservation !== undefined && options.requirements.isDecidedByEngine === true) blocked.push({ options, openingMs: 0 })
           continue
         }
         block = { options, openingMs: this.getOpeningMs(options) }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -51,6 +51,10 @@
   readonly isLocalOnly?: boolean
   /** Score penalty of a target outside the local zone; 1 corresponds to a fully used target. */
   readonly remoteZoneWeight?: number
+  /** Whether the engine decides on its capacity, so that one without known room is selected when no other one is left. */
+  readonly isDecidedByEngine?: boolean
+  /** Whether engines of this instance's group are selected first, then others in the local zone, then those of other zones. */
+  readonly isNearestFirst?: boolean
 }
 
 /** Selects targets by their known total load and tracks reservations. */
@@ -73,12 +77,12 @@
    * @param requirements - Requirements on the target.
    */
   reserveBestTarget (requirements: TargetRequirements): TargetReservation | undefined {
-    const { service, origin, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight } = requirements
+    const { service, origin, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight, isDecidedByEngine, isNearestFirst } = requirements
     const { random, table, availability } = this.options
     const usable = table.listUsable(service.name, origin)
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
-    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
+    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, isDecidedByEngine, isNearestFirst })
     return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
   }
 
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -1,3 +1,4 @@
+import { type EngineHold } from '../holds/EngineHold.js'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 
@@ -32,6 +33,7 @@
   private heldTokens = 0
   private pendingPrefillTokens: number
   private isReleased = false
+  private hold: EngineHold | undefined
 
   /** @internal */
   private constructor (private readonly options: TargetReservationOptions) {
@@ -55,17 +57,35 @@
     this.heldTokens = heldTokens
   }
 
+  /**
+   * Sets the reservation of capacity at the engine, which is dropped together with this one unless a request uses it.
+   * @param hold - The reservation at the engine.
+   */
+  setHold (hold: EngineHold): void {
+    this.hold = hold
+    if (this.isReleased) hold.drop()
+  }
+
+  /** Returns the reservation of capacity at the engine; undefined when there is none. */
+  getHold (): EngineHold | undefined {
+    return this.hold
+  }
+
   /** Removes the memory of the request after it was copied to another engine, and lets peers know at once. */
   clearTokens (): void {
     this.setTokens(0)
     this.options.loads.notifyUrgent()
   }
 
-  /** Releases the target. Later calls have no effect. */
-  release (): void {
+  /**
+   * Releases the target. Later calls have no effect.
+   * @param options - Whether waiting requests may use the capacity; not when the target refused this one. By default they may.
+   */
+  release ({ freesCapacity = true }: { readonly freesCapacity?: boolean } = {}): void {
     if (this.isReleased) return
     this.isReleased = true
+    this.hold?.drop()
     this.options.loads.addOwnLoad(this.target.name, { running: -1, tokens: -this.tokens, heldTokens: -this.heldTokens, pendingPrefillTokens: -this.pendingPrefillTokens })
-    this.options.onRelease()
+    if (freesCapacity) this.options.onRelease()
   }
 }
--- a/packages/relay/src/placement/estimateTokens.ts
+++ b/packages/relay/src/placement/estimateTokens.ts
@@ -21,6 +21,14 @@
   return size.promptTokens + producedTokens + EXPECTED_OUTPUT_SHARE * remaining
 }
 
+/**
+ * Estimates the memory to reserve for a generation at an engine: its prompt and its whole expected output, in tokens.
+ * @param size - Sizes that the caller stated.
+ */
+export function estimateHoldTokens (size: GenerationSize | undefined): number {
+  return size === undefined ? DEFAULT_REQUEST_TOKENS : Math.ceil(size.promptTokens + Math.min(estimateOutputTokens(size), size.maxOutputTokens))
+}
+
 /**
  * Estimates the output of a generation from the sizes that its caller stated, in tokens; these are often far off.
  * @param size - Sizes that the caller stated.
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -45,6 +45,9 @@
 /** Number of pending prefill tokens that weigh as much as a fully used engine. */
 const PREFILL_SCALE_TOKENS = 5000
 
+/** Weight of a step of distance where nearer engines come first; more than the other weights of an engine with room add up to. */
+const DISTANCE_WEIGHT = 50
+
 /** Slots assumed for a target that reports none. */
 const DEFAULT_SLOTS = 4
 
@@ -76,6 +79,10 @@
   readonly mustWaitForPrefill?: boolean
   /** Memory that the generation holds already; if given, the memory in use now decides whether an engine has room, not the memory expected later. */
   readonly heldTokens?: number
+  /** Whether an engine without known room may be picked when no other one is left; it decides itself then. */
+  readonly isDecidedByEngine?: boolean
+  /** Whether engines that this instance's group prefers come first, then others in the local zone, then those of other zones. */
+  readonly isNearestFirst?: boolean
 }
 
 /**
@@ -83,17 +90,24 @@
  * @param candidates - Engines that may be selected.
  * @param requirements - Requirements on the engine.
  */
-export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true }: EngineRequirements): TargetChoice | undefined {
+export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, isDecidedByEngine = false, isNearestFirst = false }: EngineRequirements): TargetChoice | undefined {
   const hasRoom = (load: TargetLoad): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
-  const available = candidates.filter(({ load, isUnreachable }) => !isUnreachable && hasRoom(load))
-  return pickLowestScore(available, candidate => {
+  const reachable = candidates.filter(({ isUnreachable }) => !isUnreachable)
+  const withRoom = reachable.filter(({ load }) => hasRoom(load))
+  return pickLowestScore(isDecidedByEngine && withRoom.length === 0 ? reachable : withRoom, candidate => {
     const batch = candidate.load.running / profile.slots
     const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
     const backlog = mustWaitForPrefill ? (candidate.load.pendingPrefillTokens ?? 0) / PREFILL_SCALE_TOKENS : 0
-    return batch + MEMORY_WEIGHT * memory + backlog + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
+    return batch + MEMORY_WEIGHT * memory + backlog + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + (isNearestFirst ? DISTANCE_WEIGHT * computeDistance(candidate) : 0) + computePenalty(candidate, random)
   })
 }
 
+/** Returns 0 for an engine that this instance's group prefers, 1 for another one in the local zone, and 2 for one of another zone. */
+function computeDistance ({ isPreferred, isLocal }: TargetCandidate): number {
+  if (isPreferred !== false) return 0
+  return isLocal ? 1 : 2
+}
+
 /**
  * Returns whether an engine has a free slot and memory for a generation. A generation that runs alone may use the whole memory.
  * @param load - Load of the engine.
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -2,6 +2,7 @@
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type CrashGuard } from '../crashes/CrashGuard.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
+import { type EngineHolds } from '../holds/EngineHolds.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RunMover } from '../moves/RunMover.js'
@@ -22,6 +23,7 @@
   readonly health: TargetHealth
   readonly limits: TargetLimits
   readonly placer: RelayPlacer
+  readonly holds: EngineHolds
   readonly generationTimes: GenerationTimeEstimator
   readonly admissionQueue: AdmissionQueue
   readonly budget: AttemptBudget
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -1,3 +1,4 @@
+import { type ClosureReason } from '../targets/TargetAvailability.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason, type RelayRefusal } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
@@ -21,6 +22,9 @@
   lost: 502
 }
 
+/** Reasons of refusals while all targets of a service are closed, by reason of the closure. */
+export const CLOSURE_REFUSALS: Record<ClosureReason, RefusalReason> = { backoff: 'backoff', limited: 'limited', full: 'overloaded' }
+
 /** Minimum and maximum delay after which a refused caller should retry, in milliseconds, by reason. */
 const RETRY_AFTER_RANGES_MS: Partial<Record<RefusalReason, readonly [number, number]>> = {
   notConfigured: [500, 1000],
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,11 +1,13 @@
+import { reserveHeldEngine } from '../holds/reserveHeldEngine.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
-import { estimateTokens } from '../placement/estimateTokens.js'
+import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
+import { estimateHoldTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
 import { canRepeat, readStream, type StreamEnd } from './readStream.js'
-import { refuseRequest } from './refuseRequest.js'
+import { CLOSURE_REFUSALS, refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
@@ -19,6 +21,9 @@
 /** Lowest urgency that engines accept. */
 const LOWEST_URGENCY = 9
 
+/** Urgency of all generations where engines reserve capacity; the queue of this instance orders them, and no engine preempts one for another. */
+const HELD_URGENCY = 5
+
 /**
  * Relays a request whose answer is a stream. All events come from one run. A run continues at another engine only from its
  * own memory or, where the route allows it, from the last event that the caller received.
@@ -76,27 +81,31 @@
 }
 
 async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue, budget } = dependencies
+  const { clock, admissionQueue, holds, budget } = dependencies
   const { service, request, route } = context
   const origin = run.getOrigin()
   const remainingMs = context.deadlineAtMs - clock.nowMs()
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
-  const reservation = await admissionQueue.waitForTarget({
+  const admission: AdmissionRequest = {
     requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
     priority: context.priority,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
     mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined,
     signal: context.signal
-  })
+  }
+  const reservation = holds.isActive(service)
+    ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
+    : await admissionQueue.waitForTarget(admission)
   if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
   reservation.release()
   return undefined
 }
 
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, continuation: Continuation | undefined): Promise<StreamEnd> {
-  const { request, signal, priority } = context
+  const { request, signal, priority, service } = context
+  const hold = reservation.getHold()
   const abortController = new AbortController()
   const forwardAbort = (): void => abortController.abort()
   signal.addEventListener('abort', forwardAbort)
@@ -108,19 +117,21 @@
     workspace: context.workspace,
     remainingMs: context.deadlineAtMs - dependencies.clock.nowMs(),
     needsFreshConnection: false,
-    urgency: Math.min(LOWEST_URGENCY, priority),
+    urgency: hold !== undefined || dependencies.holds.isActive(service) ? HELD_URGENCY : Math.min(LOWEST_URGENCY, priority),
     lastEventId: run.getLastEventId(),
     continuation,
+    hold: hold?.id,
     signal: abortController.signal
   })
   run.currentAttempt = { reservation, attempt, abortController }
   run.watch.startRun(attempt.head)
   dependencies.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, hold: hold?.id, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
   })
   dependencies.mover.addRun(run)
   try {
     const end = await readStream(dependencies, context, run)
+    if (attempt.isSent() && !NOT_RUN_ENDS.has(end)) recordRun(dependencies, reservation)
     if (end === 'notSent') run.unsentAttempts++
     run.watch.endRun(reservation.target, end, attempt.isBrokenOff())
     dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
@@ -132,6 +143,15 @@
   }
 }
 
+/** Ends of attempts that the engine did not run. */
+const NOT_RUN_ENDS: ReadonlySet<StreamEnd> = new Set(['notExecuted', 'notSent', 'notHere'])
+
+/** Records that a generation used its reservation at the engine, which has capacity again after it. */
+function recordRun ({ holds }: RelayDependencies, reservation: TargetReservation): void {
+  reservation.getHold()?.recordUse()
+  holds.recordEnd(reservation.target)
+}
+
 const ATTEMPT_OUTCOMES: Record<StreamEnd, AttemptOutcome> = {
   complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
 }
@@ -157,7 +177,8 @@
 function findUnplacedReason ({ placer, crashes }: RelayDependencies, { service, origin, request }: RelayContext): RefusalReason {
   if (crashes.getTrialWaitMs(request) !== undefined) return 'crashesEngines'
   if (placer.countUsable(service, { origin }) === 0) return 'noTarget'
-  return placer.findClosure(service, origin)?.reason ?? 'overloaded'
+  const closure = placer.findClosure(service, origin)
+  return closure === undefined ? 'overloaded' : CLOSURE_REFUSALS[closure.reason]
 }
 
 /** Finishes a stream whose caller has left or whose deadline is reached. */
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -55,6 +55,8 @@
   /** Id of the last event that was sent to the caller. */
   readonly lastEventId?: string
   readonly continuation?: Continuation
+  /** Id of the reservation of the engine's capacity that the request uses. */
+  readonly hold?: string
   /** Returns whether the request may still be sent; asked when a connection is ready for it. By default it may. */
   readonly mayStart?: () => boolean
   readonly signal: AbortSignal
@@ -103,6 +105,24 @@
   readonly timeoutMs: number
 }
 
+/**
+ * Reason for which an engine made no reservation. `full`: it has no capacity. `unreachable`: no connection to it could be opened.
+ * `closed`: nothing was sent, because it wants no requests. `unanswered`: there was no readable answer, and a reservation may exist.
+ */
+export type HoldError = 'full' | 'unreachable' | 'closed' | 'unanswered'
+
+/** Options of a reservation at an engine. */
+export interface TakeHoldOptions {
+  readonly target: RelayTarget
+  /** Memory to reserve, in tokens. */
+  readonly tokens: number
+  /** Time after which the engine releases an unused reservation, in milliseconds. */
+  readonly ttlMs: number
+  readonly timeoutMs: number
+  /** Ends the call; a reservation that the engine has made then lasts until it expires. */
+  readonly signal?: AbortSignal
+}
+
 /** Status that a target reports about itself. */
 export interface TargetReport {
   /** Whether it accepts no new requests because it is about to shut down. */
@@ -139,6 +159,19 @@
    * @param timeoutMs - Maximum time to wait, in milliseconds; the engine frees the copy by itself some seconds later.
    */
   dropCopy(source: RelayTarget, handle: string, timeoutMs: number): Promise<void>
+  /**
+   * Reserves capacity for one generation at an engine.
+   * @param options - Options of the reservation.
+   * @returns The id of the reservation, or the reason for which there is none.
+   */
+  takeHold(options: TakeHoldOptions): Promise<Result<string, HoldError>>
+  /**
+   * Releases a reservation that no request uses.
+   * @param target - Engine that made the reservation.
+   * @param hold - Id of the reservation.
+   * @param timeoutMs - Maximum time to wait, in milliseconds; the engine releases it by itself when it expires.
+   */
+  dropHold(target: RelayTarget, hold: string, timeoutMs: number): Promise<void>
   /**
    * Fetches the status that a target reports about itself.
    * @param target - The target.
--- a/packages/relay/src/targets/TargetAvailability.ts
+++ b/packages/relay/src/targets/TargetAvailability.ts
@@ -1,10 +1,11 @@
+import { type EngineHolds } from '../holds/EngineHolds.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type TargetBackoffs } from './TargetBackoffs.js'
 import { type TargetHealth } from './TargetHealth.js'
 
-/** Reason for which nothing may be sent to a target for a while: it wants no requests, or this instance has no turn at it. */
-export type ClosureReason = 'backoff' | 'limited'
+/** Reason for which nothing may be sent to a target for a while: it wants no requests, this instance has no turn at it, or it refused a reservation. */
+export type ClosureReason = 'backoff' | 'limited' | 'full'
 
 /** Time for which a target is closed, in milliseconds, and the reason that lasts longest. */
 export interface Closure {
@@ -16,6 +17,7 @@
 export interface TargetAvailabilityOptions {
   readonly backoffs: TargetBackoffs
   readonly limits: TargetLimits
+  readonly holds: EngineHolds
   readonly health: TargetHealth
 }
 
@@ -36,7 +38,8 @@
   private constructor (private readonly options: TargetAvailabilityOptions) {
     this.waits = [
       ['backoff', target => options.backoffs.getWaitMs(target)],
-      ['limited', target => options.limits.getWaitMs(target)]
+      ['limited', target => options.limits.getWaitMs(target)],
+      ['full', target => options.holds.getWaitMs(target)]
     ]
   }
 
--- a/packages/relay/src/targets/TargetGateway.ts
+++ b/packages/relay/src/targets/TargetGateway.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../model/RelayTarget.js'
-import { type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type NamedLimit, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from './RelayTargetClient.js'
+import { type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type HoldError, type NamedLimit, type RelayTargetClient, type RunCopy, type TakeHoldOptions, type TargetReachability, type TargetReport } from './RelayTargetClient.js'
 import { type TargetBackoffs } from './TargetBackoffs.js'
 
 /** Options of a gateway. */
@@ -11,7 +11,7 @@
 
 const CLOSED_CAUSE = 'the target wants no requests yet'
 
-/** Sends requests, copies and reports to targets, unless the target wants none at that moment; time may have passed since its selection. */
+/** Sends requests, copies, reservations and reports to targets, unless the target wants none at that moment; time may have passed since its selection. */
 export class TargetGateway {
   /**
    * Creates a gateway.
@@ -53,6 +53,24 @@
     if (!this.isClosed(source)) await this.options.client.dropCopy(source, handle, timeoutMs)
   }
 
+  /**
+   * Reserves capacity at an engine.
+   * @param options - Options of the reservation.
+   */
+  async takeHold (options: TakeHoldOptions): Promise<Result<string, HoldError>> {
+    return this.isClosed(options.target) ? Result.err('closed') : await this.options.client.takeHold(options)
+  }
+
+  /**
+   * Releases a reservation that no request uses. It expires by itself if the engine is closed now.
+   * @param target - Engine that made the reservation.
+   * @param hold - Id of the reservation.
+   * @param timeoutMs - Maximum time to wait, in milliseconds.
+   */
+  async dropHold (target: RelayTarget, hold: string, timeoutMs: number): Promise<void> {
+    if (!this.isClosed(target)) await this.options.client.dropHold(target, hold, timeoutMs)
+  }
+
   /**
    * Fetches the status that a target reports about itself.
    * @param target - The target.
--- a/packages/relay/test/support/CrashingEngines.ts
+++ b/packages/relay/test/support/CrashingEngines.ts
@@ -1,7 +1,7 @@
 import { pickIndex, type Random, type VirtualClock } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
-import { type Attempt, type AttemptOptions, type CopyError, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from '../../src/targets/RelayTargetClient.js'
+import { type Attempt, type AttemptOptions, type CopyError, type HoldError, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from '../../src/targets/RelayTargetClient.js'
 import { ScriptedAttempt } from './FakeTargetClient.js'
 
 /** A request that reached an engine. */
@@ -91,6 +91,12 @@
 
   async dropCopy (): Promise<void> {}
 
+  async takeHold (): Promise<Result<string, HoldError>> {
+    return Result.err('unanswered')
+  }
+
+  async dropHold (): Promise<void> {}
+
   async fetchReport (): Promise<Result<TargetReport, string>> {
     return Result.err('not scripted')
   }
--- a/packages/relay/test/support/FakeEngines.ts
+++ b/packages/relay/test/support/FakeEngines.ts
@@ -1,7 +1,7 @@
 import { type VirtualClock } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
-import { type Attempt, type AttemptOptions, type CopyError, type CopyOptions, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from '../../src/targets/RelayTargetClient.js'
+import { type Attempt, type AttemptOptions, type CopyError, type CopyOptions, type HoldError, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport } from '../../src/targets/RelayTargetClient.js'
 import { ScriptedAttempt } from './FakeTargetClient.js'
 
 /** Number of events of a stream and time between two of them, in milliseconds. */
@@ -65,6 +65,12 @@
 
   async dropCopy (): Promise<void> {}
 
+  async takeHold (): Promise<Result<string, HoldError>> {
+    return Result.err('unanswered')
+  }
+
+  async dropHold (): Promise<void> {}
+
   async fetchReport (): Promise<Result<TargetReport, string>> {
     return Result.err('not scripted')
   }
--- a/packages/relay/test/support/FakeTargetClient.ts
+++ b/packages/relay/test/support/FakeTargetClient.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import {
-  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type NamedLimit, type RelayTargetClient, type RunCopy, type TargetReachability, type TargetReport
+  type Attempt, type AttemptError, type AttemptHead, type AttemptOptions, type CopyError, type CopyOptions, type HoldError, type NamedLimit, type RelayTargetClient, type RunCopy, type TakeHoldOptions, type TargetReachability, type TargetReport
 } from '../../src/targets/RelayTargetClient.js'
 import { type TargetNotice, type TargetNoticeListener } from '../../src/targets/TargetNotice.js'
 
@@ -51,6 +51,11 @@
   /** Returns the result of a copy. */
   answerCopy: (options: CopyOptions) => Promise<Result<RunCopy, CopyError>> = async () => Result.err({ reason: 'unreachable' })
 
+  readonly holdCalls: TakeHoldOptions[] = []
+  readonly droppedHolds: string[] = []
+  /** Returns the result of a call for a reservation. */
+  answerHold: (options: TakeHoldOptions) => Promise<Result<string, HoldError>> = async () => Result.err('unanswered')
+
   /** Names of the polled targets, in order. */
   readonly polledTargets: string[] = []
   /** Returns the result of a poll. */
@@ -86,6 +91,15 @@
     this.dropped.push(handle)
   }
 
+  async takeHold (options: TakeHoldOptions): Promise<Result<string, HoldError>> {
+    this.holdCalls.push(options)
+    return await this.answerHold(options)
+  }
+
+  async dropHold (_target: RelayTarget, hold: string): Promise<void> {
+    this.droppedHolds.push(hold)
+  }
+
   async fetchReport (target: RelayTarget): Promise<Result<TargetReport, string>> {
     this.polledTargets.push(target.name)
     return await this.answerReport(target)
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -1,10 +1,11 @@
-import { createLogger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { createLogger, type Logger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { InMemoryNetwork } from '@fescuespoke/peers'
 import { AttemptBudget } from '../../src/budget/AttemptBudget.js'
 import { CrashDetector } from '../../src/crashes/CrashDetector.js'
 import { CrashEvidence } from '../../src/crashes/CrashEvidence.js'
 import { CrashGuard } from '../../src/crashes/CrashGuard.js'
 import { TrialSchedule } from '../../src/crashes/TrialSchedule.js'
+import { EngineHolds } from '../../src/holds/EngineHolds.js'
 import { TargetLimits } from '../../src/limits/TargetLimits.js'
 import { TargetLoads } from '../../src/loads/TargetLoads.js'
 import { DecisionLog } from '../../src/logs/DecisionLog.js'
@@ -35,18 +36,20 @@
   readonly clock: VirtualClock
   readonly client: FakeTargetClient
   readonly loads: TargetLoads
+  readonly registry: MetricsRegistry
   readonly history: VersionHistory
   readonly notices: TargetNotices
   readonly evidence: CrashEvidence
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[] } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, logger?: Logger, listPeers?: () => readonly string[] } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
-  const metrics = RelayMetrics.create(MetricsRegistry.create({ clock }))
-  const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+  const registry = MetricsRegistry.create({ clock })
+  const metrics = RelayMetrics.create(registry)
+  const log = createTestLog(clock, options.logger)
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: options.getTimeSinceStoreOutageMs ?? (() => 60_000) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const gateway = TargetGateway.create({ client: options.client ?? client, backoffs })
@@ -55,7 +58,8 @@
   const loads = TargetLoads.create(clock)
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: options.isLoadPartial })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, holds, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -64,7 +68,11 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, holds, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
+}
+
+function createTestLog (clock: VirtualClock, logger: Logger = createLogger({ instance: 'test', level: 'silent' })): DecisionLog {
+  return DecisionLog.create({ logger, clock })
 }
 
 /** Creates a target in availability zone z1. */
