--- a/packages/relay/src/holds/EngineClosures.ts
+++ b/packages/relay/src/holds/EngineClosures.ts
@@ -1,13 +1,15 @@
 import { type Clock } from '@fescuespoke/common'
 import { type RelayTarget } from '../model/RelayTarget.js'
 
-interface ClosureRecord {
+interface EngineRefusal {
   readonly startedAtMs: number
+  /** Memory that the refused generation needed, in tokens. */
+  readonly tokens: number
   /** Clock reading at which the engine may be asked again. */
   readonly endsAtMs: number
 }
 
-/** Engines that refused a reservation, and the times until they may be asked again. */
+/** Engines that refused a reservation, and the times until they may be asked again for as much memory. */
 export class EngineClosures {
   /**
    * Creates closures without records.
@@ -17,20 +19,22 @@
     return new EngineClosures(clock)
   }
 
-  private readonly records = new Map<string, ClosureRecord>()
+  private readonly refusals = new Map<string, readonly EngineRefusal[]>()
 
   /** @internal */
   private constructor (private readonly clock: Clock) {}
 
   /**
-   * Closes an engine.
+   * Closes an engine for generations that need as much memory as a refused one.
    * @param target - The engine.
+   * @param tokens - Memory that the refused generation needed, in tokens.
    * @param durationMs - Time until it may be asked again, in milliseconds.
    */
-  close ({ name, startedAtMs }: RelayTarget, durationMs: number): void {
-    const nowMs = this.clock.nowMs()
-    for (const [key, { endsAtMs }] of this.records) if (endsAtMs <= nowMs) this.records.delete(key)
-    this.records.set(name, { startedAtMs, endsAtMs: nowMs + durationMs })
+  close ({ name, startedAtMs }: RelayTarget, tokens: number, durationMs: number): void {
+    this.prune()
+    const refusal: EngineRefusal = { startedAtMs, tokens, endsAtMs: this.clock.nowMs() + durationMs }
+    const others = this.refusals.get(name) ?? []
+    this.refusals.set(name, [...others.filter(other => other.tokens < tokens || other.endsAtMs > refusal.endsAtMs), refusal])
   }
 
   /**
@@ -38,15 +42,26 @@
    * @param target - The engine.
    */
   open ({ name }: RelayTarget): void {
-    this.records.delete(name)
+    this.refusals.delete(name)
   }
 
   /**
    * Returns the time until an engine may be asked again, in milliseconds.
    * @param target - The engine.
+   * @param tokens - Memory that a generation needs, in tokens.
    */
-  getWaitMs ({ name, startedAtMs }: RelayTarget): number {
-    const record = this.records.get(name)
-    return record?.startedAtMs === startedAtMs ? Math.max(0, record.endsAtMs - this.clock.nowMs()) : 0
+  getWaitMs ({ name, startedAtMs }: RelayTarget, tokens: number): number {
+    const nowMs = this.clock.nowMs()
+    const waits = (this.refusals.get(name) ?? []).filter(refusal => refusal.startedAtMs === startedAtMs && refusal.tokens <= tokens).map(({ endsAtMs }) => endsAtMs - nowMs)
+    return Math.max(0, ...waits)
+  }
+
+  private prune (): void {
+    const nowMs = this.clock.nowMs()
+    for (const [name, refusals] of this.refusals) {
+      const current = refusals.filter(({ endsAtMs }) => endsAtMs > nowMs)
+      if (current.length === 0) this.refusals.delete(name)
+      else this.refusals.set(name, current)
+    }
   }
 }
--- a/packages/relay/src/holds/EngineHolds.ts
+++ b/packages/relay/src/holds/EngineHolds.ts
@@ -26,15 +26,19 @@
   readonly requestId: string
   readonly service: ServiceProfile
   readonly target: RelayTarget
-  /** Prompt and expected output, in tokens. */
+  /** Memory to reserve, in tokens: that of the prompt and the whole expected output. */
   readonly tokens: number
+  /** Memory with which the target was selected, in tokens; a refusal closes the target for generations that need as much. */
+  readonly requiredTokens: number
   /** Time within which the first event is due, in milliseconds. */
   readonly objectiveMs: number
+  /** Time after which the request is refused if there is no answer, in milliseconds. */
+  readonly giveUpMs: number
   /** Aborted when the caller has left or the deadline is reached. */
   readonly signal: AbortSignal
 }
 
-/** Reason for which there is no reservation; `aborted`: the request ended during the call. */
+/** Reason for which there is no reservation; `aborted`: the request ended during the call, or its time to wait did. */
 export type HoldFailure = HoldError | 'aborted'
 
 /**
@@ -74,9 +78,10 @@
   /**
    * Returns the time for which a target is not asked again after it refused a reservation, in milliseconds.
    * @param target - The target.
+   * @param requiredTokens - Memory that a generation needs, in tokens.
    */
-  getWaitMs (target: RelayTarget): number {
-    return this.closures.getWaitMs(target)
+  getWaitMs (target: RelayTarget, requiredTokens: number): number {
+    return this.closures.getWaitMs(target, requiredTokens)
   }
 
   /**
@@ -97,7 +102,7 @@
     const timeoutMs = computeCallTimeoutMs(request)
     const ttlMs = Math.max(1, Math.floor(Math.min(request.service.engine?.maxHoldMs ?? 0, TTL_FACTOR * timeoutMs)))
     const call = this.callEngine(request, ttlMs)
-    const result = await this.waitForAnswer(call, timeoutMs, request.signal)
+    const result = await this.waitForAnswer(call, timeoutMs, request)
     if (result.isErr && (result.error === 'aborted' || result.error === 'unanswered')) this.dropLate(call)
     this.recordResult(request, result, { ttlMs, answerMs: Math.round(clock.nowMs() - startedAtMs) })
     return result
@@ -110,7 +115,7 @@
     return answer.map(id => EngineHold.create({ id, onDrop: () => this.dropHold(request, id, ttlMs) }))
   }
 
-  private async waitForAnswer (call: Promise<Result<EngineHold, HoldError>>, timeoutMs: number, signal: AbortSignal): Promise<Result<EngineHold, HoldFailure>> {
+  private async waitForAnswer (call: Promise<Result<EngineHold, HoldError>>, timeoutMs: number, { giveUpMs, signal }: HoldRequest): Promise<Result<EngineHold, HoldFailure>> {
     if (signal.aborted) return Result.err('aborted')
     return await new Promise(resolve => {
       const finish = (result: Result<EngineHold, HoldFailure>): void => {
@@ -119,7 +124,7 @@
         resolve(result)
       }
       const handleAbort = (): void => finish(Result.err('aborted'))
-      const cancelTimer = this.options.clock.startTimer(timeoutMs, () => finish(Result.err('unanswered')))
+      const cancelTimer = this.options.clock.startTimer(Math.min(timeoutMs, giveUpMs), () => finish(Result.err(giveUpMs < timeoutMs ? 'aborted' : 'unanswered')))
       signal.addEventListener('abort', handleAbort)
       call.then(finish)
     })
@@ -144,7 +149,7 @@
     }
     const reason = result.error
     const closedMs = reason === 'full' ? computeCallTimeoutMs(request) : undefined
-    if (closedMs !== undefined) this.closures.close(target, closedMs)
+    if (closedMs !== undefined) this.closures.close(target, request.requiredTokens, closedMs)
     if (reason === 'unreachable') health.recordOutcome(target.name, 'unreachable')
     if (reason !== 'aborted') metrics.countHold(service.name, HOLD_RESULTS[reason])
     log.recordDecision(requestId, 'reservation not taken', { target: target.name, reason, tokens, closedMs, ...times })
--- a/packages/relay/src/holds/reserveHeldEngine.ts
+++ b/packages/relay/src/holds/reserveHeldEngine.ts
@@ -17,7 +17,7 @@
 }
 
 /** Number of engines that are asked in succession before the request waits in the queue. */
-const MAX_REFUSALS = 6
+const MAX_REFUSALS = 3
 
 /** Components that find an engine and reserve its capacity. */
 export type HeldEngineDependencies = Pick<RelayDependencies, 'clock' | 'admissionQueue' | 'holds' | 'placer' | 'table'>
@@ -33,31 +33,35 @@
   const { clock, admissionQueue } = dependencies
   const { admission } = request
   const waitEndsAtMs = clock.nowMs() + admission.maxWaitMs
-  for (let refusals = 0; !admission.signal.aborted; refusals++) {
+  const mayAsk = (refusals: number): boolean => refusals === 0 || (admission.maxWaitMs > 0 ? clock.nowMs() < waitEndsAtMs : refusals < MAX_REFUSALS)
+  for (let refusals = 0; !admission.signal.aborted && mayAsk(refusals); refusals++) {
     const reservation = await admissionQueue.waitForTarget({
       ...admission,
       requirements: { ...admission.requirements, isDecidedByEngine: true, isNearestFirst: refusals > 0 },
       maxWaitMs: waitEndsAtMs - clock.nowMs(),
       mustWait: refusals > 0 && refusals % MAX_REFUSALS === 0
     })
-    if (reservation === undefined || await addHold(dependencies, request, reservation)) return reservation
+    if (reservation === undefined || await addHold(dependencies, request, reservation, waitEndsAtMs)) return reservation
   }
   return undefined
 }
 
 /** Adds a reservation at the engine; returns whether the request may be sent there, and otherwise releases the target. */
-async function addHold (dependencies: HeldEngineDependencies, request: HeldEngineRequest, reservation: TargetReservation): Promise<boolean> {
-  const { holds, placer } = dependencies
-  const { requestId, tokens, objectiveMs, admission: { requirements: { service }, signal } } = request
+async function addHold (dependencies: HeldEngineDependencies, request: HeldEngineRequest, reservation: TargetReservation, waitEndsAtMs: number): Promise<boolean> {
+  const { clock, holds, placer } = dependencies
+  const { requestId, tokens, objectiveMs, admission: { requirements: { service, tokens: requiredTokens }, maxWaitMs, signal } } = request
   const memoryTokens = service.engine?.memoryTokens ?? Infinity
-  const result = await holds.takeHold({ requestId, service, target: reservation.target, tokens: Math.min(tokens, memoryTokens), objectiveMs, signal })
+  const result = await holds.takeHold({
+    requestId, service, target: reservation.target, tokens: Math.min(tokens, memoryTokens), requiredTokens, objectiveMs, signal, giveUpMs: maxWaitMs > 0 ? waitEndsAtMs - clock.nowMs() : Infinity
+  })
   if (result.isOk) reservation.setHold(result.value)
   if (maySend(result) && !signal.aborted && isStillThere(dependencies, reservation.target)) {
+    reservation.confirm()
     // The next waiting request may ask its engine.
     placer.notifyCapacity()
     return true
   }
-  reservation.release({ freesCapacity: false })
+  reservation.release({ freesCapacity: result.isOk || result.error !== 'full' })
   return false
 }
 
--- a/packages/relay/src/loads/TargetLoads.ts
+++ b/packages/relay/src/loads/TargetLoads.ts
@@ -55,12 +55,13 @@
    * Adds load of this instance; negative amounts remove load.
    * @param target - Name of the target.
    * @param change - Load to add.
+   * @param isUrgent - Whether peers must know at once; by default, if prompt tokens are added.
    */
-  addOwnLoad (target: string, change: Partial<TargetLoad>): void {
+  addOwnLoad (target: string, change: Partial<TargetLoad>, isUrgent = (change.pendingPrefillTokens ?? 0) > 0): void {
     const next = sumLoads(this.getOwnLoad(target), change)
     if (next.running <= 0 && next.tokens <= 0) this.ownLoads.delete(target)
     else this.ownLoads.set(target, next)
-    if ((change.pendingPrefillTokens ?? 0) > 0) this.notifyUrgent()
+    if (isUrgent) this.notifyUrgent()
   }
 
   /**
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -124,8 +124,8 @@
   }
 
   /** Returns the time until a target of the requested service and version opens, in milliseconds; 0 unless all are closed. */
-  private getOpeningMs ({ requirements: { service, origin } }: AdmissionRequest): number {
-    return this.options.placer.findClosure(service, origin)?.waitMs ?? 0
+  private getOpeningMs ({ requirements: { service, origin, tokens } }: AdmissionRequest): number {
+    return this.options.placer.findClosure(service, origin, tokens)?.waitMs ?? 0
   }
 
   private scheduleRetry (): void {
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -8,7 +8,7 @@
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
 import { formatOriginKey, type StreamOrigin } from '../versions/StreamOrigin.js'
 import { pickCallTarget, pickEngine, type TargetCandidate } from './pickTarget.js'
-import { TargetReservation } from './TargetReservation.js'
+import { TargetReservation, type TargetReservationOptions } from './TargetReservation.js'
 
 /** Options of a relay placer. */
 export interface RelayPlacerOptions {
@@ -81,20 +81,20 @@
     const { random, table, availability } = this.options
     const usable = table.listUsable(service.name, origin)
     const createCandidate = this.createCandidateFactory(usable, requirements)
-    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
+    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, isDecidedByEngine, isNearestFirst })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
+    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens, isTentative: isDecidedByEngine })
   }
 
   /**
    * Reserves a specific target regardless of its load and its limit; whether it wants requests is checked when one is sent.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
-   * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
+   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, and whether it may still refuse the request.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, isTentative }: Partial<Pick<TargetReservationOptions, 'score' | 'pendingPrefillTokens' | 'isTentative'>> = {}): TargetReservation {
     this.options.limits.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, isTentative, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -119,12 +119,13 @@
    * leaves all of them to other instances; undefined when a target is open or there is none.
    * @param service - The service.
    * @param origin - Origin of the stream that the targets have to continue.
+   * @param tokens - Memory that a generation needs, in tokens; by default, as much as any.
    */
-  findClosure (service: ServiceProfile, origin?: StreamOrigin): Closure | undefined {
+  findClosure (service: ServiceProfile, origin?: StreamOrigin, tokens?: number): Closure | undefined {
     const { table, availability } = this.options
     let earliest: Closure | undefined
     for (const { target } of table.listUsable(service.name, origin)) {
-      const closure = availability.findClosure(target)
+      const closure = availability.findClosure(target, tokens)
       if (closure === undefined) return undefined
       if (earliest === undefined || closure.waitMs < earliest.waitMs) earliest = closure
     }
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -12,6 +12,8 @@
   readonly onRelease: () => void
   /** Prompt tokens that the target has to process before the request starts. */
   readonly pendingPrefillTokens?: number
+  /** Whether the target may still refuse the request, so that peers need not know at once; by default it may not. */
+  readonly isTentative?: boolean
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -41,7 +43,7 @@
     this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
-    options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens })
+    options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens }, options.isTentative === true ? false : undefined)
   }
 
   /**
@@ -57,6 +59,11 @@
     this.heldTokens = heldTokens
   }
 
+  /** Lets peers know at once of a tentative reservation whose request is sent. */
+  confirm (): void {
+    this.options.loads.notifyUrgent()
+  }
+
   /**
    * Sets the reservation of capacity at the engine, which is dropped together with this one unless a request uses it.
    * @param hold - The reservation at the engine.
--- a/packages/relay/src/targets/TargetAvailability.ts
+++ b/packages/relay/src/targets/TargetAvailability.ts
@@ -32,25 +32,26 @@
   }
 
   /** Functions that return the time for which a target is closed, in milliseconds, by reason. */
-  private readonly waits: ReadonlyArray<readonly [ClosureReason, (target: RelayTarget) => number]>
+  private readonly waits: ReadonlyArray<readonly [ClosureReason, (target: RelayTarget, tokens: number) => number]>
 
   /** @internal */
   private constructor (private readonly options: TargetAvailabilityOptions) {
     this.waits = [
       ['backoff', target => options.backoffs.getWaitMs(target)],
       ['limited', target => options.limits.getWaitMs(target)],
-      ['full', target => options.holds.getWaitMs(target)]
+      ['full', (target, tokens) => options.holds.getWaitMs(target, tokens)]
     ]
   }
 
   /**
    * Returns why a target is closed; undefined when it is open.
    * @param target - The target.
+   * @param tokens - Memory that a generation needs, in tokens; by default, as much as any.
    */
-  findClosure (target: RelayTarget): Closure | undefined {
+  findClosure (target: RelayTarget, tokens: number = Infinity): Closure | undefined {
     let closure: Closure | undefined
     for (const [reason, getWaitMs] of this.waits) {
-      const waitMs = getWaitMs(target)
+      const waitMs = getWaitMs(target, tokens)
       if (waitMs > (closure?.waitMs ?? 0)) closure = { reason, waitMs }
     }
     return closure
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -43,7 +43,7 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, logger?: Logger, listPeers?: () => readonly string[] } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[] } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -59,7 +59,7 @@
   const health = TargetHealth.create(clock)
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
   const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: options.isLoadPartial })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, holds, health }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, availability: TargetAvailability.create({ backoffs, limits, holds, health }), availabilityZone: 'z1', pickPreferred: options.pickPreferred, listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
--- a/packages/relay/test/targets/TargetGateway.test.ts
+++ b/packages/relay/test/targets/TargetGateway.test.ts
@@ -13,6 +13,11 @@
   await gateway.dropCopy(a, 'h', 100)
   return undefined
 }
+const takeHold: Act = async ({ gateway }) => await gateway.takeHold({ target: a, tokens: 1, ttlMs: 100, timeoutMs: 100 })
+const dropHold: Act = async ({ gateway }) => {
+  await gateway.dropHold(a, 'h', 100)
+  return undefined
+}
 const fetchReport: Act = async ({ gateway }) => await gateway.fetchReport(a, 100)
 
 /** Acts while target a is closed for some time, and returns what reached the targets and the error. */
@@ -23,7 +28,7 @@
   client.notifyNotices(a, [{ kind: 'backoff', durationMs: 1000, text: '1' }])
   clock.jump(waitMs)
   const result = await act(dependencies)
-  const sent = client.attempts.length + client.copies.length + client.dropped.length + client.polledTargets.length
+  const sent = client.attempts.length + client.copies.length + client.dropped.length + client.holdCalls.length + client.droppedHolds.length + client.polledTargets.length
   return { sent, error: result?.isErr === true ? result.error : undefined }
 }
 
@@ -33,10 +38,12 @@
     ['a copy from it', copyFrom, { reason: 'closed', cause: 'the target wants no requests yet' }],
     ['a copy to it', copyTo, { reason: 'closed', cause: 'the target wants no requests yet' }],
     ['the end of a copy', dropCopy, undefined],
+    ['a call for a reservation', takeHold, 'closed'],
+    ['the end of a reservation', dropHold, undefined],
     ['a request for its report', fetchReport, 'the target wants no requests yet']
   ])('does not send %s to a closed target', async (_name, act, error) => expect(await doTest(act)).toEqual({ sent: 0, error }))
 
-  it.each([['a request', sendRequest], ['a copy from it', copyFrom], ['a copy to it', copyTo], ['the end of a copy', dropCopy], ['a request for its report', fetchReport]])(
+  it.each([['a request', sendRequest], ['a copy from it', copyFrom], ['a copy to it', copyTo], ['the end of a copy', dropCopy], ['a call for a reservation', takeHold], ['the end of a reservation', dropHold], ['a request for its report', fetchReport]])(
     'sends %s once the target is open', async (_name, act) => expect((await doTest(act, { waitMs: 1000 })).sent).toBe(1)
   )
 
