Log reservations once for each request, and describe them

Cause: a line for each engine that was asked would use up the lines that other decisions need.

Change: of the engines that refused a request, the first one has a line, and the line that ends the search has their number.

--- a/packages/relay/src/holds/EngineHolds.ts
+++ b/packages/relay/src/holds/EngineHolds.ts
@@ -34,6 +34,8 @@
   readonly objectiveMs: number
   /** Time after which the request is refused if there is no answer, in milliseconds. */
   readonly giveUpMs: number
+  /** Number of engines that were asked before without success, for the log. */
+  readonly refusals: number
   /** Aborted when the caller has left or the deadline is reached. */
   readonly signal: AbortSignal
 }
@@ -142,17 +144,18 @@
 
   private recordResult (request: HoldRequest, result: Result<EngineHold, HoldFailure>, times: { readonly ttlMs: number, readonly answerMs: number }): void {
     const { metrics, log, health } = this.options
-    const { requestId, service, target, tokens } = request
+    const { requestId, service, target, tokens, refusals } = request
     if (result.isOk) {
       metrics.countHold(service.name, 'taken')
-      return log.recordDecision(requestId, 'reservation taken', { target: target.name, hold: result.value.id, tokens, ...times })
+      return log.recordDecision(requestId, 'reservation taken', { target: target.name, hold: result.value.id, tokens, refusals, ...times })
     }
     const reason = result.error
     const closedMs = reason === 'full' ? computeCallTimeoutMs(request) : undefined
     if (closedMs !== undefined) this.closures.close(target, request.requiredTokens, closedMs)
     if (reason === 'unreachable') health.recordOutcome(target.name, 'unreachable')
     if (reason !== 'aborted') metrics.countHold(service.name, HOLD_RESULTS[reason])
-    log.recordDecision(requestId, 'reservation not taken', { target: target.name, reason, tokens, closedMs, ...times })
+    // The other refusals of a request are in the line that ends its search for an engine.
+    if (reason !== 'full' || refusals === 0) log.recordDecision(requestId, 'reservation not taken', { target: target.name, reason, tokens, refusals, closedMs, ...times })
   }
 }
 
--- a/packages/relay/src/holds/reserveHeldEngine.ts
+++ b/packages/relay/src/holds/reserveHeldEngine.ts
@@ -19,8 +19,15 @@
 /** Number of engines that are asked in succession before the request waits in the queue. */
 const MAX_REFUSALS = 3
 
+/** How long a request may go on to ask engines, and how many have refused it. */
+interface AskState {
+  /** Clock reading at which its time to wait ends. */
+  readonly waitEndsAtMs: number
+  readonly refusals: number
+}
+
 /** Components that find an engine and reserve its capacity. */
-export type HeldEngineDependencies = Pick<RelayDependencies, 'clock' | 'admissionQueue' | 'holds' | 'placer' | 'table'>
+export type HeldEngineDependencies = Pick<RelayDependencies, 'clock' | 'admissionQueue' | 'holds' | 'placer' | 'table' | 'log'>
 
 /**
  * Reserves a target and its capacity at the engine. Engines that refuse are passed over, and after several refusals the request
@@ -30,29 +37,33 @@
  * @returns The reservation, which includes that at the engine; undefined when no engine had capacity in time.
  */
 export async function reserveHeldEngine (dependencies: HeldEngineDependencies, request: HeldEngineRequest): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue } = dependencies
-  const { admission } = request
-  const waitEndsAtMs = clock.nowMs() + admission.maxWaitMs
+  const { clock, admissionQueue, log } = dependencies
+  const { requestId, admission, tokens } = request
+  const startedAtMs = clock.nowMs()
+  const waitEndsAtMs = startedAtMs + admission.maxWaitMs
   const mayAsk = (refusals: number): boolean => refusals === 0 || (admission.maxWaitMs > 0 ? clock.nowMs() < waitEndsAtMs : refusals < MAX_REFUSALS)
-  for (let refusals = 0; !admission.signal.aborted && mayAsk(refusals); refusals++) {
+  let refusals = 0
+  for (; !admission.signal.aborted && mayAsk(refusals); refusals++) {
     const reservation = await admissionQueue.waitForTarget({
       ...admission,
       requirements: { ...admission.requirements, isDecidedByEngine: true, isNearestFirst: refusals > 0 },
       maxWaitMs: waitEndsAtMs - clock.nowMs(),
       mustWait: refusals > 0 && refusals % MAX_REFUSALS === 0
     })
-    if (reservation === undefined || await addHold(dependencies, request, reservation, waitEndsAtMs)) return reservation
+    if (reservation === undefined) break
+    if (await addHold(dependencies, request, reservation, { waitEndsAtMs, refusals })) return reservation
   }
+  if (refusals > 0) log.recordDecision(requestId, 'no reservation in time', { tokens, refusals, maxWaitMs: Math.round(admission.maxWaitMs), waitedMs: Math.round(clock.nowMs() - startedAtMs) })
   return undefined
 }
 
 /** Adds a reservation at the engine; returns whether the request may be sent there, and otherwise releases the target. */
-async function addHold (dependencies: HeldEngineDependencies, request: HeldEngineRequest, reservation: TargetReservation, waitEndsAtMs: number): Promise<boolean> {
+async function addHold (dependencies: HeldEngineDependencies, request: HeldEngineRequest, reservation: TargetReservation, { waitEndsAtMs, refusals }: AskState): Promise<boolean> {
   const { clock, holds, placer } = dependencies
   const { requestId, tokens, objectiveMs, admission: { requirements: { service, tokens: requiredTokens }, maxWaitMs, signal } } = request
   const memoryTokens = service.engine?.memoryTokens ?? Infinity
   const result = await holds.takeHold({
-    requestId, service, target: reservation.target, tokens: Math.min(tokens, memoryTokens), requiredTokens, objectiveMs, signal, giveUpMs: maxWaitMs > 0 ? waitEndsAtMs - clock.nowMs() : Infinity
+    requestId, service, target: reservation.target, tokens: Math.min(tokens, memoryTokens), requiredTokens, objectiveMs, signal, refusals, giveUpMs: maxWaitMs > 0 ? waitEndsAtMs - clock.nowMs() : Infinity
   })
   if (result.isOk) reservation.setHold(result.value)
   if (maySend(result) && !signal.aborted && isStillThere(dependencies, reservation.target)) {
--- a/packages/relay/test/holds/heldStreams.test.ts
+++ b/packages/relay/test/holds/heldStreams.test.ts
@@ -1,3 +1,4 @@
+import { type Logger } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
 import { type ServiceProfile } from '../../src/model/RelayConfiguration.js'
@@ -23,6 +24,8 @@
   /** Time until the deadline of the request, in milliseconds. */
   readonly timeoutMs?: number
   readonly receivedAtMs?: number
+  readonly canMove?: boolean
+  readonly logger?: Logger
 }
 
 interface Outcome {
@@ -45,8 +48,8 @@
 const NAMES = ['a', 'b']
 
 /** Runs one stream of priority 2 with two engines, of which the first one is the least used. */
-async function doTest ({ isLoadPartial = true, maxHoldMs = 2000, holdAnswers = {}, scripts = {}, actions = [], extra, timeoutMs = 8000, receivedAtMs = 0 }: Options): Promise<Outcome> {
-  const dependencies = createTestDependencies({ isLoadPartial: () => isLoadPartial, extra })
+async function doTest ({ isLoadPartial = true, maxHoldMs = 2000, holdAnswers = {}, scripts = {}, actions = [], extra, timeoutMs = 8000, receivedAtMs = 0, canMove = false, logger }: Options): Promise<Outcome> {
+  const dependencies = createTestDependencies({ isLoadPartial: () => isLoadPartial, extra, logger })
   const { clock, client, table, loads } = dependencies
   for (const name of NAMES) {
     table.updateTarget(createEngine(name))
@@ -58,7 +61,7 @@
     await clock.sleep(afterMs)
     return answer
   }
-  const service: ServiceProfile = { ...ENGINES, engine: { ...ENGINES.engine!, canMove: false, maxHoldMs } }
+  const service: ServiceProfile = { ...ENGINES, engine: { ...ENGINES.engine!, canMove, maxHoldMs } }
   const route = createRoute({ kind: 'stream', maxAttempts: 1, priority: 2, timeoutMs, objectiveMs: 1000, maxGapMs: 100 })
   const { context, sink, endController } = createContext(route, service, { receivedAtMs, size: { promptTokens: 1000, maxOutputTokens: 400, expectedOutputTokens: 300 } })
   clock.startTimer(route.timeoutMs, () => endController.abort())
@@ -157,6 +160,12 @@
     expect([sink.endState, sent, dropped, running]).toEqual(['complete', [['b', 'hold-b', 5]], ['hold-a'], 0])
   })
 
+  it('expire by themselves when the engine wants no requests any more during the call, and another engine is asked', async () => {
+    const backOff = ({ client }: TestDependencies): void => client.notifyNotices(createEngine('a'), [{ kind: 'backoff', durationMs: 3000, text: '3' }])
+    const { sink, sent, dropped, running } = await doTest({ holdAnswers: { a: grant('a', 50) }, actions: [[20, backOff]], extra: 0 })
+    expect([sink.endState, sent, dropped, running]).toEqual(['complete', [['b', 'hold-b', 5]], [], 0])
+  })
+
   it.each([['restarts', { startedAtMs: 2 }], ['has another software version', { softwareVersion: 'v2' }]])('are dropped when the engine %s during the call', async (_, change) => {
     const restart = ({ table }: TestDependencies): void => { table.updateTarget(createEngine('a', change)) }
     const { sink, sent, dropped, running } = await doTest({ holdAnswers: { a: grant('a', 50) }, actions: [[20, restart]] })
@@ -194,6 +203,45 @@
   })
 })
 
+describe('streams that continue from a copy of their memory', () => {
+  it('need no reservation, and have the common urgency', async () => {
+    const { sink, asked, sent, dropped, running, dependencies } = await doTest({
+      canMove: true,
+      scripts: { a: [{ steps: [createEvent(1)] }], b: [{ steps: [createEvent(2), 'END'] }] },
+      actions: [[20, ({ client }) => { client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 }) }], [30, ({ table }) => { table.updateTarget(createEngine('a', { phase: 'leaving' })) }]]
+    })
+    expect(dependencies.client.attempts[1]?.options.continuation).toEqual({ address: 'a:1', handle: 'h' })
+    expect([sink.endState, asked, sent, dropped, running]).toEqual(['complete', ['a'], [['a', 'hold-a', 5], ['b', undefined, 5]], [], 0])
+  })
+})
+
+describe('the log', () => {
+  async function listLines (options: Options): Promise<unknown[]> {
+    const lines: unknown[] = []
+    const logger = { info: (fields: Record<string, unknown>, message: string) => { if (message.includes('reservation')) lines.push({ message, ...fields }) }, warn: () => undefined } as unknown as Logger
+    await doTest({ ...options, logger })
+    return lines
+  }
+
+  it('tells of the first engine that was asked and of the reservation, with their inputs', async () => {
+    const lines = await listLines({ holdAnswers: { a: refuse('full') }, scripts: { b: [{ error: 'lost' }] } })
+    expect(lines).toEqual([
+      { message: 'reservation not taken', request: 'q1', target: 'a', reason: 'full', tokens: 1300, refusals: 0, closedMs: 125, ttlMs: 500, answerMs: 5 },
+      { message: 'reservation taken', request: 'q1', target: 'b', hold: 'hold-b', tokens: 1300, refusals: 1, ttlMs: 500, answerMs: 5 }
+    ])
+  })
+
+  it('tells of a dropped reservation', async () => {
+    const [, dropped] = await listLines({ scripts: { a: [{ error: 'notExecuted' }] } })
+    expect(dropped).toEqual({ message: 'reservation dropped', request: 'q1', target: 'a', hold: 'hold-a' })
+  })
+
+  it('tells how many engines refused a request that got none', async () => {
+    const { length, [length - 1]: last } = await listLines({ holdAnswers: { a: refuse('full'), b: refuse('full') } })
+    expect([length, last]).toEqual([2, { message: 'no reservation in time', request: 'q1', tokens: 1300, refusals: expect.any(Number), maxWaitMs: 500, waitedMs: 485 }])
+  })
+})
+
 describe('calls for reservations', () => {
   it('use neither the attempts of the route nor the retry budget', async () => {
     const { sink, dependencies } = await doTest({ holdAnswers: { a: refuse('full') }, extra: 0 })
