Avoid engines that answer calls for reservations late

Cause: in a burst with one engine of four whose answers come late, each request that asked it was sent there without a reservation, and a short stream waited there until its limit.

Change: such an engine is closed for the other requests of the instance for as long as after a refusal.

--- a/packages/relay/src/holds/EngineHolds.ts
+++ b/packages/relay/src/holds/EngineHolds.ts
@@ -40,8 +40,8 @@
   readonly signal: AbortSignal
 }
 
-/** Reason for which there is no reservation; `aborted`: the request ended during the call, or its time to wait did. */
-export type HoldFailure = HoldError | 'aborted'
+/** Reason for which there is no reservation; `late`: there was no answer in time; `aborted`: the request ended during the call, or its time to wait did. */
+export type HoldFailure = HoldError | 'late' | 'aborted'
 
 /**
  * Time to wait for an answer, and time for which a full engine is not asked again, as a share of the time within which the first event
@@ -105,7 +105,7 @@
     const ttlMs = Math.max(1, Math.floor(Math.min(request.service.engine?.maxHoldMs ?? 0, TTL_FACTOR * timeoutMs)))
     const call = this.callEngine(request, ttlMs)
     const result = await this.waitForAnswer(call, timeoutMs, request)
-    if (result.isErr && (result.error === 'aborted' || result.error === 'unanswered')) this.dropLate(call)
+    if (result.isErr && (result.error === 'aborted' || result.error === 'late')) this.dropLate(call)
     this.recordResult(request, result, { ttlMs, answerMs: Math.round(clock.nowMs() - startedAtMs) })
     return result
   }
@@ -126,7 +126,7 @@
         resolve(result)
       }
       const handleAbort = (): void => finish(Result.err('aborted'))
-      const cancelTimer = this.options.clock.startTimer(Math.min(timeoutMs, giveUpMs), () => finish(Result.err(giveUpMs < timeoutMs ? 'aborted' : 'unanswered')))
+      const cancelTimer = this.options.clock.startTimer(Math.min(timeoutMs, giveUpMs), () => finish(Result.err(giveUpMs < timeoutMs ? 'aborted' : 'late')))
       signal.addEventListener('abort', handleAbort)
       call.then(finish)
     })
@@ -142,6 +142,14 @@
     this.options.gateway.dropHold(target, hold, timeoutMs)
   }
 
+  /** Closes an engine that has no capacity, or whose answers come late; returns for how long. */
+  private closeEngine (request: HoldRequest, reason: HoldFailure): number | undefined {
+    if (reason !== 'full' && reason !== 'late') return undefined
+    const closedMs = computeCallTimeoutMs(request)
+    this.closures.close(request.target, reason === 'full' ? request.requiredTokens : 0, closedMs)
+    return closedMs
+  }
+
   private recordResult (request: HoldRequest, result: Result<EngineHold, HoldFailure>, times: { readonly ttlMs: number, readonly answerMs: number }): void {
     const { metrics, log, health } = this.options
     const { requestId, service, target, tokens, refusals } = request
@@ -150,8 +158,7 @@
       return log.recordDecision(requestId, 'reservation taken', { target: target.name, hold: result.value.id, tokens, refusals, ...times })
     }
     const reason = result.error
-    const closedMs = reason === 'full' ? computeCallTimeoutMs(request) : undefined
-    if (closedMs !== undefined) this.closures.close(target, request.requiredTokens, closedMs)
+    const closedMs = this.closeEngine(request, reason)
     if (reason === 'unreachable') health.recordOutcome(target.name, 'unreachable')
     if (reason !== 'aborted') metrics.countHold(service.name, HOLD_RESULTS[reason])
     // The other refusals of a request are in the line that ends its search for an engine.
@@ -160,7 +167,7 @@
 }
 
 /** Results in the counters, by reason. */
-const HOLD_RESULTS: Record<HoldError, HoldResult> = { full: 'refused', unreachable: 'failed', closed: 'failed', unanswered: 'failed' }
+const HOLD_RESULTS: Record<Exclude<HoldFailure, 'aborted'>, HoldResult> = { full: 'refused', unreachable: 'failed', closed: 'failed', unanswered: 'failed', late: 'failed' }
 
 function computeCallTimeoutMs ({ service, objectiveMs }: HoldRequest): number {
   return CALL_SHARE * Math.min(service.engine?.maxHoldMs ?? 0, objectiveMs)
--- a/packages/relay/src/holds/reserveHeldEngine.ts
+++ b/packages/relay/src/holds/reserveHeldEngine.ts
@@ -76,9 +76,9 @@
   return false
 }
 
-/** Returns whether a request is sent after a call for a reservation: with one, or where it is not known whether the engine has capacity. */
+/** Returns whether a request is sent after a call for a reservation: with one, or where the engine does not tell whether it has capacity. */
 function maySend (result: Result<EngineHold, HoldFailure>): boolean {
-  return result.isOk || result.error === 'unanswered'
+  return result.isOk || result.error === 'unanswered' || result.error === 'late'
 }
 
 /** Returns whether a target is the same as before the call and did not leave during it. */
--- a/packages/relay/test/holds/heldBurst.test.ts
+++ b/packages/relay/test/holds/heldBurst.test.ts
@@ -28,6 +28,15 @@
   readonly results: readonly CallerResult[]
 }
 
+interface BurstOptions {
+  readonly isLoadPartial?: boolean
+  /** Output of a run relative to its estimate. */
+  readonly outputFactor?: number
+  readonly seed?: number
+  /** Causes a failure. */
+  readonly prepare?: (engines: HoldingEngines, instances: readonly TestDependencies[], clock: VirtualClock) => void
+}
+
 const ENGINE_COUNT = 4
 const INSTANCE_COUNT = 8
 
@@ -48,12 +57,13 @@
 const service: ServiceProfile = { name: 'engines', engine: { slots: 24, memoryTokens: 26_798, linkMbps: 28_000, tokenBytes: 192_512, tokensPerEvent: 4, canMove: false, maxHoldMs: 2000 } }
 
 /** Sends a burst of long streams and then one of short streams through instances that know nothing of each other. */
-async function doTest ({ isLoadPartial = true, outputFactor = 1, seed = 3 }: { readonly isLoadPartial?: boolean, readonly outputFactor?: number, readonly seed?: number }): Promise<Outcome> {
+async function doTest ({ isLoadPartial = true, outputFactor = 1, seed = 3, prepare }: BurstOptions): Promise<Outcome> {
   const clock = VirtualClock.create()
   const random = SeededRandom.create(seed)
   const engines = HoldingEngines.create(clock, service.engine!)
   const instances = Array.from({ length: INSTANCE_COUNT }, (_, index) => createTestDependencies({ clock, seed: seed + index, client: engines, isLoadPartial: () => isLoadPartial }))
   for (const { table } of instances) for (let index = 0; index < ENGINE_COUNT; index++) table.updateTarget(createTarget(`e${index}`, { service: service.name, slots: 24 }))
+  prepare?.(engines, instances, clock)
   const results: CallerResult[] = []
   for (const [name, kind] of Object.entries(KINDS)) {
     for (const atMs of listArrivals(kind.perSecond, BURSTS[name]!, () => random.nextFloat())) {
@@ -109,6 +119,17 @@
     expect(results.filter(({ sink }) => sink.endState !== 'complete' && sink.refusal?.reason !== 'overloaded')).toEqual([])
   })
 
+  it('loses nothing but the runs of an engine that ends without notice, and leaves no reservation behind', async () => {
+    const { engines, results } = await doTest({ prepare: (all, _, clock) => clock.startTimer(8000, () => all.endEngine('e0')) })
+    const ends = new Set(results.map(({ sink }) => sink.refusal?.reason ?? sink.endState))
+    expect([engines.counts.waited, engines.counts.preempted, engines.countHolds(), [...ends].sort()]).toEqual([0, 0, 0, ['brokenOff', 'complete', 'overloaded']])
+  })
+
+  it('answers each caller and drops each late reservation while the answers of an engine come late', async () => {
+    const { engines, results } = await doTest({ prepare: all => all.answerTimesMs.set('e0', 600) })
+    expect([engines.counts.dropped > 0, engines.countHolds(), results.filter(({ sink }) => sink.endState === undefined)]).toEqual([true, 0, []])
+  })
+
   it('preempts only runs whose output exceeds its estimate', async () => {
     const { engines: { counts: exceeding } } = await doTest({ outputFactor: 1.5 })
     const { engines: { counts: within } } = await doTest({ outputFactor: 0.7 })
--- a/packages/relay/test/holds/heldStreams.test.ts
+++ b/packages/relay/test/holds/heldStreams.test.ts
@@ -142,6 +142,14 @@
     expect([sink.endState, asked, sent]).toEqual(['complete', ['a', 'b'], [['b', 'hold-b', 5]]])
   })
 
+  it('leave an engine that gave no answer in time to no other request for a short time', async () => {
+    const waits: number[] = []
+    const readWait = ({ holds, table }: TestDependencies): void => { waits.push(Math.round(holds.getWaitMs(table.getTracked('a')!.target, 1))) }
+    await doTest({ holdAnswers: { a: grant('a', 300) }, scripts: { a: [{ steps: [createEvent(1), 500, createEvent(2), 'END'] }] }, actions: [[126, readWait], [251, readWait]] })
+    await doTest({ holdAnswers: { a: refuse('unanswered') }, scripts: { a: [{ steps: [createEvent(1), 500, createEvent(2), 'END'] }] }, actions: [[6, readWait]] })
+    expect(waits).toEqual([124, 0, 0])
+  })
+
   it('drop a reservation whose answer comes late', async () => {
     const { sink, sent, dropped } = await doTest({ holdAnswers: { a: grant('a', 300) } })
     expect([sink.endState, sent, dropped]).toEqual(['complete', [['a', undefined, 5]], ['hold-a']])
--- a/packages/relay/test/support/HoldingEngines.ts
+++ b/packages/relay/test/support/HoldingEngines.ts
@@ -6,6 +6,7 @@
 import { EngineAttempt } from './EngineAttempt.js'
 
 interface EngineRun {
+  readonly engine: string
   readonly attempt: EngineAttempt
   readonly urgency: number
   readonly promptTokens: number
@@ -38,10 +39,21 @@
   }
 
   readonly counts = { waited: 0, preempted: 0, taken: 0, refused: 0, dropped: 0, expired: 0 }
+  /** Time that an engine takes to answer a call for a reservation, by name, in milliseconds. */
+  readonly answerTimesMs = new Map<string, number>()
   private readonly engines = new Map<string, EngineState>()
+  private readonly ended = new Set<string>()
 
   private constructor (private readonly clock: VirtualClock, private readonly profile: EngineProfile) {}
 
+  /** Ends an engine and its runs. */
+  endEngine (name: string): void {
+    const engine = this.getEngine(name)
+    this.ended.add(name)
+    for (const run of [...engine.runs, ...engine.waiting]) run.attempt.finish('lost')
+    engine.holds.clear()
+  }
+
   /** Counts the reservations that exist at all engines. */
   countHolds (): number {
     return [...this.engines.values()].reduce((sum, { holds }) => sum + holds.size, 0)
@@ -49,13 +61,14 @@
 
   async takeHold ({ target, tokens, ttlMs }: TakeHoldOptions): Promise<Result<string, HoldError>> {
     await this.clock.sleep(MESSAGE_MS)
+    if (this.ended.has(target.name)) return Result.err('unreachable')
     const engine = this.getEngine(target.name)
     const hasCapacity = engine.runs.size + engine.holds.size < this.profile.slots && this.getFreeTokens(engine) >= tokens
     this.counts[hasCapacity ? 'taken' : 'refused']++
     if (!hasCapacity) return Result.err('full')
     const id = `h${this.counts.taken}`
     engine.holds.set(id, { tokens, expiresAtMs: this.clock.nowMs() + ttlMs })
-    await this.clock.sleep(MESSAGE_MS)
+    await this.clock.sleep(this.answerTimesMs.get(target.name) ?? MESSAGE_MS)
     return Result.ok(id)
   }
 
@@ -70,7 +83,7 @@
     const attempt = new EngineAttempt(options, () => this.remove(engine, run))
     this.clock.startTimer(MESSAGE_MS, () => this.admit(engine, run))
     const hold = options.hold === undefined ? undefined : engine.holds.get(options.hold)
-    const run: EngineRun = { attempt, urgency: options.urgency ?? 0, promptTokens: size!.promptTokens, totalEvents: Number(body.toString()), coveredTokens: hold?.tokens ?? 0, events: 0, cancelStep: () => undefined }
+    const run: EngineRun = { engine: name, attempt, urgency: options.urgency ?? 0, promptTokens: size!.promptTokens, totalEvents: Number(body.toString()), coveredTokens: hold?.tokens ?? 0, events: 0, cancelStep: () => undefined }
     if (options.hold !== undefined) engine.holds.delete(options.hold)
     if (hold !== undefined) engine.runs.add(run)
     return attempt
@@ -119,6 +132,7 @@
   /** Begins a run that has a reservation or finds room, if need be in place of less urgent ones; otherwise it waits. */
   private admit (engine: EngineState, run: EngineRun): void {
     if (run.attempt.end !== undefined) return
+    if (this.ended.has(run.engine)) return run.attempt.finish('notSent')
     while (!engine.runs.has(run) && !this.hasRoom(engine, run) && this.preempt(engine, run.urgency)) continue
     if (engine.runs.has(run) || this.hasRoom(engine, run)) return this.begin(engine, run)
     this.counts.waited++
