Test that ended runs open an engine and that peers hear of sent runs only

Cause: two mutations of the reservations passed all tests.

Change: a test for each.

Result: vitest packages/relay/test/holds: 58 passed; each mutation fails one.

--- a/packages/relay/test/holds/heldStreams.test.ts
+++ b/packages/relay/test/holds/heldStreams.test.ts
@@ -105,6 +105,23 @@
     expect(waits).toEqual([[6, 0, 124, 124], [131, 0, 0, 0]])
   })
 
+  it('open an engine that is closed when they end there', async () => {
+    const waits: number[] = []
+    const readWait = ({ holds, table }: TestDependencies): void => { waits.push(Math.round(holds.getWaitMs(table.getTracked('a')!.target, 2000))) }
+    const closeEngine = ({ client, holds }: TestDependencies): void => {
+      client.answerHold = async () => Result.err('full')
+      holds.takeHold({ requestId: 'q2', service: { ...ENGINES, engine: { ...ENGINES.engine!, maxHoldMs: 2000 } }, target: createEngine('a'), tokens: 2000, requiredTokens: 2000, objectiveMs: 1000, giveUpMs: Infinity, refusals: 0, signal: new AbortController().signal })
+    }
+    await doTest({ scripts: { a: [{ steps: [createEvent(1), 60, createEvent(2), 'END'] }] }, actions: [[20, closeEngine], [30, readWait], [70, readWait]] })
+    expect(waits).toEqual([115, 0])
+  })
+
+  it('are announced to peers when they are sent, and not for each engine that is asked', async () => {
+    const announcedAtMs: number[] = []
+    await doTest({ holdAnswers: { a: refuse('full') }, actions: [[1, ({ loads, clock }) => loads.setUrgentListener(() => announcedAtMs.push(clock.nowMs()))]] })
+    expect(announcedAtMs).toEqual([10])
+  })
+
   it('are refused as overloaded within half of the objective while no engine has capacity, and nothing is sent', async () => {
     let refusedAtMs: number | undefined
     const watch = ({ clock }: TestDependencies, sink: FakeSink): void => {
