--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -4,6 +4,7 @@
 import { CrashEvidence } from '../crashes/CrashEvidence.js'
 import { CrashGuard } from '../crashes/CrashGuard.js'
 import { TrialSchedule } from '../crashes/TrialSchedule.js'
+import { EngineHolds } from '../holds/EngineHolds.js'
 import { ColdTargets } from '../limits/ColdTargets.js'
 import { TargetLimits } from '../limits/TargetLimits.js'
 import { LoadExchange } from '../loads/LoadExchange.js'
@@ -112,6 +113,7 @@
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
   const prefixes = PromptPrefixes.create({ clock, log })
+  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: () => viewComponents.peers.getGroup().count > 1 })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -120,7 +122,7 @@
     health,
     limits,
     coldTargets,
-    availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }),
+    availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, holds, health }),
     regions,
     availabilityZone: identity.availabilityZone,
     speeds,
@@ -147,6 +149,7 @@
     coldTargets,
     placer,
     prefixes,
+    holds,
     generationTimes: GenerationTimeEstimator.create(),
     speeds,
     admissionQueue: AdmissionQueue.create({ clock, placer }),
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -13,7 +13,7 @@
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
 import { formatOriginKey, type StreamOrigin } from '../versions/StreamOrigin.js'
 import { pickCallTarget, pickEngine, type TargetCandidate } from './pickTarget.js'
-import { TargetReservation } from './TargetReservation.js'
+import { TargetReservation, type TargetReservationOptions } from './TargetReservation.js'
 
 /** Options of a relay placer. */
 export interface RelayPlacerOptions {
@@ -70,6 +70,10 @@
   readonly remoteZoneWeight?: number
   /** Longest acceptable gap between two events of a generation, in milliseconds; a slow engine takes only as many as keep it. */
   readonly maxGapMs?: number
+  /** Whether the engine decides on its capacity, so that one without known room is selected when no other one is left. */
+  readonly isDecidedByEngine?: boolean
+  /** Whether engines of this instance's group are selected first, then others in the local zone, then those of other zones. */
+  readonly isNearestFirst?: boolean
 }
 
 /** Selects targets by their known total load and tracks reservations. */
@@ -92,25 +96,25 @@
    * @param requirements - Requirements on the target.
    */
   reserveBestTarget (requirements: TargetRequirements): TargetReservation | undefined {
-    const { service, tokens, heldTokens, excludedTargets, isLocalOnly = false, remoteZoneWeight } = requirements
+    const { service, tokens, pendingPrefillTokens, excludedTargets, isLocalOnly = false } = requirements
     const { random, availability } = this.options
     const usable = this.listUsable(service, requirements)
     const createCandidate = this.createCandidateFactory(usable, requirements)
-    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
-    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined, prefillTokens: requirements.pendingPrefillTokens, outputTokens: requirements.outputTokens })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens, heldPrefixTokens: choice.heldPrefixTokens })
+    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
+    const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { ...requirements, profile: service.engine, random, mustWaitForPrefill: pendingPrefillTokens !== undefined, prefillTokens: pendingPrefillTokens })
+    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens, heldPrefixTokens: choice.heldPrefixTokens, isTentative: requirements.isDecidedByEngine })
   }
 
   /**
    * Reserves a specific target regardless of its load and its limit; whether it wants requests is checked when one is sent.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
-   * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
+   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, and whether it may still refuse the request.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, heldPrefixTokens }: { readonly score?: number, readonly pendingPrefillTokens?: number, readonly heldPrefixTokens?: number } = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, heldPrefixTokens, isTentative }: Partial<Pick<TargetReservationOptions, 'score' | 'pendingPrefillTokens' | 'heldPrefixTokens' | 'isTentative'>> = {}): TargetReservation {
     this.options.limits.recordRequest(target)
     this.options.coldTargets.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, heldPrefixTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, heldPrefixTokens, isTentative, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -135,13 +139,13 @@
    * Returns why nothing may be sent to any target of a service and the time until one opens, which is `Infinity` when this instance
    * leaves all of them to other instances; undefined when a target is open or there is none.
    * @param service - The service.
-   * @param limits - Origin of the stream that the targets have to continue, and their regions.
+   * @param limits - Origin of the stream that the targets have to continue, their regions, and memory that a generation needs, in tokens; by default, as much as any.
    */
-  findClosure (service: ServiceProfile, limits: Pick<TargetRequirements, 'origin' | 'allowedRegions'> = {}): Closure | undefined {
+  findClosure (service: ServiceProfile, limits: Partial<Pick<TargetRequirements, 'origin' | 'allowedRegions' | 'tokens'>> = {}): Closure | undefined {
     const { availability } = this.options
     let earliest: Closure | undefined
     for (const { target } of this.listUsable(service, limits)) {
-      const closure = availability.findClosure(target)
+      const closure = availability.findClosure(target, limits.tokens)
       if (closure === undefined) return undefined
       if (earliest === undefined || closure.waitMs < earliest.waitMs) earliest = closure
     }
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -1,3 +1,4 @@
+import { type EngineHold } from '../holds/EngineHold.js'
 import { type TargetLoads } from '../loads/TargetLoads.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 
@@ -13,6 +14,8 @@
   readonly pendingPrefillTokens?: number
   /** Tokens at the beginning of the prompt that the engine was expected to hold when it was selected. */
   readonly heldPrefixTokens?: number
+  /** Whether the target may still refuse the request, so that peers need not know at once; by default it may not. */
+  readonly isTentative?: boolean
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -35,6 +38,7 @@
   private heldTokens = 0
   private pendingPrefillTokens: number
   private isReleased = false
+  private hold: EngineHold | undefined
 
   /** @internal */
   private constructor (private readonly options: TargetReservationOptions) {
@@ -43,7 +47,7 @@
     this.heldPrefixTokens = options.heldPrefixTokens
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
-    options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens })
+    options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens }, options.isTentative === true ? false : undefined)
   }
 
   /**
@@ -59,17 +63,40 @@
     this.heldTokens = heldTokens
   }
 
+  /** Lets peers know at once of a tentative reservation whose request is sent. */
+  confirm (): void {
+    this.options.loads.notifyUrgent()
+  }
+
+  /**
+   * Sets the reservation of capacity at the engine, which is dropped together with this one unless a request uses it.
+   * @param hold - The reservation at the engine.
+   */
+  setHold (hold: EngineHold): void {
+    this.hold = hold
+    if (this.isReleased) hold.drop()
+  }
+
+  /** Returns the reservation of capacity at the engine; undefined when there is none. */
+  getHold (): EngineHold | undefined {
+    return this.hold
+  }
+
   /** Removes the memory of the request after it was copied to another engine, and lets peers know at once. */
   clearTokens (): void {
     this.setTokens(0)
     this.options.loads.notifyUrgent()
   }
 
-  /** Releases the target. Later calls have no effect. */
-  release (): void {
+  /**
+   * Releases the target. Later calls have no effect.
+   * @param options - Whether waiting requests may use the capacity; not when the target refused this one. By default they may.
+   */
+  release ({ freesCapacity = true }: { readonly freesCapacity?: boolean } = {}): void {
     if (this.isReleased) return
     this.isReleased = true
+    this.hold?.drop()
     this.options.loads.addOwnLoad(this.target.name, { running: -1, tokens: -this.tokens, heldTokens: -this.heldTokens, pendingPrefillTokens: -this.pendingPrefillTokens })
-    this.options.onRelease()
+    if (freesCapacity) this.options.onRelease()
   }
 }
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -57,6 +57,8 @@
 
 /** Weight of a fast engine for a generation whose output takes less time than its prompt, so that longer ones find capacity there. */
 const FAST_ENGINE_WEIGHT = 0.5
+/** Weight of a step of distance where nearer engines come first; more than the other weights of an engine with room add up to. */
+const DISTANCE_WEIGHT = 50
 
 /** Slots assumed for a target that reports none. */
 const DEFAULT_SLOTS = 4
@@ -94,6 +96,10 @@
   readonly outputTokens?: number
   /** Memory that the generation holds already; if given, the memory in use now decides whether an engine has room, not the memory expected later. */
   readonly heldTokens?: number
+  /** Whether an engine without known room may be picked when no other one is left; it decides itself then. */
+  readonly isDecidedByEngine?: boolean
+  /** Whether engines that this instance's group prefers come first, then others in the local zone, then those of other zones. */
+  readonly isNearestFirst?: boolean
 }
 
 /**
@@ -102,16 +108,35 @@
  * @param candidates - Engines that may be selected.
  * @param requirements - Requirements on the engine.
  */
-export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0, outputTokens = 0 }: EngineRequirements): TargetChoice | undefined {
-  const hasRoom = (load: TargetLoad): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
-  const available = candidates.filter(({ load, isUnreachable, maxRunning = Infinity }) => !isUnreachable && hasRoom(load) && load.running < maxRunning)
-  return pickLowestScore(available, candidate => {
-    const batch = candidate.load.running / profile.slots
-    const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
-    const backlog = mustWaitForPrefill ? ((candidate.load.pendingPrefillTokens ?? 0) - (candidate.heldPrefixTokens ?? 0)) / PREFILL_SCALE_TOKENS : 0
-    const ownRun = computeRunScore(candidate, prefillTokens, outputTokens)
-    return (batch + MEMORY_WEIGHT * memory + backlog) / (candidate.speed ?? 1) + ownRun + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
-  })
+export function pickEngine (candidates: readonly TargetCandidate[], requirements: EngineRequirements): TargetChoice | undefined {
+  const { isDecidedByEngine = false } = requirements
+  const reachable = candidates.filter(({ isUnreachable, load, maxRunning = Infinity }) => !isUnreachable && load.running < maxRunning)
+  const withRoom = reachable.filter(({ load }) => hasRoom(load, requirements))
+  return pickLowestScore(isDecidedByEngine && withRoom.length === 0 ? reachable : withRoom, candidate => computeEngineScore(candidate, requirements))
+}
+
+function hasRoom (load: TargetLoad, { profile, tokens, heldTokens }: EngineRequirements): boolean {
+  return heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
+}
+
+function computeEngineScore (candidate: TargetCandidate, { profile, tokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0, outputTokens = 0, isNearestFirst = false }: EngineRequirements): number {
+  const { load, speed = 1, heldPrefixTokens = 0 } = candidate
+  const batch = load.running / profile.slots
+  const memory = (load.tokens + tokens) / profile.memoryTokens
+  const backlog = mustWaitForPrefill ? ((load.pendingPrefillTokens ?? 0) - heldPrefixTokens) / PREFILL_SCALE_TOKENS : 0
+  const ownRun = computeRunScore(candidate, prefillTokens, outputTokens)
+  const distance = isNearestFirst ? DISTANCE_WEIGHT * computeDistance(candidate) : 0
+  return (batch + MEMORY_WEIGHT * memory + backlog) / speed + ownRun + distance + computePlacePenalty(candidate, remoteZoneWeight) + computePenalty(candidate, random)
+}
+
+function computePlacePenalty ({ isLocal, isPreferred, isDeclining }: TargetCandidate, remoteZoneWeight: number): number {
+  return (isLocal ? 0 : remoteZoneWeight) + (isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (isDeclining === true ? DECLINING_VERSION_WEIGHT : 0)
+}
+
+/** Returns 0 for an engine that this instance's group prefers, 1 for another one in the local zone, and 2 for one of another zone. */
+function computeDistance ({ isPreferred, isLocal }: TargetCandidate): number {
+  if (isPreferred !== false) return 0
+  return isLocal ? 1 : 2
 }
 
 /**
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -3,6 +3,7 @@
 import { type CrashGuard } from '../crashes/CrashGuard.js'
 import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
+import { type EngineHolds } from '../holds/EngineHolds.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RunMover } from '../moves/RunMover.js'
@@ -27,6 +28,7 @@
   readonly coldTargets: ColdTargets
   readonly placer: RelayPlacer
   readonly prefixes: PromptPrefixes
+  readonly holds: EngineHolds
   readonly generationTimes: GenerationTimeEstimator
   readonly speeds: TargetSpeeds
   readonly admissionQueue: AdmissionQueue
--- a/packages/relay/src/targets/TargetAvailability.ts
+++ b/packages/relay/src/targets/TargetAvailability.ts
@@ -1,3 +1,4 @@
+import { type EngineHolds } from '../holds/EngineHolds.js'
 import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
@@ -5,8 +6,8 @@
 import { type TargetBackoffs } from './TargetBackoffs.js'
 import { type TargetHealth } from './TargetHealth.js'
 
-/** Reason for which nothing may be sent to a target for a while: it wants no requests, this instance has no turn at it because of a limit or because it is cold, or its zone is evacuated. */
-export type ClosureReason = 'backoff' | 'limited' | 'evacuated' | 'warming'
+/** Reason for which nothing may be sent to a target for a while: it wants no requests, this instance has no turn at it because of a limit or because it is cold, its zone is evacuated, or it refused a reservation. */
+export type ClosureReason = 'backoff' | 'limited' | 'evacuated' | 'warming' | 'full'
 
 /** Time for which a target is closed, in milliseconds, and the reason that lasts longest. */
 export interface Closure {
@@ -20,6 +21,7 @@
   readonly limits: TargetLimits
   readonly evacuatedZones: EvacuatedZones
   readonly coldTargets: ColdTargets
+  readonly holds: EngineHolds
   readonly health: TargetHealth
 }
 
@@ -34,7 +36,7 @@
   }
 
   /** Functions that return the time for which a target is closed, in milliseconds, by reason. */
-  private readonly waits: ReadonlyArray<readonly [ClosureReason, (target: RelayTarget) => number]>
+  private readonly waits: ReadonlyArray<readonly [ClosureReason, (target: RelayTarget, tokens: number) => number]>
 
   /** @internal */
   private constructor (private readonly options: TargetAvailabilityOptions) {
@@ -42,18 +44,20 @@
       ['backoff', target => options.backoffs.getWaitMs(target)],
       ['limited', target => options.limits.getWaitMs(target)],
       ['evacuated', target => options.evacuatedZones.getWaitMs(target)],
-      ['warming', target => options.coldTargets.getWaitMs(target)]
+      ['warming', target => options.coldTargets.getWaitMs(target)],
+      ['full', (target, tokens) => options.holds.getWaitMs(target, tokens)]
     ]
   }
 
   /**
    * Returns why a target is closed; undefined when it is open.
    * @param target - The target.
+   * @param tokens - Memory that a generation needs, in tokens; by default, as much as any.
    */
-  findClosure (target: RelayTarget): Closure | undefined {
+  findClosure (target: RelayTarget, tokens: number = Infinity): Closure | undefined {
     let closure: Closure | undefined
     for (const [reason, getWaitMs] of this.waits) {
-      const waitMs = getWaitMs(target)
+      const waitMs = getWaitMs(target, tokens)
       if (waitMs > (closure?.waitMs ?? 0)) closure = { reason, waitMs }
     }
     return closure
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -1,10 +1,11 @@
-import { createLogger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { createLogger, type Logger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { InMemoryNetwork } from '@fescuespoke/peers'
 import { AttemptBudget } from '../../src/budget/AttemptBudget.js'
 import { CrashDetector } from '../../src/crashes/CrashDetector.js'
 import { CrashEvidence } from '../../src/crashes/CrashEvidence.js'
 import { CrashGuard } from '../../src/crashes/CrashGuard.js'
 import { TrialSchedule } from '../../src/crashes/TrialSchedule.js'
+import { EngineHolds } from '../../src/holds/EngineHolds.js'
 import { ColdTargets } from '../../src/limits/ColdTargets.js'
 import { type ColdFleet } from '../../src/limits/computeColdInterval.js'
 import { TargetLimits } from '../../src/limits/TargetLimits.js'
@@ -41,6 +42,7 @@
   readonly clock: VirtualClock
   readonly client: FakeTargetClient
   readonly loads: TargetLoads
+  readonly registry: MetricsRegistry
   readonly history: VersionHistory
   readonly notices: TargetNotices
   readonly evidence: CrashEvidence
@@ -49,12 +51,13 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[], getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[], getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
-  const metrics = RelayMetrics.create(MetricsRegistry.create({ clock }))
-  const log = DecisionLog.create({ logger: createLogger({ instance: 'test', level: 'silent' }), clock })
+  const registry = MetricsRegistry.create({ clock })
+  const metrics = RelayMetrics.create(registry)
+  const log = createTestLog(clock, options.logger)
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: options.getTimeSinceStoreOutageMs ?? (() => 60_000) })
   const backoffs = TargetBackoffs.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
@@ -67,7 +70,8 @@
   const limits = TargetLimits.create({ clock, log, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
   const speeds = TargetSpeeds.create({ clock, loads, log, metrics })
   const prefixes = PromptPrefixes.create({ clock, log })
-  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, speeds, prefixes, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, health }), regions: RegionMap.create({ zones: new Map([['z1', 'r1'], ['z2', 'r1'], ['z3', 'r2']]) }), availabilityZone: 'z1', listDeclining: service => history.listDeclining(service) })
+  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: options.isLoadPartial })
+  const placer = RelayPlacer.create({ clock, random, table, loads, health, limits, coldTargets, speeds, prefixes, availability: TargetAvailability.create({ backoffs, limits, evacuatedZones, coldTargets, holds, health }), regions: RegionMap.create({ zones: new Map([['z1', 'r1'], ['z2', 'r1'], ['z3', 'r2']]) }), availabilityZone: 'z1', pickPreferred: options.pickPreferred, listDeclining: service => history.listDeclining(service) })
   const budget = AttemptBudget.create({ clock, limits: { ratio: 0.2, extra: options.extra ?? 50, windowMs: 10_000 }, countInstances: () => 1 })
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
@@ -76,13 +80,17 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
 }
 
 function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
   return ColdTargets.create({ clock, log, getFleet })
 }
 
+function createTestLog (clock: VirtualClock, logger: Logger = createLogger({ instance: 'test', level: 'silent' })): DecisionLog {
+  return DecisionLog.create({ logger, clock })
+}
+
 /** Creates a target in availability zone z1. */
 export function createTarget (name: string, change: Partial<RelayTarget> = {}): RelayTarget {
   return { name, startedAtMs: 1, sequence: 0, service: 'calls', address: `${name}:1`, availabilityZone: 'z1', slots: 6, phase: 'ready', slowStartRemainingMs: 0, ...change }
