--- a/packages/scheduling/src/queue/PoolThroughput.ts
+++ b/packages/scheduling/src/queue/PoolThroughput.ts
@@ -36,7 +36,7 @@
    * Records that work was placed in a pool or that its backlog changed.
    * @param pool - Name of the pool.
    * @param isBacklogged - Whether requests are queued for the pool from now on.
-   * @param cost - Work that was placed, in tokens.
+   * @param cost - Work that was placed, in tokens; negative for work that was placed in vain.
    */
   observePool (pool: string, isBacklogged: boolean, cost = 0): void {
     const average = this.getAverage(pool)
@@ -51,10 +51,20 @@
   /**
    * Returns the throughput of a pool in tokens of work per millisecond; Infinity while there is too little data.
    * @param pool - Name of the pool.
+   * @param assumedCost - Work that counts as placed now, in tokens, so that a backlog in which nothing was placed yet is not taken for a standstill.
    */
-  getCostPerMs (pool: string): number {
+  getCostPerMs (pool: string, assumedCost = 0): number {
     const { cost, backloggedMs } = this.getAverage(pool)
-    return backloggedMs < MIN_BACKLOGGED_MS ? Infinity : cost / backloggedMs
+    return backloggedMs < MIN_BACKLOGGED_MS ? Infinity : (cost + assumedCost) / backloggedMs
+  }
+
+  /**
+   * Drops averages that no longer hold, for example after a pause of the process.
+   * @param pool - Name of the pool; by default the averages of all pools are dropped.
+   */
+  clear (pool?: string): void {
+    if (pool === undefined) this.averages.clear()
+    else this.averages.delete(pool)
   }
 
   private getAverage (pool: string): ThroughputAverage {
@@ -68,6 +78,6 @@
 
 function updateAverage (average: ThroughputAverage, elapsedMs: number, cost: number): void {
   const decayFactor = Math.exp(-elapsedMs / AVERAGING_TIME_CONSTANT_MS)
-  average.cost = average.cost * decayFactor + cost
+  average.cost = Math.max(0, average.cost * decayFactor + cost)
   average.backloggedMs = average.backloggedMs * decayFactor + elapsedMs
 }
