Admit requests fairly by expected waits where loads are known in part

Cause: while the fleet forms several groups, requests that cannot begin in time wait until they are refused, callers return at random times, and a burst of less urgent streams takes the capacity of urgent ones. Change: packages/relay/src/admission holds the decisions: shares of workspaces, headroom for urgent requests, expected waits, and the schedule of returns. AdmissionQueue uses them and FairQueue while isLoadPartial returns true, and sorts by priority and age otherwise. Refusals with reason overloaded take the retry time of the schedule and log its inputs.

--- a/packages/common/src/clock/PauseDetector.ts
+++ b/packages/common/src/clock/PauseDetector.ts
@@ -26,6 +26,7 @@
     return new PauseDetector(options)
   }
 
+  private readonly listeners: Array<() => void> = []
   private readonly stopController = new AbortController()
   private lastReadingMs: number
   private pauseEndMs = -Infinity
@@ -40,6 +41,14 @@
     this.timerStartedAtMs = this.lastReadingMs
   }
 
+  /**
+   * Adds a listener.
+   * @param listener - Called after each pause, before input that arrived in the meantime is handled.
+   */
+  addListener (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
   /** Reads the clock at a fixed interval until the detector is stopped. */
   async run (): Promise<void> {
     while (!this.stopController.signal.aborted) {
@@ -86,5 +95,6 @@
     this.pauseEndMs = nowMs
     this.lastPauseMs = gapMs
     onPause(gapMs)
+    for (const listener of this.listeners) listener()
   }
 }
--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -156,6 +156,22 @@
     help: 'Moves of running generations off leaving targets, by result.',
     labels: ['result']
   },
+  admissions: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_admissions_total',
+    help: 'Requests for an engine while loads are known in part only, by service and result.',
+    labels: ['service', 'result'],
+    unboundedLabels: ['service'],
+    maxSeries: 64
+  },
+  scheduledRetries: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_scheduled_retries_total',
+    help: 'Retry times of refused callers that were computed from the rate at which capacity opens, by service and kind.',
+    labels: ['service', 'kind'],
+    unboundedLabels: ['service'],
+    maxSeries: 64
+  },
   blamedParts: {
     kind: 'counter',
     exposedName: 'fescuespoke_blamed_prompt_parts_total',
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -118,7 +118,7 @@
     limits,
     placer,
     generationTimes: GenerationTimeEstimator.create(),
-    admissionQueue: AdmissionQueue.create({ clock, placer }),
+    admissionQueue: createAdmissionQueue(shared, viewComponents, placer),
     budget,
     crashes: createCrashGuard(shared, viewComponents, table),
     mover,
@@ -129,6 +129,12 @@
   }
 }
 
+function createAdmissionQueue ({ options: { clock, random }, metrics, log }: SharedComponents, { peers, pauseDetector }: ViewComponents, placer: RelayPlacer): AdmissionQueue {
+  const queue = AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: () => peers.getGroup().count > 1, countInstances: () => peers.estimateFleetSize() })
+  pauseDetector.addListener(() => queue.dropEstimates())
+  return queue
+}
+
 function createCrashGuard ({ options: { clock }, metrics, log, evidence, gateway }: SharedComponents, { peers }: ViewComponents, table: TargetTable): CrashGuard {
   return CrashGuard.create({
     clock,
--- a/packages/relay/src/logs/RelayMetrics.ts
+++ b/packages/relay/src/logs/RelayMetrics.ts
@@ -4,6 +4,9 @@
 /** Outcome of a request in the counters. */
 export type RelayOutcome = 'answered' | 'targetFailed' | 'brokenOff' | 'callerLeft' | RefusalReason
 
+/** What became of a request that asked for an engine: placed at once or after a wait, refused at once or after a wait, or recognized as that of a returning caller. */
+export type AdmissionResult = 'placed' | 'placedAfterWait' | 'refusedAtOnce' | 'refusedAfterWait' | 'returned'
+
 /** Counts the outcomes of requests and measures their latency. */
 export class RelayMetrics {
   /**
@@ -52,6 +55,24 @@
     this.registry.getHistogram('relayedAnswer', { route }).record(durationMs)
   }
 
+  /**
+   * Counts what became of a request that asked for an engine.
+   * @param service - Name of the service.
+   * @param result - What became of it.
+   */
+  countAdmission (service: string, result: AdmissionResult): void {
+    this.registry.getCounter('admissions', { service, result }).add()
+  }
+
+  /**
+   * Counts a retry time that was computed from the rate at which capacity opens.
+   * @param service - Name of the service.
+   * @param kind - Whether it is the time of the slot, an earlier one, or too late for the caller.
+   */
+  countScheduledRetry (service: string, kind: string): void {
+    this.registry.getCounter('scheduledRetries', { service, kind }).add()
+  }
+
   /** Counts parts of prompts that this instance began to blame for crashes of engines. */
   countBlamedPart (): void {
     this.registry.getCounter('blamedParts', {}).add()
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -1,10 +1,16 @@
-import { type CancelTimer, type Clock } from '@fescuespoke/common'
-import { isSameOrigin } from '../versions/StreamOrigin.js'
+import { type CancelTimer, type Clock, SystemRandom } from '@fescuespoke/common'
+import { FairQueue } from '@fescuespoke/scheduling'
+import { type AdmissionItem, type AdmissionSubject, formatPool } from '../admission/AdmissionSubject.js'
+import { FairAdmission, type FairAdmissionOptions, type RetryAdvice } from '../admission/FairAdmission.js'
+import { type AdmissionResult } from '../logs/RelayMetrics.js'
 import { type RelayPlacer, type TargetRequirements } from './RelayPlacer.js'
 import { type TargetReservation } from './TargetReservation.js'
 
-/** Options of an admission queue. */
-export interface AdmissionQueueOptions {
+/**
+ * Options of an admission queue. While `isLoadPartial` returns true, requests wait fairly by workspace, are refused early, and leave
+ * capacity for more urgent ones; by default it returns false.
+ */
+export interface AdmissionQueueOptions extends Partial<Omit<FairAdmissionOptions, 'clock'>> {
   readonly clock: Clock
   readonly placer: RelayPlacer
   /** Maximum number of waiting requests. */
@@ -12,17 +18,14 @@
 }
 
 /** A request for a target. */
-export interface AdmissionRequest {
+export interface AdmissionRequest extends AdmissionSubject {
   readonly requirements: TargetRequirements
-  /** Priority; 0 is the highest. */
-  readonly priority: number
   /** Clock reading at which the wait of the caller began; older requests go first. */
   readonly waitStartedAtMs: number
   /** Maximum time to wait, in milliseconds. */
   readonly maxWaitMs: number
   /** Returns whether the request may go on to wait; by default it may. */
   readonly mayWait?: () => boolean
-  readonly signal: AbortSignal
 }
 
 const DEFAULT_MAX_WAITING = 400
@@ -30,14 +33,20 @@
 /** Interval at which waiting requests are tried again even if this instance released no target, in milliseconds. */
 const RETRY_INTERVAL_MS = 50
 
-interface QueuedRequest {
+interface QueuedRequest extends AdmissionItem {
   readonly options: AdmissionRequest
   /** Clock reading at which its wait ends. */
   readonly waitEndsAtMs: number
   readonly finish: (reservation: TargetReservation | undefined) => void
 }
 
-/** Queue of requests that wait for an engine with free capacity, sorted by priority and then by age. */
+/** Requests of one pool in one pass over the queue: the work that still waits, and the time until a target opens if the first is blocked. */
+interface PoolPass {
+  waitingCost: number
+  openingMs?: number
+}
+
+/** Queue of requests that wait for an engine with free capacity, sorted by priority and then by age or, while loads are known in part, fairly by workspace. */
 export class AdmissionQueue {
   /**
    * Creates an empty queue.
@@ -47,17 +56,20 @@
     return new AdmissionQueue(options)
   }
 
-  private readonly queue: QueuedRequest[] = []
+  private readonly queue = FairQueue.create<QueuedRequest>('fair')
+  private readonly admission: FairAdmission
   private cancelRetry: CancelTimer | undefined
 
   /** @internal */
   private constructor (private readonly options: AdmissionQueueOptions) {
+    const { isLoadPartial = () => false, countInstances = () => Infinity, random = SystemRandom.create() } = options
+    this.admission = FairAdmission.create({ ...options, isLoadPartial, countInstances, random })
     options.placer.addCapacityListener(() => this.admitQueued())
   }
 
   /** Counts the waiting requests. */
   countWaiting (): number {
-    return this.queue.length
+    return this.queue.count()
   }
 
   /**
@@ -66,52 +78,151 @@
    * @returns The reservation; undefined when no target had capacity in time.
    */
   async waitForTarget (options: AdmissionRequest): Promise<TargetReservation | undefined> {
-    const isFirst = !this.queue.some(other => isBefore(other.options, options) && isForSameTargets(other.options, options))
-    const reservation = isFirst ? this.options.placer.reserveBestTarget(options.requirements) : undefined
-    if (reservation !== undefined || options.maxWaitMs <= 0 || !this.canBeAdmitted(options) || this.getOpeningMs(options) > options.maxWaitMs || this.queue.length >= (this.options.maxWaiting ?? DEFAULT_MAX_WAITING)) return reservation
-    return await this.waitForCapacity(options)
+    const item = this.admission.isActive() ? this.recordRequest(options) : createItemByAge(options)
+    const reservation = this.isFirst(item) ? this.reserveTarget(item, options) : undefined
+    if (reservation !== undefined) this.recordPlacement(item, options, this.countInPool(item.pool) > 0)
+    if (reservation === undefined && this.canWait(item, options)) return await this.waitForCapacity(item, options)
+    this.countResult(item, reservation === undefined ? 'refusedAtOnce' : 'placed')
+    return reservation
+  }
+
+  /**
+   * Estimates how long a request would wait for the work that goes before it, in milliseconds; 0 while this is not known.
+   * @param request - The request; work that was promised to other callers counts within its maximum wait.
+   */
+  estimateWaitMs (request: AdmissionSubject & { readonly maxWaitMs?: number }): number {
+    return this.admission.isActive() ? this.estimateItemWaitMs(this.admission.createItem(request), request.maxWaitMs ?? 0) : 0
+  }
+
+  /**
+   * Schedules the return of a caller that is refused for want of capacity.
+   * @param request - The request.
+   * @param remainingMs - Time for which the caller still waits, in milliseconds.
+   * @returns Its retry time; undefined when the time at which there will be capacity is not known.
+   */
+  scheduleReturn (request: AdmissionSubject, remainingMs: number): RetryAdvice | undefined {
+    if (!this.admission.isActive()) return undefined
+    const item = this.admission.createItem(request)
+    return this.admission.scheduleReturn(request, { costAhead: this.estimateCostAhead(item), waiting: this.countInPool(item.pool) }, remainingMs)
   }
 
-  private async waitForCapacity (options: AdmissionRequest): Promise<TargetReservation | undefined> {
+  /** Drops the estimates that were made before a pause of the process. */
+  dropEstimates (): void {
+    this.admission.clear()
+  }
+
+  private recordRequest (options: AdmissionRequest): AdmissionItem {
+    const placed = this.admission.takePlacedItem(options.signal, this.countInPool(formatPool(options)) > 0)
+    if (placed !== undefined) this.queue.refund(placed)
+    return this.admission.recordRequest(options)
+  }
+
+  /** Returns whether no waiting request for the same targets goes before a new one. */
+  private isFirst (item: AdmissionItem): boolean {
+    if (this.admission.isActive()) return this.estimateCostAhead(item) === 0
+    return !this.queue.list().some(other => other.pool === item.pool && isBefore(other, item))
+  }
+
+  private canWait (item: AdmissionItem, options: AdmissionRequest): boolean {
+    const { maxWaitMs } = options
+    if (maxWaitMs <= 0 || !this.canBeAdmitted(options) || this.getOpeningMs(options) > maxWaitMs) return false
+    if (this.admission.isActive()) return this.estimateItemWaitMs(item, maxWaitMs) <= maxWaitMs
+    return this.queue.count() < this.getMaxWaiting()
+  }
+
+  private async waitForCapacity (item: AdmissionItem, options: AdmissionRequest): Promise<TargetReservation | undefined> {
+    const { clock } = this.options
     return await new Promise(resolve => {
       const finish = (reservation: TargetReservation | undefined): void => {
         cancelTimer()
         options.signal.removeEventListener('abort', cancelWait)
-        const index = this.queue.indexOf(entry)
-        if (index >= 0) this.queue.splice(index, 1)
+        this.removeRequest(entry, reservation)
         resolve(reservation)
       }
       const cancelWait = (): void => finish(undefined)
-      const entry: QueuedRequest = { options, waitEndsAtMs: this.options.clock.nowMs() + options.maxWaitMs, finish }
-      const cancelTimer = this.options.clock.startTimer(options.maxWaitMs, cancelWait)
+      const entry: QueuedRequest = { ...item, options, waitEndsAtMs: clock.nowMs() + options.maxWaitMs, finish }
+      const cancelTimer = clock.startTimer(options.maxWaitMs, cancelWait)
       options.signal.addEventListener('abort', cancelWait)
-      const index = this.queue.findIndex(other => isBefore(options, other.options))
-      this.queue.splice(index < 0 ? this.queue.length : index, 0, entry)
+      this.queue.add(entry)
+      this.recordBacklog(item.pool)
+      if (this.queue.count() > this.getMaxWaiting()) this.queue.list().at(-1)?.finish(undefined)
       this.scheduleRetry()
     })
   }
 
+  private removeRequest (entry: QueuedRequest, reservation: TargetReservation | undefined): void {
+    if (reservation === undefined) {
+      this.queue.withdraw(entry)
+      this.recordBacklog(entry.pool)
+    } else {
+      this.queue.remove(entry, true)
+      this.recordPlacement(entry, entry.options, true)
+    }
+    this.countResult(entry, reservation === undefined ? 'refusedAfterWait' : 'placedAfterWait')
+  }
+
   private admitQueued (): void {
-    /** Requests that cannot be admitted now, of which each stands for all that need the same targets, and the time until one of these opens, in milliseconds. */
-    const blocked: Array<{ readonly options: AdmissionRequest, readonly openingMs: number }> = []
+    const passes = new Map<string, PoolPass>()
     const nowMs = this.options.clock.nowMs()
-    for (const { options, waitEndsAtMs, finish } of [...this.queue]) {
+    for (const entry of this.queue.list()) {
+      const { options, pool, waitEndsAtMs, finish } = entry
       if (options.mayWait?.() === false) {
         finish(undefined)
         continue
       }
-      let block = blocked.find(other => isForSameTargets(other.options, options))
-      if (block === undefined) {
-        const reservation = this.options.placer.reserveBestTarget(options.requirements)
+      const pass = passes.get(pool) ?? { waitingCost: 0 }
+      passes.set(pool, pass)
+      if (pass.openingMs === undefined) {
+        const reservation = this.reserveTarget(entry, options)
         if (reservation !== undefined || !this.canBeAdmitted(options)) {
           finish(reservation)
           continue
         }
-        block = { options, openingMs: this.getOpeningMs(options) }
-        blocked.push(block)
+        pass.openingMs = this.getOpeningMs(options)
       }
-      if (block.openingMs > waitEndsAtMs - nowMs) finish(undefined)
+      if (Math.max(pass.openingMs, this.estimateQueuedMs(entry, pass.waitingCost)) > waitEndsAtMs - nowMs) finish(undefined)
+      else pass.waitingCost += entry.cost
     }
+    for (const pool of passes.keys()) this.recordBacklog(pool)
+  }
+
+  /** Reserves a target that leaves more urgent requests their capacity; a stream that has begun does not wait for it. */
+  private reserveTarget (item: AdmissionItem, { requirements }: AdmissionRequest): TargetReservation | undefined {
+    const { placer } = this.options
+    if (!this.admission.isActive() || requirements.origin !== undefined) return placer.reserveBestTarget(requirements)
+    return placer.reserveBestTarget({ ...requirements, getHeadroomTokens: this.admission.findHeadroom(item, placer.countUsable(requirements.service)) })
+  }
+
+  private recordPlacement (item: AdmissionItem, options: AdmissionRequest, wasBacklogged: boolean): void {
+    if (this.admission.isActive()) this.admission.recordPlacement(item, options, { wasBacklogged, isBacklogged: this.countInPool(item.pool) > 0 })
+  }
+
+  private recordBacklog (pool: string): void {
+    if (this.admission.isActive()) this.admission.recordBacklog(pool, this.countInPool(pool) > 0)
+  }
+
+  private countResult ({ service }: AdmissionItem, result: AdmissionResult): void {
+    if (this.admission.isActive()) this.options.metrics?.countAdmission(service, result)
+  }
+
+  private countInPool (pool: string): number {
+    return this.queue.list().reduce((count, other) => other.pool === pool ? count + 1 : count, 0)
+  }
+
+  private estimateCostAhead (item: AdmissionItem): number {
+    return this.queue.estimateWorkAhead(item, other => other.pool === item.pool)
+  }
+
+  private estimateItemWaitMs (item: AdmissionItem, withinMs: number): number {
+    return this.admission.estimateMs(item, this.estimateCostAhead(item) + this.admission.sumPromisedCost(item, withinMs))
+  }
+
+  private estimateQueuedMs (entry: QueuedRequest, costAhead: number): number {
+    return this.admission.isActive() ? this.admission.estimateMs(entry, costAhead) : 0
+  }
+
+  private getMaxWaiting (): number {
+    return this.options.maxWaiting ?? DEFAULT_MAX_WAITING
   }
 
   /** Returns whether a request can be admitted later; a stream cannot when no target of its version is left. */
@@ -125,7 +236,7 @@
   }
 
   private scheduleRetry (): void {
-    if (this.cancelRetry !== undefined || this.queue.length === 0) return
+    if (this.cancelRetry !== undefined || this.queue.count() === 0) return
     this.cancelRetry = this.options.clock.startTimer(RETRY_INTERVAL_MS, () => {
       this.cancelRetry = undefined
       this.admitQueued()
@@ -134,12 +245,12 @@
   }
 }
 
-/** Returns whether two requests need targets of the same service and, if one of them continues a stream, of the same version. */
-function isForSameTargets ({ requirements: a }: AdmissionRequest, { requirements: b }: AdmissionRequest): boolean {
-  if (a.service.name !== b.service.name) return false
-  return a.origin === undefined || b.origin === undefined ? a.origin === b.origin : isSameOrigin(a.origin, b.origin)
+/** Creates the item of a request by which requests are sorted by priority and age alone. */
+function createItemByAge (request: AdmissionRequest): AdmissionItem {
+  const { requirements: { service, tokens }, priority, waitStartedAtMs } = request
+  return { pool: formatPool(request), service: service.name, workspace: '', priority, rank: waitStartedAtMs, cost: Math.max(1, tokens), weight: 1 }
 }
 
-function isBefore (a: AdmissionRequest, b: AdmissionRequest): boolean {
-  return a.priority !== b.priority ? a.priority < b.priority : a.waitStartedAtMs < b.waitStartedAtMs
+function isBefore (a: AdmissionItem, b: AdmissionItem): boolean {
+  return a.priority !== b.priority ? a.priority < b.priority : a.rank < b.rank
 }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -51,6 +51,8 @@
   readonly isLocalOnly?: boolean
   /** Score penalty of a target outside the local zone; 1 corresponds to a fully used target. */
   readonly remoteZoneWeight?: number
+  /** Returns the memory of an engine that has to stay free for more urgent requests, in tokens; by default none. */
+  readonly getHeadroomTokens?: (engine: RelayTarget) => number
 }
 
 /** Selects targets by their known total load and tracks reservations. */
@@ -79,18 +81,18 @@
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { profile: service.engine, tokens, heldTokens, random, remoteZoneWeight, mustWaitForPrefill: requirements.pendingPrefillTokens !== undefined })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens })
+    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens: requirements.pendingPrefillTokens, headroomTokens: requirements.getHeadroomTokens?.(choice.tracked.target) })
   }
 
   /**
    * Reserves a specific target regardless of its load and its limit; whether it wants requests is checked when one is sent.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
-   * @param choice - Score of the selection, for the log, and prompt tokens that the target has to process.
+   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, and memory that has to stay free.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number } = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, headroomTokens = 0 }: { readonly score?: number, readonly pendingPrefillTokens?: number, readonly headroomTokens?: number } = {}): TargetReservation {
     this.options.limits.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, headroomTokens, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -140,7 +142,7 @@
     for (const listener of this.listeners) listener()
   }
 
-  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
+  private createCandidateFactory (usable: readonly TrackedTarget[], { localZone, service, getHeadroomTokens }: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
     const { clock, loads, health, availability, availabilityZone, pickPreferred, listDeclining } = this.options
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
@@ -154,7 +156,8 @@
       isInSlowStart: clock.nowMs() < tracked.slowStartEndMs,
       isLocal: isLocal(tracked),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
-      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target))
+      isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target)),
+      headroomTokens: getHeadroomTokens?.(tracked.target)
     })
   }
 }
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -11,6 +11,8 @@
   readonly onRelease: () => void
   /** Prompt tokens that the target has to process before the request starts. */
   readonly pendingPrefillTokens?: number
+  /** Memory that the request leaves free for more urgent ones, in tokens. */
+  readonly headroomTokens?: number
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -28,6 +30,8 @@
 
   readonly target: RelayTarget
   readonly score: number
+  /** Memory that the engine has to have free in addition to that of the request, in tokens. */
+  readonly headroomTokens: number
   private tokens: number
   private heldTokens = 0
   private pendingPrefillTokens: number
@@ -37,6 +41,7 @@
   private constructor (private readonly options: TargetReservationOptions) {
     this.target = options.target
     this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
+    this.headroomTokens = options.headroomTokens ?? 0
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
     options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens })
--- a/packages/relay/src/placement/estimateTokens.ts
+++ b/packages/relay/src/placement/estimateTokens.ts
@@ -28,3 +28,11 @@
 export function estimateOutputTokens ({ expectedOutputTokens, maxOutputTokens }: GenerationSize): number {
   return expectedOutputTokens ?? maxOutputTokens * DEFAULT_OUTPUT_SHARE
 }
+
+/**
+ * Estimates the work of a generation, which is its prompt and its whole output, in tokens.
+ * @param size - Sizes that the caller stated.
+ */
+export function estimateCost (size: GenerationSize | undefined): number {
+  return size === undefined ? DEFAULT_REQUEST_TOKENS : size.promptTokens + Math.min(estimateOutputTokens(size), size.maxOutputTokens)
+}
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -17,6 +17,8 @@
   readonly isPreferred?: boolean
   /** Whether its software version loses targets while another one gains some. */
   readonly isDeclining?: boolean
+  /** Memory that has to stay free for more urgent requests, in tokens. */
+  readonly headroomTokens?: number
 }
 
 /** Selected target and its score; lower scores are better. */
@@ -84,8 +86,8 @@
  * @param requirements - Requirements on the engine.
  */
 export function pickEngine (candidates: readonly TargetCandidate[], { profile, tokens, heldTokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true }: EngineRequirements): TargetChoice | undefined {
-  const hasRoom = (load: TargetLoad): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
-  const available = candidates.filter(({ load, isUnreachable }) => !isUnreachable && hasRoom(load))
+  const hasRoom = ({ load, headroomTokens = 0 }: TargetCandidate): boolean => heldTokens === undefined ? hasCapacity(load, profile, tokens + headroomTokens) : hasRoomNow(load, profile, heldTokens)
+  const available = candidates.filter(candidate => !candidate.isUnreachable && hasRoom(candidate))
   return pickLowestScore(available, candidate => {
     const batch = candidate.load.running / profile.slots
     const memory = (candidate.load.tokens + tokens) / profile.memoryTokens
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -1,3 +1,5 @@
+import { createAdmissionSubject } from '../admission/AdmissionSubject.js'
+import { type RetryAdvice } from '../admission/FairAdmission.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason, type RelayRefusal } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
@@ -59,14 +61,20 @@
     return
   }
   const status = STATUSES[reason]
-  const retryAfterMs = computeRetryAfterMs(dependencies, context, reason)
+  const advice = reason === 'overloaded' ? scheduleReturn(dependencies, context) : undefined
+  const retryAfterMs = advice?.retryAfterMs ?? computeRetryAfterMs(dependencies, context, reason)
   dependencies.metrics.countOutcome(route.name, reason)
   dependencies.log.recordDecision(request.id, 'refused', {
-    route: route.name, reason, status, retryAfterMs, heldMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
+    route: route.name, reason, status, retryAfterMs, heldMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs(), ...advice?.inputs
   })
   sink.refuse({ status, reason, retryAfterMs })
 }
 
+/** Schedules the return of a caller that was refused for want of capacity; undefined when the time at which there will be some is not known. */
+function scheduleReturn ({ admissionQueue, clock }: RelayDependencies, context: RelayContext): RetryAdvice | undefined {
+  return admissionQueue.scheduleReturn(createAdmissionSubject(context), context.deadlineAtMs - clock.nowMs())
+}
+
 /** Computes a random delay in the range of the reason, so that callers refused at the same time do not retry at the same time. */
 function computeRetryAfterMs (dependencies: RelayDependencies, context: RelayContext, reason: RefusalReason): number | undefined {
   const { clock, random } = dependencies
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,5 +1,5 @@
 import { type RunContinuation } from '../moves/MovableRun.js'
-import { estimateTokens } from '../placement/estimateTokens.js'
+import { estimateCost, estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
@@ -85,6 +85,10 @@
   const reservation = await admissionQueue.waitForTarget({
     requirements: { service, origin, tokens: estimateTokens(request.size, 0), pendingPrefillTokens: request.size?.promptTokens ?? 0, excludedTargets: run.excludedTargets },
     priority: context.priority,
+    workspace: context.workspace,
+    cost: estimateCost(request.size),
+    arrivedAtMs: request.receivedAtMs,
+    requestId: request.id,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
     mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined,
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -41,7 +41,7 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[] } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, listPeers?: () => readonly string[], isLoadPartial?: () => boolean } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -64,7 +64,7 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, generationTimes: GenerationTimeEstimator.create(), admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, mover, origins, history, metrics, log, getViewAgeMs: () => 0 }
 }
 
 /** Creates a target in availability zone z1. */
