Measure rates by priority and test admission under load

Change: the rate at which capacity opens is measured for each priority. Headroom is at most the memory that urgent requests had at the same time on average, in whole requests, at engines that all instances rank alike.

--- a/packages/relay/src/admission/ExpectedWait.ts
+++ b/packages/relay/src/admission/ExpectedWait.ts
@@ -4,7 +4,17 @@
 /** Time without a backlog after which the measured rate of a pool is dropped, in milliseconds. */
 const RATE_RETENTION_MS = 30_000
 
-/** Expected waits when requests exceed capacity, from the work ahead and the rate at which capacity opens while requests wait. */
+/** Pool and priority of a request, and its work in tokens. */
+export interface WaitingWork {
+  readonly pool: string
+  readonly priority: number
+  readonly cost: number
+}
+
+/**
+ * Expected waits when requests exceed capacity, from the work ahead and the rate at which capacity opens while requests wait. The rate
+ * is measured for each priority, since urgent requests that arrive later take a part of the capacity before less urgent ones.
+ */
 export class ExpectedWait {
   /**
    * Creates an estimate without measured rates.
@@ -15,7 +25,7 @@
   }
 
   private readonly throughput: PoolThroughput
-  /** Clock readings at which requests waited last, by pool. */
+  /** Clock readings at which requests waited last, by key of pool and priority. */
   private readonly backloggedAtMs = new Map<string, number>()
 
   /** @internal */
@@ -24,36 +34,35 @@
   }
 
   /**
-   * Records that work was placed or that the backlog of a pool may have changed.
-   * @param pool - Key of the pool.
-   * @param isBacklogged - Whether requests wait from now on.
-   * @param cost - Work that was placed, in tokens; negative for work that was placed in vain.
+   * Records that work was placed or that the backlog of a priority may have changed.
+   * @param work - Pool and priority, and the work that was placed in tokens; negative for work that was placed in vain.
+   * @param isBacklogged - Whether requests of the priority wait from now on.
    */
-  observePool (pool: string, isBacklogged: boolean, cost = 0): void {
+  observeWork ({ pool, priority, cost }: WaitingWork, isBacklogged: boolean): void {
+    const key = formatKey(pool, priority)
     const nowMs = this.clock.nowMs()
-    if (nowMs - (this.backloggedAtMs.get(pool) ?? nowMs) > RATE_RETENTION_MS) this.dropPool(pool)
-    if (!isBacklogged && !this.backloggedAtMs.has(pool)) return
-    this.throughput.observePool(pool, isBacklogged, cost)
-    if (isBacklogged) this.backloggedAtMs.set(pool, nowMs)
+    if (nowMs - (this.backloggedAtMs.get(key) ?? nowMs) > RATE_RETENTION_MS) this.dropRate(key)
+    if (!isBacklogged && !this.backloggedAtMs.has(key)) return
+    this.throughput.observePool(key, isBacklogged, cost)
+    if (isBacklogged) this.backloggedAtMs.set(key, nowMs)
   }
 
   /**
-   * Returns the rate at which capacity opens in tokens of work per millisecond; Infinity while it is not known.
-   * @param pool - Key of the pool.
-   * @param cost - Work of the next request; it counts as placed now, so that a backlog that has just begun is not taken for a standstill.
+   * Returns the rate at which capacity opens for a priority in tokens of work per millisecond; Infinity while it is not known.
+   * @param work - The next request; its work counts as placed now, so that a backlog that has just begun is not taken for a standstill.
    */
-  getCostPerMs (pool: string, cost: number): number {
-    return this.backloggedAtMs.has(pool) ? this.throughput.getCostPerMs(pool, cost) : Infinity
+  getCostPerMs ({ pool, priority, cost }: WaitingWork): number {
+    const key = formatKey(pool, priority)
+    return this.backloggedAtMs.has(key) ? this.throughput.getCostPerMs(key, cost) : Infinity
   }
 
   /**
-   * Estimates the time until work has been placed, in milliseconds; 0 while the rate is not known.
-   * @param pool - Key of the pool.
-   * @param costAhead - The work, in tokens.
-   * @param cost - Work of the request that waits for it.
+   * Estimates the time until the work ahead of a request has been placed, in milliseconds; 0 while the rate is not known.
+   * @param work - The request.
+   * @param costAhead - The work ahead, in tokens.
    */
-  estimateMs (pool: string, costAhead: number, cost: number): number {
-    return costAhead <= 0 ? 0 : costAhead / this.getCostPerMs(pool, cost)
+  estimateMs (work: WaitingWork, costAhead: number): number {
+    return costAhead <= 0 ? 0 : costAhead / this.getCostPerMs(work)
   }
 
   /** Drops all measured rates. */
@@ -62,8 +71,12 @@
     this.backloggedAtMs.clear()
   }
 
-  private dropPool (pool: string): void {
-    this.throughput.clear(pool)
-    this.backloggedAtMs.delete(pool)
+  private dropRate (key: string): void {
+    this.throughput.clear(key)
+    this.backloggedAtMs.delete(key)
   }
 }
+
+function formatKey (pool: string, priority: number): string {
+  return `${priority}\u0000${pool}`
+}
--- a/packages/relay/src/admission/FairAdmission.ts
+++ b/packages/relay/src/admission/FairAdmission.ts
@@ -2,6 +2,7 @@
 import { type DecisionLog, type LogFields } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type AdmissionItem, type AdmissionSubject, formatPool } from './AdmissionSubject.js'
 import { ExpectedWait } from './ExpectedWait.js'
 import { type RetryKind, RetrySchedule, type ReturningCaller } from './RetrySchedule.js'
@@ -106,45 +107,48 @@
   /**
    * Returns the item of a request that was placed in vain in an earlier call, after its work has been taken out of the measured rate.
    * @param signal - Signal of the request.
-   * @param isBacklogged - Whether requests wait for the same targets.
+   * @param isBacklogged - Whether requests of the same priority wait for the same targets.
    */
   takePlacedItem (signal: AbortSignal, isBacklogged: boolean): AdmissionItem | undefined {
     const request = this.known.get(signal)
     if (request?.placed === undefined) return undefined
     const { item, wasCounted } = request.placed
     this.known.set(signal, { ...request, placed: undefined })
-    if (wasCounted) this.expectedWait.observePool(item.pool, isBacklogged, -item.cost)
+    if (wasCounted) this.expectedWait.observeWork({ ...item, cost: -item.cost }, isBacklogged)
     return item
   }
 
   /**
    * Returns the memory that a request has to leave free at each engine, in tokens; undefined when there is none to leave.
    * @param item - The request.
-   * @param engineCount - Number of engines of the service.
+   * @param listEngines - Returns the names of the engines of the service.
    */
-  findHeadroom ({ service, priority }: AdmissionItem, engineCount: number): ((engine: RelayTarget) => number) | undefined {
-    return this.headroom.findTokens(service, priority, engineCount)
+  findHeadroom ({ service, priority }: AdmissionItem, listEngines: () => readonly string[]): ((engine: RelayTarget) => number) | undefined {
+    return this.headroom.findTokens(service, priority, listEngines)
   }
 
   /**
    * Records that a request was placed.
    * @param item - The request.
    * @param subject - What it asked for.
-   * @param queue - Whether requests waited for the same targets before, and whether they do now.
+   * @param reservation - Its reservation.
+   * @param queue - Whether requests of the same priority waited for the same targets before, and whether they do now.
    */
-  recordPlacement (item: AdmissionItem, { requirements, priority, signal }: AdmissionSubject, queue: { readonly wasBacklogged: boolean, readonly isBacklogged: boolean }): void {
+  recordPlacement (item: AdmissionItem, { requirements: { tokens }, signal }: AdmissionSubject, reservation: TargetReservation, queue: { readonly wasBacklogged: boolean, readonly isBacklogged: boolean }): void {
     this.known.set(signal, { ...this.known.get(signal), placed: { item, wasCounted: queue.wasBacklogged } })
-    this.headroom.recordUse(item.service, priority, requirements.tokens)
-    this.expectedWait.observePool(item.pool, queue.isBacklogged, item.cost)
+    const { clock } = this.options
+    const placedAtMs = clock.nowMs()
+    reservation.addReleaseListener(() => this.headroom.recordUse(item.service, item.priority, { tokens, heldMs: clock.nowMs() - placedAtMs }))
+    this.expectedWait.observeWork(item, queue.isBacklogged)
   }
 
   /**
-   * Records whether requests wait for a pool.
-   * @param pool - Key of the pool.
+   * Records whether requests of a priority wait for a pool.
+   * @param item - A request of this priority for the pool.
    * @param isBacklogged - Whether requests wait.
    */
-  recordBacklog (pool: string, isBacklogged: boolean): void {
-    this.expectedWait.observePool(pool, isBacklogged)
+  recordBacklog ({ pool, priority }: AdmissionItem, isBacklogged: boolean): void {
+    this.expectedWait.observeWork({ pool, priority, cost: 0 }, isBacklogged)
   }
 
   /**
@@ -153,7 +157,7 @@
    * @param costAhead - Work that goes before it, in tokens.
    */
   estimateMs (item: AdmissionItem, costAhead: number): number {
-    return this.expectedWait.estimateMs(item.pool, costAhead, item.cost)
+    return this.expectedWait.estimateMs(item, costAhead)
   }
 
   /**
@@ -173,7 +177,7 @@
    */
   scheduleReturn (subject: AdmissionSubject, { costAhead, waiting }: QueueState, remainingMs: number): RetryAdvice | undefined {
     const item = this.createItem(subject)
-    const costPerMs = this.expectedWait.getCostPerMs(item.pool, item.cost)
+    const costPerMs = this.expectedWait.getCostPerMs({ ...item, cost: 0 }) || this.expectedWait.getCostPerMs(item)
     if (!Number.isFinite(costPerMs)) return undefined
     const earliestMs = (costAhead + item.cost) / costPerMs
     const { kind, retryAfterMs, slotMs } = this.schedule.scheduleReturn(item, { earliestMs, costPerMs, remainingMs, slotAtMs: this.known.get(subject.signal)?.returning?.slotAtMs })
--- a/packages/relay/src/admission/RetrySchedule.ts
+++ b/packages/relay/src/admission/RetrySchedule.ts
@@ -78,7 +78,7 @@
    */
   scheduleReturn (item: AdmissionItem, limits: SlotLimits): ScheduledRetry {
     const nowMs = this.clock.nowMs()
-    const slotAtMs = Math.max(nowMs, limits.slotAtMs ?? Math.max(nowMs + limits.earliestMs, this.findNextSlotMs(item, limits.costPerMs)))
+    const slotAtMs = Math.max(nowMs + limits.earliestMs, limits.slotAtMs ?? this.findNextSlotMs(item, limits.costPerMs))
     const retry = this.createRetry(slotAtMs - nowMs, Math.max(0, limits.remainingMs))
     if (retry.kind !== 'tooLate') this.promises.push({ item, slotAtMs, firstArrivedAtMs: item.rank, toldAtMs: nowMs + retry.retryAfterMs })
     if (this.promises.length > MAX_PROMISES) this.promises.shift()
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -80,7 +80,7 @@
   async waitForTarget (options: AdmissionRequest): Promise<TargetReservation | undefined> {
     const item = this.admission.isActive() ? this.recordRequest(options) : createItemByAge(options)
     const reservation = this.isFirst(item) ? this.reserveTarget(item, options) : undefined
-    if (reservation !== undefined) this.recordPlacement(item, options, this.countInPool(item.pool) > 0)
+    if (reservation !== undefined) this.recordPlacement(item, options, reservation, this.isBacklogged(item))
     if (reservation === undefined && this.canWait(item, options)) return await this.waitForCapacity(item, options)
     this.countResult(item, reservation === undefined ? 'refusedAtOnce' : 'placed')
     return reservation
@@ -112,7 +112,7 @@
   }
 
   private recordRequest (options: AdmissionRequest): AdmissionItem {
-    const placed = this.admission.takePlacedItem(options.signal, this.countInPool(formatPool(options)) > 0)
+    const placed = this.admission.takePlacedItem(options.signal, this.isBacklogged({ pool: formatPool(options), priority: options.priority }))
     if (placed !== undefined) this.queue.refund(placed)
     return this.admission.recordRequest(options)
   }
@@ -144,7 +144,7 @@
       const cancelTimer = clock.startTimer(options.maxWaitMs, cancelWait)
       options.signal.addEventListener('abort', cancelWait)
       this.queue.add(entry)
-      this.recordBacklog(item.pool)
+      this.recordBacklog(item)
       if (this.queue.count() > this.getMaxWaiting()) this.queue.list().at(-1)?.finish(undefined)
       this.scheduleRetry()
     })
@@ -153,10 +153,10 @@
   private removeRequest (entry: QueuedRequest, reservation: TargetReservation | undefined): void {
     if (reservation === undefined) {
       this.queue.withdraw(entry)
-      this.recordBacklog(entry.pool)
+      this.recordBacklog(entry)
     } else {
       this.queue.remove(entry, true)
-      this.recordPlacement(entry, entry.options, true)
+      this.recordPlacement(entry, entry.options, reservation, true)
     }
     this.countResult(entry, reservation === undefined ? 'refusedAfterWait' : 'placedAfterWait')
   }
@@ -183,28 +183,39 @@
       if (Math.max(pass.openingMs, this.estimateQueuedMs(entry, pass.waitingCost)) > waitEndsAtMs - nowMs) finish(undefined)
       else pass.waitingCost += entry.cost
     }
-    for (const pool of passes.keys()) this.recordBacklog(pool)
+    this.recordBacklogs()
   }
 
   /** Reserves a target that leaves more urgent requests their capacity; a stream that has begun does not wait for it. */
   private reserveTarget (item: AdmissionItem, { requirements }: AdmissionRequest): TargetReservation | undefined {
     const { placer } = this.options
     if (!this.admission.isActive() || requirements.origin !== undefined) return placer.reserveBestTarget(requirements)
-    return placer.reserveBestTarget({ ...requirements, getHeadroomTokens: this.admission.findHeadroom(item, placer.countUsable(requirements.service)) })
+    return placer.reserveBestTarget({ ...requirements, getHeadroomTokens: this.admission.findHeadroom(item, () => placer.listUsableNames(requirements.service)) })
   }
 
-  private recordPlacement (item: AdmissionItem, options: AdmissionRequest, wasBacklogged: boolean): void {
-    if (this.admission.isActive()) this.admission.recordPlacement(item, options, { wasBacklogged, isBacklogged: this.countInPool(item.pool) > 0 })
+  private recordPlacement (item: AdmissionItem, options: AdmissionRequest, reservation: TargetReservation, wasBacklogged: boolean): void {
+    if (this.admission.isActive()) this.admission.recordPlacement(item, options, reservation, { wasBacklogged, isBacklogged: this.isBacklogged(item) })
   }
 
-  private recordBacklog (pool: string): void {
-    if (this.admission.isActive()) this.admission.recordBacklog(pool, this.countInPool(pool) > 0)
+  private recordBacklog (item: AdmissionItem): void {
+    if (this.admission.isActive()) this.admission.recordBacklog(item, this.isBacklogged(item))
+  }
+
+  /** Records the backlog of each pool and priority once. */
+  private recordBacklogs (): void {
+    if (!this.admission.isActive()) return
+    const firsts = new Map(this.queue.list().map(entry => [`${entry.priority}\u0000${entry.pool}`, entry]))
+    for (const entry of firsts.values()) this.admission.recordBacklog(entry, true)
   }
 
   private countResult ({ service }: AdmissionItem, result: AdmissionResult): void {
     if (this.admission.isActive()) this.options.metrics?.countAdmission(service, result)
   }
 
+  private isBacklogged ({ pool, priority }: Pick<AdmissionItem, 'pool' | 'priority'>): boolean {
+    return this.queue.list().some(other => other.pool === pool && other.priority === priority)
+  }
+
   private countInPool (pool: string): number {
     return this.queue.list().reduce((count, other) => other.pool === pool ? count + 1 : count, 0)
   }
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -104,6 +104,14 @@
     return this.options.table.listUsable(service.name, origin).filter(({ target }) => excludedTargets?.has(target.name) !== true).length
   }
 
+  /**
+   * Lists the names of the targets of a service that may receive new requests.
+   * @param service - The service.
+   */
+  listUsableNames (service: ServiceProfile): string[] {
+    return this.options.table.listUsable(service.name).map(({ target }) => target.name)
+  }
+
   /**
    * Returns whether any target meets the requirements apart from its load, its health and its limit.
    * @param requirements - Requirements on the target.
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -36,6 +36,7 @@
   private heldTokens = 0
   private pendingPrefillTokens: number
   private isReleased = false
+  private readonly listeners: Array<() => void> = []
 
   /** @internal */
   private constructor (private readonly options: TargetReservationOptions) {
@@ -66,11 +67,20 @@
     this.options.loads.notifyUrgent()
   }
 
+  /**
+   * Adds a listener.
+   * @param listener - Called once when the target is released.
+   */
+  addReleaseListener (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
   /** Releases the target. Later calls have no effect. */
   release (): void {
     if (this.isReleased) return
     this.isReleased = true
     this.options.loads.addOwnLoad(this.target.name, { running: -1, tokens: -this.tokens, heldTokens: -this.heldTokens, pendingPrefillTokens: -this.pendingPrefillTokens })
+    for (const listener of this.listeners) listener()
     this.options.onRelease()
   }
 }
