--- a/packages/relay/test/admission/loads.test.ts
+++ b/packages/relay/test/admission/loads.test.ts
@@ -64,11 +64,13 @@
   }
 }
 
-/** Checks that each workspace is served at least a quarter as often as all. */
+/** Checks that each workspace is served at least a quarter as often as all, with all its requests and with those of each kind. */
 function expectWorkspacesServed (outcomes: readonly CallerOutcome[]): void {
-  for (const workspace of new Set(outcomes.map(outcome => outcome.workspace))) {
-    const own = outcomes.filter(outcome => outcome.workspace === workspace)
-    expect(computeShare(own, ['inTime'])).toBeGreaterThanOrEqual(MIN_WORKSPACE_SHARE * computeShare(outcomes, ['inTime']))
+  for (const selected of [outcomes, selectKind(outcomes, 'long'), selectKind(outcomes, 'short')]) {
+    for (const workspace of new Set(selected.map(outcome => outcome.workspace))) {
+      const own = selected.filter(outcome => outcome.workspace === workspace)
+      expect(computeShare(own, ['inTime'])).toBeGreaterThanOrEqual(MIN_WORKSPACE_SHARE * computeShare(selected, ['inTime']))
+    }
   }
 }
 
