Tell no caller on a guess that it is too late

Cause: without a single placement in a backlog the rate is a guess, and a caller that is told a time after its own does not return. Change: the retry time is random, as before, while nothing was placed.

--- a/packages/relay/src/admission/FairAdmission.ts
+++ b/packages/relay/src/admission/FairAdmission.ts
@@ -170,15 +170,15 @@
   }
 
   /**
-   * Schedules the return of a refused caller; undefined while the rate at which capacity opens is not known.
+   * Schedules the return of a refused caller; undefined while the rate at which capacity opens is not known or nothing was placed.
    * @param subject - The request.
    * @param queue - The queue as the request finds it.
    * @param remainingMs - Time for which the caller still waits, in milliseconds.
    */
   scheduleReturn (subject: AdmissionSubject, { costAhead, waiting }: QueueState, remainingMs: number): RetryAdvice | undefined {
     const item = this.createItem(subject)
-    const costPerMs = this.expectedWait.getCostPerMs({ ...item, cost: 0 }) || this.expectedWait.getCostPerMs(item)
-    if (!Number.isFinite(costPerMs)) return undefined
+    const costPerMs = this.expectedWait.getCostPerMs({ ...item, cost: 0 })
+    if (costPerMs <= 0 || !Number.isFinite(costPerMs)) return undefined
     const earliestMs = (costAhead + item.cost) / costPerMs
     const { kind, retryAfterMs, slotMs } = this.schedule.scheduleReturn(item, { earliestMs, costPerMs, remainingMs, slotAtMs: this.known.get(subject.signal)?.returning?.slotAtMs })
     this.options.metrics?.countScheduledRetry(item.service, kind)
--- a/packages/relay/test/requests/refusedRetries.test.ts
+++ b/packages/relay/test/requests/refusedRetries.test.ts
@@ -10,13 +10,15 @@
   readonly isLoadPartial?: boolean
   readonly reason?: RefusalReason
   readonly timeoutMs?: number
+  /** Whether the engine runs the requests that wait; by default it does. */
+  readonly isServing?: boolean
 }
 
 /** Keeps requests waiting for one engine that runs one request in 200 ms, then refuses three requests at one moment. */
-async function doTest ({ isLoadPartial = true, reason = 'overloaded', timeoutMs = 60_000 }: TestOptions = {}): Promise<{ retryTimes: number[], fields: unknown }> {
+async function doTest ({ isLoadPartial = true, reason = 'overloaded', timeoutMs = 60_000, isServing = true }: TestOptions = {}): Promise<{ retryTimes: number[], fields: unknown }> {
   const dependencies = createTestDependencies({ isLoadPartial: () => isLoadPartial })
   const recordDecision = vi.spyOn(dependencies.log, 'recordDecision')
-  await measureRate(dependencies)
+  await measureRate(dependencies, isServing ? 7000 : 9000)
   const startMs = dependencies.clock.nowMs()
   const sinks: FakeSink[] = ['a', 'b', 'c'].map(workspace => {
     const { context, sink } = createContext(createRoute({ kind: 'stream', timeoutMs }), ENGINES, { size: SIZE, receivedAtMs: startMs })
@@ -26,10 +28,10 @@
   return { retryTimes: sinks.map(({ refusal }) => Math.round(refusal?.retryAfterMs ?? -1)), fields: recordDecision.mock.lastCall?.[2] }
 }
 
-async function measureRate ({ clock, table, placer, admissionQueue }: TestDependencies): Promise<void> {
+async function measureRate ({ clock, table, placer, admissionQueue }: TestDependencies, reservedTokens: number): Promise<void> {
   const engine = createTarget('a', { service: ENGINES.name })
   table.updateTarget(engine)
-  placer.reserveTarget(engine, 7000)
+  placer.reserveTarget(engine, reservedTokens)
   const ask = (): void => {
     const requirements = { service: ENGINES, tokens: 2100, excludedTargets: new Set<string>() }
     admissionQueue.waitForTarget({ requirements, priority: 1, waitStartedAtMs: clock.nowMs(), maxWaitMs: 1000, signal: new AbortController().signal }).then(reservation => clock.startTimer(200, () => reservation?.release()))
@@ -81,6 +83,11 @@
     expect(fields).not.toHaveProperty('costPerSecond')
   })
 
+  it('are random while nothing is placed, so that no caller is told on a guess that it is too late', async () => {
+    const { retryTimes } = await doTest({ isServing: false })
+    expect(retryTimes.every(timeMs => timeMs >= 500 && timeMs <= 2500)).toBe(true)
+  })
+
   it('do not depend on the queue for other reasons', async () => {
     const { retryTimes } = await doTest({ reason: 'noTarget' })
     expect(retryTimes.every(timeMs => timeMs >= 300 && timeMs <= 900)).toBe(true)
