--- a/packages/common/test/clock/PauseDetector.test.ts
+++ b/packages/common/test/clock/PauseDetector.test.ts
@@ -34,6 +34,15 @@
     expect(await doTest(1200, 100)).toEqual({ pauses: [], recovering: [false, false] })
   })
 
+  it('notifies listeners of a pause before input is handled that arrived in the meantime', async () => {
+    const clock = VirtualClock.create()
+    const calls: string[] = []
+    const detector = PauseDetector.create({ clock, onPause: () => calls.push('option') })
+    detector.addListener(() => calls.push('listener'))
+    clock.jump(5000)
+    expect([detector.isRecovering(), calls]).toEqual([true, ['option', 'listener']])
+  })
+
   it('tells by how much the process runs behind its timers', async () => {
     const clock = VirtualClock.create()
     const detector = PauseDetector.create({ clock, onPause: () => undefined })
--- a/packages/relay/test/admission/loads.test.ts
+++ b/packages/relay/test/admission/loads.test.ts
@@ -107,6 +107,13 @@
     expectLargeServed(outcomes)
   })
 
+  it('are served by urgency while demand varies from 0.45 to 1.55 times the mean within 15 s', async () => {
+    const outcomes = await doTest({ getFactor: (_, atMs) => 1 + 0.55 * Math.sin(2 * Math.PI * atMs / 15_000) })
+    expectOrder(outcomes)
+    expectWorkspacesServed(outcomes)
+    expectLargeServed(outcomes)
+  })
+
   it('with large prompts are not starved by small ones', async () => {
     const outcomes = await doTest({ getFactor: getBothFactor, pickPrompt: (kind, random) => kind.promptTokens * (random.nextFloat() < 0.1 ? 3 : 0.8) })
     expectOrder(outcomes)
--- a/packages/relay/test/placement/fairAdmission.test.ts
+++ b/packages/relay/test/placement/fairAdmission.test.ts
@@ -1,3 +1,4 @@
+import { PauseDetector } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
 import { type AdmissionRequest } from '../../src/placement/AdmissionQueue.js'
 import { type TargetReservation } from '../../src/placement/TargetReservation.js'
@@ -157,15 +158,21 @@
     expect([whileUrgent, placed]).toEqual([[], ['l1']])
   })
 
-  it('drops its estimates after a pause, and admits without them', async () => {
+  it('drops its estimates after a pause of the process, and ends the waits that are over', async () => {
     const queue = createQueue()
     await measureRate(queue)
-    const { ask, dependencies: { admissionQueue } } = queue
+    const { ask, refused, dependencies: { admissionQueue, clock } } = queue
+    const detector = PauseDetector.create({ clock, onPause: () => undefined })
+    detector.addListener(() => admissionQueue.dropEstimates())
     for (let count = 0; count < 4; count++) ask(`w${count}`)
-    const request = ask('x1', { maxWaitMs: 0 })
+    const request = ask('w-none', { maxWaitMs: 0 })
     const beforeMs = admissionQueue.estimateWaitMs(request)
-    admissionQueue.dropEstimates()
+    clock.jump(5000)
+    expect(detector.isRecovering()).toBe(true)
     expect([beforeMs > 0, admissionQueue.estimateWaitMs(request), admissionQueue.scheduleReturn(request, 60_000)]).toEqual([true, 0, undefined])
+    await clock.advance(100)
+    expect(admissionQueue.countWaiting()).toBe(0)
+    expect(refused.length).toBeGreaterThan(1)
   })
 
   it('is not used where all loads are known', async () => {
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -26,6 +26,7 @@
   it('avoids an engine in another availability zone', () => expect(doTest({ isLocal: false })).toBe(0))
   it('avoids an engine in its slow start', () => expect(doTest({ isInSlowStart: true })).toBe(0))
   it('excludes an engine without a free slot', () => expect(doTest({ load: { running: 4, tokens: 0 } })).toBe(0))
+  it('excludes an engine without the memory that has to stay free for urgent requests', () => expect(doTest({ load: { running: 1, tokens: 0 }, headroomTokens: 9000 })).toBe(0))
   it('picks randomly between equal engines', () => expect(doTest({})).toBeGreaterThan(3))
 
   it('returns undefined when all engines are full', () => {
