--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -144,6 +144,11 @@
     return this.group
   }
 
+  /** Returns whether this instance knows only a part of the loads of targets, since the fleet has instances outside its group. */
+  isLoadPartial (): boolean {
+    return this.getGroup().instances.length < this.membership.listAlive().length
+  }
+
   /** Returns whether this instance watches the store for its group; in a fleet with a single group all instances do. */
   isWatcher (): boolean {
     return this.getWatchRank() < WATCHERS_PER_GROUP
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -88,7 +88,7 @@
   const evidence = CrashEvidence.create({ clock, log })
   const evacuatedZones = EvacuatedZones.create({ log })
   const loads = TargetLoads.create(clock)
-  const speeds = TargetSpeeds.create({ clock, loads, log, metrics, isLoadPartial: () => viewComponents.peers.getGroup().count > 1 })
+  const speeds = TargetSpeeds.create({ clock, loads, log, metrics, isLoadPartial: () => viewComponents.peers.isLoadPartial() })
   const shared: SharedComponents = { options, metrics, log, loads, limits, speeds, evidence, backoffs, evacuatedZones, coldTargets, regions, gateway: TargetGateway.create({ client, backoffs, evacuatedZones }) }
   const viewComponents = createViewComponents(options, log, loads, TargetNewsExchange.create({ limits, coldTargets, getCensus: () => viewComponents.peers.census, crashes: evidence, getNotices: () => notices }))
   const dependencies = createDependencies(shared, viewComponents)
@@ -113,7 +113,7 @@
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
   const prefixes = PromptPrefixes.create({ clock, log })
-  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: () => viewComponents.peers.getGroup().count > 1 })
+  const holds = EngineHolds.create({ clock, gateway, health, metrics, log, isLoadPartial: () => viewComponents.peers.isLoadPartial() })
   const placer = RelayPlacer.create({
     clock,
     random,
@@ -152,7 +152,7 @@
     holds,
     generationTimes: GenerationTimeEstimator.create(),
     speeds,
-    admissionQueue: AdmissionQueue.create({ clock, placer }),
+    admissionQueue: createAdmissionQueue(shared, viewComponents, placer),
     budget,
     crashes: createCrashGuard(shared, viewComponents, table),
     mover,
@@ -163,6 +163,12 @@
   }
 }
 
+function createAdmissionQueue ({ options: { clock, random }, metrics, log }: SharedComponents, { peers, pauseDetector }: ViewComponents, placer: RelayPlacer): AdmissionQueue {
+  const queue = AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: () => peers.isLoadPartial(), countInstances: () => peers.estimateFleetSize() })
+  pauseDetector.addListener(() => queue.dropEstimates())
+  return queue
+}
+
 function createCrashGuard ({ options: { clock }, metrics, log, evidence, gateway }: SharedComponents, { peers }: ViewComponents, table: TargetTable): CrashGuard {
   return CrashGuard.create({
     clock,
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -74,6 +74,8 @@
   readonly isDecidedByEngine?: boolean
   /** Whether engines of this instance's group are selected first, then others in the local zone, then those of other zones. */
   readonly isNearestFirst?: boolean
+  /** Returns the memory of an engine that has to stay free for more urgent requests, in tokens; by default none. */
+  readonly getHeadroomTokens?: (engine: RelayTarget) => number
 }
 
 /** Selects targets by their known total load and tracks reservations. */
@@ -102,19 +104,21 @@
     const createCandidate = this.createCandidateFactory(usable, requirements)
     const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { ...requirements, profile: service.engine, random, mustWaitForPrefill: pendingPrefillTokens !== undefined, prefillTokens: pendingPrefillTokens })
-    return choice === undefined ? undefined : this.reserveTarget(choice.tracked.target, tokens, { score: choice.score, pendingPrefillTokens, heldPrefixTokens: choice.heldPrefixTokens, isTentative: requirements.isDecidedByEngine })
+    if (choice === undefined) return undefined
+    const { tracked: { target }, score, heldPrefixTokens } = choice
+    return this.reserveTarget(target, tokens, { score, pendingPrefillTokens, heldPrefixTokens, headroomTokens: requirements.getHeadroomTokens?.(target), isTentative: requirements.isDecidedByEngine })
   }
 
   /**
    * Reserves a specific target regardless of its load and its limit; whether it wants requests is checked when one is sent.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
-   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, and whether it may still refuse the request.
+   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, memory that has to stay free, and whether the target may still refuse the request.
    */
-  reserveTarget (target: RelayTarget, tokens: number, { score = 0, pendingPrefillTokens = 0, heldPrefixTokens, isTentative }: Partial<Pick<TargetReservationOptions, 'score' | 'pendingPrefillTokens' | 'heldPrefixTokens' | 'isTentative'>> = {}): TargetReservation {
+  reserveTarget (target: RelayTarget, tokens: number, { score = 0, ...choice }: Partial<Omit<TargetReservationOptions, 'target' | 'tokens' | 'loads' | 'onRelease'>> = {}): TargetReservation {
     this.options.limits.recordRequest(target)
     this.options.coldTargets.recordRequest(target)
-    return TargetReservation.create({ target, tokens, score, pendingPrefillTokens, heldPrefixTokens, isTentative, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
+    return TargetReservation.create({ ...choice, target, tokens, score, loads: this.options.loads, onRelease: () => this.notifyCapacity() })
   }
 
   /**
@@ -127,6 +131,14 @@
     return this.listUsable(service, limits).filter(({ target }) => excludedTargets?.has(target.name) !== true).length
   }
 
+  /**
+   * Lists the names of the targets of a service that may receive new requests.
+   * @param service - The service.
+   */
+  listUsableNames (service: ServiceProfile): string[] {
+    return this.options.table.listUsable(service.name).map(({ target }) => target.name)
+  }
+
   /**
    * Returns whether any target meets the requirements apart from its load, its health and its limit.
    * @param requirements - Requirements on the target.
@@ -172,7 +184,7 @@
 
   private createCandidateFactory (usable: readonly TrackedTarget[], requirements: TargetRequirements): (tracked: TrackedTarget) => TargetCandidate {
     const { clock, loads, health, availability, availabilityZone, coldTargets, speeds, pickPreferred, listDeclining } = this.options
-    const { localZone, service, maxGapMs } = requirements
+    const { localZone, service, maxGapMs, getHeadroomTokens } = requirements
     const zone = localZone ?? availabilityZone
     const isLocal = ({ target }: TrackedTarget): boolean => target.availabilityZone === zone
     const preferred = service.engine === undefined ? undefined : pickPreferred?.(usable.map(({ target }) => target))
@@ -188,7 +200,8 @@
       maxRunning: maxGapMs === undefined ? undefined : speeds?.getMaxRunning(tracked.target, maxGapMs),
       isPreferred: preferred?.has(tracked.target.name) ?? true,
       isDeclining: declining !== undefined && declining.size > 0 && declining.has(formatOriginKey(tracked.target)),
-      heldPrefixTokens: this.estimateHeldPrefixTokens(tracked.target, requirements)
+      heldPrefixTokens: this.estimateHeldPrefixTokens(tracked.target, requirements),
+      headroomTokens: getHeadroomTokens?.(tracked.target)
     })
   }
 
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -16,6 +16,8 @@
   readonly heldPrefixTokens?: number
   /** Whether the target may still refuse the request, so that peers need not know at once; by default it may not. */
   readonly isTentative?: boolean
+  /** Memory that the request leaves free for more urgent ones, in tokens. */
+  readonly headroomTokens?: number
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -34,17 +36,21 @@
   readonly target: RelayTarget
   readonly score: number
   readonly heldPrefixTokens: number | undefined
+  /** Memory that the engine has to have free in addition to that of the request, in tokens. */
+  readonly headroomTokens: number
   private tokens: number
   private heldTokens = 0
   private pendingPrefillTokens: number
   private isReleased = false
   private hold: EngineHold | undefined
+  private readonly listeners: Array<() => void> = []
 
   /** @internal */
   private constructor (private readonly options: TargetReservationOptions) {
     this.target = options.target
     this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
     this.heldPrefixTokens = options.heldPrefixTokens
+    this.headroomTokens = options.headroomTokens ?? 0
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
     options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens }, options.isTentative === true ? false : undefined)
@@ -88,6 +94,14 @@
     this.options.loads.notifyUrgent()
   }
 
+  /**
+   * Adds a listener.
+   * @param listener - Called once when the target is released.
+   */
+  addReleaseListener (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
   /**
    * Releases the target. Later calls have no effect.
    * @param options - Whether waiting requests may use the capacity; not when the target refused this one. By default they may.
@@ -97,6 +111,7 @@
     this.isReleased = true
     this.hold?.drop()
     this.options.loads.addOwnLoad(this.target.name, { running: -1, tokens: -this.tokens, heldTokens: -this.heldTokens, pendingPrefillTokens: -this.pendingPrefillTokens })
+    for (const listener of this.listeners) listener()
     if (freesCapacity) this.options.onRelease()
   }
 }
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -23,6 +23,8 @@
   readonly maxRunning?: number
   /** Tokens at the beginning of the prompt that the engine is expected to hold; it does not read them again. */
   readonly heldPrefixTokens?: number
+  /** Memory that has to stay free for more urgent requests, in tokens. */
+  readonly headroomTokens?: number
 }
 
 /** Selected target and its score; lower scores are better. */
@@ -111,12 +113,12 @@
 export function pickEngine (candidates: readonly TargetCandidate[], requirements: EngineRequirements): TargetChoice | undefined {
   const { isDecidedByEngine = false } = requirements
   const reachable = candidates.filter(({ isUnreachable, load, maxRunning = Infinity }) => !isUnreachable && load.running < maxRunning)
-  const withRoom = reachable.filter(({ load }) => hasRoom(load, requirements))
+  const withRoom = reachable.filter(candidate => hasRoom(candidate, requirements))
   return pickLowestScore(isDecidedByEngine && withRoom.length === 0 ? reachable : withRoom, candidate => computeEngineScore(candidate, requirements))
 }
 
-function hasRoom (load: TargetLoad, { profile, tokens, heldTokens }: EngineRequirements): boolean {
-  return heldTokens === undefined ? hasCapacity(load, profile, tokens) : hasRoomNow(load, profile, heldTokens)
+function hasRoom ({ load, headroomTokens = 0 }: TargetCandidate, { profile, tokens, heldTokens }: EngineRequirements): boolean {
+  return heldTokens === undefined ? hasCapacity(load, profile, tokens + headroomTokens) : hasRoomNow(load, profile, heldTokens)
 }
 
 function computeEngineScore (candidate: TargetCandidate, { profile, tokens, random, remoteZoneWeight = REMOTE_ENGINE_WEIGHT, mustWaitForPrefill = true, prefillTokens = 0, outputTokens = 0, isNearestFirst = false }: EngineRequirements): number {
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -2,7 +2,7 @@
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
-import { estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
+import { estimateCost, estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
 import { type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
@@ -93,6 +93,10 @@
   const admission: AdmissionRequest = {
     requirements: createRequirements(context, run),
     priority: context.priority,
+    workspace: context.workspace,
+    cost: estimateCost(request.size),
+    arrivedAtMs: request.receivedAtMs,
+    requestId: request.id,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
     mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined,
--- a/packages/relay/src/targets/TargetGateway.ts
+++ b/packages/relay/src/targets/TargetGateway.ts
@@ -62,7 +62,7 @@
    * @param options - Options of the reservation.
    */
   async takeHold (options: TakeHoldOptions): Promise<Result<string, HoldError>> {
-    return this.isClosed(options.target) ? Result.err('closed') : await this.options.client.takeHold(options)
+    return !this.mayReceive(options.target) ? Result.err('closed') : await this.options.client.takeHold(options)
   }
 
   /**
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -35,6 +35,7 @@
   it('uses a slow engine when the others are much busier', () => expect(doTest({ speed: 0.5, load: { running: 0, tokens: 0 } })).toBe(20))
   it('prefers a fast engine', () => expect(doTest({ speed: 2 })).toBe(20))
   it('excludes a slow engine that has as many requests as it can run in time', () => expect(doTest({ speed: 0.5, load: { running: 0, tokens: 0 }, maxRunning: 0 })).toBe(0))
+  it('excludes an engine without the memory that has to stay free for urgent requests', () => expect(doTest({ load: { running: 1, tokens: 0 }, headroomTokens: 9000 })).toBe(0))
   it('picks randomly between equal engines', () => expect(doTest({})).toBeGreaterThan(3))
 
   it('returns undefined when all engines are full', () => {
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -80,7 +80,7 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, placer }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
 }
 
 function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
