Judge speeds after fewer streams, and keep memory as it is in the score

Cause: an instance begins a long stream every few seconds while an engine lives for about 20 s, so three runs were often not reached. Memory divided by the speed kept slow engines idle under a burst. Change: the weight of a stream grows with its undisturbed blocks of events, and two runs of four blocks are enough. Only the terms of time in the score are divided by the speed. Tests of packages/relay/test/speeds, placement, loads and platform/test/docs pass.

--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -100,7 +100,7 @@
     const backlog = mustWaitForPrefill ? (candidate.load.pendingPrefillTokens ?? 0) / PREFILL_SCALE_TOKENS : 0
     const { speed = 1 } = candidate
     const ownPrefill = (1 / speed - 1) * prefillTokens / PREFILL_SCALE_TOKENS
-    return (batch + MEMORY_WEIGHT * memory + backlog) / speed + ownPrefill + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
+    return (batch + backlog) / speed + MEMORY_WEIGHT * memory + ownPrefill + (candidate.isLocal ? 0 : remoteZoneWeight) + (candidate.isPreferred === false ? OTHER_GROUP_WEIGHT : 0) + (candidate.isDeclining === true ? DECLINING_VERSION_WEIGHT : 0) + computePenalty(candidate, random)
   })
 }
 
--- a/packages/relay/src/speeds/SpeedRecord.ts
+++ b/packages/relay/src/speeds/SpeedRecord.ts
@@ -1,9 +1,6 @@
 import { selectLatestRuns } from './computeReference.js'
 import { fadeSpeed, FADE_END_MS, judgeSpeed, mergeObservations, ORDINARY_SPEED, type SpeedObservation } from './judgeSpeed.js'
-import { type RunKind, type RunSample, type ObservedRun, TargetRuns } from './TargetRuns.js'
-
-/** Weight of a run among the runs that are needed for a judgement; the answer times of calls vary more than the gaps of streams. */
-const RUN_WEIGHTS: Record<RunKind, number> = { stream: 1, call: 0.25 }
+import { type ObservedRun, type RunSample, TargetRuns } from './TargetRuns.js'
 
 /** What is known about the speed of one incarnation of a target, and the judgement in force. */
 export class SpeedRecord {
@@ -57,7 +54,7 @@
    */
   setOwnValue (value: number | undefined, nowMs: number): void {
     const runs = selectLatestRuns(this.listRuns(nowMs))
-    const weight = runs.reduce((sum, { kind }) => sum + RUN_WEIGHTS[kind], 0)
+    const weight = runs.reduce((sum, run) => sum + run.weight, 0)
     this.own = value === undefined ? undefined : { value, runs: weight, observedAtMs: Math.max(...runs.map(({ observedAtMs }) => observedAtMs)) }
   }
 
--- a/packages/relay/src/speeds/StreamGaps.ts
+++ b/packages/relay/src/speeds/StreamGaps.ts
@@ -19,14 +19,15 @@
 const MIN_BLOCKS = 4
 const MAX_BLOCKS = 16
 
+/** Number of undisturbed blocks that count as one run. */
+const BLOCKS_PER_RUN = 4
+
 /** Time for which writing to the caller may delay the reading of a stream without affecting its gaps, in milliseconds. */
 const MAX_WRITE_MS = 2
 
 interface Block {
   readonly gapMs: number
   readonly running: number
-  /** Whether no prompt was pending at the target and the caller did not delay the stream. */
-  readonly isUndisturbed: boolean
 }
 
 /** Measures the gaps between the events of one stream at one target. */
@@ -40,6 +41,8 @@
   }
 
   private blocks: Block[] = []
+  /** Blocks in which no prompt was pending at the target and the caller did not delay the stream. */
+  private undisturbed: Block[] = []
   private eventsInBlock = 0
   private blockStartedAtMs: number | undefined
   private arrivedAtMs = 0
@@ -74,17 +77,19 @@
     const { running, pendingPrefillTokens = 0 } = this.options.getLoad()
     const isPrefilling = pendingPrefillTokens > 0
     const gapMs = (this.arrivedAtMs - startedAtMs) / this.eventsInBlock
-    this.blocks = [...this.blocks, { gapMs, running, isUndisturbed: !this.isDisturbed && !isPrefilling }].slice(-MAX_BLOCKS)
+    const block = { gapMs, running }
+    this.blocks = [...this.blocks, block].slice(-MAX_BLOCKS)
+    if (!this.isDisturbed && !isPrefilling) this.undisturbed = [...this.undisturbed, block].slice(-MAX_BLOCKS)
     this.startBlock(isPrefilling)
     this.notifyObserved()
   }
 
   private notifyObserved (): void {
-    const undisturbed = this.blocks.filter(({ isUndisturbed }) => isUndisturbed)
+    const { undisturbed } = this
     if (undisturbed.length < MIN_BLOCKS) return
     const typicalMs = computeMedian(undisturbed.map(({ gapMs }) => gapMs))!
     const running = computeMean(undisturbed.map(block => block.running))
-    if (typicalMs > 0) this.options.onObserved({ typicalMs, excessMs: computeMean(this.blocks.map(({ gapMs }) => gapMs)) - typicalMs, running })
+    if (typicalMs > 0) this.options.onObserved({ typicalMs, excessMs: computeMean(this.blocks.map(({ gapMs }) => gapMs)) - typicalMs, running, weight: undisturbed.length / BLOCKS_PER_RUN })
   }
 }
 
--- a/packages/relay/src/speeds/TargetRuns.ts
+++ b/packages/relay/src/speeds/TargetRuns.ts
@@ -12,6 +12,8 @@
   readonly excessMs: number
   /** Mean number of requests in progress at the target, as known to this instance. */
   readonly running: number
+  /** Weight among the runs that are needed for a judgement; it grows with the observed length of a stream. */
+  readonly weight: number
 }
 
 /** An observed run and the clock reading of its latest observation. */
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -40,6 +40,9 @@
 /** Minimum interval between two log lines about invalid values of peers, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 1000
 
+/** Weight of a call among the runs that are needed for a judgement; answer times vary more than the gaps of streams. */
+const CALL_WEIGHT = 0.25
+
 /** Number of decimals of a speed in messages and log lines, as a factor. */
 const SPEED_STEPS = 1000
 
@@ -96,7 +99,7 @@
     const isQueued = target.slots > 0 && running > target.slots
     return () => {
       const typicalMs = clock.nowMs() - startedAtMs
-      if (!isQueued && typicalMs > 0) this.recordRun(target, { id, kind: 'call', typicalMs, excessMs: 0, running })
+      if (!isQueued && typicalMs > 0) this.recordRun(target, { id, kind: 'call', typicalMs, excessMs: 0, running, weight: CALL_WEIGHT })
     }
   }
 
@@ -246,7 +249,7 @@
 }
 
 function formatNews ({ startedAtMs, own }: SpeedRecord, nowMs: number): TargetSpeedNews {
-  return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: Math.max(1, Math.round(own!.runs)), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
+  return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: roundSpeed(own!.runs), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
 }
 
 function isValid ({ startedAtMs, value, runs, ageMs }: TargetSpeedNews): boolean {
