Bound the cost of judging speeds

Cause: all targets of the last minute were judged four times a second, and a reference was computed from all of them every second. Change: an ordinary target is judged only after new observations, and a reference is computed from 32 targets at most.

--- a/packages/relay/src/instance/computeGroup.ts
+++ b/packages/relay/src/instance/computeGroup.ts
@@ -54,9 +54,10 @@
 export function pickGroupTargets ({ index, count }: InstanceGroup, availabilityZone: string, targets: readonly RelayTarget[], getSpeed: (target: RelayTarget) => number = () => 1): ReadonlySet<string> {
   if (count === 1) return new Set(targets.map(({ name }) => name))
   const local = targets.filter(target => target.availabilityZone === availabilityZone).sort((a, b) => a.name < b.name ? -1 : 1)
-  const shares: SharedTarget[][] = Array.from({ length: count }, () => [])
-  for (const [position, target] of local.entries()) shares[position % count]!.push({ name: target.name, speed: getSpeed(target) })
-  if (shares.flat().some(({ speed }) => speed !== 1)) balanceShares(shares)
+  const pickShare = (group: number): RelayTarget[] => local.filter((_, position) => position % count === group)
+  if (local.every(target => getSpeed(target) === 1)) return new Set(pickShare(index).map(({ name }) => name))
+  const shares = Array.from({ length: count }, (_, group) => pickShare(group).map(target => ({ name: target.name, speed: getSpeed(target) })))
+  balanceShares(shares)
   return new Set(shares[index]!.map(({ name }) => name))
 }
 
--- a/packages/relay/src/speeds/SpeedRecord.ts
+++ b/packages/relay/src/speeds/SpeedRecord.ts
@@ -24,6 +24,8 @@
   private judgedAtMs: number
   private hasJudgement = false
   private observedAtMs = -Infinity
+  /** Whether there are observations since the last judgement. */
+  private hasNewObservation = false
 
   /** @internal */
   private constructor (readonly startedAtMs: number, createdAtMs: number) {
@@ -37,6 +39,7 @@
    */
   recordRun (run: ObservedRun, nowMs: number): void {
     this.runs.recordRun(run, nowMs)
+    this.hasNewObservation = true
   }
 
   /**
@@ -65,11 +68,17 @@
    */
   recordPeer (peer: string, observation: SpeedObservation): void {
     this.peers.set(peer, observation)
+    this.hasNewObservation = true
   }
 
-  /** Returns the clock reading at which the judgement was last updated. */
-  getJudgedAtMs (): number {
-    return this.judgedAtMs
+  /**
+   * Returns whether the judgement may change now. The speed of an ordinary target is judged only after new observations, so that the
+   * cost follows the number of runs, not that of targets.
+   * @param nowMs - Clock reading.
+   * @param intervalMs - Minimum time between two judgements.
+   */
+  needsJudgement (nowMs: number, intervalMs: number): boolean {
+    return (this.hasNewObservation || this.speed !== ORDINARY_SPEED) && nowMs - this.judgedAtMs >= intervalMs
   }
 
   /**
@@ -81,6 +90,7 @@
     const elapsedMs = this.own === undefined && !this.hasJudgement ? Infinity : nowMs - this.judgedAtMs
     const observed = mergeObservations(this.listObservations(nowMs))
     this.judgedAtMs = nowMs
+    this.hasNewObservation = false
     if (observed === undefined) {
       if (nowMs - this.observedAtMs >= FADE_END_MS) this.speed = ORDINARY_SPEED
       return undefined
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -23,7 +23,10 @@
 
 /** Minimum interval between two judgements of one target, and between two computations of what targets are compared with, in milliseconds. */
 const JUDGE_INTERVAL_MS = 250
-const REFERENCE_INTERVAL_MS = 1000
+const REFERENCE_INTERVAL_MS = 2000
+
+/** Maximum number of targets from which a reference is computed; the latest ones, which bounds the time for one computation. */
+const MAX_COMPARED_TARGETS = 32
 
 /** Interval at which records are pruned, in milliseconds. */
 const PRUNE_INTERVAL_MS = 5000
@@ -193,7 +196,7 @@
 
   private updateJudgement (target: string, record: SpeedRecord): void {
     const nowMs = this.options.clock.nowMs()
-    if (nowMs - record.getJudgedAtMs() < JUDGE_INTERVAL_MS) return
+    if (!record.needsJudgement(nowMs, JUDGE_INTERVAL_MS)) return
     const reference = this.getReference(record.comparedKey)
     record.setOwnValue(reference === undefined ? undefined : computeSpeedRatio(record.listRuns(nowMs), reference), nowMs)
     const before = record.getJudgedSpeed()
@@ -224,9 +227,10 @@
     if (comparedKey === undefined) return undefined
     const nowMs = this.options.clock.nowMs()
     const cached = this.references.get(comparedKey)
-    if (cached !== undefined && nowMs - cached.computedAtMs < REFERENCE_INTERVAL_MS) return cached.reference
+    const intervalMs = cached?.reference.typicalMs === undefined ? JUDGE_INTERVAL_MS : REFERENCE_INTERVAL_MS
+    if (cached !== undefined && nowMs - cached.computedAtMs < intervalMs) return cached.reference
     const compared = [...this.records.values()].filter(record => record.comparedKey === comparedKey)
-    const reference = computeReference(compared.map(record => record.listRuns(nowMs)), cached?.reference)
+    const reference = computeReference(compared.slice(-MAX_COMPARED_TARGETS).map(record => record.listRuns(nowMs)), cached?.reference)
     this.references.set(comparedKey, { reference, computedAtMs: nowMs })
     return reference
   }
--- a/packages/relay/src/speeds/computeReference.ts
+++ b/packages/relay/src/speeds/computeReference.ts
@@ -23,8 +23,7 @@
 const MIN_SPREAD = 3
 const MIN_PAIRS = 8
 
-/** Maximum number of targets, and of the latest runs at each, whose pairs are compared, which bounds the time for one computation. */
-const MAX_COMPARED_TARGETS = 32
+/** Maximum number of the latest runs at a target whose pairs are compared, which bounds the time for one computation. */
 const MAX_COMPARED_RUNS = 9
 
 /** Upper bound of the relative growth for each request; beyond it, differences in load would explain any difference in speed. */
@@ -98,7 +97,7 @@
 
 /** Computes the growth from pairs of runs at the same target, so that the speeds of targets do not matter; the median resists outliers. */
 function computeLoadSlope (runsByTarget: ReadonlyArray<readonly RunSample[]>): number | undefined {
-  const slopes = runsByTarget.slice(-MAX_COMPARED_TARGETS).map(runs => runs.slice(-MAX_COMPARED_RUNS)).flatMap(runs => runs.flatMap((a, index) => runs.slice(index + 1).flatMap(b => computePairSlope(a, b))))
+  const slopes = runsByTarget.map(runs => runs.slice(-MAX_COMPARED_RUNS)).flatMap(runs => runs.flatMap((a, index) => runs.slice(index + 1).flatMap(b => computePairSlope(a, b))))
   return slopes.length < MIN_PAIRS ? undefined : Math.min(MAX_LOAD_SLOPE, Math.max(0, computeMedian(slopes)!))
 }
 
