--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -117,7 +117,7 @@
   private recordRequest (options: AdmissionRequest): AdmissionItem {
     const placed = this.admission.takePlacedItem(options.signal, this.isBacklogged({ pool: formatPool(options), priority: options.priority }))
     if (placed !== undefined) this.queue.refund(placed)
-    return this.admission.recordRequest(options)
+    return this.admission.recordRequest({ arrivedAtMs: options.waitStartedAtMs, ...options })
   }
 
   /** Returns whether no waiting request for the same targets goes before a new one. */
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -128,7 +128,7 @@
   const backlog = mustWaitForPrefill ? ((load.pendingPrefillTokens ?? 0) - heldPrefixTokens) / PREFILL_SCALE_TOKENS : 0
   const ownRun = computeRunScore(candidate, prefillTokens, outputTokens)
   const distance = isNearestFirst ? DISTANCE_WEIGHT * computeDistance(candidate) : 0
-  return (batch + MEMORY_WEIGHT * memory + backlog) / speed + ownRun + distance + computePlacePenalty(candidate, remoteZoneWeight) + computePenalty(candidate, random)
+  return (batch + backlog) / speed + MEMORY_WEIGHT * memory + ownRun + distance + computePlacePenalty(candidate, remoteZoneWeight) + computePenalty(candidate, random)
 }
 
 function computePlacePenalty ({ isLocal, isPreferred, isDeclining }: TargetCandidate, remoteZoneWeight: number): number {
@@ -164,10 +164,10 @@
 
 /**
  * Computes how much longer or shorter than at an engine of ordinary speed a generation takes. Long generations thus go to fast engines
- * while these have capacity, and short ones leave it to them.
+ * while these have capacity, and short ones leave it to them. Slow engines are not avoided for their output: the others would be overrun.
  */
 function computeRunScore ({ speed = 1 }: TargetCandidate, prefillTokens: number, outputTokens: number): number {
-  const decodeTokens = outputTokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN
+  const decodeTokens = speed > 1 ? outputTokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN : 0
   if (speed > 1 && decodeTokens < prefillTokens) return FAST_ENGINE_WEIGHT
   return (1 / speed - 1) * (prefillTokens + decodeTokens) / PREFILL_SCALE_TOKENS
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -86,7 +86,6 @@
 async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
   const { clock, admissionQueue, holds, budget } = dependencies
   const { service, request, route } = context
-  const origin = run.getOrigin()
   const remainingMs = context.deadlineAtMs - clock.nowMs()
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
--- a/packages/relay/src/speeds/SpeedRecord.ts
+++ b/packages/relay/src/speeds/SpeedRecord.ts
@@ -1,9 +1,6 @@
 import { selectLatestRuns } from './computeReference.js'
 import { fadeSpeed, FADE_END_MS, judgeSpeed, mergeObservations, ORDINARY_SPEED, type SpeedObservation } from './judgeSpeed.js'
-import { type ObservedRun, RUN_RETENTION_MS, type RunKind, type RunSample, TargetRuns } from './TargetRuns.js'
-
-/** Weight of a run among the runs that are needed for a judgement; the answer times of calls vary more than the gaps of streams. */
-const RUN_WEIGHTS: Record<RunKind, number> = { stream: 1, call: 0.25 }
+import { type ObservedRun, RUN_RETENTION_MS, type RunSample, TargetRuns } from './TargetRuns.js'
 
 /** What is known about the speed of one incarnation of a target, and the judgement in force. */
 export class SpeedRecord {
@@ -29,6 +26,8 @@
   private judgedAtMs: number
   private hasJudgement = false
   private observedAtMs = -Infinity
+  /** Whether there are observations since the last judgement. */
+  private hasNewObservation = false
 
   /** @internal */
   private constructor (readonly startedAtMs: number, createdAtMs: number) {
@@ -42,6 +41,7 @@
    */
   recordRun (run: ObservedRun, nowMs: number): void {
     this.runs.recordRun(run, nowMs)
+    this.hasNewObservation = true
   }
 
   /**
@@ -51,6 +51,7 @@
    */
   recordPeerSample (peer: string, sample: RunSample): void {
     this.peerSamples.set(peer, sample)
+    this.hasNewObservation = true
   }
 
   /**
@@ -77,7 +78,7 @@
    */
   setOwnValue (value: number | undefined, nowMs: number): void {
     const runs = selectLatestRuns(this.listRuns(nowMs))
-    const weight = runs.reduce((sum, { kind }) => sum + RUN_WEIGHTS[kind], 0)
+    const weight = runs.reduce((sum, run) => sum + run.weight, 0)
     this.own = value === undefined ? undefined : { value, runs: weight, observedAtMs: Math.max(...runs.map(({ observedAtMs }) => observedAtMs)) }
   }
 
@@ -88,11 +89,17 @@
    */
   recordPeer (peer: string, observation: SpeedObservation): void {
     this.peers.set(peer, observation)
+    this.hasNewObservation = true
   }
 
-  /** Returns the clock reading at which the judgement was last updated. */
-  getJudgedAtMs (): number {
-    return this.judgedAtMs
+  /**
+   * Returns whether the judgement may change now. The speed of an ordinary target is judged only after new observations, so that the
+   * cost follows the number of runs, not that of targets.
+   * @param nowMs - Clock reading.
+   * @param intervalMs - Minimum time between two judgements.
+   */
+  needsJudgement (nowMs: number, intervalMs: number): boolean {
+    return (this.hasNewObservation || this.speed !== ORDINARY_SPEED) && nowMs - this.judgedAtMs >= intervalMs
   }
 
   /**
@@ -105,6 +112,7 @@
     const elapsedMs = isFirst ? Infinity : nowMs - this.judgedAtMs
     const observed = mergeObservations(this.listObservations(nowMs))
     this.judgedAtMs = nowMs
+    this.hasNewObservation = false
     if (observed === undefined) {
       if (nowMs - this.observedAtMs >= FADE_END_MS) this.speed = ORDINARY_SPEED
       return undefined
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -25,7 +25,10 @@
 
 /** Minimum interval between two judgements of one target, and between two computations of what targets are compared with, in milliseconds. */
 const JUDGE_INTERVAL_MS = 250
-const REFERENCE_INTERVAL_MS = 1000
+const REFERENCE_INTERVAL_MS = 2000
+
+/** Maximum number of targets from which a reference is computed; the latest ones, which bounds the time for one computation. */
+const MAX_COMPARED_TARGETS = 32
 
 /** Interval at which records are pruned, in milliseconds. */
 const PRUNE_INTERVAL_MS = 5000
@@ -45,6 +48,9 @@
 /** Minimum interval between two log lines about invalid values of peers, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 1000
 
+/** Weight of a call among the runs that are needed for a judgement; answer times vary more than the gaps of streams. */
+const CALL_WEIGHT = 0.25
+
 /** Number of decimals of a speed in messages and log lines, as a factor. */
 const SPEED_STEPS = 1000
 
@@ -101,7 +107,7 @@
     const isQueued = target.slots > 0 && running > target.slots
     return () => {
       const typicalMs = clock.nowMs() - startedAtMs
-      if (!isQueued && typicalMs > 0) this.recordRun(target, { id, kind: 'call', typicalMs, excessMs: 0, running })
+      if (!isQueued && typicalMs > 0) this.recordRun(target, { id, kind: 'call', typicalMs, excessMs: 0, running, weight: CALL_WEIGHT })
     }
   }
 
@@ -213,7 +219,7 @@
 
   private updateJudgement (target: string, record: SpeedRecord): void {
     const nowMs = this.options.clock.nowMs()
-    if (nowMs - record.getJudgedAtMs() < JUDGE_INTERVAL_MS) return
+    if (!record.needsJudgement(nowMs, JUDGE_INTERVAL_MS)) return
     const reference = this.getReference(record.comparedKey)
     record.setOwnValue(reference === undefined ? undefined : computeSpeedRatio(record.listRuns(nowMs), reference), nowMs)
     const before = record.getJudgedSpeed()
@@ -244,9 +250,10 @@
     if (comparedKey === undefined) return undefined
     const nowMs = this.options.clock.nowMs()
     const cached = this.references.get(comparedKey)
-    if (cached !== undefined && nowMs - cached.computedAtMs < REFERENCE_INTERVAL_MS) return cached.reference
+    const intervalMs = cached?.reference.typicalMs === undefined ? JUDGE_INTERVAL_MS : REFERENCE_INTERVAL_MS
+    if (cached !== undefined && nowMs - cached.computedAtMs < intervalMs) return cached.reference
     const compared = [...this.records.values()].filter(record => record.comparedKey === comparedKey)
-    const reference = computeReference(compared.map(record => record.listRuns(nowMs)), cached?.reference)
+    const reference = computeReference(compared.slice(-MAX_COMPARED_TARGETS).map(record => record.listRuns(nowMs)), cached?.reference)
     this.references.set(comparedKey, { reference, computedAtMs: nowMs })
     return reference
   }
@@ -269,17 +276,17 @@
 }
 
 function formatNews ({ startedAtMs, own }: SpeedRecord, nowMs: number): TargetSpeedNews {
-  return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: Math.max(1, Math.round(own!.runs)), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
+  return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: roundSpeed(own!.runs), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
 }
 
 /** Formats a single stream; its speed is left to the receiver, which knows more targets with which to compare it. */
-function formatSample (startedAtMs: number, { typicalMs, excessMs, running, observedAtMs }: RunSample, nowMs: number): TargetSpeedNews {
-  return { startedAtMs, value: ORDINARY_SPEED, runs: 1, ageMs: Math.max(0, Math.round(nowMs - observedAtMs)), typicalMs: roundSpeed(typicalMs), excessMs: roundSpeed(excessMs), running: roundSpeed(running) }
+function formatSample (startedAtMs: number, { typicalMs, excessMs, running, weight, observedAtMs }: RunSample, nowMs: number): TargetSpeedNews {
+  return { startedAtMs, value: ORDINARY_SPEED, runs: weight, ageMs: Math.max(0, Math.round(nowMs - observedAtMs)), typicalMs: roundSpeed(typicalMs), excessMs: roundSpeed(excessMs), running: roundSpeed(running) }
 }
 
 /** Returns the stream of which a peer told; undefined when it told of a speed. */
-function parseSample (peer: string, { ageMs, typicalMs, excessMs = 0, running = 0 }: TargetSpeedNews, nowMs: number): RunSample | undefined {
-  return typicalMs === undefined ? undefined : { id: peer, kind: 'stream', typicalMs, excessMs, running, observedAtMs: nowMs - ageMs }
+function parseSample (peer: string, { runs, ageMs, typicalMs, excessMs = 0, running = 0 }: TargetSpeedNews, nowMs: number): RunSample | undefined {
+  return typicalMs === undefined ? undefined : { id: peer, kind: 'stream', typicalMs, excessMs, running, weight: runs, observedAtMs: nowMs - ageMs }
 }
 
 function isValid ({ startedAtMs, value, runs, ageMs, typicalMs = 1, excessMs = 0, running = 0 }: TargetSpeedNews): boolean {
