Ask engines without known room when a run has to leave its engine

Change: where no instance knows all loads, the last resort of a move is an engine without known room; a copy there fails at once if it has none.

--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -138,7 +138,7 @@
     }
     log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
   })
-  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log })
+  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, mayAskEngines: service => holds.isActive(service) })
   return {
     clock,
     random,
--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -2,6 +2,7 @@
 import { type Result } from 'true-myth'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type DecisionLog } from '../logs/DecisionLog.js'
+import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type RelayPlacer, type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
@@ -19,6 +20,8 @@
   readonly placer: RelayPlacer
   readonly budget: AttemptBudget
   readonly log: DecisionLog
+  /** Returns whether an engine without known room may be asked because no instance knows the whole load of an engine; by default it may not. */
+  readonly mayAskEngines?: (service: ServiceProfile) => boolean
 }
 
 /** A run and the engine that it leaves. */
@@ -128,7 +131,14 @@
     return placer.reserveBestTarget({ ...requirements, isLocalOnly: true }) ??
       placer.reserveBestTarget({ ...requirements, heldTokens, isLocalOnly: true }) ??
       placer.reserveBestTarget(requirements) ??
-      placer.reserveBestTarget({ ...requirements, heldTokens })
+      placer.reserveBestTarget({ ...requirements, heldTokens }) ??
+      this.reserveUnknown({ ...requirements, heldTokens })
+  }
+
+  /** Reserves an engine that may have room which this instance does not know of; the copy fails at once where there is none. */
+  private reserveUnknown (requirements: TargetRequirements): TargetReservation | undefined {
+    const { placer, mayAskEngines } = this.dependencies
+    return mayAskEngines?.(requirements.service) === true ? placer.reserveBestTarget({ ...requirements, isDecidedByEngine: true }) : undefined
   }
 
   private async copyToDestination (reservation: TargetReservation): Promise<MoveResult> {
