Compare what a moved run holds with what engines refused

Cause: an engine that refused a reservation was closed for a move by the memory that the run may need later. Change: the memory held now is compared.

--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -102,7 +102,7 @@
     const { random, availability } = this.options
     const usable = this.listUsable(service, requirements)
     const createCandidate = this.createCandidateFactory(usable, requirements)
-    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
+    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, requirements.heldTokens ?? tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { ...requirements, profile: service.engine, random, mustWaitForPrefill: pendingPrefillTokens !== undefined, prefillTokens: pendingPrefillTokens })
     if (choice === undefined) return undefined
     const { tracked: { target }, score, heldPrefixTokens } = choice
