Keep reports about later incarnations of cold targets, and bound what peers leave

A report that a restarted target is cold was recorded under the earlier incarnation, so that the entry of the later one could end it early. Engines whose free memory is kept for urgent requests were asked by others once no engine had known room. Some records of peers, pools and lost instances were dropped only when the same key came back. Change: reports count for their own incarnation; engines with headroom are not asked; old records are pruned on the way; pools do not depend on the order of regions. The headroom that TargetReservation held was not read and goes.

--- a/packages/relay/src/admission/AdmissionSubject.ts
+++ b/packages/relay/src/admission/AdmissionSubject.ts
@@ -45,5 +45,5 @@
  * @param subject - The request.
  */
 export function formatPool ({ requirements: { service, origin, allowedRegions } }: Pick<AdmissionSubject, 'requirements'>): string {
-  return [service.name, origin === undefined ? '' : formatOriginKey(origin), ...allowedRegions ?? []].join('\u0000')
+  return [service.name, origin === undefined ? '' : formatOriginKey(origin), ...[...allowedRegions ?? []].sort()].join('\u0000')
 }
--- a/packages/relay/src/admission/ExpectedWait.ts
+++ b/packages/relay/src/admission/ExpectedWait.ts
@@ -35,13 +35,13 @@
 
   /**
    * Records that work was placed or that the backlog of a priority may have changed.
-   * @param work - Pool and priority, and the work that was placed in tokens; negative for work that was placed in vain.
+   * @param work - Pool and priority, and the work that was placed in tokens; negative for placed work that the engine refused.
    * @param isBacklogged - Whether requests of the priority wait from now on.
    */
   observeWork ({ pool, priority, cost }: WaitingWork, isBacklogged: boolean): void {
     const key = formatKey(pool, priority)
     const nowMs = this.clock.nowMs()
-    if (nowMs - (this.backloggedAtMs.get(key) ?? nowMs) > RATE_RETENTION_MS) this.dropRate(key)
+    for (const [other, atMs] of this.backloggedAtMs) if (nowMs - atMs > RATE_RETENTION_MS) this.dropRate(other)
     if (!isBacklogged && !this.backloggedAtMs.has(key)) return
     this.throughput.observePool(key, isBacklogged, cost)
     if (isBacklogged) this.backloggedAtMs.set(key, nowMs)
--- a/packages/relay/src/admission/FairAdmission.ts
+++ b/packages/relay/src/admission/FairAdmission.ts
@@ -105,7 +105,7 @@
   }
 
   /**
-   * Returns the item of a request that was placed in vain in an earlier call, after its work has been taken out of the measured rate.
+   * Returns the item of a request that was placed in an earlier call and refused by the engine, after its work has been taken out of the measured rate.
    * @param signal - Signal of the request.
    * @param isBacklogged - Whether requests of the same priority wait for the same targets.
    */
--- a/packages/relay/src/admission/WorkspaceShares.ts
+++ b/packages/relay/src/admission/WorkspaceShares.ts
@@ -6,7 +6,7 @@
 
 /**
  * Shares of workspaces when one of them sends much more than the others. One half of the capacity is divided equally and the other half
- * in proportion to demand: a small workspace is not crowded out, and a large one is served at least half as often as all requests.
+ * in proportion to demand: a small workspace is not starved, and a large one is served at least half as often as all requests.
  * Equal shares alone would serve a workspace with ten times the load of each other one a tenth as often.
  */
 export class WorkspaceShares {
--- a/packages/relay/src/instance/InstanceCensus.ts
+++ b/packages/relay/src/instance/InstanceCensus.ts
@@ -57,6 +57,7 @@
    */
   recordInstance (name: string, state: CensusState): void {
     const { clock } = this.options
+    this.prune()
     // A view that has settled stays known while it grows.
     this.isKnown()
     if (state === 'present' && !this.present.has(name)) this.grownAtMs = clock.nowMs()
--- a/packages/relay/src/limits/ColdTargets.ts
+++ b/packages/relay/src/limits/ColdTargets.ts
@@ -159,8 +159,11 @@
   }
 
   private extend (target: Pick<RelayTarget, 'name' | 'startedAtMs'>, endsAtMs: number, source: string): void {
-    const { startedAtMs, sequence, usedAtMs, endsAtMs: knownEndMs } = this.records.get(target.name) ?? { ...target, sequence: 0, usedAtMs: -Infinity, endsAtMs: -Infinity }
-    if (endsAtMs > knownEndMs) this.update(target, { startedAtMs, sequence, endsAtMs, usedAtMs, isFromAnswer: true }, source)
+    const { startedAtMs } = target
+    const known = this.records.get(target.name)
+    const { sequence, endsAtMs: knownEndMs } = known?.startedAtMs === startedAtMs ? known : { sequence: 0, endsAtMs: -Infinity }
+    const isOutdated = known !== undefined && known.startedAtMs > startedAtMs
+    if (!isOutdated && endsAtMs > knownEndMs) this.update(target, { startedAtMs, sequence, endsAtMs, usedAtMs: known?.usedAtMs ?? -Infinity, isFromAnswer: true }, source)
   }
 
   private update ({ name }: Pick<RelayTarget, 'name'>, record: ColdRecord, source: string): void {
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -98,7 +98,7 @@
   }
 
   /**
-   * Schedules the return of a caller that is refused for want of capacity.
+   * Schedules the return of a caller that is refused because there is no capacity.
    * @param request - The request.
    * @param remainingMs - Time for which the caller still waits, in milliseconds.
    * @returns Its retry time; undefined when the time at which there will be capacity is not known.
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -106,14 +106,14 @@
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { ...requirements, profile: service.engine, random, mustWaitForPrefill: pendingPrefillTokens !== undefined, prefillTokens: pendingPrefillTokens })
     if (choice === undefined) return undefined
     const { tracked: { target }, score, heldPrefixTokens } = choice
-    return this.reserveTarget(target, tokens, { score, pendingPrefillTokens, heldPrefixTokens, headroomTokens: requirements.getHeadroomTokens?.(target), isTentative: requirements.isDecidedByEngine })
+    return this.reserveTarget(target, tokens, { score, pendingPrefillTokens, heldPrefixTokens, isTentative: requirements.isDecidedByEngine })
   }
 
   /**
    * Reserves a specific target regardless of its load and its limit; whether it wants requests is checked when one is sent.
    * @param target - The target.
    * @param tokens - Memory that the generation is expected to need.
-   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, memory that has to stay free, and whether the target may still refuse the request.
+   * @param choice - Score of the selection, for the log, prompt tokens that the target has to process, and whether it may still refuse the request.
    */
   reserveTarget (target: RelayTarget, tokens: number, { score = 0, ...choice }: Partial<Omit<TargetReservationOptions, 'target' | 'tokens' | 'loads' | 'onRelease'>> = {}): TargetReservation {
     this.options.limits.recordRequest(target)
--- a/packages/relay/src/placement/TargetReservation.ts
+++ b/packages/relay/src/placement/TargetReservation.ts
@@ -16,8 +16,6 @@
   readonly heldPrefixTokens?: number
   /** Whether the target may still refuse the request, so that peers need not know at once; by default it may not. */
   readonly isTentative?: boolean
-  /** Memory that the request leaves free for more urgent ones, in tokens. */
-  readonly headroomTokens?: number
 }
 
 /** Number of steps per unit to which scores are rounded for the log. */
@@ -36,8 +34,6 @@
   readonly target: RelayTarget
   readonly score: number
   readonly heldPrefixTokens: number | undefined
-  /** Memory that the engine has to have free in addition to that of the request, in tokens. */
-  readonly headroomTokens: number
   private tokens: number
   private heldTokens = 0
   private pendingPrefillTokens: number
@@ -50,7 +46,6 @@
     this.target = options.target
     this.score = Math.round(options.score * SCORE_STEPS) / SCORE_STEPS
     this.heldPrefixTokens = options.heldPrefixTokens
-    this.headroomTokens = options.headroomTokens ?? 0
     this.tokens = options.tokens
     this.pendingPrefillTokens = options.pendingPrefillTokens ?? 0
     options.loads.addOwnLoad(this.target.name, { running: 1, tokens: this.tokens, pendingPrefillTokens: this.pendingPrefillTokens }, options.isTentative === true ? false : undefined)
--- a/packages/relay/src/placement/pickTarget.ts
+++ b/packages/relay/src/placement/pickTarget.ts
@@ -114,7 +114,9 @@
   const { isDecidedByEngine = false } = requirements
   const reachable = candidates.filter(({ isUnreachable, load, maxRunning = Infinity }) => !isUnreachable && load.running < maxRunning)
   const withRoom = reachable.filter(candidate => hasRoom(candidate, requirements))
-  return pickLowestScore(isDecidedByEngine && withRoom.length === 0 ? reachable : withRoom, candidate => computeEngineScore(candidate, requirements))
+  // Engines whose free memory is kept for more urgent requests are not asked.
+  const available = isDecidedByEngine && withRoom.length === 0 ? reachable.filter(({ headroomTokens = 0 }) => headroomTokens === 0) : withRoom
+  return pickLowestScore(available, candidate => computeEngineScore(candidate, requirements))
 }
 
 function hasRoom ({ load, headroomTokens = 0 }: TargetCandidate, { profile, tokens, heldTokens }: EngineRequirements): boolean {
@@ -126,7 +128,7 @@
   const batch = load.running / profile.slots
   const memory = (load.tokens + tokens) / profile.memoryTokens
   const backlog = mustWaitForPrefill ? ((load.pendingPrefillTokens ?? 0) - heldPrefixTokens) / PREFILL_SCALE_TOKENS : 0
-  const ownRun = computeRunScore(candidate, prefillTokens, outputTokens)
+  const ownRun = computeRunPenalty(candidate, prefillTokens, outputTokens)
   const distance = isNearestFirst ? DISTANCE_WEIGHT * computeDistance(candidate) : 0
   return (batch + backlog) / speed + MEMORY_WEIGHT * memory + ownRun + distance + computePlacePenalty(candidate, remoteZoneWeight) + computePenalty(candidate, random)
 }
@@ -164,9 +166,9 @@
 
 /**
  * Computes how much longer or shorter than at an engine of ordinary speed a generation takes. Long generations thus go to fast engines
- * while these have capacity, and short ones leave it to them. Slow engines are not avoided for their output: the others would be overrun.
+ * while these have capacity, and short ones leave it to them. Slow engines are not avoided for their output: the others would be overloaded.
  */
-function computeRunScore ({ speed = 1 }: TargetCandidate, prefillTokens: number, outputTokens: number): number {
+function computeRunPenalty ({ speed = 1 }: TargetCandidate, prefillTokens: number, outputTokens: number): number {
   const decodeTokens = speed > 1 ? outputTokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN : 0
   if (speed > 1 && decodeTokens < prefillTokens) return FAST_ENGINE_WEIGHT
   return (1 / speed - 1) * (prefillTokens + decodeTokens) / PREFILL_SCALE_TOKENS
--- a/packages/relay/src/prefixes/EngineMemory.ts
+++ b/packages/relay/src/prefixes/EngineMemory.ts
@@ -84,7 +84,10 @@
     const before = this.peerTokens.get(peer) ?? peerTokens
     for (const part of parts.slice(0, MAX_NEWS_PARTS)) this.usePart(part, 0)
     this.arrivedTokens += Math.max(0, peerTokens - before)
-    if (this.peerTokens.has(peer) || this.peerTokens.size < MAX_PEERS) this.peerTokens.set(peer, peerTokens)
+    this.peerTokens.delete(peer)
+    this.peerTokens.set(peer, peerTokens)
+    const [oldest] = this.peerTokens.keys()
+    if (this.peerTokens.size > MAX_PEERS && oldest !== undefined) this.peerTokens.delete(oldest)
   }
 
   /**
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -78,7 +78,7 @@
   sink.refuse({ status, reason, retryAfterMs })
 }
 
-/** Schedules the return of a caller that was refused for want of capacity; undefined when the time at which there will be some is not known. */
+/** Schedules the return of a caller that was refused because there is no capacity; undefined when the time at which there will be some is not known. */
 function scheduleReturn ({ admissionQueue, clock }: RelayDependencies, context: RelayContext): RetryAdvice | undefined {
   return admissionQueue.scheduleReturn(createAdmissionSubject(context), context.deadlineAtMs - clock.nowMs())
 }
--- a/packages/relay/src/speeds/SpeedRecord.ts
+++ b/packages/relay/src/speeds/SpeedRecord.ts
@@ -59,8 +59,8 @@
    * @param nowMs - Clock reading.
    */
   listRuns (nowMs: number): readonly RunSample[] {
-    const samples = [...this.peerSamples.values()].filter(({ observedAtMs }) => nowMs - observedAtMs < RUN_RETENTION_MS)
-    return [...samples, ...this.runs.listRuns(nowMs)]
+    for (const [peer, { observedAtMs }] of this.peerSamples) if (nowMs - observedAtMs >= RUN_RETENTION_MS) this.peerSamples.delete(peer)
+    return [...this.peerSamples.values(), ...this.runs.listRuns(nowMs)]
   }
 
   /**
@@ -146,6 +146,7 @@
 
   /** Lists the observations of this instance and its peers that are not too old. */
   private listObservations (nowMs: number): SpeedObservation[] {
+    for (const [peer, { observedAtMs }] of this.peers) if (nowMs - observedAtMs >= FADE_END_MS) this.peers.delete(peer)
     const all = this.own === undefined ? [...this.peers.values()] : [this.own, ...this.peers.values()]
     return all.filter(({ observedAtMs }) => nowMs - observedAtMs < FADE_END_MS)
   }
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -51,8 +51,8 @@
 /** Weight of a call among the runs that are needed for a judgement; answer times vary more than the gaps of streams. */
 const CALL_WEIGHT = 0.25
 
-/** Number of decimals of a speed in messages and log lines, as a factor. */
-const SPEED_STEPS = 1000
+/** Number of steps per unit to which values in messages and log lines are rounded. */
+const VALUE_STEPS = 1000
 
 interface CachedReference {
   readonly reference: SpeedReference
@@ -233,10 +233,10 @@
     const { clock, log, metrics } = this.options
     log.recordStateChange('target speed changed', {
       target,
-      before: roundSpeed(before),
-      speed: roundSpeed(after),
-      observed: observed === undefined ? undefined : roundSpeed(observed.value),
-      own: own === undefined ? undefined : roundSpeed(own.value),
+      before: roundValue(before),
+      speed: roundValue(after),
+      observed: observed === undefined ? undefined : roundValue(observed.value),
+      own: own === undefined ? undefined : roundValue(own.value),
       runs: observed?.runs,
       ageMs: observed === undefined ? undefined : Math.round(clock.nowMs() - observed.observedAtMs),
       ...describeReference(reference)
@@ -276,12 +276,12 @@
 }
 
 function formatNews ({ startedAtMs, own }: SpeedRecord, nowMs: number): TargetSpeedNews {
-  return { startedAtMs, value: roundSpeed(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: roundSpeed(own!.runs), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
+  return { startedAtMs, value: roundValue(Math.min(MAX_SPEED, Math.max(MIN_SPEED, own!.value))), runs: roundValue(own!.runs), ageMs: Math.max(0, Math.round(nowMs - own!.observedAtMs)) }
 }
 
 /** Formats a single stream; its speed is left to the receiver, which knows more targets with which to compare it. */
 function formatSample (startedAtMs: number, { typicalMs, excessMs, running, weight, observedAtMs }: RunSample, nowMs: number): TargetSpeedNews {
-  return { startedAtMs, value: ORDINARY_SPEED, runs: weight, ageMs: Math.max(0, Math.round(nowMs - observedAtMs)), typicalMs: roundSpeed(typicalMs), excessMs: roundSpeed(excessMs), running: roundSpeed(running) }
+  return { startedAtMs, value: ORDINARY_SPEED, runs: weight, ageMs: Math.max(0, Math.round(nowMs - observedAtMs)), typicalMs: roundValue(typicalMs), excessMs: roundValue(excessMs), running: roundValue(running) }
 }
 
 /** Returns the stream of which a peer told; undefined when it told of a speed. */
@@ -297,7 +297,7 @@
 function describeReference (reference: SpeedReference | undefined): Record<string, unknown> {
   if (reference === undefined) return {}
   const { typicalMs = 0, loadSlope, excessMsPerRequest, running } = reference
-  return { referenceMs: roundSpeed(typicalMs), loadSlope, excessMsPerRequest: roundSpeed(excessMsPerRequest), referenceRunning: roundSpeed(running) }
+  return { referenceMs: roundValue(typicalMs), loadSlope, excessMsPerRequest: roundValue(excessMsPerRequest), referenceRunning: roundValue(running) }
 }
 
 function classifySpeed (speed: number): 'slower' | 'faster' | 'ordinary' {
@@ -305,6 +305,6 @@
   return speed < ORDINARY_SPEED ? 'slower' : 'faster'
 }
 
-function roundSpeed (value: number): number {
-  return Math.round(value * SPEED_STEPS) / SPEED_STEPS
+function roundValue (value: number): number {
+  return Math.round(value * VALUE_STEPS) / VALUE_STEPS
 }
--- a/packages/relay/test/limits/ColdTargets.test.ts
+++ b/packages/relay/test/limits/ColdTargets.test.ts
@@ -48,6 +48,11 @@
 
   it('keep the later end whatever an older answer states', () => expect(doTest((cold, clock) => { cold.recordAnswer(TARGET, 5000); cold.recordAnswer(TARGET, 10); clock.jump(100); use(cold, clock) })).toBe(500))
 
+  it('keep the cold time of a later incarnation that was reported before its own entry', () => {
+    const restarted = { ...TARGET, startedAtMs: 2 }
+    expect(doTest((cold, clock) => { cold.recordEntry(COLD_ENTRY); cold.recordAnswer(restarted, 20_000); cold.recordEntry({ ...restarted, slowStartRemainingMs: 1000 }); clock.jump(12_000); use(cold, clock) })).toBe(500)
+  })
+
   it('ignore an entry that the store lists again', () => {
     expect(doTest((cold, clock) => { cold.recordEntry(COLD_ENTRY); clock.jump(10_000); cold.recordEntry(COLD_ENTRY); use(cold, clock) })).toBe(0)
   })
--- a/packages/relay/test/placement/pickTarget.test.ts
+++ b/packages/relay/test/placement/pickTarget.test.ts
@@ -36,6 +36,12 @@
   it('prefers a fast engine', () => expect(doTest({ speed: 2 })).toBe(20))
   it('excludes a slow engine that has as many requests as it can run in time', () => expect(doTest({ speed: 0.5, load: { running: 0, tokens: 0 }, maxRunning: 0 })).toBe(0))
   it('excludes an engine without the memory that has to stay free for urgent requests', () => expect(doTest({ load: { running: 1, tokens: 0 }, headroomTokens: 9000 })).toBe(0))
+  it('asks no engine whose free memory is kept for urgent requests, also when the engine decides', () => {
+    const full = { load: { running: 4, tokens: 9900 } }
+    const pick = (headroomTokens: number): string | undefined =>
+      pickEngine([createCandidate('a', { ...full, headroomTokens })], { profile, tokens: 1000, random: SeededRandom.create(1), isDecidedByEngine: true })?.tracked.target.name
+    expect([pick(0), pick(1000)]).toEqual(['a', undefined])
+  })
   it('picks randomly between equal engines', () => expect(doTest({})).toBeGreaterThan(3))
 
   it('returns undefined when all engines are full', () => {
--- a/packages/scheduling/src/queue/FairQueue.ts
+++ b/packages/scheduling/src/queue/FairQueue.ts
@@ -96,7 +96,7 @@
   }
 
   /**
-   * Gives the cost of a removed item back to its workspace, because it was served in vain.
+   * Gives the cost of a removed item back to its workspace, because the target refused it.
    * @param item - The item.
    */
   refund (item: QueuedItem): void {
--- a/packages/scheduling/src/queue/PoolThroughput.ts
+++ b/packages/scheduling/src/queue/PoolThroughput.ts
@@ -36,7 +36,7 @@
    * Records that work was placed in a pool or that its backlog changed.
    * @param pool - Name of the pool.
    * @param isBacklogged - Whether requests are queued for the pool from now on.
-   * @param cost - Work that was placed, in tokens; negative for work that was placed in vain.
+   * @param cost - Work that was placed, in tokens; negative for placed work that the target refused.
    */
   observePool (pool: string, isBacklogged: boolean, cost = 0): void {
     const average = this.getAverage(pool)
