Share the keys, costs and descriptions of requests in admission

Cause: found on a last read: the key of a priority stood three times, the cost of a generation and the description of a request twice. Change: formatPriorityKey, estimateCost and createAdmissionSubject serve all; behaviour is unchanged.

--- a/packages/relay/src/admission/AdmissionSubject.ts
+++ b/packages/relay/src/admission/AdmissionSubject.ts
@@ -40,6 +40,15 @@
   return { requirements, priority, workspace, cost: estimateCost(request.size), arrivedAtMs: request.receivedAtMs, requestId: request.id, signal }
 }
 
+/**
+ * Formats the key of the requests of one priority.
+ * @param scope - Name of the pool or service.
+ * @param priority - The priority.
+ */
+export function formatPriorityKey (scope: string, priority: number): string {
+  return `${priority}\u0000${scope}`
+}
+
 /**
  * Formats the key of the set of targets that a request competes for: those of its service in its regions or, if it continues a stream, of the same version.
  * @param subject - The request.
--- a/packages/relay/src/admission/ExpectedWait.ts
+++ b/packages/relay/src/admission/ExpectedWait.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@fescuespoke/common'
 import { PoolThroughput } from '@fescuespoke/scheduling'
+import { formatPriorityKey } from './AdmissionSubject.js'
 
 /** Time without a backlog after which the measured rate of a pool is dropped, in milliseconds. */
 const RATE_RETENTION_MS = 30_000
@@ -39,7 +40,7 @@
    * @param isBacklogged - Whether requests of the priority wait from now on.
    */
   observeWork ({ pool, priority, cost }: WaitingWork, isBacklogged: boolean): void {
-    const key = formatKey(pool, priority)
+    const key = formatPriorityKey(pool, priority)
     const nowMs = this.clock.nowMs()
     for (const [other, atMs] of this.backloggedAtMs) if (nowMs - atMs > RATE_RETENTION_MS) this.dropRate(other)
     if (!isBacklogged && !this.backloggedAtMs.has(key)) return
@@ -52,7 +53,7 @@
    * @param work - The next request; its work counts as placed now, so that a backlog that has just begun is not taken for a standstill.
    */
   getCostPerMs ({ pool, priority, cost }: WaitingWork): number {
-    const key = formatKey(pool, priority)
+    const key = formatPriorityKey(pool, priority)
     return this.backloggedAtMs.has(key) ? this.throughput.getCostPerMs(key, cost) : Infinity
   }
 
@@ -76,7 +77,3 @@
     this.backloggedAtMs.delete(key)
   }
 }
-
-function formatKey (pool: string, priority: number): string {
-  return `${priority}\u0000${pool}`
-}
--- a/packages/relay/src/admission/UrgentHeadroom.ts
+++ b/packages/relay/src/admission/UrgentHeadroom.ts
@@ -2,6 +2,7 @@
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { RecentSums } from './RecentSums.js'
+import { formatPriorityKey } from './AdmissionSubject.js'
 
 /** Options of the headroom. */
 export interface UrgentHeadroomOptions {
@@ -72,7 +73,7 @@
    * @param tokens - Memory that it needs, in tokens.
    */
   recordArrival (service: string, priority: number, tokens: number): void {
-    this.arrivals.add(formatKey(service, priority), tokens)
+    this.arrivals.add(formatPriorityKey(service, priority), tokens)
   }
 
   /**
@@ -82,7 +83,7 @@
    * @param use - Memory that it needed in tokens, and the time for which it had the engine in milliseconds.
    */
   recordUse (service: string, priority: number, { tokens, heldMs }: { readonly tokens: number, readonly heldMs: number }): void {
-    this.uses.add(formatKey(service, priority), tokens * heldMs)
+    this.uses.add(formatPriorityKey(service, priority), tokens * heldMs)
   }
 
   /**
@@ -105,7 +106,7 @@
   }
 
   private findDemand (service: string, priority: number, engineCount: number): Demand | undefined {
-    const key = formatKey(service, priority)
+    const key = formatPriorityKey(service, priority)
     const { count, amount } = this.arrivals.getSum(key)
     const instances = this.options.countInstances()
     if (count === 0 || engineCount === 0 || !Number.isFinite(instances)) return undefined
@@ -135,10 +136,6 @@
   }
 }
 
-function formatKey (service: string, priority: number): string {
-  return `${priority}\u0000${service}`
-}
-
 /** Divides the requests among the engines; those of the lowest ranks get one more where they cannot be divided evenly. */
 function computeEngineTokens ({ requestTokens, requests }: Demand, ranks: ReadonlyMap<string, number>, engine: string): number {
   const rank = ranks.get(engine)
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -1,6 +1,6 @@
 import { type CancelTimer, type Clock, SystemRandom } from '@fescuespoke/common'
 import { FairQueue } from '@fescuespoke/scheduling'
-import { type AdmissionItem, type AdmissionSubject, formatPool } from '../admission/AdmissionSubject.js'
+import { type AdmissionItem, type AdmissionSubject, formatPool, formatPriorityKey } from '../admission/AdmissionSubject.js'
 import { FairAdmission, type FairAdmissionOptions, type RetryAdvice } from '../admission/FairAdmission.js'
 import { type AdmissionResult } from '../logs/RelayMetrics.js'
 import { type RelayPlacer, type TargetRequirements } from './RelayPlacer.js'
@@ -209,7 +209,7 @@
   /** Records the backlog of each pool and priority once. */
   private recordBacklogs (): void {
     if (!this.admission.isActive()) return
-    const firsts = new Map(this.queue.list().map(entry => [`${entry.priority}\u0000${entry.pool}`, entry]))
+    const firsts = new Map(this.queue.list().map(entry => [formatPriorityKey(entry.pool, entry.priority), entry]))
     for (const entry of firsts.values()) this.admission.recordBacklog(entry, true)
   }
 
--- a/packages/relay/src/placement/estimateTokens.ts
+++ b/packages/relay/src/placement/estimateTokens.ts
@@ -26,7 +26,7 @@
  * @param size - Sizes that the caller stated.
  */
 export function estimateHoldTokens (size: GenerationSize | undefined): number {
-  return size === undefined ? DEFAULT_REQUEST_TOKENS : Math.ceil(size.promptTokens + Math.min(estimateOutputTokens(size), size.maxOutputTokens))
+  return Math.ceil(estimateCost(size))
 }
 
 /**
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,8 +1,9 @@
+import { createAdmissionSubject } from '../admission/AdmissionSubject.js'
 import { reserveHeldEngine } from '../holds/reserveHeldEngine.js'
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
 import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
-import { estimateCost, estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
+import { estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
 import { type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
@@ -90,16 +91,11 @@
   const waitedMs = clock.nowMs() - request.receivedAtMs
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const admission: AdmissionRequest = {
+    ...createAdmissionSubject(context),
     requirements: createRequirements(context, run),
-    priority: context.priority,
-    workspace: context.workspace,
-    cost: estimateCost(request.size),
-    arrivedAtMs: request.receivedAtMs,
-    requestId: request.id,
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
-    mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined,
-    signal: context.signal
+    mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined
   }
   const reservation = holds.isActive(service)
     ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
