Review: case 3, a leaving server gets requests again after a drill of the store

Cause: entries of a store that has returned from a copy count as newer than what an instance has acted on, unless they carry a start time and a sequence.

--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -26,6 +26,7 @@
     this.holdCount = 0
     this.sequence = 1
     this.extraBySocket = new WeakMap()
+    this.turns = new WeakMap()
     this.report = this.createReport()
     this.reportTimer = setInterval(() => { this.report = this.createReport() }, REPORT_LAG_MS)
     this.server = createServer((incoming, outgoing) => this.receive(incoming, outgoing))
@@ -47,11 +48,20 @@
     this.server.close()
   }
 
+  /** Serves one request at a time on a channel: the next one after the answer to the one before. */
   receive (incoming, outgoing) {
-    this.sendExtra(incoming.socket)
+    const { socket } = incoming
     const parts = []
+    const isRead = new Promise(resolve => incoming.once('end', resolve))
+    const isAnswered = new Promise(resolve => outgoing.once('close', resolve))
+    const turn = this.turns.get(socket) ?? Promise.resolve()
+    this.turns.set(socket, isAnswered)
     incoming.on('data', part => parts.push(part))
-    incoming.on('end', () => this.handle(incoming, outgoing, Buffer.concat(parts).toString()))
+    Promise.all([turn, isRead]).then(() => {
+      if (socket.destroyed) return
+      this.sendExtra(socket)
+      this.handle(incoming, outgoing, Buffer.concat(parts).toString())
+    })
   }
 
   /** The extra copy of an earlier answer comes at the point where the next answer on this channel is expected. */
--- a/review/common/store.mjs
+++ b/review/common/store.mjs
@@ -19,6 +19,8 @@
     this.revision = 10
     this.firstKnown = 10
     this.watches = new Set()
+    this.era = 0
+    this.isAway = false
     this.server = createServer((incoming, outgoing) => this.handle(incoming, outgoing))
   }
 
@@ -44,6 +46,19 @@
     this.server.close()
   }
 
+  /** Takes a copy of what the store has. */
+  createCopy () {
+    return { items: new Map(this.items), revision: this.revision }
+  }
+
+  /** Ends all channels and refuses calls for some time, then returns from a copy: later revisions are given out again. */
+  async returnFromCopy ({ items, revision }, awayMs) {
+    this.isAway = true
+    this.server.closeAllConnections()
+    await new Promise(resolve => setTimeout(resolve, awayMs))
+    Object.assign(this, { items: new Map(items), revision, firstKnown: revision, events: [], era: this.era + 1, isAway: false })
+  }
+
   addEvent (event) {
     const nowMs = performance.now()
     this.events.push({ atMs: nowMs, event })
@@ -53,12 +68,14 @@
 
   handle (incoming, outgoing) {
     const url = new URL(incoming.url, 'http://store')
+    outgoing.setHeader('Store-Era', this.era)
+    if (this.isAway) return outgoing.writeHead(503).end()
     const prefix = url.searchParams.get('prefix') ?? ''
     if (url.pathname === '/fescuespoke/kv-key') return this.answerKey(outgoing, url.searchParams.get('key'))
     if (url.pathname === '/fescuespoke/kv-range') return this.answerPage(outgoing, prefix, url.searchParams.get('after') ?? '')
     if (url.pathname !== '/fescuespoke/kv-watch') return outgoing.writeHead(404).end()
     const after = Number(url.searchParams.get('after'))
-    if (after < this.firstKnown) return outgoing.writeHead(410).end()
+    if (after < this.firstKnown || after > this.revision) return outgoing.writeHead(410).end()
     const watch = { outgoing, prefix, after }
     this.watches.add(watch)
     watch.timer = setTimeout(() => this.answerWatch(watch, true), Math.min(MAX_WAIT_MS, Number(url.searchParams.get('wait_ms') ?? 0)))
