Review: case 1 in two forms, as the refusal of a reservation says that nothing ran or does not

Cause: where the server's refusal of a reservation says that it ran nothing, the product takes that for the stream and sends it to a second server.

--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -16,6 +16,10 @@
 
 const HOST = '127.0.0.1'
 const PORTS_PER_MACHINE = 5
+
+/** Range of the ports on which processes listen; it is below the ports of outgoing connections. */
+const FIRST_PORT = 10_000
+const PORT_COUNT = 20_000
 const KILL_DELAY_MS = 1000
 
 /** Returns the words of the command with which the deploy file starts the role. */
@@ -30,14 +34,17 @@
 }
 
 async function findFreePort (host) {
-  const server = createServer()
-  await new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(0, host, resolve)
-  })
-  const { port } = server.address()
-  await new Promise(resolve => server.close(resolve))
-  return port
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT)
+    const server = createServer()
+    const isFree = await new Promise(resolve => {
+      server.once('error', () => resolve(false))
+      server.listen(port, host, () => resolve(true))
+    })
+    if (!isFree) continue
+    await new Promise(resolve => server.close(resolve))
+    return port
+  }
 }
 
 /** One machine of class `front` and its process. */
--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -9,7 +9,7 @@
   /**
    * @param options.slots - Requests that run at once; `queue`: requests that wait beyond these.
    * @param options.eventCount - Returns the events of a request; `eventMs`: the time between two.
-   * @param options.holdMs - Time until a call for a reservation is answered.
+   * @param options.holdMs - Time until a call for a reservation is answered; `holdRefusal`: further headers of a refusal.
    * @param options.duplicates - Returns whether the answer that has just ended is sent once more, late.
    */
   static async start (options) {
@@ -19,7 +19,7 @@
   }
 
   constructor (options) {
-    Object.assign(this, { slots: 6, queue: 18, eventMs: 30, holdMs: 0, duplicates: () => false, onRun: () => undefined, onDuplicate: () => undefined, ...options })
+    Object.assign(this, { slots: 6, queue: 18, eventMs: 30, holdMs: 0, holdRefusal: {}, duplicates: () => false, onRun: () => undefined, onDuplicate: () => undefined, ...options })
     this.running = new Set()
     this.waiting = []
     this.holds = new Map()
@@ -121,7 +121,7 @@
   }
 
   takeHold (outgoing, { ttl_ms: ttlMs }) {
-    if (this.countFree() - this.waiting.length <= 0) return sendJson(outgoing, 503, {})
+    if (this.countFree() - this.waiting.length <= 0) return sendJson(outgoing, 503, {}, this.holdRefusal)
     const hold = { id: `hold-${this.id}-${++this.holdCount}` }
     hold.timer = setTimeout(() => this.endHold(hold), ttlMs)
     this.holds.set(hold.id, hold)
@@ -148,8 +148,8 @@
   }
 }
 
-function sendJson (outgoing, status, body) {
-  outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+function sendJson (outgoing, status, body, headers = {}) {
+  outgoing.writeHead(status, { 'content-type': 'application/json', ...headers }).end(JSON.stringify(body))
 }
 
 /** Formats a whole answer in chunks, as it went out before. */
