--- a/review/common/record.mjs
+++ b/review/common/record.mjs
@@ -18,6 +18,7 @@
 /** Runs a test and exits with 1 if it broke a rule, 0 if all held, and 2 if it could not run. */
 export async function runTest (record, test, cleanUp) {
   let status = 2
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { cleanUp().then(() => process.exit(2)) })
   try {
     const broken = await test()
     status = broken.length > 0 ? 1 : 0
