--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -17,9 +17,10 @@
 const HOST = '127.0.0.1'
 const PORTS_PER_MACHINE = 5
 
-/** Range of the ports on which processes listen; it is below the ports of outgoing connections. */
+/** Ports on which processes listen: a range for each of some tests that run at the same time, below the ports of outgoing connections. */
 const FIRST_PORT = 10_000
-const PORT_COUNT = 20_000
+const RANGE_PORTS = 500
+const RANGES = 40
 const KILL_DELAY_MS = 1000
 
 /** Returns the words of the command with which the deploy file starts the role. */
@@ -35,7 +36,7 @@
 
 async function findFreePort (host) {
   for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT)
+    const port = FIRST_PORT + process.pid % RANGES * RANGE_PORTS + Math.floor(Math.random() * RANGE_PORTS)
     const server = createServer()
     const isFree = await new Promise(resolve => {
       server.once('error', () => resolve(false))
