Send at a stopping instance only what ends before its exit

Cause: a stream was accepted if 1.3 times its expected duration was left, and that came from the caller's estimate, which is often far off. The stated maximum was not used, the check was made once, and only for streams.

Change: a request is sent if its own time ends before, if the longest answer would, or, in the first 2.5 s, if nine of ten would by the estimates of earlier ones. Checked again when it is sent and while it waits. At the end, each request without an answer gets a final one. Requests on one connection are all answered before it closes.

Two tests of RelayService stated a time limit that ended the request before the exit, so they now state a longer one.

--- a/packages/relay/src/calls/finishCall.ts
+++ b/packages/relay/src/calls/finishCall.ts
@@ -1,3 +1,4 @@
+import { findAbortReason } from '../requests/abortOutcomes.js'
 import { CLOSURE_REFUSALS, refuseRequest } from '../requests/refuseRequest.js'
 import { type RefusalReason } from '../requests/RelayRequest.js'
 import { type CallRun } from './CallRun.js'
@@ -14,12 +15,12 @@
 }
 
 /**
- * Finishes a call whose caller has left or whose deadline is reached.
+ * Finishes a call whose caller has left, whose deadline is reached, or whose process stops.
  * @param run - The call.
  */
 export function finishAborted (run: CallRun): void {
   const isSent = run.mayHaveRun || run.failedAnswer !== undefined || [...run.runningAttempts].some(({ attempt }) => attempt.isSent())
-  refuseRequest(run.dependencies, run.context, isSent ? 'timeout' : 'timeoutNotRun')
+  refuseRequest(run.dependencies, run.context, findAbortReason(run.context, isSent))
 }
 
 function findRefusalReason ({ mayHaveRun, sentAttempts, context, dependencies }: CallRun): RefusalReason {
--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -1,3 +1,4 @@
+import { getAbortOutcome } from '../requests/abortOutcomes.js'
 import { type RelayContext } from '../requests/RelayContext.js'
 import { writeToCaller } from '../requests/writeToCaller.js'
 import { MIN_FAILURE_STATUS } from '../targets/RelayTargetClient.js'
@@ -27,7 +28,9 @@
   await forwardBuffered(context, answer)
   sink.end()
   dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
-  dependencies.metrics.recordAnswerTime(route.name, dependencies.clock.nowMs() - request.receivedAtMs)
+  const durationMs = dependencies.clock.nowMs() - request.receivedAtMs
+  dependencies.metrics.recordAnswerTime(route.name, durationMs)
+  dependencies.durations.recordCall(context.service.name, durationMs)
 }
 
 async function forwardBuffered (context: RelayContext, { head, chunks }: BufferedAnswer): Promise<void> {
@@ -64,8 +67,3 @@
   sink.abort()
   dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome: getAbortOutcome(context), cause: attempt.getCause() })
 }
-
-function getAbortOutcome ({ sink, signal }: RelayContext): 'callerLeft' | 'timeout' | 'brokenOff' {
-  if (sink.callerSignal.aborted) return 'callerLeft'
-  return signal.aborted ? 'timeout' : 'brokenOff'
-}
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -8,10 +8,10 @@
 /**
  * Starts an attempt of a call at another target.
  * @param run - The call.
- * @returns False when there is no target, when no repeat is allowed, or when the budget is used up.
+ * @returns False when there is no target, when no repeat is allowed or would end in time, or when the budget is used up.
  */
 export function startCallAttempt (run: CallRun): boolean {
-  if (run.sentAttempts > 0 && !run.canRepeat()) return false
+  if (run.sentAttempts > 0 && !(run.canRepeat() && run.dependencies.drain.maySend(run.context))) return false
   const reservation = reserveTarget(run)
   if (reservation === undefined) return false
   sendCallAttempt(run, reservation)
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -22,8 +22,19 @@
 /** Time after the start of a drain in which callers with cached addresses may still connect, in milliseconds. */
 const LATE_CALLER_GRACE_MS = 3000
 
-/** Time before the end of the grace period at which the process exits by itself, in milliseconds. */
-const EXIT_MARGIN_MS = 400
+/** Maximum time after the end of a drain in which the last answers are written, and interval of the check, in milliseconds. */
+const LAST_ANSWERS_MS = 200
+const LAST_ANSWERS_CHECK_INTERVAL_MS = 5
+
+/** The connections of callers, as far as a drain needs to know them. */
+export interface CallerConnections {
+  /** Counts the requests of which at least the head has arrived, and whose answers are not written completely. */
+  countOpenAnswers(): number
+  /** Accepts no further connections. */
+  stopAccepting(): void
+}
+
+const NO_CONNECTIONS: CallerConnections = { countOpenAnswers: () => 0, stopAccepting: () => {} }
 
 /** A process that relays requests: watches the published keys, tracks its peers, and serves callers. */
 export class RelayInstance {
@@ -40,7 +51,6 @@
   private readonly stopController = new AbortController()
   private phase: RelayPhase = 'starting'
   private routes: RouteTable | undefined
-  private drainStartedAtMs = Infinity
 
   /** @internal */
   private constructor (private readonly options: RelayInstanceOptions) {
@@ -48,7 +58,6 @@
     this.service = RelayService.create({
       dependencies: this.components.dependencies,
       getRoutes: () => this.routes,
-      getTimeLeftMs: () => this.getTimeLeftMs(),
       getPauseMs: () => this.components.pauseDetector.getPauseMs(),
       isViewStale: () => this.components.watcher.isStale(),
       confirmView: async limits => await this.components.confirmation.confirmView(limits)
@@ -119,19 +128,23 @@
     this.components.log.recordStateChange('settings reloaded', { seeds })
   }
 
-  /** Stops after the requests in progress have ended, as far as the grace period allows. */
-  async drain (): Promise<void> {
+  /**
+   * Stops after the requests in progress have ended and their answers are written, as far as the grace period allows.
+   * @param connections - The connections of callers.
+   */
+  async drain (connections = NO_CONNECTIONS): Promise<void> {
     if (this.phase === 'draining' || this.phase === 'stopped') return
     const { clock, graceMs } = this.options
+    const { drain } = this.components.dependencies
     this.phase = 'draining'
-    this.drainStartedAtMs = clock.nowMs()
+    drain.start()
     this.components.log.recordStateChange('drain started', { running: this.service.countRunning(), graceMs })
     this.components.peers.announceLeaving()
     // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
     this.components.history.restart()
-    const endMs = this.drainStartedAtMs + graceMs - EXIT_MARGIN_MS
-    while (clock.nowMs() < endMs && this.shouldKeepDraining()) await clock.sleep(DRAIN_CHECK_INTERVAL_MS)
-    this.components.log.recordStateChange('drain ended', { running: this.service.countRunning(), tookMs: Math.round(clock.nowMs() - this.drainStartedAtMs) })
+    while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await clock.sleep(DRAIN_CHECK_INTERVAL_MS)
+    this.components.log.recordStateChange('drain ended', { running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), tookMs: Math.round(drain.getElapsedMs()) })
+    await this.finishLastAnswers(connections)
     await this.stop()
   }
 
@@ -139,6 +152,7 @@
   async stop (): Promise<void> {
     if (this.phase === 'stopped') return
     this.phase = 'stopped'
+    this.components.dependencies.drain.end()
     this.stopController.abort()
     this.components.watcher.stop()
     this.components.loadExchange.stop()
@@ -149,14 +163,23 @@
     this.components.log.recordStateChange('stopped')
   }
 
-  private shouldKeepDraining (): boolean {
-    const canReceiveLateCallers = this.options.clock.nowMs() - this.drainStartedAtMs < Math.min(this.options.maxAddressTtlMs, LATE_CALLER_GRACE_MS)
-    return canReceiveLateCallers || this.service.countRunning() > 0
+  private shouldKeepDraining (connections: CallerConnections): boolean {
+    const canReceiveLateCallers = this.components.dependencies.drain.getElapsedMs() < Math.min(this.options.maxAddressTtlMs, LATE_CALLER_GRACE_MS)
+    return canReceiveLateCallers || this.hasOpenRequests(connections)
   }
 
-  private getTimeLeftMs (): number {
-    if (this.phase === 'stopped') return 0
-    return this.drainStartedAtMs + this.options.graceMs - EXIT_MARGIN_MS - this.options.clock.nowMs()
+  private hasOpenRequests (connections: CallerConnections): boolean {
+    return this.service.countRunning() > 0 || connections.countOpenAnswers() > 0
+  }
+
+  /** Ends the requests in progress and waits until their last answers are written; a caller that gets one knows whether its request may have run. */
+  private async finishLastAnswers (connections: CallerConnections): Promise<void> {
+    const { clock } = this.options
+    const endMs = clock.nowMs() + LAST_ANSWERS_MS
+    connections.stopAccepting()
+    this.components.dependencies.drain.end()
+    this.service.stop()
+    while (clock.nowMs() < endMs && this.hasOpenRequests(connections)) await clock.sleep(LAST_ANSWERS_CHECK_INTERVAL_MS)
   }
 
   private applyItems (items: readonly PublishedItem[]): void {
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -4,6 +4,8 @@
 import { CrashEvidence } from '../crashes/CrashEvidence.js'
 import { CrashGuard } from '../crashes/CrashGuard.js'
 import { TrialSchedule } from '../crashes/TrialSchedule.js'
+import { AnswerDurations } from '../drain/AnswerDurations.js'
+import { DrainAdmission } from '../drain/DrainAdmission.js'
 import { EngineHolds } from '../holds/EngineHolds.js'
 import { ColdTargets } from '../limits/ColdTargets.js'
 import { TargetLimits } from '../limits/TargetLimits.js'
@@ -139,6 +141,8 @@
     log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
   })
   const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, mayAskEngines: service => holds.isActive(service) })
+  const generationTimes = GenerationTimeEstimator.create()
+  const durations = AnswerDurations.create(clock)
   return {
     clock,
     random,
@@ -150,7 +154,9 @@
     placer,
     prefixes,
     holds,
-    generationTimes: GenerationTimeEstimator.create(),
+    generationTimes,
+    durations,
+    drain: DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log }),
     speeds,
     admissionQueue: createAdmissionQueue(shared, viewComponents, placer),
     budget,
--- a/packages/relay/src/logs/RelayMetrics.ts
+++ b/packages/relay/src/logs/RelayMetrics.ts
@@ -2,7 +2,7 @@
 import { type RefusalReason } from '../requests/RelayRequest.js'
 
 /** Outcome of a request in the counters. */
-export type RelayOutcome = 'answered' | 'targetFailed' | 'brokenOff' | 'callerLeft' | RefusalReason
+export type RelayOutcome = 'answered' | 'targetFailed' | 'brokenOff' | 'callerLeft' | 'stopped' | RefusalReason
 
 /** What became of a call for a reservation at an engine, or that an unused one was dropped. */
 export type HoldResult = 'taken' | 'refused' | 'failed' | 'dropped'
--- a/packages/relay/src/requests/RelayContext.ts
+++ b/packages/relay/src/requests/RelayContext.ts
@@ -4,6 +4,9 @@
 import { type AnswerSink } from './AnswerSink.js'
 import { type RelayRequest } from './RelayRequest.js'
 
+/** Reason with which the requests in progress are aborted when the process stops. */
+export const STOP_REASON = 'stopping'
+
 /** One request in progress and the configuration with which it started. */
 export interface RelayContext {
   readonly request: RelayRequest
@@ -21,6 +24,6 @@
   readonly sink: AnswerSink
   /** Clock reading at which the request is ended. */
   readonly deadlineAtMs: number
-  /** Aborted when the caller has left or the deadline is reached. */
+  /** Aborted when the caller has left or the deadline is reached, and with `STOP_REASON` when the process stops. */
   readonly signal: AbortSignal
 }
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -1,6 +1,8 @@
 import { type Clock, type Random } from '@fescuespoke/common'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type CrashGuard } from '../crashes/CrashGuard.js'
+import { type AnswerDurations } from '../drain/AnswerDurations.js'
+import { type DrainAdmission } from '../drain/DrainAdmission.js'
 import { type ColdTargets } from '../limits/ColdTargets.js'
 import { type TargetLimits } from '../limits/TargetLimits.js'
 import { type EngineHolds } from '../holds/EngineHolds.js'
@@ -30,6 +32,8 @@
   readonly prefixes: PromptPrefixes
   readonly holds: EngineHolds
   readonly generationTimes: GenerationTimeEstimator
+  readonly durations: AnswerDurations
+  readonly drain: DrainAdmission
   readonly speeds: TargetSpeeds
   readonly admissionQueue: AdmissionQueue
   readonly budget: AttemptBudget
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -7,7 +7,7 @@
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
 import { type AnswerSink } from './AnswerSink.js'
 import { refuseRequest } from './refuseRequest.js'
-import { type RelayContext } from './RelayContext.js'
+import { type RelayContext, STOP_REASON } from './RelayContext.js'
 import { type RefusalReason, type RelayRequest } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { runRelayedCall } from './runRelayedCall.js'
@@ -18,8 +18,6 @@
   readonly dependencies: RelayDependencies
   /** Returns the routes in force; undefined before the first configuration. */
   readonly getRoutes: () => RouteTable | undefined
-  /** Returns the time for which this process can still serve requests, in milliseconds; `Infinity` unless it is stopping. */
-  readonly getTimeLeftMs: () => number
   /** Returns the length of a process pause that has just ended, in milliseconds; requests read now may have waited that long. */
   readonly getPauseMs: () => number
   /** Returns whether the store may contain changes that this process has not received. */
@@ -75,9 +73,6 @@
 const MAX_VIEW_WAIT_MS = 300
 const VIEW_CHECK_INTERVAL_MS = 20
 
-/** Factor on the expected duration of a stream that must fit into the remaining time of a stopping process. */
-const DURATION_MARGIN = 1.3
-
 /** Serves requests: finds their route and workspace, limits their time, and runs them. */
 export class RelayService {
   /**
@@ -89,6 +84,8 @@
   }
 
   private runningCount = 0
+  /** Aborted when the process stops. */
+  private readonly stopController = new AbortController()
 
   /** @internal */
   private constructor (private readonly options: RelayServiceOptions) {}
@@ -98,6 +95,11 @@
     return this.runningCount
   }
 
+  /** Ends all requests in progress, and those that arrive later: what has not begun to be answered gets a final answer, and the rest is broken off. */
+  stop (): void {
+    this.stopController.abort(STOP_REASON)
+  }
+
   /**
    * Serves one request until it is answered.
    * @param request - The complete request.
@@ -115,7 +117,7 @@
   private async route (request: RelayRequest, sink: AnswerSink): Promise<void> {
     const pauseMs = await this.waitAfterPause(request, sink)
     const initialRoutes = this.options.getRoutes() ?? await this.waitForRoutes(request, sink)
-    if (initialRoutes === undefined) return this.refuse(request, sink, undefined, UNROUTED, 'notConfigured')
+    if (initialRoutes === undefined) return this.refuse(request, sink, undefined, UNROUTED, this.hasStopped() ? 'stopping' : 'notConfigured')
     const match = await this.findConfirmedRoute(request, initialRoutes, sink)
     if (match.isErr) return this.refuse(request, sink, match.error.routes, match.error.route, match.error.reason)
     const { routes, route, keyHolder } = match.value
@@ -161,7 +163,7 @@
     const { confirmView = async () => true, dependencies: { clock }, getRoutes } = this.options
     const { routes } = mismatch
     const endAtMs = computeConfirmationEndMs(clock.nowMs(), request)
-    const isConfirmed = await confirmView({ endAtMs, signal: sink.callerSignal, isOutdated: () => getRoutes() !== routes })
+    const isConfirmed = await confirmView({ endAtMs, signal: this.createWaitSignal(sink), isOutdated: () => getRoutes() !== routes })
     const latest = getRoutes()
     if (latest === undefined || latest === routes) return Result.err(isConfirmed ? mismatch : { ...mismatch, reason: 'notConfirmed' })
     const match = findRoute(latest, request)
@@ -181,9 +183,8 @@
 
   /** Returns the reason for which this process cannot serve a routed request now. */
   private findRefusalReason (request: RelayRequest, route: RelayRoute, service: ServiceProfile, pauseMs: number): RefusalReason | undefined {
-    const { getTimeLeftMs, dependencies } = this.options
-    const neededMs = route.kind === 'stream' ? dependencies.generationTimes.estimateDurationMs(service.name, request.size) * DURATION_MARGIN : 0
-    if (getTimeLeftMs() <= neededMs) return 'stopping'
+    const { dependencies } = this.options
+    if (!dependencies.drain.maySend({ request, route, service, deadlineAtMs: computeDeadlineMs(request, route) })) return 'stopping'
     if (dependencies.crashes.mustRefuse(request)) return 'crashesEngines'
     return route.kind === 'once' && this.canHaveTimedOut(request, route, pauseMs) ? 'timeoutNotRun' : undefined
   }
@@ -206,7 +207,16 @@
   /** Waits until the condition is false, the end time is reached, or the caller has left. */
   private async waitWhile (condition: () => boolean, { waitEndMs, checkIntervalMs, sink }: { waitEndMs: number, checkIntervalMs: number, sink: AnswerSink }): Promise<void> {
     const { clock } = this.options.dependencies
-    while (condition() && clock.nowMs() < waitEndMs && !sink.callerSignal.aborted) await clock.sleep(checkIntervalMs)
+    while (condition() && clock.nowMs() < waitEndMs && !sink.callerSignal.aborted && !this.hasStopped()) await clock.sleep(checkIntervalMs)
+  }
+
+  private hasStopped (): boolean {
+    return this.stopController.signal.aborted
+  }
+
+  /** Creates a signal that is aborted when the caller leaves or the process stops. */
+  private createWaitSignal ({ callerSignal }: AnswerSink): AbortSignal {
+    return AbortSignal.any([callerSignal, this.stopController.signal])
   }
 
   private async run (partialContext: Omit<RelayContext, 'deadlineAtMs' | 'signal'>): Promise<void> {
@@ -214,15 +224,20 @@
     const { request, route, sink } = partialContext
     const deadlineAtMs = computeDeadlineMs(request, route)
     const endController = new AbortController()
+    const { signal: stopSignal } = this.stopController
     const end = (): void => endController.abort()
+    const stop = (): void => endController.abort(STOP_REASON)
     const cancelTimer = clock.startTimer(Math.max(0, deadlineAtMs - clock.nowMs()), end)
     sink.callerSignal.addEventListener('abort', end)
+    stopSignal.addEventListener('abort', stop)
     if (sink.callerSignal.aborted) end()
+    else if (stopSignal.aborted) stop()
     try {
       await RUNNERS[route.kind](this.options.dependencies, { ...partialContext, deadlineAtMs, signal: endController.signal })
     } finally {
       cancelTimer()
       sink.callerSignal.removeEventListener('abort', end)
+      stopSignal.removeEventListener('abort', stop)
     }
   }
 
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -277,10 +277,13 @@
   }
 
   private recordGenerationTime (): void {
-    const { firstEventAtMs, lastEventAtMs, eventCount, service, dependencies: { generationTimes, speeds } } = this
+    const { firstEventAtMs, lastEventAtMs, eventCount, service, context: { request }, dependencies: { generationTimes, durations, speeds } } = this
     const target = this.getTarget()
     if (firstEventAtMs === undefined || lastEventAtMs === undefined) return
-    generationTimes.recordGeneration(service.name, (eventCount - 1) * (service.engine?.tokensPerEvent ?? 1), lastEventAtMs - firstEventAtMs, target === undefined ? undefined : speeds.getSpeed(target))
+    const tokens = (eventCount - 1) * (service.engine?.tokensPerEvent ?? 1)
+    const durationMs = lastEventAtMs - firstEventAtMs
+    generationTimes.recordGeneration(service.name, tokens, durationMs, target === undefined ? undefined : speeds.getSpeed(target))
+    durations.recordGeneration(service.name, { size: request.size, tokens, firstEventMs: firstEventAtMs - request.receivedAtMs, durationMs })
   }
 
   private recordEventTime (): void {
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -11,6 +11,7 @@
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
 import { canRepeat, readStream, type StreamEnd } from './readStream.js'
+import { type AbortOutcome, findAbortReason, getAbortOutcome } from './abortOutcomes.js'
 import { CLOSURE_REFUSALS, refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
@@ -47,7 +48,8 @@
   let reservation = await reserveEngine(dependencies, context, run)
   let previousMove: RunContinuation | undefined
   while (reservation !== undefined) {
-    if (!run.hasStarted() && dependencies.crashes.mustRefuse(context.request)) return refuseCrashing(dependencies, context, run, reservation)
+    const obstacle = run.hasStarted() ? undefined : findObstacle(dependencies, context)
+    if (obstacle !== undefined) return refuseReserved(dependencies, context, run, reservation, obstacle)
     const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
     if (end === 'complete') return
     const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end))
@@ -95,7 +97,7 @@
     requirements: createRequirements(context, run),
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
-    mayWait: () => run.hasStarted() || dependencies.crashes.getTrialWaitMs(request) === undefined
+    mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(request) === undefined && dependencies.drain.canStillSend(context))
   }
   const reservation = holds.isActive(service)
     ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
@@ -181,10 +183,16 @@
   complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
 }
 
-/** Refuses a request that must not be sent because of the parts of its prompt; it may have run before. */
-function refuseCrashing (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation): void {
+/** Returns the reason for which a request must not be sent although an engine is reserved for it: time has passed while it waited. */
+function findObstacle ({ crashes, drain }: RelayDependencies, context: RelayContext): RefusalReason | undefined {
+  if (crashes.mustRefuse(context.request)) return 'crashesEngines'
+  return drain.maySend(context) ? undefined : 'stopping'
+}
+
+/** Refuses a request for which an engine is reserved; it may have run before. */
+function refuseReserved (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, reason: RefusalReason): void {
   reservation.release()
-  refuseRequest(dependencies, context, run.executedAttempts > 0 ? 'lost' : 'crashesEngines')
+  refuseRequest(dependencies, context, run.executedAttempts > 0 ? 'lost' : reason)
 }
 
 function finishWithoutAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): void {
@@ -199,21 +207,22 @@
   refuseRequest(dependencies, context, findUnplacedReason(dependencies, context))
 }
 
-function findUnplacedReason ({ placer, crashes }: RelayDependencies, context: RelayContext): RefusalReason {
+function findUnplacedReason ({ placer, crashes, drain }: RelayDependencies, context: RelayContext): RefusalReason {
   const { service, request } = context
   if (crashes.getTrialWaitMs(request) !== undefined) return 'crashesEngines'
+  if (!drain.canStillSend(context)) return 'stopping'
   if (placer.countUsable(service, context) === 0) return 'noTarget'
   const closure = placer.findClosure(service, context)
   return closure === undefined ? 'overloaded' : CLOSURE_REFUSALS[closure.reason]
 }
 
-/** Finishes a stream whose caller has left or whose deadline is reached. */
+/** Finishes a stream whose caller has left, whose deadline is reached, or whose process stops. */
 function finishAborted (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): void {
-  if (run.hasStarted()) return abortAnswer(dependencies, context, run, context.sink.callerSignal.aborted ? 'callerLeft' : 'timeout')
-  refuseRequest(dependencies, context, run.sentAttempts > 0 ? 'timeout' : 'timeoutNotRun')
+  if (run.hasStarted()) return abortAnswer(dependencies, context, run, getAbortOutcome(context))
+  refuseRequest(dependencies, context, findAbortReason(context, run.sentAttempts > 0))
 }
 
-function abortAnswer ({ metrics, log }: RelayDependencies, { sink, route, request }: RelayContext, run: StreamRun, outcome: 'brokenOff' | 'callerLeft' | 'timeout'): void {
+function abortAnswer ({ metrics, log }: RelayDependencies, { sink, route, request }: RelayContext, run: StreamRun, outcome: AbortOutcome): void {
   sink.abort()
   metrics.countOutcome(route.name, outcome)
   log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeProgress() })
--- a/packages/relay/test/crashes/CrashGuard.test.ts
+++ b/packages/relay/test/crashes/CrashGuard.test.ts
@@ -24,7 +24,7 @@
 async function doTest ({ crashes = 3, parts = ['c', 'bad'], answers = { a: SOUND, b: SOUND }, afterMs = 1000, act }: Options): Promise<[string, string[], { refusal?: RelayRefusal, endedAtMs?: number }]> {
   const dependencies = createTestDependencies()
   const { clock, client, table, evidence } = dependencies
-  const service = RelayService.create({ dependencies, getRoutes: () => ROUTES, getTimeLeftMs: () => Infinity, getPauseMs: () => 0, isViewStale: () => false })
+  const service = RelayService.create({ dependencies, getRoutes: () => ROUTES, getPauseMs: () => 0, isViewStale: () => false })
   for (const [name, answer] of Object.entries(answers)) {
     client.scripts.set(name, [answer])
     client.reachability.set(name, 'refusing')
--- /dev/null
+++ b/packages/relay/test/drain/DrainAdmission.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, it } from 'vitest'
+import { type RouteKind } from '../../src/model/RelayConfiguration.js'
+import { type GenerationSize } from '../../src/requests/RelayRequest.js'
+import { createRequest, createRoute, createTestDependencies, ENGINES, type TestDependencies } from '../support/createTestDependencies.js'
+
+const GRACE_MS = 8000
+
+/** Time per token of the generations that ended before, in milliseconds. */
+const TOKEN_MS = 10
+
+interface Options {
+  readonly kind?: RouteKind
+  /** Time for which the caller waits, in milliseconds. */
+  readonly remainingMs?: number
+  readonly size?: GenerationSize
+  readonly hasHistory?: boolean
+}
+
+const SHORT: GenerationSize = { promptTokens: 10, maxOutputTokens: 40 }
+const LONG: GenerationSize = { promptTokens: 10, maxOutputTokens: 2000, expectedOutputTokens: 20 }
+
+function createHistory ({ durations, generationTimes }: TestDependencies): void {
+  for (let index = 0; index < 40; index++) {
+    generationTimes.recordGeneration(ENGINES.name, 100, 100 * TOKEN_MS)
+    durations.recordGeneration(ENGINES.name, { size: { promptTokens: 10, maxOutputTokens: 2000, expectedOutputTokens: index % 8 === 0 ? 10 : 100 }, tokens: 100, firstEventMs: 200, durationMs: 100 * TOKEN_MS })
+    durations.recordCall(ENGINES.name, 300)
+  }
+}
+
+/** Returns the seconds of a drain at which a request may be sent; requests are checked each half second. */
+async function doTest ({ kind = 'stream', remainingMs = 60_000, size, hasHistory = true }: Options): Promise<string> {
+  const dependencies = createTestDependencies({ graceMs: GRACE_MS })
+  const { clock, drain } = dependencies
+  if (hasHistory) createHistory(dependencies)
+  drain.start()
+  const sentAt: number[] = []
+  for (let elapsedMs = 0; elapsedMs < GRACE_MS; elapsedMs += 500) {
+    const isSent = drain.maySend({ request: createRequest({ size }), route: createRoute({ kind }), service: ENGINES, deadlineAtMs: clock.nowMs() + remainingMs })
+    if (isSent) sentAt.push(elapsedMs / 1000)
+    await clock.advance(500)
+  }
+  return sentAt.join(' ')
+}
+
+describe('a stopping instance', () => {
+  it('sends streams with a low estimate and a high maximum only at first', async () => {
+    expect(await doTest({ size: LONG })).toMatchInlineSnapshot('"0 0.5 1 1.5 2"')
+  })
+
+  it('sends short streams for as long as the slowest earlier ones would end in time', async () => {
+    expect(await doTest({ size: SHORT })).toMatchInlineSnapshot('"0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5"')
+  })
+
+  it('sends streams by assumed times at first while none has ended', async () => {
+    expect(await doTest({ size: SHORT, hasHistory: false })).toMatchInlineSnapshot('"0 0.5 1 1.5 2"')
+  })
+
+  it('sends streams without sizes only if their own time is over before its end', async () => {
+    expect([await doTest({}), await doTest({ remainingMs: 5000 })]).toMatchInlineSnapshot(`
+      [
+        "",
+        "0 0.5 1 1.5 2 2.5",
+      ]
+    `)
+  })
+
+  it('sends calls that may last long by the time of earlier ones', async () => {
+    expect([await doTest({ kind: 'once' }), await doTest({ kind: 'idempotent', hasHistory: false })]).toMatchInlineSnapshot(`
+      [
+        "0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5 7",
+        "0 0.5 1 1.5 2",
+      ]
+    `)
+  })
+
+  it('sends calls whose own time is over before its end', async () => {
+    expect(await doTest({ kind: 'once', remainingMs: 1000, hasHistory: false })).toMatchInlineSnapshot('"0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5"')
+  })
+
+  it('sends everything before its drain, and nothing after the end', async () => {
+    const { drain, clock } = createTestDependencies({ graceMs: GRACE_MS })
+    const subject = { request: createRequest({}), route: createRoute({ kind: 'stream' }), service: ENGINES, deadlineAtMs: clock.nowMs() + 60_000 }
+    const isSentBefore = drain.maySend(subject)
+    drain.end()
+    expect([isSentBefore, drain.maySend(subject)]).toEqual([true, false])
+  })
+})
--- a/packages/relay/test/places/homeRegions.test.ts
+++ b/packages/relay/test/places/homeRegions.test.ts
@@ -50,7 +50,7 @@
   client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 })
   const route: RelayRoute = createRoute({ kind, services: [{ service: getService(kind), weight: 1 }], timeoutMs: 10_000, isPublic: false, allowedRegions: routeRegions })
   const routes = RouteTable.create(createConfiguration([route], { keys: new Map([['k', { workspace: 'w', allowedRegions: workspace }]]) }))
-  const service = RelayService.create({ dependencies, getRoutes: () => routes, getTimeLeftMs: () => Infinity, getPauseMs: () => 0, isViewStale: () => false })
+  const service = RelayService.create({ dependencies, getRoutes: () => routes, getPauseMs: () => 0, isViewStale: () => false })
   const sink = FakeSink.create()
   if (action !== undefined) clock.startTimer(action[0], () => action[1](dependencies))
   const serving = service.serve(createRequest({ key: 'k', size: { promptTokens: 100, maxOutputTokens: 100 } }), sink)
--- a/packages/relay/test/requests/RelayService.test.ts
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -2,6 +2,7 @@
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { type RelayRoute, type RouteKind } from '../../src/model/RelayConfiguration.js'
 import { RelayService } from '../../src/requests/RelayService.js'
+import { EXIT_MARGIN_MS } from '../../src/drain/DrainAdmission.js'
 import { createConfiguration, createRequest, createRoute, createTarget, createTestDependencies } from '../support/createTestDependencies.js'
 import { FakeSink } from '../support/FakeSink.js'
 
@@ -21,14 +22,14 @@
 
 /** Serves one request with one target and returns what the caller received and when the request was sent to the target. */
 async function doTest ({ kind = 'once', remainingMs = 1000, pauseMs = 0, viewFreshAtMs = 0, callerLeavesAtMs, timeLeftMs = Infinity, expectedOutputTokens, route }: Options): Promise<string> {
-  const dependencies = createTestDependencies()
+  const dependencies = createTestDependencies({ graceMs: timeLeftMs + EXIT_MARGIN_MS })
+  if (timeLeftMs !== Infinity) dependencies.drain.start()
   dependencies.table.updateTarget(createTarget('a'))
   dependencies.client.scripts.set('a', [{ isEventStream: false, steps: ['hi', 'END'] }])
   const routes = RouteTable.create(createConfiguration([createRoute({ kind, ...route })]))
   const service = RelayService.create({
     dependencies,
     getRoutes: () => routes,
-    getTimeLeftMs: () => timeLeftMs,
     getPauseMs: () => pauseMs,
     isViewStale: () => dependencies.clock.nowMs() < viewFreshAtMs
   })
@@ -40,12 +41,15 @@
   return `${sink.describe()}; sent ${dependencies.client.attempts.map(({ atMs }) => Math.round(atMs)).join() || 'never'}`
 }
 
+/** Time limits of a request that do not end it before the process stops. */
+const LONG_TIME = { remainingMs: 10_000, route: { timeoutMs: 10_000 } }
+
 describe('RelayService', () => {
   it('serves a request', async () => expect(await doTest({})).toBe('200 "hi" complete; sent 0'))
   it('refuses all requests after it has stopped', async () => expect(await doTest({ timeLeftMs: 0 })).toBe('503 stopping; sent never'))
   it('serves calls while it is stopping', async () => expect(await doTest({ timeLeftMs: 2000 })).toBe('200 "hi" complete; sent 0'))
-  it('serves a stream that is expected to end before the process stops', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 20 })).toContain('200'))
-  it('refuses a stream that is not expected to end before the process stops', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 200 })).toBe('503 stopping; sent never'))
+  it('serves a stream that is expected to end before the process stops', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 20, ...LONG_TIME })).toContain('200'))
+  it('refuses a stream that is not expected to end before the process stops', async () => expect(await doTest({ kind: 'stream', timeLeftMs: 2000, expectedOutputTokens: 200, ...LONG_TIME })).toBe('503 stopping; sent never'))
 })
 
 describe('after a process pause', () => {
--- a/packages/relay/test/support/CrashFleet.ts
+++ b/packages/relay/test/support/CrashFleet.ts
@@ -178,7 +178,7 @@
       getRank: key => rankByRendezvous(key, names).indexOf(names[index]!)
     })
     for (const target of this.targets.values()) dependencies.table.updateTarget(target)
-    const service = RelayService.create({ dependencies, getRoutes: () => ROUTES, getTimeLeftMs: () => Infinity, getPauseMs: () => 0, isViewStale: () => false })
+    const service = RelayService.create({ dependencies, getRoutes: () => ROUTES, getPauseMs: () => 0, isViewStale: () => false })
     this.instances[index] = { dependencies, service, sinks: new Set(), restartedAtMs: this.clock.nowMs() > 0 ? this.clock.nowMs() : -Infinity, membership: this.startMembership(names[index]!, dependencies, transport) }
   }
 
--- a/packages/relay/test/support/ReleaseFleet.ts
+++ b/packages/relay/test/support/ReleaseFleet.ts
@@ -200,7 +200,7 @@
       clock: this.clock, seed: this.options.seed * 100 + index, client: this.engines, transport: this.network.createPeer(names[index]!), listPeers: () => names.filter(name => name !== names[index])
     })
     for (const target of targets) dependencies.table.updateTarget(target)
-    const service = RelayService.create({ dependencies, getRoutes: () => this.routes, getTimeLeftMs: () => Infinity, getPauseMs: () => 0, isViewStale: () => false })
+    const service = RelayService.create({ dependencies, getRoutes: () => this.routes, getPauseMs: () => 0, isViewStale: () => false })
     this.instances[index] = { dependencies, service, sinks: new Set() }
   }
 
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -5,6 +5,8 @@
 import { CrashEvidence } from '../../src/crashes/CrashEvidence.js'
 import { CrashGuard } from '../../src/crashes/CrashGuard.js'
 import { TrialSchedule } from '../../src/crashes/TrialSchedule.js'
+import { AnswerDurations } from '../../src/drain/AnswerDurations.js'
+import { DrainAdmission } from '../../src/drain/DrainAdmission.js'
 import { EngineHolds } from '../../src/holds/EngineHolds.js'
 import { ColdTargets } from '../../src/limits/ColdTargets.js'
 import { type ColdFleet } from '../../src/limits/computeColdInterval.js'
@@ -51,7 +53,7 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[], getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[], graceMs?: number, getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -80,7 +82,10 @@
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes: GenerationTimeEstimator.create(), speeds, admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
+  const generationTimes = GenerationTimeEstimator.create()
+  const durations = AnswerDurations.create(clock)
+  const drain = DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log })
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes, durations, drain, speeds, admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
 }
 
 function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
--- a/packages/relay/test/versions/resumedStream.test.ts
+++ b/packages/relay/test/versions/resumedStream.test.ts
@@ -40,7 +40,7 @@
   const routes = RouteTable.create(createConfiguration([route], { services: new Map([[ENGINES.name, ENGINES], [OTHER.name, OTHER]]) }))
   if (origin !== undefined) origins.recordStream(route, 'q', origin)
   const sink = FakeSink.create()
-  const service = RelayService.create({ dependencies, getRoutes: () => routes, getTimeLeftMs: () => Infinity, getPauseMs: () => 0, isViewStale: () => false })
+  const service = RelayService.create({ dependencies, getRoutes: () => routes, getPauseMs: () => 0, isViewStale: () => false })
   let endedAtMs = Infinity
   service.serve(createRequest({ id: 'q2', resumedId, lastEventId: '1', remainingMs: 6000 }), sink).then(() => { endedAtMs = clock.nowMs() })
   await clock.advance(8000)
