Keep answers that name no request off the connections of requests

Cause: calls for reservations shared the connections of requests, and their answers name no request. A late second copy of an answer was read as the answer to such a call, and the real one was taken for the next request's.

The bodies were those of the server, not of a refusal of ours; no refusal named its request, so servers had not refused the requests themselves.

Change: control requests have connections of their own, reject answers that name a request, and recognize second copies of reservations and of handles. An answer to a request that names none counts only as the first on its connection, which is closed after it. Failures without a signature, and signed 408, 429 and 503 without "not executed", reach callers as 502.

--- a/packages/relay/src/holds/EngineHolds.ts
+++ b/packages/relay/src/holds/EngineHolds.ts
@@ -167,7 +167,7 @@
 }
 
 /** Results in the counters, by reason. */
-const HOLD_RESULTS: Record<Exclude<HoldFailure, 'aborted'>, HoldResult> = { full: 'refused', unreachable: 'failed', closed: 'failed', unanswered: 'failed', late: 'failed' }
+const HOLD_RESULTS: Record<Exclude<HoldFailure, 'aborted'>, HoldResult> = { full: 'refused', unreachable: 'failed', closed: 'failed', unanswered: 'failed', mismatched: 'failed', late: 'failed' }
 
 function computeCallTimeoutMs ({ service, objectiveMs }: HoldRequest): number {
   return CALL_SHARE * Math.min(service.engine?.maxHoldMs ?? 0, objectiveMs)
--- a/packages/relay/src/holds/reserveHeldEngine.ts
+++ b/packages/relay/src/holds/reserveHeldEngine.ts
@@ -76,9 +76,12 @@
   return false
 }
 
+/** Failures after which it is not known whether the engine has capacity, or made a reservation. */
+const UNKNOWN_RESULTS: ReadonlySet<HoldFailure> = new Set(['unanswered', 'mismatched', 'late'])
+
 /** Returns whether a request is sent after a call for a reservation: with one, or where the engine does not tell whether it has capacity. */
 function maySend (result: Result<EngineHold, HoldFailure>): boolean {
-  return result.isOk || result.error === 'unanswered' || result.error === 'late'
+  return result.isOk || UNKNOWN_RESULTS.has(result.error)
 }
 
 /** Returns whether a target is the same as before the call and did not leave during it. */
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -1,4 +1,5 @@
 import { type RelayTarget } from '../model/RelayTarget.js'
+import { classifyHead } from '../targets/classifyHead.js'
 import { type AttemptError, type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { isSameOrigin } from '../versions/StreamOrigin.js'
 import { type RelayContext } from './RelayContext.js'
@@ -62,8 +63,8 @@
 function isUsable (context: RelayContext, run: StreamRun, head: AttemptHead): boolean {
   const firstHead = run.getFirstHead()
   if (firstHead !== undefined) return isSignedSuccess(head) && head.status === firstHead.status && head.isEventStream && firstHead.isEventStream
-  if (head.status >= MIN_FAILURE_STATUS) return !canRepeat(context, run, 'lost')
-  return head.isSigned
+  const headClass = classifyHead(head)
+  return headClass === 'failed' ? !canRepeat(context, run, 'lost') : headClass === 'good'
 }
 
 function isSignedSuccess ({ status, isSigned }: AttemptHead): boolean {
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -108,8 +108,9 @@
 /**
  * Reason for which an engine made no reservation. `full`: it has no capacity. `unreachable`: no connection to it could be opened.
  * `closed`: nothing was sent, because it wants no requests. `unanswered`: there was no readable answer, and a reservation may exist.
+ * `mismatched`: there was an answer to another request, and a reservation may exist.
  */
-export type HoldError = 'full' | 'unreachable' | 'closed' | 'unanswered'
+export type HoldError = 'full' | 'unreachable' | 'closed' | 'unanswered' | 'mismatched'
 
 /** Options of a reservation at an engine. */
 export interface TakeHoldOptions {
