Derive the version of a stream only from what the store has confirmed

Cause: an instance that does not know a stream took the only version that it had observed for the only one there is, although it was cut off, had stood still without its clock showing so, or had lost the history in which a target joined and left.

The view tells of gaps, after which the observation starts again.

Ruled out: wrong versions from peers (they tell what they recorded) and targets of another version than the one found (chosen by their entries).

--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -59,6 +59,9 @@
   readonly dependencies: RelayDependencies
 }
 
+/** Signal of a confirmation that only its time limit ends. */
+const NEVER_ABORTED = new AbortController().signal
+
 /** Options and components that other components share. */
 interface SharedComponents {
   readonly options: RelayInstanceOptions
@@ -186,9 +189,10 @@
   })
 }
 
-function createOriginExchange ({ clock }: RelayInstanceOptions, log: DecisionLog, { peers, history }: ViewComponents, table: TargetTable): OriginExchange {
+function createOriginExchange ({ clock }: RelayInstanceOptions, log: DecisionLog, { peers, history, confirmation }: ViewComponents, table: TargetTable): OriginExchange {
   table.addListener(tracked => history.recordTarget(tracked))
-  return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers() })
+  const confirmTargets = async (endAtMs: number): Promise<boolean> => await confirmation.confirmByAnswer({ endAtMs, signal: NEVER_ABORTED, isOutdated: () => false })
+  return OriginExchange.create({ clock, transport: peers.transport, history, log, listPeers: () => peers.listAlivePeers(), confirmTargets })
 }
 
 function createLoadExchange ({ options: { clock }, loads, speeds }: SharedComponents, { peers, view, watcher, peerStoreStatus, exchange }: ViewComponents, { placer, prefixes }: RelayDependencies): LoadExchange {
--- a/packages/relay/src/instance/createViewComponents.ts
+++ b/packages/relay/src/instance/createViewComponents.ts
@@ -73,6 +73,7 @@
     log.recordStateChange('store returned from an older copy', { ...position, heldEra: before.era, heldRevision: before.revision })
   })
   const history = VersionHistory.create({ clock, isViewStale: () => watcher.isStale() || pauseDetector.isRecovering() })
+  view.addGapListener(() => history.restart())
   const pauseDetector = PauseDetector.create({
     clock,
     onPause: pauseMs => {
--- a/packages/relay/src/published/PublishedView.ts
+++ b/packages/relay/src/published/PublishedView.ts
@@ -11,6 +11,9 @@
  */
 export type RestoreListener = (before: PublishedPosition, position: PublishedPosition) => void
 
+/** Called when keys may have been written and deleted without a trace in the changes that this view got. */
+export type GapListener = () => void
+
 /** Options of a published view. */
 export interface PublishedViewOptions {
   /** Returns the version that the value of a key carries; undefined when it carries none. */
@@ -43,10 +46,13 @@
   private readonly tombstones = new Map<string, PublishedItem>()
   private readonly listeners = new Set<ItemsListener>()
   private readonly restoreListeners = new Set<RestoreListener>()
+  private readonly gapListeners = new Set<GapListener>()
   private position = START_POSITION
   /** Position after which this view knows all deletions. */
   private deletionsKnownAfter = START_POSITION
   private version = 0
+  /** Whether changes that are being applied follow others that this view did not get. */
+  private hasGap = false
 
   /** @internal */
   private constructor (private readonly options: PublishedViewOptions) {}
@@ -102,7 +108,10 @@
     const absent = this.listItems().filter(item => !present.has(item.key) && comparePositions(item, position) <= 0 && this.getItemVersion(item) === 0)
     const isUpToDate = comparePositions(position, this.position) >= 0
     // A key that was written and deleted since the last position leaves no trace in the read.
-    if (comparePositions(position, this.position) > 0) this.deletionsKnownAfter = position
+    if (comparePositions(position, this.position) > 0) {
+      this.deletionsKnownAfter = position
+      this.hasGap = this.position.revision !== START_POSITION.revision
+    }
     this.apply([...items, ...absent.map(({ key }) => ({ key, ...position }))], position, isUpToDate ? START_POSITION : this.position)
   }
 
@@ -122,12 +131,22 @@
     this.restoreListeners.add(listener)
   }
 
+  /**
+   * Adds a listener for gaps.
+   * @param listener - Called after each later gap has been applied.
+   */
+  addGapListener (listener: GapListener): void {
+    this.gapListeners.add(listener)
+  }
+
   /** Applies items; a key that this view lacks is only added if it was written after `completeUntil`. */
   private apply (items: readonly PublishedItem[], position: PublishedPosition, completeUntil: PublishedPosition): void {
     this.advance(position)
     const changed = items.filter(item => this.applyItem(item, completeUntil)).sort(comparePositions)
-    if (changed.length === 0) return
-    for (const listener of this.listeners) listener(changed)
+    if (changed.length > 0) for (const listener of this.listeners) listener(changed)
+    if (!this.hasGap) return
+    this.hasGap = false
+    for (const listener of this.gapListeners) listener()
   }
 
   private advance (position: PublishedPosition): void {
@@ -142,6 +161,8 @@
     if (!this.items.has(item.key) && !this.wasWrittenAfter(item, completeUntil)) return false
     const held = this.items.get(item.key) ?? this.tombstones.get(item.key)
     if (held !== undefined && !this.isNewer(item, held)) return false
+    // The key was written and deleted, and only its deletion has arrived.
+    if (item.value === undefined && held?.value === undefined) this.hasGap = true
     this.items.delete(item.key)
     this.tombstones.delete(item.key)
     if (item.value === undefined) this.addTombstone(item)
--- a/packages/relay/src/published/ViewConfirmation.ts
+++ b/packages/relay/src/published/ViewConfirmation.ts
@@ -23,6 +23,8 @@
 
 interface Waiter extends ConfirmationLimits {
   readonly startedAtMs: number
+  /** Whether only an answer of the store confirms the view, even if its changes should have arrived without. */
+  readonly needsAnswer: boolean
   readonly resolve: (isConfirmed: boolean) => void
 }
 
@@ -57,10 +59,23 @@
    * @param limits - Limits of the confirmation.
    */
   async confirmView (limits: ConfirmationLimits): Promise<boolean> {
-    if (this.options.isConfigurationUnreadable()) return false
-    if (this.isCurrent()) return true
+    const { isConfigurationUnreadable } = this.options
+    if (isConfigurationUnreadable()) return false
+    return (this.isCurrent() || await this.waitForAnswer(limits, false)) && !isConfigurationUnreadable()
+  }
+
+  /**
+   * Returns whether the view contains everything that was published before this call; always asks the store. Knowledge that seems current
+   * may be old in a process that stood still without its clock showing so, or whose connections have just gone silent.
+   * @param limits - Limits of the confirmation.
+   */
+  async confirmByAnswer (limits: ConfirmationLimits): Promise<boolean> {
+    return await this.waitForAnswer(limits, true)
+  }
+
+  private async waitForAnswer (limits: ConfirmationLimits, needsAnswer: boolean): Promise<boolean> {
     return await new Promise(resolve => {
-      this.waiters.add({ ...limits, startedAtMs: this.options.clock.nowMs(), resolve })
+      this.waiters.add({ ...limits, needsAnswer, startedAtMs: this.options.clock.nowMs(), resolve })
       this.run()
     })
   }
@@ -81,14 +96,14 @@
   }
 
   private settleWaiters (): void {
-    const { clock, hasAnswerSince, isConfigurationUnreadable } = this.options
+    const { clock, hasAnswerSince } = this.options
     const isCurrent = this.isCurrent()
     for (const waiter of this.waiters) {
-      const isConfirmed = isCurrent || hasAnswerSince(waiter.startedAtMs)
+      const isConfirmed = (isCurrent && !waiter.needsAnswer) || hasAnswerSince(waiter.startedAtMs)
       const isEnded = waiter.isOutdated() || waiter.signal.aborted || clock.nowMs() >= waiter.endAtMs
       if (!isConfirmed && !isEnded) continue
       this.waiters.delete(waiter)
-      waiter.resolve(isConfirmed && !isConfigurationUnreadable())
+      waiter.resolve(isConfirmed)
     }
   }
 }
--- a/packages/relay/src/versions/OriginExchange.ts
+++ b/packages/relay/src/versions/OriginExchange.ts
@@ -15,6 +15,8 @@
   readonly log: DecisionLog
   /** Lists the names of the peers that are considered alive. */
   readonly listPeers: () => readonly string[]
+  /** Returns whether this instance knows all targets that were published before the call; asks the store for it. By default, it does. */
+  readonly confirmTargets?: (endAtMs: number) => Promise<boolean>
 }
 
 /** A caller that resumes a stream. */
@@ -40,6 +42,9 @@
 /** Maximum time to wait for the answers of peers that are asked at the same time, in milliseconds. */
 const ASK_TIMEOUT_MS = 50
 
+/** Maximum time to wait until the store has confirmed that this instance knows all targets, in milliseconds. */
+const CONFIRMATION_TIMEOUT_MS = 300
+
 /** Maximum time to wait for the confirmation of a report, in milliseconds. */
 const TELL_TIMEOUT_MS = 1000
 
@@ -123,13 +128,25 @@
 
   /** Asks the peers that should know a stream, then others; falls back to the only origin that it can have. */
   private async askPeers (stream: ResumedStream): Promise<StreamOrigin | undefined> {
-    const observed: ObservedOrigins[] = [this.options.history.getObserved(listServices(stream.route), computeLifetimeMs(stream.route, stream.callerRemainingMs))]
+    const observed: ObservedOrigins[] = []
     const peers = this.listPeers(stream.requestId ?? stream.currentId)
     for (const group of [peers.slice(0, FIRST_ASKED_PEERS), peers.slice(FIRST_ASKED_PEERS, FIRST_ASKED_PEERS + MAX_OTHER_ASKED_PEERS)]) {
       const origin = await this.askGroup(stream, group, observed)
       if (origin !== undefined) return origin
     }
-    return findOnlyOrigin(observed)
+    return await this.deriveOrigin(stream, observed)
+  }
+
+  /**
+   * Returns the only origin that a stream can have. It may have begun, through another instance, at a target that was published a moment
+   * ago, so the store has to confirm first that this instance knows all targets.
+   */
+  private async deriveOrigin ({ route, callerRemainingMs, deadlineAtMs }: ResumedStream, peersObserved: readonly ObservedOrigins[]): Promise<StreamOrigin | undefined> {
+    const { clock, history, confirmTargets = async () => true } = this.options
+    const findOrigin = (): StreamOrigin | undefined => findOnlyOrigin([history.getObserved(listServices(route), computeLifetimeMs(route, callerRemainingMs)), ...peersObserved])
+    if (findOrigin() === undefined) return undefined
+    const isConfirmed = await confirmTargets(Math.min(deadlineAtMs, clock.nowMs() + CONFIRMATION_TIMEOUT_MS))
+    return isConfirmed ? findOrigin() : undefined
   }
 
   /** Asks peers at the same time; returns the origin as soon as one knows it. */
--- a/packages/relay/test/published/PublishedView.test.ts
+++ b/packages/relay/test/published/PublishedView.test.ts
@@ -196,3 +196,48 @@
     expect(doTest(view => view.applyChanges([{ key: 'c', ...at(90, 2) }], at(90, 2))).items).toBe('c=v12@1.100 u=ready@2.80')
   })
 })
+
+/** Guards against ORDER: a target that joined and left unseen was missing among the versions that an instance had observed. */
+describe('gaps of a view', () => {
+  function countGaps (act: (view: PublishedView) => void): number {
+    const view = PublishedView.create()
+    let gaps = 0
+    view.addGapListener(() => { gaps++ })
+    act(view)
+    return gaps
+  }
+
+  const readFirst = (view: PublishedView): void => view.applyFullRead([put('a', 1)], at(1))
+
+  it('are not told of the first read, of changes and of deletions of known keys', () => {
+    expect(countGaps(view => {
+      readFirst(view)
+      view.applyChanges([put('b', 2), remove('b', 3), put('a', 4)], at(4))
+      view.applyChanges([remove('a', 5)], at(5))
+    })).toBe(0)
+  })
+
+  it('are told of a later complete read, but not of one that is not ahead', () => {
+    expect(countGaps(view => {
+      readFirst(view)
+      view.applyFullRead([put('a', 1)], at(1))
+      view.applyFullRead([put('a', 1)], at(6))
+    })).toBe(1)
+  })
+
+  it('are told of a deletion of a key that was not known, once', () => {
+    expect(countGaps(view => {
+      readFirst(view)
+      view.applyChanges([remove('b', 3)], at(3))
+      view.applyChanges([remove('b', 3)], at(3))
+    })).toBe(1)
+  })
+
+  it('are told of the second deletion of a key that was written again in between', () => {
+    expect(countGaps(view => {
+      readFirst(view)
+      view.applyChanges([remove('a', 2)], at(2))
+      view.applyChanges([remove('a', 4)], at(4))
+    })).toBe(1)
+  })
+})
