--- a/packages/relay/src/published/PublishedWatcher.ts
+++ b/packages/relay/src/published/PublishedWatcher.ts
@@ -92,7 +92,7 @@
       this.watchController = new AbortController()
       const calledAtMs = this.options.clock.nowMs()
       this.arrivalStartedAtMs = undefined
-      const outcome = this.needsFullRead ? await this.readAll() : await this.watch()
+      const outcome = await this.callStore()
       if (this.stopController.signal.aborted) return
       if (outcome.isOk) await this.handleAnswer(calledAtMs)
       else if (!this.watchController.signal.aborted) await this.handleError(outcome.error)
@@ -174,6 +174,16 @@
     return !this.needsFullRead && !this.needsConfirmation && !this.isAnswerRequested && this.options.canSkipWatch?.() === true
   }
 
+  /** Calls the store and applies its answer. An error while a change is applied concerns that change; the next ones are still watched. */
+  private async callStore (): Promise<Result<unknown, PublishedError>> {
+    try {
+      return this.needsFullRead ? await this.readAll() : await this.watch()
+    } catch (error) {
+      this.options.log.recordStateChange('changes not applied', { error: (error as Error).message, ...this.options.view.getPosition() })
+      return Result.err('malformed')
+    }
+  }
+
   private async readAll (): Promise<Result<unknown, PublishedError>> {
     const { view, source, clock, log } = this.options
     const read = await readPages({ source, clock, log, signal: this.stopController.signal })
--- a/packages/relay/test/published/PublishedWatcher.test.ts
+++ b/packages/relay/test/published/PublishedWatcher.test.ts
@@ -5,7 +5,7 @@
 import { PublishedWatcher } from '../../src/published/PublishedWatcher.js'
 import { type PublishedChanges, type PublishedError, type PublishedItem, type PublishedPage, type PublishedSource } from '../../src/published/PublishedItem.js'
 import { type PublishedPosition } from '../../src/published/PublishedPosition.js'
-import { PublishedView } from '../../src/published/PublishedView.js'
+import { type ItemsListener, PublishedView } from '../../src/published/PublishedView.js'
 
 type PageResult = Result<PublishedPage, PublishedError>
 type ChangesResult = Result<PublishedChanges, PublishedError>
@@ -23,9 +23,10 @@
 const createChanges = (revision: number, ...keys: string[]): ChangesResult => Result.ok({ position: at(revision), items: keys.map(key => ({ key, ...at(revision), value: key })) })
 
 /** Watches a scripted source for some time; a watch after the end of the script waits until its timeout. */
-async function doTest (pages: PageResult[], watches: ChangesResult[], durationMs = 100, canSkipWatch?: (nowMs: number) => boolean, refreshAtMs = Infinity, watchDelayMs = 0): Promise<Outcome> {
+async function doTest (pages: PageResult[], watches: ChangesResult[], durationMs = 100, canSkipWatch?: (nowMs: number) => boolean, refreshAtMs = Infinity, watchDelayMs = 0, listener: ItemsListener = () => {}): Promise<Outcome> {
   const clock = VirtualClock.create()
   const view = PublishedView.create()
+  view.addListener(listener)
   const calls: string[] = []
   let peerFetchCount = 0
   const source: PublishedSource = {
@@ -56,6 +57,16 @@
 }
 
 describe('PublishedWatcher', () => {
+  /** Guards against an instance that stops to follow the store because one change cannot be applied. */
+  it('goes on to watch after a change on which a listener fails', async () => {
+    const received: string[] = []
+    const { view } = await doTest([createPage(5, 'a')], [createChanges(6, 'b'), createChanges(7, 'c')], 5000, undefined, Infinity, 0, items => {
+      received.push(...items.map(({ key }) => key))
+      if (items.some(({ key }) => key === 'b')) throw new Error('cannot be applied')
+    })
+    expect([received, view.getPosition().revision]).toEqual([['a', 'b', 'c'], 7])
+  })
+
   it('reads all pages, then watches from the revision of the first page', async () => {
     const first: PageResult = Result.ok({ position: at(5), items: [{ key: 'a', ...at(1), value: 'a' }], nextAfter: 'a' })
     const { view, calls } = await doTest([first, createPage(9, 'b')], [])
