Use a new connection for an engine that gets a request again

What callers could see (report of another operator): "not run" for a request that a server ran or was running (REFUSED), or a second run (TWICE), after a server had written an earlier refusal once more on a kept connection.

Cause, by reading: a run that goes on at its source carries the id of the request, so that a late copy of a refusal there would be taken for the answer to the continuation.

Change: a request that was sent to an engine before gets a connection of its own there.

The new case of runRelayedStream.test.ts failed before.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -53,6 +53,8 @@
   readonly watch: RunWatch
   /** Names of targets to which the request is not sent again. */
   readonly excludedTargets = new Set<string>()
+  /** Names of targets to which the request was sent. */
+  readonly sentTargets = new Set<string>()
   /** Number of attempts that ran or may have run. */
   executedAttempts = 0
   /** Number of attempts that were sent. */
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -135,13 +135,15 @@
     request,
     workspace: context.workspace,
     remainingMs: context.deadlineAtMs - dependencies.clock.nowMs(),
-    needsFreshConnection: false,
+    // A copy of an earlier answer to this request would be taken for the answer to this attempt.
+    needsFreshConnection: run.sentTargets.has(reservation.target.name),
     urgency: hold !== undefined || dependencies.holds.isActive(service) ? HELD_URGENCY : Math.min(LOWEST_URGENCY, priority),
     lastEventId: run.getLastEventId(),
     continuation,
     hold: hold?.id,
     signal: abortController.signal
   })
+  run.sentTargets.add(reservation.target.name)
   run.currentAttempt = { reservation, attempt, abortController }
   run.watch.startRun(attempt.head)
   const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
--- a/packages/relay/test/requests/runRelayedStream.test.ts
+++ b/packages/relay/test/requests/runRelayedStream.test.ts
@@ -226,6 +226,12 @@
     expect(dependencies.client.listTargets()).toEqual(['a', 'b', 'a'])
   })
 
+  /** Guards against TWICE: a copy of an engine's earlier refusal would be taken for its answer to the continuation, which carries the same id. */
+  it('use a new connection for an engine to which the request was sent before', async () => {
+    const { dependencies } = await doTest({ a: [long, remainder], b: [{ error: 'notExecuted' }] }, { actions: [[200, markLeaving('a')]] })
+    expect(dependencies.client.attempts.map(({ target, options }) => [target, options.needsFreshConnection])).toEqual([['a', false], ['b', false], ['a', true]])
+  })
+
   it('do not restart a run when both the destination and the source refuse it', async () => {
     const { sink, dependencies } = await doTest({ a: [long, { error: 'notSent' }], b: [{ error: 'notExecuted' }], c: [complete] }, { actions: [[200, markLeaving('a')]] })
     expect(sink.endState).toBe('brokenOff')
