--- a/packages/relay/src/drain/OutputRatios.ts
+++ b/packages/relay/src/drain/OutputRatios.ts
@@ -19,6 +19,8 @@
 
   private readonly ratios: number[] = []
   private nextIndex = 0
+  /** Quantile of the ratios; undefined after a change. */
+  private likely: number | undefined
 
   /** @internal */
   private constructor (private readonly defaultRatio: number) {}
@@ -32,12 +34,18 @@
     if (statedTokens <= 0) return
     this.ratios[this.nextIndex] = outputTokens / statedTokens
     this.nextIndex = (this.nextIndex + 1) % KEPT_RATIOS
+    this.likely = undefined
   }
 
   /** Returns the ratio that is likely not exceeded. */
   getLikely (): number {
     if (this.ratios.length < MIN_RATIOS) return this.defaultRatio
-    const sorted = [...this.ratios].sort((a, b) => a - b)
-    return sorted[Math.floor(sorted.length * LIKELY_QUANTILE)]!
+    this.likely ??= computeQuantile(this.ratios, LIKELY_QUANTILE)
+    return this.likely
   }
 }
+
+function computeQuantile (values: readonly number[], quantile: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.floor(sorted.length * quantile)]!
+}
