Serve calls and streams of unknown size at the beginning of a stop

Cause: a scratch play with six kinds of requests on kept connections (four machines stopped in turn, clients that keep addresses for 8 s) showed that calls of 0.2 to 6.2 s with a long time limit, and streams without sizes, were all refused from the SIGTERM on, although most of them would have ended in time.

Change: in the first 2.5 s they are sent if nine of ten earlier ones would end in time, as sized streams are by their estimates.

--- a/packages/relay/src/drain/AnswerDurations.ts
+++ b/packages/relay/src/drain/AnswerDurations.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@fescuespoke/common'
 import { type GenerationSize } from '../requests/RelayRequest.js'
-import { OutputRatios } from './OutputRatios.js'
 import { RecentMaximum } from './RecentMaximum.js'
+import { RecentQuantile } from './RecentQuantile.js'
 
 /** A generation that has ended. */
 export interface EndedGeneration {
@@ -30,10 +30,14 @@
 
 interface ServiceTimes {
   readonly longestCallMs: RecentMaximum
+  readonly likelyCallMs: RecentQuantile
   readonly longestFirstEventMs: RecentMaximum
   readonly longestTokenMs: RecentMaximum
-  readonly estimateRatios: OutputRatios
-  readonly maximumRatios: OutputRatios
+  /** From the arrival of the request to the last event. */
+  readonly likelyGenerationMs: RecentQuantile
+  /** Output relative to the caller's estimate, and to the stated maximum. */
+  readonly estimateRatios: RecentQuantile
+  readonly maximumRatios: RecentQuantile
 }
 
 /** Records how long the answers of each service take, to tell what ends within a given time. */
@@ -57,7 +61,9 @@
    * @param durationMs - Time from its arrival to the end of its answer, in milliseconds.
    */
   recordCall (service: string, durationMs: number): void {
-    this.getTimes(service).longestCallMs.record(durationMs)
+    const { longestCallMs, likelyCallMs } = this.getTimes(service)
+    longestCallMs.record(durationMs)
+    likelyCallMs.record(durationMs)
   }
 
   /**
@@ -69,9 +75,11 @@
     const times = this.getTimes(service)
     times.longestFirstEventMs.record(firstEventMs)
     if (tokens >= MIN_PACE_TOKENS) times.longestTokenMs.record(durationMs / tokens)
+    times.likelyGenerationMs.record(firstEventMs + durationMs)
     if (size === undefined) return
-    times.maximumRatios.record(tokens, size.maxOutputTokens)
-    if (size.expectedOutputTokens !== undefined) times.estimateRatios.record(tokens, size.expectedOutputTokens)
+    const { maxOutputTokens, expectedOutputTokens = 0 } = size
+    if (maxOutputTokens > 0) times.maximumRatios.record(tokens / maxOutputTokens)
+    if (expectedOutputTokens > 0) times.estimateRatios.record(tokens / expectedOutputTokens)
   }
 
   /**
@@ -83,6 +91,22 @@
     return longestMs === undefined ? undefined : longestMs * LONGEST_MARGIN
   }
 
+  /**
+   * Returns the time that a call likely does not exceed, in milliseconds; undefined while few have been answered.
+   * @param service - Name of the service.
+   */
+  findLikelyCallMs (service: string): number | undefined {
+    return this.getTimes(service).likelyCallMs.get()
+  }
+
+  /**
+   * Returns the time that a generation of unknown size likely does not exceed, in milliseconds; undefined while few have ended.
+   * @param service - Name of the service.
+   */
+  findLikelyGenerationMs (service: string): number | undefined {
+    return this.getTimes(service).likelyGenerationMs.get()
+  }
+
   /**
    * Returns the longest recent time from the arrival of a request to the first event, in milliseconds; undefined while no generation has ended lately.
    * @param service - Name of the service.
@@ -109,8 +133,8 @@
    */
   estimateLikelyOutput (service: string, { maxOutputTokens, expectedOutputTokens }: GenerationSize): number {
     const { estimateRatios, maximumRatios } = this.getTimes(service)
-    const likelyOfEstimate = expectedOutputTokens === undefined ? Infinity : expectedOutputTokens * estimateRatios.getLikely()
-    return Math.min(maxOutputTokens, maxOutputTokens * maximumRatios.getLikely(), likelyOfEstimate)
+    const likelyOfEstimate = expectedOutputTokens === undefined ? Infinity : expectedOutputTokens * (estimateRatios.get() ?? DEFAULT_ESTIMATE_RATIO)
+    return Math.min(maxOutputTokens, maxOutputTokens * (maximumRatios.get() ?? DEFAULT_MAXIMUM_RATIO), likelyOfEstimate)
   }
 
   private getTimes (service: string): ServiceTimes {
@@ -118,10 +142,12 @@
     if (existing !== undefined) return existing
     const times: ServiceTimes = {
       longestCallMs: RecentMaximum.create(this.clock, PERIOD_MS),
+      likelyCallMs: RecentQuantile.create(),
       longestFirstEventMs: RecentMaximum.create(this.clock, PERIOD_MS),
       longestTokenMs: RecentMaximum.create(this.clock, PERIOD_MS),
-      estimateRatios: OutputRatios.create(DEFAULT_ESTIMATE_RATIO),
-      maximumRatios: OutputRatios.create(DEFAULT_MAXIMUM_RATIO)
+      likelyGenerationMs: RecentQuantile.create(),
+      estimateRatios: RecentQuantile.create(),
+      maximumRatios: RecentQuantile.create()
     }
     this.timesByService.set(service, times)
     return times
--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -132,14 +132,15 @@
   }
 
   private estimateCall ({ service }: DrainSubject): DurationEstimate {
-    const longestMs = this.options.durations.findLongestCallMs(service.name)
-    return { longestMs, likelyMs: longestMs ?? 0 }
+    const { durations } = this.options
+    const longestMs = durations.findLongestCallMs(service.name)
+    return { longestMs, likelyMs: durations.findLikelyCallMs(service.name) ?? longestMs ?? 0 }
   }
 
-  /** A stream whose caller states no sizes may be as long as its deadline allows. */
+  /** A stream whose caller states no sizes may be as long as its deadline allows, and likely is as long as others were. */
   private estimateStream ({ service, request: { size }, route: { objectiveMs } }: DrainSubject): DurationEstimate {
     const { durations, generationTimes } = this.options
-    if (size === undefined) return { longestMs: undefined, likelyMs: Infinity }
+    if (size === undefined) return { longestMs: undefined, likelyMs: durations.findLikelyGenerationMs(service.name) ?? Infinity }
     const likelyOutput = durations.estimateLikelyOutput(service.name, size)
     const runMs = generationTimes.estimateDurationMs(service.name, { ...size, expectedOutputTokens: likelyOutput })
     return { longestMs: durations.findLongestGenerationMs(service.name, size.maxOutputTokens), likelyMs: (durations.findLongestFirstEventMs(service.name) ?? objectiveMs) + runMs * LIKELY_MARGIN }
