--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -86,6 +86,8 @@
   private runningCount = 0
   /** Aborted when the process stops. */
   private readonly stopController = new AbortController()
+  /** Functions that end the requests in progress when the process stops. */
+  private readonly stopFunctions = new Set<() => void>()
 
   /** @internal */
   private constructor (private readonly options: RelayServiceOptions) {}
@@ -98,6 +100,7 @@
   /** Ends all requests in progress, and those that arrive later: what has not begun to be answered gets a final answer, and the rest is broken off. */
   stop (): void {
     this.stopController.abort(STOP_REASON)
+    for (const stop of this.stopFunctions) stop()
   }
 
   /**
@@ -224,20 +227,19 @@
     const { request, route, sink } = partialContext
     const deadlineAtMs = computeDeadlineMs(request, route)
     const endController = new AbortController()
-    const { signal: stopSignal } = this.stopController
     const end = (): void => endController.abort()
     const stop = (): void => endController.abort(STOP_REASON)
     const cancelTimer = clock.startTimer(Math.max(0, deadlineAtMs - clock.nowMs()), end)
     sink.callerSignal.addEventListener('abort', end)
-    stopSignal.addEventListener('abort', stop)
+    this.stopFunctions.add(stop)
     if (sink.callerSignal.aborted) end()
-    else if (stopSignal.aborted) stop()
+    else if (this.hasStopped()) stop()
     try {
       await RUNNERS[route.kind](this.options.dependencies, { ...partialContext, deadlineAtMs, signal: endController.signal })
     } finally {
       cancelTimer()
       sink.callerSignal.removeEventListener('abort', end)
-      stopSignal.removeEventListener('abort', stop)
+      this.stopFunctions.delete(stop)
     }
   }
 
