Share the options of an instance between two tests

Cause: outOfStep.test.ts wrote the options of createRelayComponents.test.ts again.

Change: one support function creates them; assertions are as before.

--- a/packages/relay/test/versions/outOfStep.test.ts
+++ b/packages/relay/test/versions/outOfStep.test.ts
@@ -1,13 +1,12 @@
-import { createLogger, MetricsRegistry, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
 import { createRelayComponents, type RelayComponents } from '../../src/instance/createRelayComponents.js'
 import { type DecodedItem } from '../../src/published/PublishedDecoder.js'
 import { type PublishedItem, type PublishedSource } from '../../src/published/PublishedItem.js'
+import { createInstanceOptions, OWN_ADDRESS } from '../support/createInstanceOptions.js'
 import { createRoute, createTarget, ENGINES } from '../support/createTestDependencies.js'
-import { FakeTargetClient } from '../support/FakeTargetClient.js'
 import { RestorableStore } from '../support/RestorableStore.js'
 
-const OWN = '127.0.0.1:1'
 const ROUTE = createRoute({ kind: 'stream', isResumable: true, timeoutMs: 6000, services: [{ service: ENGINES.name, weight: 1 }] })
 
 /** Time after which an instance has observed the targets for long enough to derive the version of a stream, in milliseconds. */
@@ -54,19 +53,8 @@
   const clock = VirtualClock.create()
   const store = RestorableStore.create({ clock, drawDelayMs: () => 4 })
   let isHeld = false
-  const components = createRelayComponents({
-    identity: { availabilityZone: 'z1', region: 'r', peerAddress: OWN, callerAddress: '127.0.0.1:2', seeds: [], fleet: 'f', fleetKey: 'k' },
-    budget: { ratio: 0.2, extra: 1, windowMs: 1000 },
-    graceMs: 1000,
-    maxAddressTtlMs: 1000,
-    clock,
-    random: SeededRandom.create(1),
-    logger: createLogger({ instance: 'test', level: 'silent' }),
-    metrics: MetricsRegistry.create({ clock }),
-    source: createHeldSource(store.createSource(OWN), clock, () => isHeld),
-    decodeItem,
-    client: FakeTargetClient.create(clock)
-  })
+  const source = createHeldSource(store.createSource(OWN_ADDRESS), clock, () => isHeld)
+  const components = createRelayComponents(createInstanceOptions(clock, { source, decodeItem }))
   applyItems(components)
   store.put('old', 'v1')
   components.watcher.run()
@@ -98,7 +86,7 @@
 
   it('refuses them while it is cut off and another version may have joined', async () => {
     expect(await doTest(async ({ clock, store }) => {
-      store.silentInstances.add(OWN)
+      store.silentInstances.add(OWN_ADDRESS)
       await clock.advance(100)
       store.put('new', 'v2')
       await clock.advance(300)
@@ -116,12 +104,12 @@
 
   it('refuses them after a target has joined and left of which only the loss of history tells', async () => {
     expect(await doTest(async ({ clock, store }) => {
-      store.silentInstances.add(OWN)
+      store.silentInstances.add(OWN_ADDRESS)
       store.put('new', 'v2')
       await clock.advance(200)
       store.put('new')
       store.compact()
-      store.silentInstances.delete(OWN)
+      store.silentInstances.delete(OWN_ADDRESS)
       await clock.advance(3000)
     })).toBe('unknown')
   })
@@ -137,9 +125,9 @@
 
   it('lets them go on again after a time in step', async () => {
     expect(await doTest(async ({ clock, store }) => {
-      store.silentInstances.add(OWN)
+      store.silentInstances.add(OWN_ADDRESS)
       await clock.advance(5000)
-      store.silentInstances.delete(OWN)
+      store.silentInstances.delete(OWN_ADDRESS)
       await clock.advance(OBSERVED_MS)
     })).toBe('v1')
   })
