Plan the end of a stop from the clock and from how late the process runs

On a busy machine a stop outlasted its grace period and was ended by SIGKILL; callers whose last answers were not written by then saw a reset.

DrainSchedule counts the end back from the kill, which it takes from the time at which the signal may have been sent. The margin of 0.4 s grows by twice the highest lateness of the drain's timers in the last seconds, since ending the requests and writing their answers can each be that late. The last answers are written before anything is closed, and closing is waited for 0.1 s at most.

--- a/packages/common/src/clock/PauseDetector.ts
+++ b/packages/common/src/clock/PauseDetector.ts
@@ -31,14 +31,13 @@
   private lastReadingMs: number
   private pauseEndMs = -Infinity
   private lastPauseMs = 0
-  /** Clock reading at which the current timer was started, and time that the previous one took. */
-  private timerStartedAtMs: number
+  /** Clock reading at which the current timer was started, `Infinity` before the first; and time that the previous one took. */
+  private timerStartedAtMs = Infinity
   private lastGapMs = 0
 
   /** @internal */
   private constructor (private readonly options: PauseDetectorOptions) {
     this.lastReadingMs = options.clock.nowMs()
-    this.timerStartedAtMs = this.lastReadingMs
   }
 
   /**
@@ -75,7 +74,7 @@
     return this.isRecovering() ? this.lastPauseMs : 0
   }
 
-  /** Returns by how much the process runs behind its timers, in milliseconds; input that is read now can be this old. */
+  /** Returns by how much the process runs behind its timers, in milliseconds; input that is read now can be this old. It is 0 before `run`. */
   getDelayMs (): number {
     const currentGapMs = this.options.clock.nowMs() - this.timerStartedAtMs
     return Math.max(0, this.lastGapMs - CLOCK_READ_INTERVAL_MS, currentGapMs - CLOCK_READ_INTERVAL_MS)
--- a/packages/common/test/clock/PauseDetector.test.ts
+++ b/packages/common/test/clock/PauseDetector.test.ts
@@ -66,4 +66,11 @@
       }
     `)
   })
+
+  it('knows no delay before it reads the clock', () => {
+    const clock = VirtualClock.create()
+    const detector = PauseDetector.create({ clock, onPause: () => undefined })
+    clock.jump(1000)
+    expect(detector.getDelayMs()).toBe(0)
+  })
 })
--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -4,6 +4,7 @@
 import { type GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { type RelayRequest } from '../requests/RelayRequest.js'
 import { type AnswerDurations } from './AnswerDurations.js'
+import { DrainSchedule } from './DrainSchedule.js'
 
 /** Options of a drain admission. */
 export interface DrainAdmissionOptions {
@@ -44,9 +45,6 @@
   readonly remainingMs: number
 }
 
-/** Time before the end of the grace period at which requests in progress are ended, in milliseconds. */
-export const EXIT_MARGIN_MS = 400
-
 /** Beginning of a drain in which requests are accepted that likely end in time: a share of the grace period, and a maximum in milliseconds. */
 const LIKELY_SHARE = 0.3
 const MAX_LIKELY_PERIOD_MS = 2500
@@ -68,15 +66,21 @@
     return new DrainAdmission(options)
   }
 
-  private startedAtMs = Infinity
+  /** When the drain ends. */
+  readonly schedule: DrainSchedule
   private hasEnded = false
 
   /** @internal */
-  private constructor (private readonly options: DrainAdmissionOptions) {}
+  private constructor (private readonly options: DrainAdmissionOptions) {
+    this.schedule = DrainSchedule.create({ clock: options.clock, graceMs: this.getGraceMs() })
+  }
 
-  /** Starts the drain. */
-  start (): void {
-    this.startedAtMs = this.options.clock.nowMs()
+  /**
+   * Starts the drain.
+   * @param signalDelayMs - Time for which the stop signal may have waited until the process handled it, in milliseconds.
+   */
+  start (signalDelayMs = 0): void {
+    this.schedule.start(signalDelayMs)
   }
 
   /** Ends the drain; from then on, no request is sent. */
@@ -86,13 +90,12 @@
 
   /** Returns the time since the start of the drain, in milliseconds. */
   getElapsedMs (): number {
-    return this.options.clock.nowMs() - this.startedAtMs
+    return this.schedule.getElapsedMs()
   }
 
   /** Returns the time after which requests in progress are ended, in milliseconds; `Infinity` before the drain. */
   getTimeLeftMs (): number {
-    if (this.hasEnded) return 0
-    return this.startedAtMs + this.getGraceMs() - EXIT_MARGIN_MS - this.options.clock.nowMs()
+    return this.hasEnded ? 0 : this.schedule.getTimeLeftMs()
   }
 
   /**
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -22,8 +22,7 @@
 /** Time after the start of a drain in which callers with cached addresses may still connect, in milliseconds. */
 const LATE_CALLER_GRACE_MS = 3000
 
-/** Maximum time after the end of a drain in which the last answers are written, and interval of the check, in milliseconds. */
-const LAST_ANSWERS_MS = 200
+/** Interval of the check whether the last answers are written, in milliseconds. */
 const LAST_ANSWERS_CHECK_INTERVAL_MS = 5
 
 /** The connections of callers, as far as a drain needs to know them. */
@@ -134,18 +133,19 @@
    */
   async drain (connections = NO_CONNECTIONS): Promise<void> {
     if (this.phase === 'draining' || this.phase === 'stopped') return
-    const { clock, graceMs } = this.options
-    const { drain } = this.components.dependencies
+    const { dependencies: { drain }, pauseDetector, log, peers, history } = this.components
+    const signalDelayMs = pauseDetector.getDelayMs()
     this.phase = 'draining'
-    drain.start()
-    this.components.log.recordStateChange('drain started', { running: this.service.countRunning(), graceMs })
-    this.components.peers.announceLeaving()
+    drain.start(signalDelayMs)
+    log.recordStateChange('drain started', { running: this.service.countRunning(), graceMs: this.options.graceMs, signalDelayMs: Math.round(signalDelayMs) })
+    peers.announceLeaving()
     // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
-    this.components.history.restart()
-    while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await clock.sleep(DRAIN_CHECK_INTERVAL_MS)
-    this.components.log.recordStateChange('drain ended', { running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), tookMs: Math.round(drain.getElapsedMs()) })
+    history.restart()
+    while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await this.sleepWhileDraining(Math.min(DRAIN_CHECK_INTERVAL_MS, drain.getTimeLeftMs()))
+    this.recordDrainStep('drain ended', connections)
     await this.finishLastAnswers(connections)
-    await this.stop()
+    this.recordDrainStep('last answers written', connections)
+    await this.stopInTime()
   }
 
   /** Closes all connections and stops all background tasks. */
@@ -174,12 +174,31 @@
 
   /** Ends the requests in progress and waits until their last answers are written; a caller that gets one knows whether its request may have run. */
   private async finishLastAnswers (connections: CallerConnections): Promise<void> {
-    const { clock } = this.options
-    const endMs = clock.nowMs() + LAST_ANSWERS_MS
-    connections.stopAccepting()
-    this.components.dependencies.drain.end()
+    const { drain } = this.components.dependencies
+    drain.end()
     this.service.stop()
-    while (clock.nowMs() < endMs && this.hasOpenRequests(connections)) await clock.sleep(LAST_ANSWERS_CHECK_INTERVAL_MS)
+    connections.stopAccepting()
+    while (drain.schedule.getWriteTimeLeftMs() > 0 && this.hasOpenRequests(connections)) await this.sleepWhileDraining(LAST_ANSWERS_CHECK_INTERVAL_MS)
+  }
+
+  /** Stops, without waiting for connections that close slowly: the last answers are written, and the process exits. */
+  private async stopInTime (): Promise<void> {
+    const closeTimeMs = this.components.dependencies.drain.schedule.getCloseTimeLeftMs()
+    await Promise.race([this.stop(), this.options.clock.sleep(closeTimeMs)])
+  }
+
+  private async sleepWhileDraining (delayMs: number): Promise<void> {
+    const { clock } = this.options
+    const startedAtMs = clock.nowMs()
+    await clock.sleep(delayMs)
+    this.components.dependencies.drain.schedule.recordLateness(clock.nowMs() - startedAtMs - delayMs)
+  }
+
+  private recordDrainStep (step: string, connections: CallerConnections): void {
+    const { dependencies: { drain: { schedule } }, log } = this.components
+    log.recordStateChange(step, {
+      running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), tookMs: Math.round(schedule.getElapsedMs()), latenessMs: Math.round(schedule.getLatenessMs()), marginMs: Math.round(schedule.getMarginMs())
+    })
   }
 
   private applyItems (items: readonly PublishedItem[]): void {
--- a/packages/relay/test/requests/RelayService.test.ts
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -2,7 +2,7 @@
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { type RelayRoute, type RouteKind } from '../../src/model/RelayConfiguration.js'
 import { RelayService } from '../../src/requests/RelayService.js'
-import { EXIT_MARGIN_MS } from '../../src/drain/DrainAdmission.js'
+import { EXIT_MARGIN_MS } from '../../src/drain/DrainSchedule.js'
 import { createConfiguration, createRequest, createRoute, createTarget, createTestDependencies } from '../support/createTestDependencies.js'
 import { FakeSink } from '../support/FakeSink.js'
 
