Check each event of a continuation, and keep heads of other answers out

Seen by callers: a stream had begun and broke off; the next target answered 200 with a series of events that was none: an error without an id, the stream from its start after a comment, or the head of an error. Callers got it in the middle of their stream, and the stream looked complete.

Change: EventOrder compares every event of an attempt; before the first id of a continuation only comments may come; the head of an answer is none of the events. Only a series of events is compared; other bodies have no ids.

--- a/packages/relay/src/requests/EventSplitter.ts
+++ b/packages/relay/src/requests/EventSplitter.ts
@@ -6,6 +6,10 @@
   readonly id?: string
   /** Whether the event has a `data` line; others, such as comments, are not delivered to readers of the stream. */
   readonly hasData: boolean
+  /** Whether it consists of comments only. */
+  readonly isComment: boolean
+  /** Whether it contains the head of an HTTP answer, which a target writes after the part of a stream that it could not end. */
+  readonly hasAnswerHead: boolean
 }
 
 const LINE_FEED = 0x0a
@@ -16,6 +20,12 @@
 
 const EMPTY = Buffer.alloc(0)
 
+const COMMENT_LINES = /^(?::[^\n]*\n|\r?\n)*$/
+
+/** A status line at the start of a line, or anywhere in a line if the next line is a header and no field of an event. */
+const ANSWER_HEAD = /(?:^|\n)HTTP\/1\.\d |HTTP\/1\.\d \d{3}[^\n]{0,100}\n(?!(?:data|event|id|retry):)[\w-]+:/
+const STATUS_LINE_START = 'HTTP/1.'
+
 /** Smallest size of the buffer of an incomplete event, in bytes. */
 const MIN_CAPACITY_BYTES = 4096
 
@@ -103,5 +113,11 @@
 function parseEvent (bytes: Buffer): StreamEvent {
   const text = bytes.toString('latin1')
   const id = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(text)?.[1]
-  return { bytes, id, hasData: /(?:^|\n)data[:\r\n]/.test(text) }
+  return {
+    bytes,
+    id,
+    hasData: /(?:^|\n)data[:\r\n]/.test(text),
+    isComment: id === undefined && COMMENT_LINES.test(text),
+    hasAnswerHead: text.includes(STATUS_LINE_START) && ANSWER_HEAD.test(text)
+  }
 }
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -9,6 +9,7 @@
 import { type StreamGaps } from '../speeds/StreamGaps.js'
 import { type Attempt, type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { createStreamOrigin, type StreamOrigin } from '../versions/StreamOrigin.js'
+import { EventOrder } from './EventOrder.js'
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
@@ -74,6 +75,7 @@
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
+  private order = EventOrder.create(undefined)
   /** Gaps between the events of the current attempt; undefined for a service without engines. */
   private gaps: StreamGaps | undefined
   private notifyWaiter: (() => void) | undefined
@@ -173,6 +175,7 @@
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
   startReading (): void {
     this.splitter = EventSplitter.create()
+    this.order = EventOrder.create(this.lastEventId)
     this.wasAskedToStop = false
     this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
@@ -188,7 +191,7 @@
     if (events === undefined) return 'unusable'
     const result = !isEventSeries(head) || events.some(({ hasData }) => hasData) ? 'progress' : 'noProgress'
     if (events.length === 0) return result
-    if (!followsEvent(events[0]!, this.lastEventId)) return 'unusable'
+    if (isEventSeries(head) && !this.order.addEvents(events)) return 'unusable'
     if (this.eventCount === 0) this.recordOrigin(createStreamOrigin(this.currentAttempt!.reservation.target))
     this.gaps?.recordArrival(events.length)
     this.writeHead(head)
@@ -320,8 +323,3 @@
 function isEventSeries ({ status, isEventStream }: AttemptHead): boolean {
   return isEventStream && status < MIN_NON_SUCCESS_STATUS
 }
-
-/** Returns whether an event comes after the last one; ids of events increase, and ids that are no numbers are not compared. */
-function followsEvent ({ id }: StreamEvent, lastEventId: string | undefined): boolean {
-  return id === undefined || lastEventId === undefined || !(Number(id) <= Number(lastEventId))
-}
--- a/packages/relay/test/requests/EventSplitter.test.ts
+++ b/packages/relay/test/requests/EventSplitter.test.ts
@@ -34,6 +34,31 @@
     expect(events.map(event => EventSplitter.create().addBytes(Buffer.from(event))?.map(({ hasData }) => hasData))).toEqual([[true], [true], [true], [false], [false], [false], [false]])
   })
 
+  it.each([
+    [': x\n\n', true],
+    [': x\r\n: y\r\n\r\n', true],
+    ['\n\n', true],
+    ['id: 1\n: x\n\n', false],
+    [': x\nretry: 5\n\n', false],
+    ['data: x\n\n', false],
+    [`${': x\r\n'.repeat(5000)}x\n\n`, false]
+  ])('tells comments from other events: %j', (event, isComment) => {
+    expect(EventSplitter.create().addBytes(Buffer.from(event))?.map(parsed => parsed.isComment)).toEqual([isComment])
+  })
+
+  it.each([
+    ['HTTP/1.1 500 Failed\r\nA: b\r\n\r\n', true],
+    ['HTTP/1.0 200 \r\n\r\n', true],
+    ['id: 2\ndaHTTP/1.1 500 Failed\r\nA: b\r\n\r\n', true],
+    ['id: 2\ndata: abHTTP/1.1 503 \r\nContent-Length: 0\r\n\r\n', true],
+    ['id: 2\ndata: ab\nHTTP/1.1 500 Failed\r\n\r\n', true],
+    ['id: 2\ndata: sends HTTP/1.1 500 Failed\ndata: A: b\n\n', false],
+    ['id: 2\ndata: HTTP/1.1 500 Failed\nid: 3\n\n', false],
+    ['data: HTTP/1.1 500 Failed\n\n', false]
+  ])('recognises the head of another answer, and not text about one: %j', (event, hasAnswerHead) => {
+    expect(EventSplitter.create().addBytes(Buffer.from(event))?.map(parsed => parsed.hasAnswerHead)).toEqual([hasAnswerHead])
+  })
+
   it('rejects an event that exceeds the maximum size', () => {
     const splitter = EventSplitter.create()
     expect(splitter.addBytes(Buffer.alloc(1024 * 1024 + 1, 'a'))).toBeUndefined()
