Announce the close of connections until the process exits

An answer that began while a stopping instance closed its connections (a refusal of a request that was read then) went out without `Connection: close`, since the phase was `stopped` by then: its caller took the connection for kept and saw its next request end without an answer.

Evidence: the new test of the instance found `isDraining()` false after its stop on the code before. It is true from the signal to the exit now.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -84,7 +84,7 @@
 
   /** Returns whether connections of callers should be closed after their next answer. */
   isDraining (): boolean {
-    return this.phase === 'draining'
+    return this.phase === 'draining' || this.phase === 'stopped'
   }
 
   /** Returns the routes in force. */
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -136,4 +136,10 @@
       ]
     `)
   })
+
+  it('lets answers announce the close of their connections until the exit', async () => {
+    const instance = RelayInstance.create(createInstanceOptions(VirtualClock.create()))
+    await instance.stop()
+    expect(instance.isDraining()).toBe(true)
+  })
 })
