Let slow readers have complete answers at the end of a stop

An answer that is held up by its caller alone was broken off when requests in progress are ended, 0.4 s before the kill, although the rest of it may be complete at the target.

All others are ended as before.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -176,9 +176,10 @@
   private async finishLastAnswers (connections: CallerConnections): Promise<void> {
     const { drain } = this.components.dependencies
     drain.end()
-    this.service.stop()
+    this.service.stopExceptSlowReaders()
     connections.stopAccepting()
     while (drain.schedule.getWriteTimeLeftMs() > 0 && this.hasOpenRequests(connections)) await this.sleepWhileDraining(LAST_ANSWERS_CHECK_INTERVAL_MS)
+    this.service.stop()
   }
 
   /** Stops, without waiting for connections that close slowly: the last answers are written, and the process exits. */
--- a/packages/relay/src/requests/AnswerSink.ts
+++ b/packages/relay/src/requests/AnswerSink.ts
@@ -14,6 +14,8 @@
    * @returns Resolves when more can be written; undefined unless the caller reads slowly.
    */
   writeBytes(bytes: Buffer): Promise<void> | undefined
+  /** Returns whether bytes of the answer wait for the caller to read. */
+  isWaitingForCaller(): boolean
   /** Ends the answer as complete. */
   end(): void
   /** Aborts the answer in such a way that the caller cannot mistake it for a complete one. */
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -86,8 +86,8 @@
   private runningCount = 0
   /** Aborted when the process stops. */
   private readonly stopController = new AbortController()
-  /** Functions that end the requests in progress when the process stops. */
-  private readonly stopFunctions = new Set<() => void>()
+  /** Functions that end the requests in progress when the process stops, by the sinks of their answers. */
+  private readonly stopFunctions = new Map<AnswerSink, () => void>()
 
   /** @internal */
   private constructor (private readonly options: RelayServiceOptions) {}
@@ -100,7 +100,13 @@
   /** Ends all requests in progress, and those that arrive later: what has not begun to be answered gets a final answer, and the rest is broken off. */
   stop (): void {
     this.stopController.abort(STOP_REASON)
-    for (const stop of this.stopFunctions) stop()
+    for (const stop of this.stopFunctions.values()) stop()
+  }
+
+  /** Ends requests as `stop` does, except for those whose callers have not read what was written: the rest of such an answer may be complete at its target. */
+  stopExceptSlowReaders (): void {
+    this.stopController.abort(STOP_REASON)
+    for (const [sink, stop] of this.stopFunctions) if (!sink.isWaitingForCaller()) stop()
   }
 
   /**
@@ -231,7 +237,7 @@
     const stop = (): void => endController.abort(STOP_REASON)
     const cancelTimer = clock.startTimer(Math.max(0, deadlineAtMs - clock.nowMs()), end)
     sink.callerSignal.addEventListener('abort', end)
-    this.stopFunctions.add(stop)
+    this.stopFunctions.set(sink, stop)
     if (sink.callerSignal.aborted) end()
     else if (this.hasStopped()) stop()
     try {
@@ -239,7 +245,7 @@
     } finally {
       cancelTimer()
       sink.callerSignal.removeEventListener('abort', end)
-      this.stopFunctions.delete(stop)
+      this.stopFunctions.delete(sink)
     }
   }
 
--- a/packages/relay/test/drain/stoppingRequests.test.ts
+++ b/packages/relay/test/drain/stoppingRequests.test.ts
@@ -12,7 +12,7 @@
 interface Options {
   readonly script: ScriptedAnswer
   /** Changes the state while the request is served. */
-  readonly disturb: (dependencies: TestDependencies, service: RelayService) => void
+  readonly disturb: (dependencies: TestDependencies, service: RelayService, sink: FakeSink) => void
   /** Whether the only engine is full at first. */
   readonly isFull?: boolean
   readonly hasRoutes?: boolean
@@ -28,8 +28,8 @@
   const service = RelayService.create({ dependencies, getRoutes: () => hasRoutes ? routes : undefined, getPauseMs: () => 0, isViewStale: () => false })
   const others = isFull ? Array.from({ length: ENGINES.engine!.slots }, () => placer.reserveTarget(table.getTracked('a')!.target, 2500)) : []
   clock.startTimer(4000, () => others.forEach(other => other.release()))
-  disturb(dependencies, service)
   const sink = FakeSink.create()
+  disturb(dependencies, service, sink)
   let answeredAtMs: number | undefined
   const serving = service.serve(createRequest({ remainingMs: LONG_MS, size: { promptTokens: 10, maxOutputTokens: 500, expectedOutputTokens: 4 } }), sink)
   serving.then(() => { answeredAtMs = Math.round(clock.nowMs()) })
@@ -55,6 +55,23 @@
     expect(await doTest({ script: { afterMs: LONG_MS }, disturb: ({ clock }, service) => { clock.startTimer(100, () => service.stop()) } })).toBe('502 lost at 100; sent to a')
   })
 
+  it('is complete at the end when its caller reads the rest of the answer late, and is broken off when it reads too late', async () => {
+    const script = { steps: [EVENT, 200, 'END'] } satisfies ScriptedAnswer
+    const stopAt = (atMs: number): Options['disturb'] => ({ clock }, service, sink) => {
+      clock.startTimer(100, () => {
+        sink.isBlocked = true
+        service.stopExceptSlowReaders()
+      })
+      clock.startTimer(atMs, () => service.stop())
+    }
+    expect([await doTest({ script, disturb: stopAt(300) }), await doTest({ script, disturb: stopAt(150) })]).toMatchInlineSnapshot(`
+      [
+        "200 "id: 1\\ndata: d1\\n\\n" complete at 200; sent to a",
+        "200 "id: 1\\ndata: d1\\n\\n" brokenOff at 150; sent to a",
+      ]
+    `)
+  })
+
   it('is broken off at the end when its answer has begun', async () => {
     expect(await doTest({ script: { steps: [EVENT, LONG_MS, 'END'] }, disturb: ({ clock }, service) => { clock.startTimer(100, () => service.stop()) } })).toBe(`200 ${JSON.stringify(EVENT)} brokenOff at 100; sent to a`)
   })
--- a/packages/relay/test/support/FakeSink.ts
+++ b/packages/relay/test/support/FakeSink.ts
@@ -13,6 +13,8 @@
   text = ''
   endState: 'complete' | 'brokenOff' | 'refused' | undefined
   refusal: RelayRefusal | undefined
+  /** Whether the caller does not read what was written. */
+  isBlocked = false
   private readonly leaveController = new AbortController()
 
   private constructor () {}
@@ -31,6 +33,10 @@
     this.text += bytes.toString()
   }
 
+  isWaitingForCaller (): boolean {
+    return this.isBlocked
+  }
+
   end (): void {
     this.finish('complete')
   }
