Begin no move of a stream shortly before a stopping instance ends

A move stops the run at its engine and continues it elsewhere after another copy and admission. A stopping instance began moves until its last moment: a stream that would have been complete where it was could be broken off in the gap. An engine that leaves serves for longer than the 1.5 s in question, so staying costs nothing.

A stream with more time left is moved as before.

--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -143,9 +143,10 @@
     }
     log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
   })
-  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, mayAskEngines: service => holds.isActive(service) })
+  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, getTimeLeftMs: () => drain.getTimeLeftMs(), mayAskEngines: service => holds.isActive(service) })
   const generationTimes = GenerationTimeEstimator.create()
   const durations = AnswerDurations.create(clock)
+  const drain = DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log })
   return {
     clock,
     random,
@@ -159,7 +160,7 @@
     holds,
     generationTimes,
     durations,
-    drain: DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log }),
+    drain,
     speeds,
     admissionQueue: createAdmissionQueue(shared, viewComponents, placer),
     budget,
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -17,8 +17,13 @@
   /** Name of this instance. */
   readonly instance: string
   readonly metrics: RelayMetrics
+  /** Returns the time after which this instance ends its requests, in milliseconds; `Infinity` unless it stops. */
+  readonly getTimeLeftMs: () => number
 }
 
+/** Time left of this instance below which runs stay at an engine that leaves, in milliseconds; the engine serves longer than that after its notice. */
+const MIN_TIME_LEFT_MS = 1500
+
 /** Interval at which runs that the engine has not started are tried again, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 40
 
@@ -131,6 +136,7 @@
     const affectedRuns = [...this.runs].filter(run => run.getTarget()?.name === source.name && this.canMoveRun(run, source))
     const profile = affectedRuns[0]?.service.engine
     if (profile === undefined) return
+    if (this.isEnding()) return this.options.log.recordStateChange('runs not moved while stopping', { source: source.name, runs: affectedRuns.length, timeLeftMs: Math.round(this.options.getTimeLeftMs()) })
     for (const run of affectedRuns) this.lastSourceByRun.set(run, source.name)
     await this.waitForTurn(source, noticeAtMs, profile)
     log.recordStateChange('moves started', {
@@ -148,7 +154,7 @@
   private async moveSequentially (runs: MovableRun[], source: RelayTarget, noticeAtMs: number): Promise<void> {
     const { clock } = this.options
     const queue = [...runs]
-    while (queue.length > 0 && clock.nowMs() - noticeAtMs < MOVE_DEADLINE_MS) {
+    while (queue.length > 0 && clock.nowMs() - noticeAtMs < MOVE_DEADLINE_MS && !this.isEnding()) {
       const run = queue.shift()!
       if (run.isClosed() || run.getTarget()?.name !== source.name) continue
       const result = await this.moveRun({ run, source, noticeAtMs })
@@ -158,6 +164,11 @@
     }
   }
 
+  /** Returns whether this instance ends its requests so soon that a move could only stop a run that would be complete before. */
+  private isEnding (): boolean {
+    return this.options.getTimeLeftMs() < MIN_TIME_LEFT_MS
+  }
+
   private canMoveRun (run: MovableRun, source: RelayTarget): boolean {
     return run.service.engine?.canMove === true && !this.moving.has(run) && this.lastSourceByRun.get(run) !== source.name
   }
--- /dev/null
+++ b/packages/relay/test/moves/lateMoves.test.ts
@@ -0,0 +1,36 @@
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { runRelayedStream } from '../../src/requests/runRelayedStream.js'
+import { createContext, createRoute, createTarget, createTestDependencies, ENGINES } from '../support/createTestDependencies.js'
+
+const GRACE_MS = 8000
+
+/** Number of events of the stream, and time between them in milliseconds. */
+const EVENT_COUNT = 37
+const EVENT_MS = 200
+
+const createEvent = (index: number): string => `id: ${index + 1}\ndata: d\n\n`
+
+/** Serves a stream of 7.4 s at a stopping instance while its engine leaves; returns what the caller got, and from which engines copies were requested. */
+async function doTest (leavesAtMs: number): Promise<string> {
+  const dependencies = createTestDependencies({ graceMs: GRACE_MS })
+  const { clock, client, table, loads, drain } = dependencies
+  for (const name of ['a', 'b']) table.updateTarget(createTarget(name, { service: ENGINES.name }))
+  loads.updatePeer('peer', new Map([['b', { running: 1, tokens: 0 }]]))
+  client.scripts.set('a', [{ steps: [...Array.from({ length: EVENT_COUNT }, (_, index) => [EVENT_MS, createEvent(index)]).flat(), 'END'] }])
+  client.scripts.set('b', [{ steps: ['END'] }])
+  client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 })
+  const { context, sink } = createContext(createRoute({ kind: 'stream', maxAttempts: 1, timeoutMs: 20_000, objectiveMs: 1000 }), ENGINES, { size: { promptTokens: 1000, maxOutputTokens: 400 } })
+  runRelayedStream(dependencies, context)
+  await clock.advance(1)
+  drain.start()
+  clock.startTimer(leavesAtMs, () => table.updateTarget(createTarget('a', { service: ENGINES.name, phase: 'leaving' })))
+  await clock.advance(GRACE_MS)
+  return `${sink.text.match(/id/g)?.length ?? 0} events, ${sink.endState}, ${client.copies.length} copies`
+}
+
+/** Guards against LOST: a move that a stopping instance began shortly before its end stopped a stream that would have ended in time. */
+describe('a stopping instance', () => {
+  it('moves streams off engines that leave', async () => expect(await doTest(3000)).toMatchInlineSnapshot(`"15 events, complete, 2 copies"`))
+  it('lets them end where they are shortly before its end, since the engine serves longer', async () => expect(await doTest(6500)).toMatchInlineSnapshot(`"37 events, complete, 0 copies"`))
+})
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -78,7 +78,7 @@
   const evidence = CrashEvidence.create({ clock, log })
   const trials = TrialSchedule.create({ clock, countInstances: () => options.instanceCount ?? 1, getRank: options.getRank ?? (() => 0) })
   const crashes = CrashGuard.create({ clock, evidence, detector: CrashDetector.create({ clock, gateway, table, evidence }), trials, metrics, log })
-  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: 'own', metrics, log })
+  const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: 'own', metrics, log, getTimeLeftMs: () => drain.getTimeLeftMs() })
   const history = VersionHistory.create({ clock, isViewStale: () => false })
   table.addListener(tracked => history.recordTarget(tracked))
   const origins = OriginExchange.create({ clock, transport: options.transport ?? InMemoryNetwork.create({ clock, random }).createPeer('own'), history, log, listPeers: options.listPeers ?? (() => []) })
