Handle signals before the program is read

Evidence: with the signals of the test sent when the program is read, two cases of platform/test/bundle.test.ts failed (ended by SIGHUP, by SIGTERM). The starter now installs handlers without effect first.

--- a/scripts/startProgram.cjs
+++ b/scripts/startProgram.cjs
@@ -1,6 +1,9 @@
 // Starts the bundled program beside this file from the code cache that the build made, so that a start compiles nothing.
 'use strict'
 
+// Until the program has set its handlers, these signals must not end the process; their events are delivered when the program has been loaded.
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => {})
+
 const { readFileSync } = require('node:fs')
 const { join } = require('node:path')
 const { Script } = require('node:vm')
