Give a silent stream up only when another engine is reserved for it

Seen by callers: a stream that may be resumed and whose engine sent nothing for a while (before the first event 1.2 times the objective, later four times the longest acceptable gap) ended with 502, or was cut off in its middle, although its engine was sound and went on, where no other engine had room, the budget had no attempt left, the other engine was leaving, or the process was stopping and could not send it again.

Cause: the stall detector ended the attempt first, and looked for another engine then.

Change: after a stall the process first reserves another engine, with its capacity where engines reserve it, and takes the attempt from the budget; only then does it end the silent attempt. An event that arrives in the meantime keeps the stream where it is, and the reservation is given back. Where nothing is found the stream waits, and looks again after each further stall. The reservation of engines has a file of its own, as has the decision to repeat.

--- a/packages/relay/src/requests/StallDetector.ts
+++ b/packages/relay/src/requests/StallDetector.ts
@@ -25,6 +25,7 @@
   /** Time of the last progress or stall, moved forward by the time for which the detector was suspended since. */
   private lastProgressAtMs: number
   private suspendedAtMs: number | undefined
+  private hasStalled = false
   private cancelCheck: CancelTimer
 
   /** @internal */
@@ -35,6 +36,7 @@
 
   /** Records that the stream has progressed. */
   recordProgress (): void {
+    this.hasStalled = false
     this.lastProgressAtMs = this.options.clock.nowMs()
   }
 
@@ -50,8 +52,14 @@
     this.suspendedAtMs = undefined
   }
 
+  /** Returns whether the stream has stalled and nothing has arrived since. */
+  isStalled (): boolean {
+    return this.hasStalled && this.suspendedAtMs === undefined
+  }
+
   /** Stops the detector. */
   stop (): void {
+    this.hasStalled = false
     this.cancelCheck()
   }
 
@@ -65,6 +73,7 @@
     this.cancelCheck = this.scheduleCheck()
     if (this.suspendedAtMs !== undefined || clock.nowMs() - this.lastProgressAtMs < stallTimeoutMs) return
     this.lastProgressAtMs = clock.nowMs()
+    this.hasStalled = true
     onStall()
   }
 }
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -72,6 +72,9 @@
   private firstHead: AttemptHead | undefined
   private hasClosed = false
   private pendingContinuation: RunContinuation | undefined
+  /** Engine that is reserved for the next attempt. */
+  private nextReservation: TargetReservation | undefined
+  private isSeekingEngine = false
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
@@ -162,6 +165,33 @@
     return next
   }
 
+  /** Records the start of a search for another engine; returns false if there is one already. */
+  startRepeatSearch (): boolean {
+    if (this.isSeekingEngine) return false
+    this.isSeekingEngine = true
+    return true
+  }
+
+  /** Records the end of a search for another engine. */
+  endRepeatSearch (): void {
+    this.isSeekingEngine = false
+  }
+
+  /**
+   * Sets the engine for the next attempt.
+   * @param reservation - Reservation of the engine.
+   */
+  setNextReservation (reservation: TargetReservation): void {
+    this.nextReservation = reservation
+  }
+
+  /** Returns and clears the engine that is reserved for the next attempt; undefined when there is none. */
+  takeNextReservation (): TargetReservation | undefined {
+    const { nextReservation } = this
+    this.nextReservation = undefined
+    return nextReservation
+  }
+
   /** Returns whether the run was stopped because it continues at another engine. */
   isContinuing (): boolean {
     return this.pendingContinuation !== undefined
@@ -252,6 +282,7 @@
     this.dependencies.mover.removeRun(this)
     this.closeCurrentAttempt()
     this.pendingContinuation?.reservation.release()
+    this.takeNextReservation()?.release()
   }
 
   private recordOrigin (origin: StreamOrigin): void {
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -1,15 +1,13 @@
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { classifyHead } from '../targets/classifyHead.js'
-import { type AttemptError, type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
+import { type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { isSameOrigin } from '../versions/StreamOrigin.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { StallDetector } from './StallDetector.js'
+import { canRepeat, canRepeatAfterStall, leaveStalledEngine, type StreamEnd } from './repeatStream.js'
 import { type StreamRun } from './StreamRun.js'
 
-/** Maximum number of attempts that are sent for one request. */
-const MAX_SENT_ATTEMPTS = 4
-
 /** Stall timeout of a started stream: a multiple of the longest acceptable gap between events, but at least the minimum. */
 const STALL_GAP_FACTOR = 4
 export const MIN_STALL_TIMEOUT_MS = 700
@@ -17,8 +15,7 @@
 /** Stall timeout before the first event, as a multiple of the route's latency objective. */
 const FIRST_EVENT_OBJECTIVE_FACTOR = 1.2
 
-/** Result of one attempt at a stream. */
-export type StreamEnd = 'complete' | AttemptError
+export type { StreamEnd }
 
 /**
  * Reads the stream of the current attempt and forwards its events.
@@ -46,19 +43,6 @@
   }
 }
 
-/**
- * Returns whether a request may be sent to another target after an attempt that was not moved.
- * @param context - The request.
- * @param run - Run of the request.
- * @param end - Result of the attempt.
- */
-export function canRepeat ({ route }: RelayContext, run: StreamRun, end: StreamEnd): boolean {
-  const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
-  if (run.sentAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
-  const hasRun = end === 'lost' || end === 'aborted' || run.executedAttempts > 0
-  return !hasRun || (route.isResumable && run.executedAttempts < route.maxAttempts)
-}
-
 /** Returns whether an answer may be forwarded. Only a series of events goes on with another one, under the head that the caller has. */
 function isUsable (context: RelayContext, run: StreamRun, head: AttemptHead): boolean {
   const firstHead = run.getFirstHead()
@@ -107,18 +91,19 @@
 }
 
 /**
- * Starts a stall detector. A stall ends the attempt where the route allows another run; otherwise the run is moved, since the engine
- * may still execute it.
+ * Starts a stall detector. After a stall the run goes on at another engine where the route allows another run; otherwise it is moved, since
+ * the engine may still execute it.
  */
 function startStallDetector (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): StallDetector {
   const { route } = context
-  const attempt = run.currentAttempt!
+  const { attempt, reservation } = run.currentAttempt!
   const stallTimeoutMs = run.hasStarted() ? Math.max(MIN_STALL_TIMEOUT_MS, (route.maxGapMs ?? 0) * STALL_GAP_FACTOR) : route.objectiveMs * FIRST_EVENT_OBJECTIVE_FACTOR
   const onStall = (): void => {
-    const isRepeatable = route.isResumable && run.executedAttempts + (run.hasStarted() ? 0 : 1) < route.maxAttempts
-    dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: attempt.reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
-    if (isRepeatable) attempt.attempt.markLost()
+    const isRepeatable = canRepeatAfterStall(context, run)
+    dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
+    if (isRepeatable) leaveStalledEngine(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
     else if (run.hasStarted()) dependencies.mover.moveStalledRun(run)
   }
-  return StallDetector.start({ clock: dependencies.clock, stallTimeoutMs, onStall })
+  const stallDetector = StallDetector.start({ clock: dependencies.clock, stallTimeoutMs, onStall })
+  return stallDetector
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,28 +1,21 @@
-import { createAdmissionSubject } from '../admission/AdmissionSubject.js'
-import { reserveHeldEngine } from '../holds/reserveHeldEngine.js'
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
-import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
-import { estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
-import { type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
-import { canRepeat, readStream, type StreamEnd } from './readStream.js'
+import { readStream, type StreamEnd } from './readStream.js'
 import { type AbortOutcome, findAbortReason, getAbortOutcome } from './abortOutcomes.js'
 import { CLOSURE_REFUSALS, refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { reserveEngine } from './reserveEngine.js'
+import { canRepeat, findObstacle } from './repeatStream.js'
 import { sendToTarget } from './sendToTarget.js'
 import { StreamRun } from './StreamRun.js'
 
-/** Maximum time to wait for an engine with free capacity, as a share of the route's latency objective and of the remaining time. */
-const MAX_WAIT_OBJECTIVE_SHARE = 0.5
-const MAX_WAIT_REMAINING_SHARE = 0.25
-
 /** Lowest urgency that engines accept. */
 const LOWEST_URGENCY = 9
 
@@ -52,16 +45,22 @@
     if (obstacle !== undefined) return refuseReserved(dependencies, context, run, reservation, obstacle)
     const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
     if (end === 'complete') return
-    const next: RunContinuation | undefined = context.signal.aborted ? undefined : (await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end))
+    const next = context.signal.aborted ? undefined : await findContinuation(dependencies, run, previousMove, end)
     if (context.signal.aborted) return finishAborted(dependencies, context, run)
     previousMove = next
-    if (next !== undefined) reservation = next.reservation
-    else reservation = await reserveRepeat(dependencies, context, run, end)
+    reservation = next?.reservation ?? await reserveRepeat(dependencies, context, run, end)
     if (reservation === undefined) return finishWithoutAttempt(dependencies, context, run, end)
   }
   finishWithoutEngine(dependencies, context, run)
 }
 
+/** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused. */
+async function findContinuation (dependencies: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): Promise<RunContinuation | undefined> {
+  const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
+  if (next !== undefined) run.takeNextReservation()?.release()
+  return next
+}
+
 /** Returns the continuation after a move, or from a copy if the stream was interrupted. */
 async function takeContinuation ({ mover }: RelayDependencies, run: StreamRun, end: StreamEnd): Promise<RunContinuation | undefined> {
   const next = await run.takeContinuation()
@@ -81,47 +80,13 @@
   return { ...previousMove, reservation: placer.reserveTarget(source, run.getExpectedTokens()) }
 }
 
-/** Reserves another engine if the request may be repeated there. */
+/** Reserves another engine if the request may be repeated there, unless one was reserved after a stall. */
 async function reserveRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<TargetReservation | undefined> {
+  const reserved = run.takeNextReservation()
+  if (reserved !== undefined) return reserved
   return canRepeat(context, run, end) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
 }
 
-async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue, holds, budget } = dependencies
-  const { service, request, route } = context
-  const remainingMs = context.deadlineAtMs - clock.nowMs()
-  const waitedMs = clock.nowMs() - request.receivedAtMs
-  const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
-  const admission: AdmissionRequest = {
-    ...createAdmissionSubject(context),
-    requirements: createRequirements(context, run),
-    waitStartedAtMs: request.receivedAtMs,
-    maxWaitMs,
-    mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(request) === undefined && dependencies.drain.canStillSend(context))
-  }
-  const reservation = holds.isActive(service)
-    ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
-    : await admissionQueue.waitForTarget(admission)
-  if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
-  reservation.release()
-  return undefined
-}
-
-function createRequirements ({ service, route, request, allowedRegions }: RelayContext, run: StreamRun): TargetRequirements {
-  const { size, promptParts } = request
-  return {
-    service,
-    origin: run.getOrigin(),
-    allowedRegions,
-    tokens: estimateTokens(size, 0),
-    pendingPrefillTokens: size?.promptTokens ?? 0,
-    promptParts,
-    outputTokens: size === undefined ? undefined : estimateOutputTokens(size),
-    excludedTargets: run.excludedTargets,
-    maxGapMs: route.maxGapMs
-  }
-}
-
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, continuation: Continuation | undefined): Promise<StreamEnd> {
   const { request, signal, priority, service } = context
   const hold = reservation.getHold()
@@ -185,12 +150,6 @@
   complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
 }
 
-/** Returns the reason for which a request must not be sent although an engine is reserved for it: time has passed while it waited. */
-function findObstacle ({ crashes, drain }: RelayDependencies, context: RelayContext): RefusalReason | undefined {
-  if (crashes.mustRefuse(context.request)) return 'crashesEngines'
-  return drain.maySend(context) ? undefined : 'stopping'
-}
-
 /** Refuses a request for which an engine is reserved; it may have run before. */
 function refuseReserved (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, reason: RefusalReason): void {
   reservation.release()
