Forward large bodies that are no series of events

Seen by callers: an answer on a route of streams that is no series of events (plain text, a failure) and has more than 1 MiB without an empty line ended with 502 although its target was sound.

Cause: every body was cut into events, and one that is longer than the longest event was taken as unusable whatever its type.

Evidence: largeBodies.test.ts; before the change four of its five tests failed with 502 lost, now all pass.

Change: of a body that is no series of events, what is buffered is forwarded once it reaches that size. A series of events keeps the limit.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -218,7 +218,7 @@
    */
   async forwardBytes (head: AttemptHead, bytes: Buffer): Promise<ForwardResult> {
     const events = this.splitter.addBytes(bytes)
-    if (events === undefined) return 'unusable'
+    if (events === undefined) return isEventSeries(head) ? 'unusable' : await this.forwardRemainder(head)
     const result = !isEventSeries(head) || events.some(({ hasData }) => hasData) ? 'progress' : 'noProgress'
     if (events.length === 0) return result
     if (isEventSeries(head) && !this.order.addEvents(events)) return 'unusable'
@@ -269,6 +269,15 @@
     return { isFramed, incompleteEventBytes: this.splitter.getRemainder().length, isMoving: this.dependencies.mover.isMoving(this) || this.isContinuing() }
   }
 
+  /** Forwards what is buffered of a body that is not a series of events. */
+  private async forwardRemainder (head: AttemptHead): Promise<ForwardResult> {
+    const remainder = this.splitter.getRemainder()
+    this.splitter = EventSplitter.create()
+    this.writeHead(head)
+    await writeToCaller(this.context, remainder)
+    return 'progress'
+  }
+
   /** Ends the current attempt and releases its target. */
   closeCurrentAttempt (): void {
     this.currentAttempt?.abortController.abort()
