Decide by kind of request what a stopping instance sends

What callers saw: a stopping instance refused requests that would have ended in time.

Cause: late in the grace period a call was sent only if the longest call of the last one to two minutes, and half as much again, would end. One slow call in some hundreds refused all others. Streams were measured by the slowest recent engine of their service, and by the longest wait for an engine, which was over when they were sent.

Fix: the certainty that is needed depends on the kind of request (a table): nine of ten recent calls for those that callers may repeat, 98 in 100 and a fifth more for others, since a 502 loses them; streams by their stated maximum at the pace of the engine that gets them. Engines that are too slow are passed over. Times run from when a request is sent; a call whose time was over counts with that time; the rest of a resumed stream says nothing about stated sizes; answers that are forwarded while they arrive are counted too.

Ruled out: 99 in 100 for calls that may run once.

--- a/packages/relay/src/calls/CallRun.ts
+++ b/packages/relay/src/calls/CallRun.ts
@@ -27,6 +27,8 @@
   failedAnswer: BufferedAnswer | undefined
   /** Whether an attempt without an answer may have run. */
   mayHaveRun = false
+  /** Clock reading at which the first attempt was sent. */
+  private sentAtMs: number | undefined
 
   /** @internal */
   private constructor (readonly dependencies: RelayDependencies, readonly context: RelayContext) {}
@@ -49,6 +51,18 @@
     return route.kind === 'idempotent' && executedAttempts + runningAttempts.size < route.maxAttempts
   }
 
+  /** Records that an attempt is sent. */
+  recordSent (): void {
+    this.sentAttempts++
+    this.sentAtMs ??= this.dependencies.clock.nowMs()
+  }
+
+  /** Records how long the call took, once its answer or its time has ended. */
+  recordDuration (): void {
+    const { sentAtMs, context: { route, service }, dependencies: { clock, durations } } = this
+    if (sentAtMs !== undefined && route.kind !== 'stream') durations.recordCall(service.name, route.kind, clock.nowMs() - sentAtMs)
+  }
+
   /** Records that an attempt has ended without an answer, but may have run. */
   recordLostAttempt (): void {
     this.executedAttempts++
--- a/packages/relay/src/calls/finishCall.ts
+++ b/packages/relay/src/calls/finishCall.ts
@@ -19,6 +19,7 @@
  * @param run - The call.
  */
 export function finishAborted (run: CallRun): void {
+  if (run.dependencies.clock.nowMs() >= run.context.deadlineAtMs) run.recordDuration()
   const isSent = run.mayHaveRun || run.failedAnswer !== undefined || [...run.runningAttempts].some(({ attempt }) => attempt.isSent())
   refuseRequest(run.dependencies, run.context, findAbortReason(run.context, isSent))
 }
--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -23,14 +23,14 @@
  * @param run - The call.
  * @param answer - The answer.
  */
-export async function forwardWholeAnswer ({ context, dependencies }: CallRun, answer: BufferedAnswer): Promise<void> {
+export async function forwardWholeAnswer (run: CallRun, answer: BufferedAnswer): Promise<void> {
+  const { context, dependencies } = run
   const { route, request, sink } = context
   await forwardBuffered(context, answer)
   sink.end()
   dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
-  const durationMs = dependencies.clock.nowMs() - request.receivedAtMs
-  dependencies.metrics.recordAnswerTime(route.name, durationMs)
-  dependencies.durations.recordCall(context.service.name, durationMs)
+  dependencies.metrics.recordAnswerTime(route.name, dependencies.clock.nowMs() - request.receivedAtMs)
+  run.recordDuration()
 }
 
 async function forwardBuffered (context: RelayContext, { head, chunks }: BufferedAnswer): Promise<void> {
@@ -40,8 +40,9 @@
 
 /** Forwards the rest of an answer until the deadline at most. */
 async function forwardRemainder (run: CallRun, callAttempt: CallAttempt): Promise<void> {
-  if (await forwardUntilEnd(run.context, callAttempt)) run.context.sink.end()
-  else abortAnswer(run, callAttempt)
+  if (!await forwardUntilEnd(run.context, callAttempt)) return abortAnswer(run, callAttempt)
+  run.context.sink.end()
+  run.recordDuration()
 }
 
 /** Forwards bytes as they arrive; returns whether the answer is complete. */
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -41,7 +41,7 @@
   const abortController = new AbortController()
   run.excludedTargets.add(reservation.target.name)
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
-  run.sentAttempts++
+  run.recordSent()
   const recordAnswer = dependencies.speeds.startCall(reservation.target)
   const attempt = sendRequest(run, reservation, abortController.signal)
   recordSent(run, reservation)
--- a/packages/relay/src/drain/AnswerDurations.ts
+++ b/packages/relay/src/drain/AnswerDurations.ts
@@ -1,40 +1,56 @@
-import { type Clock } from '@fescuespoke/common'
+import { type RouteKind } from '../model/RelayConfiguration.js'
 import { type GenerationSize } from '../requests/RelayRequest.js'
-import { RecentMaximum } from './RecentMaximum.js'
 import { RecentQuantile } from './RecentQuantile.js'
 
+/** Kinds of requests that have a single answer. */
+export type CallKind = Exclude<RouteKind, 'stream'>
+
 /** A generation that has ended. */
 export interface EndedGeneration {
-  /** Sizes that the caller stated. */
+  /** Sizes that the caller stated; undefined when it stated none, or when the generation is a part of the output. */
   readonly size: GenerationSize | undefined
   /** Number of tokens after its first event. */
   readonly tokens: number
-  /** Time from the arrival of the request to the first event, in milliseconds. */
+  /** Time from when the request was sent to the first event, in milliseconds. */
   readonly firstEventMs: number
   /** Time from the first event to the last one, in milliseconds. */
   readonly durationMs: number
+  /** Relative speed of its engine; 1 by default. */
+  readonly speed?: number
 }
 
-/** Period of the longest recent times, in milliseconds. */
-const PERIOD_MS = 60_000
+/** A generation whose duration is asked for. */
+export interface ExpectedGeneration {
+  /** Its output, in tokens. */
+  readonly outputTokens: number
+  /** Share of the generations that do not take longer, from 0 to 1. */
+  readonly share: number
+  /** Relative speed of its engine. */
+  readonly speed: number
+  /** Time per token that its engine does not exceed, in milliseconds; by default, the one that a share of the generations does not exceed. */
+  readonly tokenMs?: number
+}
 
 /** Number of tokens from which on a generation tells the time per token; in shorter ones single pauses decide. */
 const MIN_PACE_TOKENS = 20
 
-/** Factor on the longest recent times for what a later answer takes at most. */
-const LONGEST_MARGIN = 1.5
+/** Factor on the highest of a few values, of which no quantile is known. */
+const FEW_VALUES_MARGIN = 1.5
+
+/** Share of the generations whose output does not exceed the likely one. */
+const LIKELY_SHARE = 0.9
 
 /** Ratio of output to the caller's estimate, and to the stated maximum, that is likely not exceeded while little is known. */
 const DEFAULT_ESTIMATE_RATIO = 4
 const DEFAULT_MAXIMUM_RATIO = 1
 
 interface ServiceTimes {
-  readonly longestCallMs: RecentMaximum
-  readonly likelyCallMs: RecentQuantile
-  readonly longestFirstEventMs: RecentMaximum
-  readonly longestTokenMs: RecentMaximum
-  /** From the arrival of the request to the last event. */
-  readonly likelyGenerationMs: RecentQuantile
+  readonly callMs: Readonly<Record<CallKind, RecentQuantile>>
+  /** Times to the first event, and times per token, at engines of ordinary speed. */
+  readonly firstEventMs: RecentQuantile
+  readonly tokenMs: RecentQuantile
+  /** From when the request was sent to the last event. */
+  readonly generationMs: RecentQuantile
   /** Output relative to the caller's estimate, and to the stated maximum. */
   readonly estimateRatios: RecentQuantile
   readonly maximumRatios: RecentQuantile
@@ -42,28 +58,24 @@
 
 /** Records how long the answers of each service take, to tell what ends within a given time. */
 export class AnswerDurations {
-  /**
-   * Creates durations without records.
-   * @param clock - Clock of the instance.
-   */
-  static create (clock: Clock): AnswerDurations {
-    return new AnswerDurations(clock)
+  /** Creates durations without records. */
+  static create (): AnswerDurations {
+    return new AnswerDurations()
   }
 
   private readonly timesByService = new Map<string, ServiceTimes>()
 
   /** @internal */
-  private constructor (private readonly clock: Clock) {}
+  private constructor () {}
 
   /**
-   * Records a call that was answered.
+   * Records a call that was answered, or whose time was over.
    * @param service - Name of the service.
-   * @param durationMs - Time from its arrival to the end of its answer, in milliseconds.
+   * @param kind - Kind of the call.
+   * @param durationMs - Time from when it was first sent to the end of its answer, in milliseconds.
    */
-  recordCall (service: string, durationMs: number): void {
-    const { longestCallMs, likelyCallMs } = this.getTimes(service)
-    longestCallMs.record(durationMs)
-    likelyCallMs.record(durationMs)
+  recordCall (service: string, kind: CallKind, durationMs: number): void {
+    this.getTimes(service).callMs[kind].record(durationMs)
   }
 
   /**
@@ -71,11 +83,11 @@
    * @param service - Name of the service.
    * @param generation - The generation.
    */
-  recordGeneration (service: string, { size, tokens, firstEventMs, durationMs }: EndedGeneration): void {
+  recordGeneration (service: string, { size, tokens, firstEventMs, durationMs, speed = 1 }: EndedGeneration): void {
     const times = this.getTimes(service)
-    times.longestFirstEventMs.record(firstEventMs)
-    if (tokens >= MIN_PACE_TOKENS) times.longestTokenMs.record(durationMs / tokens)
-    times.likelyGenerationMs.record(firstEventMs + durationMs)
+    times.firstEventMs.record(firstEventMs * speed)
+    if (tokens >= MIN_PACE_TOKENS) times.tokenMs.record(durationMs / tokens * speed)
+    times.generationMs.record(firstEventMs + durationMs)
     if (size === undefined) return
     const { maxOutputTokens, expectedOutputTokens = 0 } = size
     if (maxOutputTokens > 0) times.maximumRatios.record(tokens / maxOutputTokens)
@@ -83,47 +95,44 @@
   }
 
   /**
-   * Returns the time that a call takes at most, in milliseconds; undefined while none has been answered lately.
-   * @param service - Name of the service.
-   */
-  findLongestCallMs (service: string): number | undefined {
-    const longestMs = this.getTimes(service).longestCallMs.get()
-    return longestMs === undefined ? undefined : longestMs * LONGEST_MARGIN
-  }
-
-  /**
-   * Returns the time that a call likely does not exceed, in milliseconds; undefined while few have been answered.
+   * Returns the time that a share of the calls does not exceed, in milliseconds; undefined while none has been answered.
    * @param service - Name of the service.
+   * @param kind - Kind of the calls.
+   * @param share - The share, from 0 to 1.
    */
-  findLikelyCallMs (service: string): number | undefined {
-    return this.getTimes(service).likelyCallMs.get()
+  findCallMs (service: string, kind: CallKind, share: number): number | undefined {
+    return findValue(this.getTimes(service).callMs[kind], share)
   }
 
   /**
-   * Returns the time that a generation of unknown size likely does not exceed, in milliseconds; undefined while few have ended.
+   * Returns the time that a share of the generations does not exceed, whatever their size, in milliseconds; undefined while few have ended.
    * @param service - Name of the service.
+   * @param share - The share, from 0 to 1.
    */
-  findLikelyGenerationMs (service: string): number | undefined {
-    return this.getTimes(service).likelyGenerationMs.get()
+  findGenerationMs (service: string, share: number): number | undefined {
+    return this.getTimes(service).generationMs.get(share)
   }
 
   /**
-   * Returns the longest recent time from the arrival of a request to the first event, in milliseconds; undefined while no generation has ended lately.
+   * Returns the time to the first event that a share of the generations does not exceed, in milliseconds; undefined while none has ended.
    * @param service - Name of the service.
+   * @param generation - The generation.
    */
-  findLongestFirstEventMs (service: string): number | undefined {
-    return this.getTimes(service).longestFirstEventMs.get()
+  findFirstEventMs (service: string, { share, speed }: Pick<ExpectedGeneration, 'share' | 'speed'>): number | undefined {
+    const firstEventMs = findValue(this.getTimes(service).firstEventMs, share)
+    return firstEventMs === undefined ? undefined : firstEventMs / speed
   }
 
   /**
-   * Returns the time that a generation with an output takes at most, in milliseconds; undefined while none has ended lately.
+   * Returns the time that a generation takes if neither its time to the first event nor its time per token is longer than that of a share of
+   * the others, in milliseconds; undefined while none has ended.
    * @param service - Name of the service.
-   * @param outputTokens - Its output, in tokens.
+   * @param generation - The generation.
    */
-  findLongestGenerationMs (service: string, outputTokens: number): number | undefined {
-    const firstEventMs = this.findLongestFirstEventMs(service)
-    const tokenMs = this.getTimes(service).longestTokenMs.get()
-    return firstEventMs === undefined || tokenMs === undefined ? undefined : (firstEventMs + outputTokens * tokenMs) * LONGEST_MARGIN
+  findSizedGenerationMs (service: string, generation: ExpectedGeneration): number | undefined {
+    const firstEventMs = this.findFirstEventMs(service, generation)
+    const tokenMs = generation.tokenMs ?? this.findTokenMs(service, generation)
+    return firstEventMs === undefined || tokenMs === undefined ? undefined : firstEventMs + generation.outputTokens * tokenMs
   }
 
   /**
@@ -133,19 +142,23 @@
    */
   estimateLikelyOutput (service: string, { maxOutputTokens, expectedOutputTokens }: GenerationSize): number {
     const { estimateRatios, maximumRatios } = this.getTimes(service)
-    const likelyOfEstimate = expectedOutputTokens === undefined ? Infinity : expectedOutputTokens * (estimateRatios.get() ?? DEFAULT_ESTIMATE_RATIO)
-    return Math.min(maxOutputTokens, maxOutputTokens * (maximumRatios.get() ?? DEFAULT_MAXIMUM_RATIO), likelyOfEstimate)
+    const likelyOfEstimate = expectedOutputTokens === undefined ? Infinity : expectedOutputTokens * (estimateRatios.get(LIKELY_SHARE) ?? DEFAULT_ESTIMATE_RATIO)
+    return Math.min(maxOutputTokens, maxOutputTokens * (maximumRatios.get(LIKELY_SHARE) ?? DEFAULT_MAXIMUM_RATIO), likelyOfEstimate)
+  }
+
+  private findTokenMs (service: string, { share, speed }: ExpectedGeneration): number | undefined {
+    const tokenMs = findValue(this.getTimes(service).tokenMs, share)
+    return tokenMs === undefined ? undefined : tokenMs / speed
   }
 
   private getTimes (service: string): ServiceTimes {
     const existing = this.timesByService.get(service)
     if (existing !== undefined) return existing
     const times: ServiceTimes = {
-      longestCallMs: RecentMaximum.create(this.clock, PERIOD_MS),
-      likelyCallMs: RecentQuantile.create(),
-      longestFirstEventMs: RecentMaximum.create(this.clock, PERIOD_MS),
-      longestTokenMs: RecentMaximum.create(this.clock, PERIOD_MS),
-      likelyGenerationMs: RecentQuantile.create(),
+      callMs: { idempotent: RecentQuantile.create(), once: RecentQuantile.create() },
+      firstEventMs: RecentQuantile.create(),
+      tokenMs: RecentQuantile.create(),
+      generationMs: RecentQuantile.create(),
       estimateRatios: RecentQuantile.create(),
       maximumRatios: RecentQuantile.create()
     }
@@ -153,3 +166,9 @@
     return times
   }
 }
+
+/** Returns the value that a share of the others does not exceed, and a higher one while there are few. */
+function findValue (values: RecentQuantile, share: number): number | undefined {
+  const maximum = values.getMaximum()
+  return values.get(share) ?? (maximum === undefined ? undefined : maximum * FEW_VALUES_MARGIN)
+}
--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -1,10 +1,12 @@
 import { type Clock } from '@fescuespoke/common'
 import { type DecisionLog } from '../logs/DecisionLog.js'
-import { type RelayRoute, type ServiceProfile } from '../model/RelayConfiguration.js'
+import { type RelayRoute, type RouteKind, type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type GenerationTimeEstimator } from '../placement/GenerationTimeEstimator.js'
 import { type RelayRequest } from '../requests/RelayRequest.js'
-import { type AnswerDurations } from './AnswerDurations.js'
+import { type AnswerDurations, type CallKind } from './AnswerDurations.js'
 import { DrainSchedule } from './DrainSchedule.js'
+import { FastestPaces } from './FastestPaces.js'
+import { type TargetPace } from './TargetPace.js'
 
 /** Options of a drain admission. */
 export interface DrainAdmissionOptions {
@@ -14,6 +16,8 @@
   readonly durations: AnswerDurations
   readonly generationTimes: GenerationTimeEstimator
   readonly log: DecisionLog
+  /** Lists the paces of the targets of a service that may receive requests; by default, they are not known. */
+  readonly listPaces?: (service: string) => readonly TargetPace[]
 }
 
 /** A request that may be sent to a target. */
@@ -23,23 +27,29 @@
   readonly service: ServiceProfile
   /** Clock reading at which the request is ended. */
   readonly deadlineAtMs: number
+  /** Pace of the target that would get it; by default, that of the fastest one of the service. */
+  readonly pace?: TargetPace
 }
 
 /**
- * Why a request ends in time. `deadline`: its own time is over before. `longest`: even the longest answer would be complete. `likely`: an
- * answer of the likely length would be complete.
+ * Why a request is sent. `deadline`: its own time is over before the end. `safe`: its answer ends in time with the certainty that its kind
+ * needs. `likely`: its answer likely ends in time.
  */
-type Basis = 'deadline' | 'longest' | 'likely'
+type Basis = 'deadline' | 'safe' | 'likely'
 
 interface DurationEstimate {
-  /** Time that the answer takes at most, in milliseconds; undefined when that is not known. */
-  readonly longestMs: number | undefined
+  /** Time in which the answer ends with the certainty that its kind needs, in milliseconds; undefined when that is not known. */
+  readonly safeMs: number | undefined
   /** Time that the answer likely takes, in milliseconds. */
   readonly likelyMs: number
 }
 
+/** Estimates the duration of a request at a target. */
+type Estimator = (options: DrainAdmissionOptions, subject: DrainSubject, pace: TargetPace) => DurationEstimate
+
 /** How long a request takes, and how long it may take, in milliseconds. */
 interface RequestTimes extends DurationEstimate {
+  readonly pace: TargetPace
   readonly timeLeftMs: number
   /** Time until the request is ended. */
   readonly remainingMs: number
@@ -52,10 +62,32 @@
 /** Factor on the likely duration of a stream. */
 const LIKELY_MARGIN = 1.3
 
+/** Share of earlier requests that do not take longer than the likely duration. */
+const LIKELY_QUANTILE = 0.9
+
 /**
- * Decides which requests a stopping instance sends to targets. An answer that is not complete when the process exits is cut off, and
- * another instance can serve the request, so only those are sent whose answers end in time. At first, while callers still use addresses that
- * they got before, what likely ends in time is sent; later only what certainly does.
+ * Share of earlier calls that must have ended in the time that is left, and the factor on their duration. An idempotent call without an
+ * answer at the end can be repeated by its caller; any other one is lost to its caller.
+ */
+const CALL_REQUIREMENTS: Readonly<Record<CallKind, { readonly share: number, readonly margin: number }>> = {
+  idempotent: { share: LIKELY_QUANTILE, margin: 1 },
+  once: { share: 0.98, margin: 1.2 }
+}
+
+/** The same for streams of their maximum output, which are cut off at the end. */
+const STREAM_SHARE = 0.99
+const STREAM_MARGIN = 1.5
+
+const ESTIMATORS: Readonly<Record<RouteKind, Estimator>> = {
+  idempotent: estimateCall('idempotent'),
+  once: estimateCall('once'),
+  stream: estimateStream
+}
+
+/**
+ * Decides which requests a stopping instance sends to targets. What has no complete answer when the process exits is lost or must be
+ * repeated, and another instance can serve it, so only what ends in time is sent. How certain that must be depends on the kind of request.
+ * At first, while most callers still use addresses that they got before, streams are sent that likely end in time.
  */
 export class DrainAdmission {
   /**
@@ -69,10 +101,13 @@
   /** When the drain ends. */
   readonly schedule: DrainSchedule
   private hasEnded = false
+  private readonly fastestPaces: FastestPaces
 
   /** @internal */
   private constructor (private readonly options: DrainAdmissionOptions) {
     this.schedule = DrainSchedule.create({ clock: options.clock, graceMs: this.getGraceMs() })
+    const { clock, listPaces = () => [] } = options
+    this.fastestPaces = FastestPaces.create({ clock, listPaces })
   }
 
   /**
@@ -88,6 +123,11 @@
     this.hasEnded = true
   }
 
+  /** Returns whether the drain has started. */
+  hasStarted (): boolean {
+    return this.schedule.hasStarted()
+  }
+
   /** Returns the time since the start of the drain, in milliseconds. */
   getElapsedMs (): number {
     return this.schedule.getElapsedMs()
@@ -119,14 +159,15 @@
   }
 
   private computeTimes (subject: DrainSubject): RequestTimes {
-    const estimate = subject.route.kind === 'stream' ? this.estimateStream(subject) : this.estimateCall(subject)
-    return { ...estimate, timeLeftMs: this.getTimeLeftMs(), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
+    const pace = subject.pace ?? this.fastestPaces.get(subject.service.name)
+    const estimate = ESTIMATORS[subject.route.kind](this.options, subject, pace)
+    return { ...estimate, pace, timeLeftMs: this.getTimeLeftMs(), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
   }
 
-  private findBasis ({ timeLeftMs, remainingMs, longestMs, likelyMs }: RequestTimes): Basis | undefined {
+  private findBasis ({ timeLeftMs, remainingMs, safeMs, likelyMs }: RequestTimes): Basis | undefined {
     if (timeLeftMs <= 0) return undefined
     if (remainingMs <= timeLeftMs) return 'deadline'
-    if (longestMs !== undefined && longestMs <= timeLeftMs) return 'longest'
+    if (safeMs !== undefined && safeMs <= timeLeftMs) return 'safe'
     return this.isLikelyEnough() && likelyMs <= timeLeftMs ? 'likely' : undefined
   }
 
@@ -134,24 +175,9 @@
     return this.getElapsedMs() <= Math.min(MAX_LIKELY_PERIOD_MS, this.getGraceMs() * LIKELY_SHARE)
   }
 
-  private estimateCall ({ service }: DrainSubject): DurationEstimate {
-    const { durations } = this.options
-    const longestMs = durations.findLongestCallMs(service.name)
-    return { longestMs, likelyMs: durations.findLikelyCallMs(service.name) ?? longestMs ?? 0 }
-  }
-
-  /** A stream whose caller states no sizes may be as long as its deadline allows, and likely is as long as others were. */
-  private estimateStream ({ service, request: { size }, route: { objectiveMs } }: DrainSubject): DurationEstimate {
-    const { durations, generationTimes } = this.options
-    if (size === undefined) return { longestMs: undefined, likelyMs: durations.findLikelyGenerationMs(service.name) ?? Infinity }
-    const likelyOutput = durations.estimateLikelyOutput(service.name, size)
-    const runMs = generationTimes.estimateDurationMs(service.name, { ...size, expectedOutputTokens: likelyOutput })
-    return { longestMs: durations.findLongestGenerationMs(service.name, size.maxOutputTokens), likelyMs: (durations.findLongestFirstEventMs(service.name) ?? objectiveMs) + runMs * LIKELY_MARGIN }
-  }
-
-  private logDecision ({ request, route }: DrainSubject, basis: Basis | undefined, { timeLeftMs, remainingMs, longestMs, likelyMs }: RequestTimes): void {
+  private logDecision ({ request, route }: DrainSubject, basis: Basis | undefined, { timeLeftMs, remainingMs, safeMs, likelyMs, pace: { speed, longestGapMs } }: RequestTimes): void {
     this.options.log.recordDecision(request.id, basis === undefined ? 'not sent while stopping' : 'sent while stopping', {
-      route: route.name, basis, timeLeftMs: Math.round(timeLeftMs), remainingMs: Math.round(remainingMs), longestMs: longestMs === undefined ? undefined : Math.round(longestMs), likelyMs: Number.isFinite(likelyMs) ? Math.round(likelyMs) : undefined, ...request.size
+      route: route.name, kind: route.kind, basis, timeLeftMs: Math.round(timeLeftMs), remainingMs: Math.round(remainingMs), safeMs: roundMs(safeMs), likelyMs: roundMs(likelyMs), speed, longestGapMs: roundMs(longestGapMs), ...request.size
     })
   }
 
@@ -159,3 +185,28 @@
     return this.options.graceMs ?? Infinity
   }
 }
+
+/** Returns the estimator for calls of a kind, at any target of their service; one of which nothing is known is taken as short. */
+function estimateCall (kind: CallKind): Estimator {
+  const { share, margin } = CALL_REQUIREMENTS[kind]
+  return ({ durations }, { service }) => {
+    const callMs = durations.findCallMs(service.name, kind, share)
+    const safeMs = callMs === undefined ? undefined : callMs * margin
+    return { safeMs, likelyMs: safeMs ?? 0 }
+  }
+}
+
+/** Estimates a stream; one whose caller states no sizes may be as long as its deadline allows, and likely is as long as others were. */
+function estimateStream ({ durations, generationTimes }: DrainAdmissionOptions, { service, request: { size }, route: { objectiveMs } }: DrainSubject, { speed, longestGapMs }: TargetPace): DurationEstimate {
+  if (size === undefined) return { safeMs: undefined, likelyMs: durations.findGenerationMs(service.name, LIKELY_QUANTILE) ?? Infinity }
+  const tokenMs = longestGapMs === undefined ? undefined : longestGapMs / (service.engine?.tokensPerEvent ?? 1)
+  const longestMs = durations.findSizedGenerationMs(service.name, { outputTokens: size.maxOutputTokens, share: STREAM_SHARE, speed, tokenMs })
+  const likelyOutput = durations.estimateLikelyOutput(service.name, size)
+  const firstEventMs = durations.findFirstEventMs(service.name, { share: LIKELY_QUANTILE, speed }) ?? objectiveMs
+  const runMs = generationTimes.estimateDurationMs(service.name, { ...size, expectedOutputTokens: likelyOutput }, speed)
+  return { safeMs: longestMs === undefined ? undefined : longestMs * STREAM_MARGIN, likelyMs: firstEventMs + runMs * LIKELY_MARGIN }
+}
+
+function roundMs (durationMs: number | undefined): number | undefined {
+  return durationMs === undefined || !Number.isFinite(durationMs) ? undefined : Math.round(durationMs)
+}
--- a/packages/relay/src/drain/DrainSchedule.ts
+++ b/packages/relay/src/drain/DrainSchedule.ts
@@ -72,6 +72,11 @@
     return this.lateness.get() ?? 0
   }
 
+  /** Returns whether the drain has started. */
+  hasStarted (): boolean {
+    return this.signalAtMs !== Infinity
+  }
+
   /** Returns the time since the stop signal, in milliseconds. */
   getElapsedMs (): number {
     return this.options.clock.nowMs() - this.signalAtMs
--- a/packages/relay/src/drain/RecentQuantile.ts
+++ b/packages/relay/src/drain/RecentQuantile.ts
@@ -1,13 +1,10 @@
 /** Number of values that are kept. */
-const KEPT_VALUES = 200
+const KEPT_VALUES = 400
 
-/** Number of values from which on their quantile is used. */
+/** Number of values from which on their quantiles are used. */
 const MIN_VALUES = 20
 
-/** Share of the values that are at most the likely one. */
-const LIKELY_QUANTILE = 0.9
-
-/** The value that the latest values likely do not exceed. */
+/** The latest values, and what they likely do not exceed. */
 export class RecentQuantile {
   /** Creates a quantile without values. */
   static create (): RecentQuantile {
@@ -16,8 +13,8 @@
 
   private readonly values: number[] = []
   private nextIndex = 0
-  /** The quantile; undefined after a change. */
-  private likely: number | undefined
+  /** The values in ascending order; undefined after a change. */
+  private sorted: readonly number[] | undefined
 
   /** @internal */
   private constructor () {}
@@ -29,18 +26,26 @@
   record (value: number): void {
     this.values[this.nextIndex] = value
     this.nextIndex = (this.nextIndex + 1) % KEPT_VALUES
-    this.likely = undefined
+    this.sorted = undefined
   }
 
-  /** Returns the value that nine of ten do not exceed; undefined while there are few. */
-  get (): number | undefined {
+  /**
+   * Returns the value that a share of the latest values does not exceed; undefined while there are few.
+   * @param share - The share, from 0 to 1.
+   */
+  get (share: number): number | undefined {
     if (this.values.length < MIN_VALUES) return undefined
-    this.likely ??= computeQuantile(this.values, LIKELY_QUANTILE)
-    return this.likely
+    const sorted = this.getSorted()
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))]
   }
-}
 
-function computeQuantile (values: readonly number[], quantile: number): number {
-  const sorted = [...values].sort((a, b) => a - b)
-  return sorted[Math.floor(sorted.length * quantile)]!
+  /** Returns the highest of the latest values; undefined when there is none. */
+  getMaximum (): number | undefined {
+    return this.getSorted().at(-1)
+  }
+
+  private getSorted (): readonly number[] {
+    this.sorted ??= [...this.values].sort((a, b) => a - b)
+    return this.sorted
+  }
 }
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -6,6 +6,7 @@
 import { TrialSchedule } from '../crashes/TrialSchedule.js'
 import { AnswerDurations } from '../drain/AnswerDurations.js'
 import { DrainAdmission } from '../drain/DrainAdmission.js'
+import { listTargetPaces } from '../drain/TargetPace.js'
 import { EngineHolds } from '../holds/EngineHolds.js'
 import { ColdTargets } from '../limits/ColdTargets.js'
 import { TargetLimits } from '../limits/TargetLimits.js'
@@ -145,8 +146,8 @@
   })
   const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, getTimeLeftMs: () => drain.getTimeLeftMs(), mayAskEngines: service => holds.isActive(service) })
   const generationTimes = GenerationTimeEstimator.create()
-  const durations = AnswerDurations.create(clock)
-  const drain = DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log })
+  const durations = AnswerDurations.create()
+  const drain = DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log, listPaces: service => listTargetPaces({ table, speeds }, service) })
   return {
     clock,
     random,
--- a/packages/relay/src/placement/RelayPlacer.ts
+++ b/packages/relay/src/placement/RelayPlacer.ts
@@ -60,6 +60,8 @@
   readonly promptParts?: readonly PromptPart[]
   /** Names of targets that must not be selected. */
   readonly excludedTargets: ReadonlySet<string>
+  /** Returns whether a target may be selected; by default each may. */
+  readonly maySelect?: (target: RelayTarget) => boolean
   /** Availability zone whose targets count as local; by default the zone of this instance. */
   readonly localZone?: string
   /** Memory that a generation holds already; if given, the memory in use now decides whether an engine has room. */
@@ -98,11 +100,11 @@
    * @param requirements - Requirements on the target.
    */
   reserveBestTarget (requirements: TargetRequirements): TargetReservation | undefined {
-    const { service, tokens, pendingPrefillTokens, excludedTargets, isLocalOnly = false } = requirements
+    const { service, tokens, pendingPrefillTokens, excludedTargets, maySelect = () => true, isLocalOnly = false } = requirements
     const { random, availability } = this.options
     const usable = this.listUsable(service, requirements)
     const createCandidate = this.createCandidateFactory(usable, requirements)
-    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && availability.findClosure(target, requirements.heldTokens ?? tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
+    const candidates = usable.filter(({ target }) => !excludedTargets.has(target.name) && maySelect(target) && availability.findClosure(target, requirements.heldTokens ?? tokens) === undefined).map(createCandidate).filter(({ isLocal }) => isLocal || !isLocalOnly)
     const choice = service.engine === undefined ? pickCallTarget(candidates, random) : pickEngine(candidates, { ...requirements, profile: service.engine, random, mustWaitForPrefill: pendingPrefillTokens !== undefined, prefillTokens: pendingPrefillTokens })
     if (choice === undefined) return undefined
     const { tracked: { target }, score, heldPrefixTokens } = choice
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -66,6 +66,8 @@
   private origin: StreamOrigin | undefined
   private lastEventId: string | undefined
   private eventCount = 0
+  /** Clock reading at which the attempt that brought the first event was sent. */
+  private sentAtMs: number | undefined
   private firstEventAtMs: number | undefined
   private lastEventAtMs: number | undefined
   private longestGapMs = 0
@@ -209,6 +211,7 @@
     this.wasAskedToStop = false
     this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
+    else this.sentAtMs = this.dependencies.clock.nowMs()
   }
 
   /**
@@ -322,13 +325,16 @@
   }
 
   private recordGenerationTime (): void {
-    const { firstEventAtMs, lastEventAtMs, eventCount, service, context: { request }, dependencies: { generationTimes, durations, speeds } } = this
+    const { sentAtMs, firstEventAtMs, lastEventAtMs, eventCount, service, context: { request }, dependencies: { generationTimes, durations, speeds } } = this
     const target = this.getTarget()
-    if (firstEventAtMs === undefined || lastEventAtMs === undefined) return
+    if (sentAtMs === undefined || firstEventAtMs === undefined || lastEventAtMs === undefined) return
     const tokens = (eventCount - 1) * (service.engine?.tokensPerEvent ?? 1)
     const durationMs = lastEventAtMs - firstEventAtMs
-    generationTimes.recordGeneration(service.name, tokens, durationMs, target === undefined ? undefined : speeds.getSpeed(target))
-    durations.recordGeneration(service.name, { size: request.size, tokens, firstEventMs: firstEventAtMs - request.receivedAtMs, durationMs })
+    const speed = target === undefined ? undefined : speeds.getSpeed(target)
+    generationTimes.recordGeneration(service.name, tokens, durationMs, speed)
+    // A resumed stream has a part of the output, which tells nothing about stated sizes.
+    const size = request.lastEventId === undefined ? request.size : undefined
+    durations.recordGeneration(service.name, { size, tokens, firstEventMs: firstEventAtMs - sentAtMs, durationMs, speed })
   }
 
   private recordEventTime (): void {
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -1,3 +1,5 @@
+import { getTargetPace } from '../drain/TargetPace.js'
+import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Attempt, type AttemptError } from '../targets/RelayTargetClient.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
@@ -45,10 +47,12 @@
  * Returns the reason for which a request must not be sent although an engine is reserved for it: time has passed while it waited.
  * @param dependencies - Components that handle the request.
  * @param context - The request.
+ * @param reservation - Reservation of the engine; undefined while there is none.
  */
-export function findObstacle ({ crashes, drain }: RelayDependencies, context: RelayContext): RefusalReason | undefined {
+export function findObstacle ({ crashes, drain, speeds }: RelayDependencies, context: RelayContext, reservation?: TargetReservation): RefusalReason | undefined {
   if (crashes.mustRefuse(context.request)) return 'crashesEngines'
-  return drain.maySend(context) ? undefined : 'stopping'
+  const pace = reservation === undefined ? undefined : getTargetPace(speeds, reservation.target)
+  return drain.maySend({ ...context, pace }) ? undefined : 'stopping'
 }
 
 /**
@@ -62,7 +66,7 @@
   if (!run.startRepeatSearch()) return
   const next = maySend(dependencies, context, run) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
   run.endRepeatSearch()
-  const isUsable = next !== undefined && isStalled() && run.currentAttempt?.attempt === attempt && maySend(dependencies, context, run)
+  const isUsable = next !== undefined && isStalled() && run.currentAttempt?.attempt === attempt && maySend(dependencies, context, run, next)
   dependencies.log.recordDecision(context.request.id, 'other engine sought', { found: next?.target.name, isUsable, afterEvent: run.getLastEventId() })
   if (!isUsable) return next?.release()
   run.setNextReservation(next)
@@ -70,6 +74,6 @@
 }
 
 /** Returns whether nothing keeps a stream from being sent; one that has started is continued in any case. */
-function maySend (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): boolean {
-  return run.hasStarted() || findObstacle(dependencies, context) === undefined
+function maySend (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation?: TargetReservation): boolean {
+  return run.hasStarted() || findObstacle(dependencies, context, reservation) === undefined
 }
--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -1,6 +1,8 @@
 import { createAdmissionSubject } from '../admission/AdmissionSubject.js'
+import { getTargetPace } from '../drain/TargetPace.js'
 import { reserveHeldEngine } from '../holds/reserveHeldEngine.js'
 import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
+import { type RelayTarget } from '../model/RelayTarget.js'
 import { estimateHoldTokens, estimateOutputTokens, estimateTokens } from '../placement/estimateTokens.js'
 import { type TargetRequirements } from '../placement/RelayPlacer.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
@@ -27,7 +29,7 @@
   const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
   const admission: AdmissionRequest = {
     ...createAdmissionSubject(context),
-    requirements: createRequirements(context, run),
+    requirements: createRequirements(dependencies, context, run),
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
     mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(request) === undefined && dependencies.drain.canStillSend(context))
@@ -40,8 +42,8 @@
   return undefined
 }
 
-function createRequirements ({ service, route, request, allowedRegions }: RelayContext, run: StreamRun): TargetRequirements {
-  const { size, promptParts } = request
+function createRequirements (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): TargetRequirements {
+  const { service, route, request: { size, promptParts }, allowedRegions } = context
   return {
     service,
     origin: run.getOrigin(),
@@ -51,6 +53,12 @@
     promptParts,
     outputTokens: size === undefined ? undefined : estimateOutputTokens(size),
     excludedTargets: run.excludedTargets,
+    maySelect: target => run.hasStarted() || endsInTimeAt(dependencies, context, target),
     maxGapMs: route.maxGapMs
   }
 }
+
+/** Returns whether a stream ends in time at an engine; a stopping instance passes over engines that are too slow. */
+function endsInTimeAt ({ drain, speeds }: RelayDependencies, context: RelayContext, target: RelayTarget): boolean {
+  return !drain.hasStarted() || drain.canStillSend({ ...context, pace: getTargetPace(speeds, target) })
+}
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -41,7 +41,7 @@
   let reservation = await reserveEngine(dependencies, context, run)
   let previousMove: RunContinuation | undefined
   while (reservation !== undefined) {
-    const obstacle = run.hasStarted() ? undefined : findObstacle(dependencies, context)
+    const obstacle = run.hasStarted() ? undefined : findObstacle(dependencies, context, reservation)
     if (obstacle !== undefined) return refuseReserved(dependencies, context, run, reservation, obstacle)
     const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
     if (end === 'complete') return
--- a/packages/relay/src/speeds/TargetSpeeds.ts
+++ b/packages/relay/src/speeds/TargetSpeeds.ts
@@ -51,6 +51,9 @@
 /** Weight of a call among the runs that are needed for a judgement; answer times vary more than the gaps of streams. */
 const CALL_WEIGHT = 0.25
 
+/** Number of streams from which on their longest mean gap is told. */
+const MIN_GAP_STREAMS = 2
+
 /** Number of steps per unit to which values in messages and log lines are rounded. */
 const VALUE_STEPS = 1000
 
@@ -154,6 +157,15 @@
     return Math.max(1, Math.floor((maxGapMs - idleGapMs) / gapPerRequestMs))
   }
 
+  /**
+   * Returns the longest mean gap between two events of the latest streams at an engine, in milliseconds; undefined while there are few.
+   * @param target - The engine.
+   */
+  findLongestGapMs (target: RelayTarget): number | undefined {
+    const streams = this.findRecord(target)?.listRuns(this.options.clock.nowMs()).filter(({ kind }) => kind === 'stream') ?? []
+    return streams.length < MIN_GAP_STREAMS ? undefined : Math.max(...streams.map(({ typicalMs, excessMs }) => typicalMs + excessMs))
+  }
+
   /** Lists speeds for a message to a peer; successive messages list all of them in turn. There are none while all targets are ordinary. */
   listNews (): SpeedNews {
     const nowMs = this.options.clock.nowMs()
