--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -142,4 +142,20 @@
     await instance.stop()
     expect(instance.isDraining()).toBe(true)
   })
+
+  it('gives slow readers half of the margin after the other requests are ended', async () => {
+    const clock = VirtualClock.create()
+    const instance = RelayInstance.create(createInstanceOptions(clock, { graceMs: GRACE_MS }))
+    const times: Record<string, number> = {}
+    instance.service.stopExceptSlowReaders = () => { times.others = clock.nowMs() }
+    instance.service.stop = () => { times.slowReaders = clock.nowMs() }
+    instance.drain({ countOpenAnswers: () => 1, stopAccepting: () => {} })
+    await clock.advance(GRACE_MS)
+    expect(times).toMatchInlineSnapshot(`
+      {
+        "others": 7600,
+        "slowReaders": 7800,
+      }
+    `)
+  })
 })
