Give a long failed answer up only when another attempt has begun

Seen by callers: a call that may be repeated and whose target answered with a failure of more than 256 KiB ended with 503 and 'not executed', which is a promise and was untrue, where the budget had no attempt left, or where the next target did not run it either.

Cause: such an answer cannot be kept, and was closed as soon as another target existed, before another attempt was possible; that it had run was recorded only for answers that were lost.

Evidence: runRelayedCall.test.ts, two of three new tests failed before the change ('503 notExecuted' in place of the failure, and of '502 lost'); all pass now.

Change: the next attempt is started before the failed answer is closed; if it cannot start, the failure is forwarded. A failure that cannot be kept counts as run.

--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -5,6 +5,7 @@
 import { type CallRun } from './CallRun.js'
 import { type CallAnswerClass, classifyCallAnswer } from './classifyCallAnswer.js'
 import { forwardCallAnswer } from './forwardCallAnswer.js'
+import { startCallAttempt } from './startCallAttempt.js'
 
 /** What an answer says about the health of its target. */
 const ATTEMPT_OUTCOMES: Record<CallAnswerClass, AttemptOutcome> = {
@@ -19,8 +20,9 @@
   failed: async (run, answered) => {
     const { answer } = answered
     run.executedAttempts++
-    if (answer.kind === 'answer' && answer.isComplete) run.failedAnswer = answer
-    if (run.runningAttempts.size > 0 || canStartAnother(run)) return false
+    keepFailedAnswer(run, answer)
+    // An attempt is started before this answer is given up.
+    if (run.runningAttempts.size > 0 || startCallAttempt(run)) return false
     return await deliverAnswer(run, answered)
   },
   notSent: run => {
@@ -59,10 +61,10 @@
   return answer.kind === 'answer' && answer.isComplete && answer.head.status < MIN_NON_SUCCESS_STATUS
 }
 
-/** Returns whether another attempt may follow a failed answer; the next iteration of the call's loop starts it. */
-function canStartAnother (run: CallRun): boolean {
-  const { context, dependencies, excludedTargets } = run
-  return run.canRepeat() && dependencies.placer.countUsable(context.service, { allowedRegions: context.allowedRegions, excludedTargets }) > 0
+/** Keeps a failed answer in case no other target succeeds, or records that the request has run if the answer is too long to be kept. */
+function keepFailedAnswer (run: CallRun, answer: CallAnswer): void {
+  if (answer.kind === 'answer' && answer.isComplete) run.failedAnswer = answer
+  else run.mayHaveRun = true
 }
 
 async function deliverAnswer (run: CallRun, { callAttempt, answer }: AnsweredAttempt): Promise<boolean> {
--- a/packages/relay/test/requests/runRelayedCall.test.ts
+++ b/packages/relay/test/requests/runRelayedCall.test.ts
@@ -67,6 +67,23 @@
     expect(dependencies.client.attempts[0]!.attempt.endState).toBe('aborted')
   })
 
+  it('are forwarded completely if they are failures and no attempt is left in the budget', async () => {
+    const { sink, dependencies } = await doTest({ a: [{ status: 500, steps: [LONG_START, 'rest', 'END'] }], b: [good] }, { extra: 0 })
+    expect([sink.status, sink.text === `${LONG_START}rest`, sink.endState]).toEqual([500, true, 'complete'])
+    expect(dependencies.client.listTargets()).toEqual(['a'])
+  })
+
+  it('are not reported as not executed if they are failures after which no other attempt succeeds', async () => {
+    const { sink } = await doTest({ a: [{ status: 500, steps: [LONG_START, 'rest', 'END'] }], b: [{ error: 'notExecuted' }] })
+    expect(sink.describe()).toBe('502 lost')
+  })
+
+  it('are replaced by the answer of another attempt if they are failures', async () => {
+    const { sink, dependencies } = await doTest({ a: [{ status: 500, steps: [LONG_START, 'rest', 'END'] }], b: [good] })
+    expect(sink.describe()).toBe('200 "hello" complete')
+    expect(dependencies.client.listTargets()).toEqual(['a', 'b'])
+  })
+
   it('are forwarded completely', async () => {
     const { sink } = await doTest({ a: [{ steps: [LONG_START, 10, 'y', 'END'] }] })
     expect([sink.text.length, sink.endState]).toEqual([300_001, 'complete'])
