--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -5,7 +5,7 @@
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { StallDetector } from './StallDetector.js'
-import { canRepeat, canRepeatAfterStall, leaveStalledEngine, type StreamEnd } from './repeatStream.js'
+import { canRepeat, canRepeatAfterStall, replaceStalledAttempt, type StreamEnd } from './repeatStream.js'
 import { type StreamRun } from './StreamRun.js'
 
 /** Stall timeout of a started stream: a multiple of the longest acceptable gap between events, but at least the minimum. */
@@ -101,7 +101,7 @@
   const onStall = (): void => {
     const isRepeatable = canRepeatAfterStall(context, run)
     dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
-    if (isRepeatable) leaveStalledEngine(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
+    if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
     else if (run.hasStarted()) dependencies.mover.moveStalledRun(run)
   }
   const stallDetector = StallDetector.start({ clock: dependencies.clock, stallTimeoutMs, onStall })
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -62,7 +62,7 @@
  * @param run - Run of the request.
  * @param stalled - The attempt.
  */
-export async function leaveStalledEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { attempt, isStalled }: StalledAttempt): Promise<void> {
+export async function replaceStalledAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { attempt, isStalled }: StalledAttempt): Promise<void> {
   if (!run.startRepeatSearch()) return
   const next = maySend(dependencies, context, run) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
   run.endRepeatSearch()
