Close connections of callers only after all answers that are due

Callers saw: a request that was passed on lost its answer when the next one on its connection was malformed, too large, or arrived slowly; the 408, 400 or 431 for that next one came in its place and said "not run". Requests behind a 413 or 431 were passed on and never answered, those behind an announced close were read and dropped. A 413 was destroyed by the reset that its own close caused. Uploads that were half read at the end of a stop got no answer; requests that arrived while the process stood still right before its end were reset. Behind another answer, targets went on with requests whose caller had left.

Cause, one class: the connection was closed by whoever found a reason (the HTTP server's default for errors of the parser and timeouts, timers of the body, rejections, errors in handlers, the exit), without regard to other requests on it.

--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -192,6 +192,12 @@
     help: 'Times that a target began to count as slower or faster than others, or as ordinary again, by kind.',
     labels: ['kind']
   },
+  unansweredRequests: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_unanswered_requests_total',
+    help: 'Requests without a complete answer when this instance closed the connection of their caller, by reason.',
+    labels: ['reason']
+  },
   droppedLines: {
     kind: 'counter',
     exposedName: 'fescuespoke_dropped_log_lines_total',
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -31,9 +31,11 @@
   countOpenAnswers(): number
   /** Accepts no further connections. */
   stopAccepting(): void
+  /** Answers requests that have not arrived completely as not run; from then on, connections that callers have yet to close count as open answers. */
+  finishOpenRequests(): void
 }
 
-const NO_CONNECTIONS: CallerConnections = { countOpenAnswers: () => 0, stopAccepting: () => {} }
+const NO_CONNECTIONS: CallerConnections = { countOpenAnswers: () => 0, stopAccepting: () => {}, finishOpenRequests: () => {} }
 
 /** A process that relays requests: watches the published keys, tracks its peers, and serves callers. */
 export class RelayInstance {
@@ -178,6 +180,7 @@
     drain.end()
     this.service.stopExceptSlowReaders()
     connections.stopAccepting()
+    connections.finishOpenRequests()
     while (drain.schedule.getWriteTimeLeftMs() > 0 && this.hasOpenRequests(connections)) await this.sleepWhileDraining(LAST_ANSWERS_CHECK_INTERVAL_MS)
     this.service.stop()
   }
