--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -195,6 +195,8 @@
     const { dependencies } = this.options
     if (!dependencies.drain.maySend({ request, route, service, deadlineAtMs: computeDeadlineMs(request, route) })) return 'stopping'
     if (dependencies.crashes.mustRefuse(request)) return 'crashesEngines'
+    // It may have waited for the answers before it on its connection.
+    if (computeDeadlineMs(request, route) <= dependencies.clock.nowMs()) return 'timeoutNotRun'
     return route.kind === 'once' && this.canHaveTimedOut(request, route, pauseMs) ? 'timeoutNotRun' : undefined
   }
 
