Let no second signal end the daemon during its drain

Callers saw (by reading; the platform's process showed it): the daemon took SIGTERM and SIGINT once each; a second SIGTERM, or a SIGHUP, had its default action and cut all requests in progress, and SIGINT after SIGTERM ended the process at once, since the second drain returns early.

Change: ProcessSignals moves to packages/common and serves both programs; the daemon logs further signals, and SIGHUP, and goes on.

Checked: tests of the signals, of the bundle and of the pages.

--- a/platform/src/ProcessSignals.ts
+++ b/packages/common/src/signals/ProcessSignals.ts
@@ -16,10 +16,7 @@
   readonly reload: () => void
 }
 
-/**
- * Handles the signals of the process for the rest of its life, so that none ends it by default. What arrives before, while the program is
- * loaded, is delivered afterwards, see `scripts/startProgram.cjs`.
- */
+/** Handles the signals of the process for the rest of its life, so that none ends it by default. */
 export class ProcessSignals {
   /**
    * Handles signals from now on.
--- a/platform/test/ProcessSignals.test.ts
+++ b/packages/common/test/signals/ProcessSignals.test.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from 'node:events'
 import { describe, expect, it } from 'vitest'
-import { ProcessSignals } from '../src/ProcessSignals.js'
+import { ProcessSignals } from '../../src/signals/ProcessSignals.js'
 
 /** Sends signals, and returns which handlers were called. */
 function doTest (signals: readonly string[]): string {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { createLogger } from '@fescuespoke/common'
+import { createLogger, type Logger, ProcessSignals } from '@fescuespoke/common'
 import { type Settings } from '@fescuespoke/schema'
 import { defineCommand, runMain } from 'citty'
 import { Instance } from './instance/Instance.js'
@@ -36,12 +36,16 @@
     await instance.stop()
     return
   }
-  const drain = async (): Promise<void> => {
-    await instance.drain()
-    process.exit(EXIT_STATUSES.stopped)
-  }
-  process.once('SIGTERM', drain)
-  process.once('SIGINT', drain)
+  handleSignals(instance, logger)
+}
+
+/** Stops on the first signal to stop; what arrives later must not end the process sooner. */
+function handleSignals (instance: Instance, logger: Logger): void {
+  ProcessSignals.create({
+    stop: () => { instance.drain().finally(() => process.exit(EXIT_STATUSES.stopped)) },
+    ignore: signal => logger.info({ signal }, 'signal ignored while stopping'),
+    reload: () => logger.info('settings are read at the start only')
+  })
 }
 
 runMain(command)
