Stop no silent stream for a move shortly before a stopping instance ends

Callers saw (review, virtual time): a stream whose sound engine was silent for 1.5 s near the end of a stop was stopped and moved, and cut at the end with 28 of 30 events; left where it was, it is complete.

Cause: the check that keeps runs at engines that leave shortly before the end was missing in the move of a stalled stream.

Evidence: the new case of lateMoves.test.ts fails without the check, and is 30 events, complete, no copy with it.

--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -105,7 +105,7 @@
    */
   moveStalledRun (run: MovableRun): void {
     const tracked = this.options.table.getTracked(run.getTarget()?.name ?? '')
-    if (tracked === undefined || this.isMoving(run) || run.service.engine?.canMove !== true) return
+    if (tracked === undefined || this.isMoving(run) || run.service.engine?.canMove !== true || this.isEnding()) return
     this.moveRun({ run, source: tracked.target, noticeAtMs: this.options.clock.nowMs(), mustStopAtOnce: true })
   }
 
