Send no stream whose caller has left or whose connection is closed

Callers saw: a stream behind another one on its connection was sent to an engine after the connection had been closed with the one before it, and was ended there 0.1 s later without an answer.

Cause: a stream was sent although its request had ended, since only an end after that was noticed; and a request that waited for its turn went on when its connection closed.

--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -41,6 +41,10 @@
   let reservation = await reserveEngine(dependencies, context, run)
   let previousMove: RunContinuation | undefined
   while (reservation !== undefined) {
+    if (context.signal.aborted) {
+      reservation.release()
+      return finishAborted(dependencies, context, run)
+    }
     const obstacle = run.hasStarted() ? undefined : findObstacle(dependencies, context, reservation)
     if (obstacle !== undefined) return refuseReserved(dependencies, context, run, reservation, obstacle)
     const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
