--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -15,8 +15,6 @@
 /** Stall timeout before the first event, as a multiple of the route's latency objective. */
 const FIRST_EVENT_OBJECTIVE_FACTOR = 1.2
 
-export type { StreamEnd }
-
 /**
  * Reads the stream of the current attempt and forwards its events.
  * @param dependencies - Components that handle the request.
