Log why a stream is not sent to another engine

A stream that broke off with time left looked the same in the log whether its route allowed no further attempt, its prompt was suspected, or no engine or retry budget was left. No decision changes.

--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -88,7 +88,11 @@
 async function reserveRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<TargetReservation | undefined> {
   const reserved = run.takeNextReservation()
   if (reserved !== undefined) return reserved
-  return canRepeat(context, run, end) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
+  const isRepeatable = canRepeat(context, run, end)
+  const mayRepeat = isRepeatable && await run.watch.mayRepeat()
+  const reservation = mayRepeat ? await reserveEngine(dependencies, context, run) : undefined
+  if (reservation === undefined) dependencies.log.recordDecision(context.request.id, 'not repeated', { after: end, isRepeatable, mayRepeat, sentAttempts: run.sentAttempts, executedAttempts: run.executedAttempts, afterEvent: run.getLastEventId() })
+  return reservation
 }
 
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, continuation: Continuation | undefined): Promise<StreamEnd> {
