End a silent attempt only for an engine that has taken the run over

What callers saw: resumable streams of a few events, with a head and status 200, ended without their last event with most of the grace and of their own time left.

Cause: after a stall the attempt of the silent engine was ended as soon as another engine was reserved. A reservation is an estimate of this instance. If the other engine then refused, could not be reached or closed a kept connection, the attempts of the route were used up and the answer was broken off, although its first engine was sound. Class: what works is given up for something that has not shown that it works.

Change: the other engine gets the request while the silent attempt goes on, for 0.3 s at most. The silent one is ended when the other has begun to answer or has not refused by then; during a stop the latter only where the run likely ends there in time. If the other engine does not go on after that, the first one gets the request again. startStreamAttempt and replaceStalledAttempt are modules of their own now.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -2,26 +2,19 @@
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type MovableRun, type RunContinuation } from '../moves/MovableRun.js'
 import { estimateTokens } from '../placement/estimateTokens.js'
-import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type AllowedRegions } from '../places/RegionMap.js'
 import { type ServiceProfile } from '../model/RelayConfiguration.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { type StreamGaps } from '../speeds/StreamGaps.js'
-import { type Attempt, type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
+import { type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { createStreamOrigin, type StreamOrigin } from '../versions/StreamOrigin.js'
 import { EventOrder } from './EventOrder.js'
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { type StreamAttempt } from './StreamAttempt.js'
 import { writeToCaller } from './writeToCaller.js'
 
-/** An attempt at one target and the reservation of the target. */
-export interface StreamAttempt {
-  readonly reservation: TargetReservation
-  readonly attempt: Attempt
-  readonly abortController: AbortController
-}
-
 /** Value of an output token relative to a prompt token. */
 const OUTPUT_TOKEN_VALUE = 10
 
@@ -74,9 +67,12 @@
   private firstHead: AttemptHead | undefined
   private hasClosed = false
   private pendingContinuation: RunContinuation | undefined
-  /** Engine that is reserved for the next attempt. */
-  private nextReservation: TargetReservation | undefined
-  private isSeekingEngine = false
+  /** Attempt that is sent already and goes on with the run when the current one ends. */
+  private nextAttempt: StreamAttempt | undefined
+  /** Resolves when the search for another engine has ended; undefined when there is none. */
+  private replacement: Promise<void> | undefined
+  /** Name of the engine whose silent attempt was ended for another one. */
+  private silentTarget: string | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
@@ -167,31 +163,52 @@
     return next
   }
 
-  /** Records the start of a search for another engine; returns false if there is one already. */
-  startRepeatSearch (): boolean {
-    if (this.isSeekingEngine) return false
-    this.isSeekingEngine = true
-    return true
+  /**
+   * Replaces the current attempt by one at another engine, unless such a replacement is in progress.
+   * @param startNext - Starts the other attempt; undefined when the current one goes on.
+   * @returns Whether there is another attempt.
+   */
+  async replaceAttempt (startNext: () => Promise<StreamAttempt | undefined>): Promise<boolean> {
+    if (this.replacement !== undefined) return false
+    this.replacement = startNext().then(next => {
+      this.nextAttempt = next
+      if (this.hasClosed) this.dropNextAttempt()
+    })
+    await this.replacement
+    this.replacement = undefined
+    return this.nextAttempt !== undefined
+  }
+
+  /** Returns and clears the attempt that goes on with the run; waits for a replacement in progress. Returns undefined when there is none. */
+  async takeNextAttempt (): Promise<StreamAttempt | undefined> {
+    await this.replacement
+    const { nextAttempt } = this
+    this.nextAttempt = undefined
+    return nextAttempt
   }
 
-  /** Records the end of a search for another engine. */
-  endRepeatSearch (): void {
-    this.isSeekingEngine = false
+  /** Ends the attempt that would go on with the run; waits for a replacement in progress. */
+  async dropReplacement (): Promise<void> {
+    await this.replacement
+    this.dropNextAttempt()
   }
 
   /**
-   * Sets the engine for the next attempt.
-   * @param reservation - Reservation of the engine.
+   * Records that the silent attempt at an engine is ended for another one.
+   * @param target - Name of the engine.
    */
-  setNextReservation (reservation: TargetReservation): void {
-    this.nextReservation = reservation
+  recordSilentTarget (target: string): void {
+    this.silentTarget = target
   }
 
-  /** Returns and clears the engine that is reserved for the next attempt; undefined when there is none. */
-  takeNextReservation (): TargetReservation | undefined {
-    const { nextReservation } = this
-    this.nextReservation = undefined
-    return nextReservation
+  /**
+   * Lets the engine whose silent attempt was ended get the request again.
+   * @returns Whether there is such an engine.
+   */
+  readmitSilentTarget (): boolean {
+    const { silentTarget } = this
+    this.silentTarget = undefined
+    return silentTarget !== undefined && this.excludedTargets.delete(silentTarget)
   }
 
   /** Returns whether the run was stopped because it continues at another engine. */
@@ -283,8 +300,7 @@
 
   /** Ends the current attempt and releases its target. */
   closeCurrentAttempt (): void {
-    this.currentAttempt?.abortController.abort()
-    this.currentAttempt?.reservation.release()
+    this.currentAttempt?.close()
     this.currentAttempt = undefined
   }
 
@@ -294,7 +310,12 @@
     this.dependencies.mover.removeRun(this)
     this.closeCurrentAttempt()
     this.pendingContinuation?.reservation.release()
-    this.takeNextReservation()?.release()
+    this.dropNextAttempt()
+  }
+
+  private dropNextAttempt (): void {
+    this.nextAttempt?.close()
+    this.nextAttempt = undefined
   }
 
   private recordOrigin (origin: StreamOrigin): void {
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -1,11 +1,14 @@
 import { type RelayTarget } from '../model/RelayTarget.js'
 import { classifyHead } from '../targets/classifyHead.js'
-import { type AttemptHead, MIN_FAILURE_STATUS, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
+import { type AttemptHead, MIN_FAILURE_STATUS } from '../targets/RelayTargetClient.js'
 import { isSameOrigin } from '../versions/StreamOrigin.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { isUsableHead } from './isUsableHead.js'
+import { canRepeat, canRepeatAfterStall } from './repeatStream.js'
+import { replaceStalledAttempt } from './replaceStalledAttempt.js'
 import { StallDetector } from './StallDetector.js'
-import { canRepeat, canRepeatAfterStall, replaceStalledAttempt, type StreamEnd } from './repeatStream.js'
+import { type StreamEnd } from './StreamAttempt.js'
 import { type StreamRun } from './StreamRun.js'
 
 /** Stall timeout of a started stream: a multiple of the longest acceptable gap between events, but at least the minimum. */
@@ -41,16 +44,10 @@
   }
 }
 
-/** Returns whether an answer may be forwarded. Only a series of events goes on with another one, under the head that the caller has. */
+/** Returns whether an answer may be forwarded: one with which the run goes on, or a failure after which no other target may get the request. */
 function isUsable (context: RelayContext, run: StreamRun, head: AttemptHead): boolean {
-  const firstHead = run.getFirstHead()
-  if (firstHead !== undefined) return isSignedSuccess(head) && head.status === firstHead.status && head.isEventStream && firstHead.isEventStream
-  const headClass = classifyHead(head)
-  return headClass === 'failed' ? !canRepeat(context, run, 'lost') : headClass === 'good'
-}
-
-function isSignedSuccess ({ status, isSigned }: AttemptHead): boolean {
-  return status < MIN_NON_SUCCESS_STATUS && isSigned
+  const isLastFailure = !run.hasStarted() && classifyHead(head) === 'failed' && !canRepeat(context, run, 'lost')
+  return isUsableHead(run, head) || isLastFailure
 }
 
 async function forwardEvents (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, head: AttemptHead, stallDetector: StallDetector): Promise<StreamEnd> {
@@ -99,7 +96,7 @@
   const onStall = (): void => {
     const isRepeatable = canRepeatAfterStall(context, run)
     dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
-    if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
+    if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { target: reservation.target.name, attempt, isStalled: () => stallDetector.isStalled() })
     else if (run.hasStarted()) dependencies.mover.moveStalledRun(run)
   }
   const stallDetector = StallDetector.start({ clock: dependencies.clock, stallTimeoutMs, onStall })
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -1,9 +1,5 @@
-import { type LogFields } from '../logs/DecisionLog.js'
 import { type RunContinuation } from '../moves/MovableRun.js'
-import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
 import { type TargetReservation } from '../placement/TargetReservation.js'
-import { type Continuation } from '../targets/RelayTargetClient.js'
-import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
 import { readStream } from './readStream.js'
 import { type AbortOutcome, findAbortReason, getAbortOutcome } from './abortOutcomes.js'
@@ -12,16 +8,10 @@
 import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { reserveEngine } from './reserveEngine.js'
-import { canRepeat, findObstacle, type StreamEnd } from './repeatStream.js'
-import { sendToTarget } from './sendToTarget.js'
+import { canRepeat, canSendAgain, findObstacle } from './repeatStream.js'
+import { recordAttemptEnd, startStreamAttempt, type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
 import { StreamRun } from './StreamRun.js'
 
-/** Lowest urgency that engines accept. */
-const LOWEST_URGENCY = 9
-
-/** Urgency of all generations where engines reserve capacity; the queue of this instance orders them, and no engine preempts one for another. */
-const HELD_URGENCY = 5
-
 /**
  * Relays a request whose answer is a stream. All events come from one run. A run continues at another engine only from its
  * own memory or, where the route allows it, from the last event that the caller received.
@@ -37,31 +27,43 @@
   }
 }
 
+/** What the next attempt begins with: a reserved target, the move after which the run continues there, and the attempt itself if it is sent already. */
+interface NextAttempt {
+  readonly reservation: TargetReservation
+  readonly move?: RunContinuation
+  readonly sent?: StreamAttempt
+}
+
 async function runAttempts (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<void> {
-  let reservation = await reserveEngine(dependencies, context, run)
-  let previousMove: RunContinuation | undefined
-  while (reservation !== undefined) {
+  const reservation = await reserveEngine(dependencies, context, run)
+  let next: NextAttempt | undefined = reservation === undefined ? undefined : { reservation }
+  while (next !== undefined) {
     if (context.signal.aborted) {
-      reservation.release()
+      closeNext(next)
       return finishAborted(dependencies, context, run)
     }
-    const obstacle = run.hasStarted() ? undefined : findObstacle(dependencies, context, reservation)
-    if (obstacle !== undefined) return refuseReserved(dependencies, context, run, reservation, obstacle)
-    const end = await runAttempt(dependencies, context, run, reservation, previousMove?.continuation)
+    const obstacle = run.hasStarted() || next.sent !== undefined ? undefined : findObstacle(dependencies, context, next.reservation)
+    if (obstacle !== undefined) return refuseReserved(dependencies, context, run, next.reservation, obstacle)
+    const end = await runAttempt(dependencies, context, run, next)
     if (end === 'complete') return
-    const next = context.signal.aborted ? undefined : await findContinuation(dependencies, run, previousMove, end)
+    const { move: previousMove }: NextAttempt = next
+    const move = context.signal.aborted ? undefined : await findContinuation(dependencies, run, previousMove, end)
     if (context.signal.aborted) return finishAborted(dependencies, context, run)
-    previousMove = next
-    reservation = next?.reservation ?? await reserveRepeat(dependencies, context, run, end)
-    if (reservation === undefined) return finishWithoutAttempt(dependencies, context, run, end)
+    next = move === undefined ? await findRepeat(dependencies, context, run, end) : { reservation: move.reservation, move }
+    if (next === undefined) return finishWithoutAttempt(dependencies, context, run, end)
   }
   finishWithoutEngine(dependencies, context, run)
 }
 
+function closeNext ({ sent, reservation }: NextAttempt): void {
+  if (sent === undefined) reservation.release()
+  else sent.close()
+}
+
 /** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused. */
 async function findContinuation (dependencies: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): Promise<RunContinuation | undefined> {
   const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
-  if (next !== undefined) run.takeNextReservation()?.release()
+  if (next !== undefined) await run.dropReplacement()
   return next
 }
 
@@ -84,10 +86,15 @@
   return { ...previousMove, reservation: placer.reserveTarget(source, run.getExpectedTokens()) }
 }
 
-/** Reserves another engine if the request may be repeated there, unless one was reserved after a stall. */
-async function reserveRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<TargetReservation | undefined> {
-  const reserved = run.takeNextReservation()
-  if (reserved !== undefined) return reserved
+/** Returns the attempt that replaces a silent one, or reserves another engine if the request may be repeated there. */
+async function findRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<NextAttempt | undefined> {
+  const sent = await run.takeNextAttempt()
+  if (sent !== undefined) return { reservation: sent.reservation, sent }
+  const reservation = await reserveOtherEngine(dependencies, context, run, end) ?? await reserveSilentEngine(dependencies, context, run)
+  return reservation === undefined ? undefined : { reservation }
+}
+
+async function reserveOtherEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<TargetReservation | undefined> {
   const isRepeatable = canRepeat(context, run, end)
   const mayRepeat = isRepeatable && await run.watch.mayRepeat()
   const reservation = mayRepeat ? await reserveEngine(dependencies, context, run) : undefined
@@ -95,69 +102,26 @@
   return reservation
 }
 
-async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, continuation: Continuation | undefined): Promise<StreamEnd> {
-  const { request, signal, priority, service } = context
-  const hold = reservation.getHold()
-  const abortController = new AbortController()
-  const forwardAbort = (): void => abortController.abort()
-  signal.addEventListener('abort', forwardAbort)
-  if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
-  if (continuation === undefined) run.excludedTargets.add(reservation.target.name)
-  run.sentAttempts++
-  const attempt = sendToTarget(dependencies, reservation, {
-    request,
-    workspace: context.workspace,
-    remainingMs: context.deadlineAtMs - dependencies.clock.nowMs(),
-    // A copy of an earlier answer to this request would be taken for the answer to this attempt.
-    needsFreshConnection: run.sentTargets.has(reservation.target.name),
-    urgency: hold !== undefined || dependencies.holds.isActive(service) ? HELD_URGENCY : Math.min(LOWEST_URGENCY, priority),
-    lastEventId: run.getLastEventId(),
-    continuation,
-    hold: hold?.id,
-    signal: abortController.signal
-  })
-  run.sentTargets.add(reservation.target.name)
-  run.currentAttempt = { reservation, attempt, abortController }
-  run.watch.startRun(attempt.head)
-  const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
-  dependencies.log.recordDecision(request.id, 'sent', {
-    route: context.route.name, target: reservation.target.name, softwareVersion: reservation.target.softwareVersion, score: reservation.score, ...describeSpeed(dependencies, context, reservation), hold: hold?.id, attempt: run.sentAttempts, waitedMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), continues: continuation?.handle, afterEvent: run.getLastEventId(), resumes: request.resumedId, sharedParts: request.sharedParts, heldPrefixTokens: reservation.heldPrefixTokens, version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs()
-  })
+/** Reserves the engine whose silent attempt was ended for another one that did not go on with the run. */
+async function reserveSilentEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
+  if (!canSendAgain(run) || !run.readmitSilentTarget() || !await run.watch.mayRepeat()) return undefined
+  return await reserveEngine(dependencies, context, run)
+}
+
+async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { reservation, move, sent }: NextAttempt): Promise<StreamEnd> {
+  const streamAttempt = sent ?? startStreamAttempt(dependencies, context, run, { reservation, continuation: move?.continuation })
+  run.currentAttempt = streamAttempt
+  run.watch.startRun(streamAttempt.attempt.head)
   dependencies.mover.addRun(run)
   try {
     const end = await readStream(dependencies, context, run)
-    if (attempt.isSent() && !NOT_RUN_ENDS.has(end)) recordRun(dependencies, reservation)
-    if (end === 'notSent') run.unsentAttempts++
-    run.watch.endRun(reservation.target, end, attempt.isBrokenOff())
-    dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
-    dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() })
+    recordAttemptEnd(dependencies, context, run, streamAttempt, end)
     return end
   } finally {
-    endPrefixUse()
-    signal.removeEventListener('abort', forwardAbort)
     run.closeCurrentAttempt()
   }
 }
 
-/** Returns log fields about the speed of an engine and the expected duration there. */
-function describeSpeed ({ speeds, generationTimes }: RelayDependencies, { service, request }: RelayContext, { target }: TargetReservation): LogFields {
-  const speed = speeds.getSpeed(target)
-  return { speed, expectedMs: Math.round(generationTimes.estimateDurationMs(service.name, request.size, speed)) }
-}
-
-/** Ends of attempts that the engine did not run. */
-const NOT_RUN_ENDS: ReadonlySet<StreamEnd> = new Set(['notExecuted', 'notSent', 'notHere'])
-
-/** Records that a generation used its reservation at the engine, which has capacity again after it. */
-function recordRun ({ holds }: RelayDependencies, reservation: TargetReservation): void {
-  reservation.getHold()?.recordUse()
-  holds.recordEnd(reservation.target)
-}
-
-const ATTEMPT_OUTCOMES: Record<StreamEnd, AttemptOutcome> = {
-  complete: 'success', aborted: 'success', notExecuted: 'success', notSent: 'unreachable', notHere: 'unreachable', lost: 'failure'
-}
-
 /** Refuses a request for which an engine is reserved; it may have run before. */
 function refuseReserved (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation: TargetReservation, reason: RefusalReason): void {
   reservation.release()
--- /dev/null
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from 'vitest'
+import { type AnswerStep, type ScriptedAnswer } from '../support/FakeTargetClient.js'
+import { createEvent, runSilentStream, SILENT_AFTER_START, SILENT_BEFORE_START, type SilentStreamOptions, WHOLE } from '../support/runSilentStream.js'
+
+const SILENT: ReadonlyArray<[string, ScriptedAnswer]> = [['before its first event', SILENT_BEFORE_START], ['between two events', SILENT_AFTER_START]]
+
+/** Ways in which another engine does not take a stream over, although it had capacity. */
+const FAILURES: ReadonlyArray<[string, ScriptedAnswer]> = [
+  ['refuses the request', { error: 'notExecuted' }],
+  ['accepts no connection', { error: 'notSent' }],
+  ['is another target', { error: 'notHere' }],
+  ['closes the connection', { error: 'lost' }],
+  ['closes the connection after a while', { error: 'lost', afterMs: 200 }],
+  ['reports a failure', { status: 500 }],
+  ['answers without a signature', { isSigned: false }]
+]
+
+/** Plays a stream at an engine that is silent for a while and at another one; returns the answer and the targets that got the request. */
+async function doTest (silent: ScriptedAnswer, other: ScriptedAnswer, options?: SilentStreamOptions): Promise<[string, string[]]> {
+  const { sink, dependencies } = await runSilentStream({ a: silent, b: other }, options)
+  expect([...dependencies.loads.listOwnLoads()]).toEqual([])
+  return [sink.describe(), dependencies.client.listTargets()]
+}
+
+describe.each(SILENT)('a stream that is silent for a while %s', (_, silent) => {
+  it.each(FAILURES)('goes on at its engine when the other one %s', async (_, failure) => {
+    const [answer, targets] = await doTest(silent, failure)
+    expect([answer, targets.slice(0, 2)]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('is sent to no more than four engines while they do not take it over', async () => {
+    const refusing: ScriptedAnswer = { error: 'notExecuted' }
+    const { sink, dependencies } = await runSilentStream({ a: silent, b: refusing, c: refusing, d: refusing, e: refusing, f: refusing })
+    expect([sink.describe(), dependencies.client.attempts.length]).toEqual([WHOLE, 4])
+  })
+
+  it('goes on at its engine when that is faster than the other one', async () => {
+    const soon: ScriptedAnswer = silent === SILENT_BEFORE_START ? { afterMs: 1400, steps: [createEvent(1), createEvent(2), 'END'] } : { steps: [createEvent(1), 1400, createEvent(2), 'END'] }
+    const { sink, dependencies } = await runSilentStream({ a: soon, b: { afterMs: 290, steps: [createEvent(2), 'END'] } })
+    expect([sink.describe(), ...dependencies.client.attempts.map(({ attempt }) => attempt.endState)]).toEqual([WHOLE, 'complete', 'aborted'])
+  })
+})
+
+describe('the engine of a silent stream', () => {
+  const rest: AnswerStep[] = [createEvent(2), 'END']
+
+  it('is left as soon as another one has begun to answer', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 50, steps: rest } })
+    const [first] = dependencies.client.attempts
+    expect([sink.describe(), first!.attempt.endState]).toEqual([WHOLE, 'lost'])
+  })
+
+  it('does not run a stream for long beside another one that has not answered', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 1000, steps: rest } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('gets a stream again when the other one, which had not answered for a while, refuses it', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: [SILENT_AFTER_START, { steps: rest }], b: { afterMs: 1000, error: 'notExecuted' } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b', 'a']])
+  })
+
+  it('keeps a stream during a stop while the other one has not begun to answer', async () => {
+    const prepare: SilentStreamOptions['prepare'] = ({ clock, drain }) => { clock.startTimer(200, () => drain.start()) }
+    const ending: ScriptedAnswer = { steps: [createEvent(1), 1600, createEvent(2), 'END'] }
+    const { sink, dependencies } = await runSilentStream({ a: ending, b: { afterMs: 1300, steps: rest } }, { prepare, graceMs: 2500 })
+    expect([sink.describe(), ...dependencies.client.attempts.map(({ attempt }) => attempt.endState)]).toEqual([WHOLE, 'complete', 'aborted'])
+  })
+})
