Give an attempt back to the retry budget when a search for another engine is not used

What callers saw: streams that broke off because the retry budget was used up, although few attempts had been sent.

Cause: after a stall another engine is sought, and the attempt is taken from the budget with its reservation. If the silent engine went on meanwhile, or the run had ended, the reservation was released and the attempt was not given back; where a fifth of the streams fall silent that is most of the budget.

Evidence: 'a search for another engine that is not needed' in replacedStreams.test.ts fails without the change (one attempt less is left).

Change: the attempt is returned. The oldest one that counts is forgotten, so that a window never holds more than was allowed.

--- a/packages/relay/src/budget/AttemptBudget.ts
+++ b/packages/relay/src/budget/AttemptBudget.ts
@@ -77,6 +77,15 @@
     return true
   }
 
+  /**
+   * Returns an additional attempt that was taken and not sent. The oldest one that counts is forgotten, so that no window has too many.
+   * @param service - Name of the service.
+   */
+  returnAttempt (service: string): void {
+    const slice = this.listWindow(service).find(({ additionalAttempts }) => additionalAttempts > 0)
+    if (slice !== undefined) slice.additionalAttempts--
+  }
+
   private computeExtra (): number {
     const { clock, limits, countInstances } = this.options
     const isFirstWindow = clock.nowMs() - this.startedAtMs < limits.windowMs
@@ -84,17 +93,21 @@
   }
 
   private sumWindow (service: string): { requests: number, additionalAttempts: number } {
-    const current = this.getSliceIndex()
     let requests = 0
     let additionalAttempts = 0
-    for (const slice of this.services.get(service) ?? []) {
-      if (current - slice.index >= SLICES_PER_WINDOW) continue
+    for (const slice of this.listWindow(service)) {
       requests += slice.requests
       additionalAttempts += slice.additionalAttempts
     }
     return { requests, additionalAttempts }
   }
 
+  /** Lists the slices of the window, oldest first. */
+  private listWindow (service: string): Slice[] {
+    const current = this.getSliceIndex()
+    return (this.services.get(service) ?? []).filter(({ index }) => current - index < SLICES_PER_WINDOW)
+  }
+
   private getSlice (service: string): Slice {
     const slices = this.services.get(service) ?? []
     this.services.set(service, slices)
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -58,7 +58,9 @@
   const isUsable = reservation !== undefined && stalled.isStalled() && run.currentAttempt?.attempt === stalled.attempt && maySend(dependencies, context, run, reservation)
   dependencies.log.recordDecision(context.request.id, 'other engine sought', { found: reservation?.target.name, isUsable, afterEvent: run.getLastEventId() })
   if (isUsable) return reservation
-  reservation?.release()
+  if (reservation === undefined) return undefined
+  reservation.release()
+  dependencies.budget.returnAttempt(context.service.name)
   return undefined
 }
 
--- a/packages/relay/test/budget/AttemptBudget.test.ts
+++ b/packages/relay/test/budget/AttemptBudget.test.ts
@@ -36,6 +36,25 @@
   it('halves its share of the extra attempts while a previous process may have used some of them', () => expect(doTest({ ageMs: 0 })).toBe(15))
   it('grants no extra attempts while the fleet size is unknown', () => expect(doTest({ instances: Infinity, requests: 100 })).toBe(12))
 
+  it('grants an attempt again that was returned, and no more than that', () => {
+    const clock = VirtualClock.create()
+    const budget = AttemptBudget.create({ clock, limits: { ratio: 0, extra: 10, windowMs: WINDOW_MS }, countInstances: () => 1 })
+    clock.jump(WINDOW_MS)
+    const countGranted = (): number => {
+      let granted = 0
+      while (budget.takeAttempt('s', 'retry')) granted++
+      return granted
+    }
+    expect(countGranted()).toBe(6)
+    clock.jump(WINDOW_MS / 2)
+    budget.returnAttempt('s')
+    expect(countGranted()).toBe(1)
+    clock.jump(WINDOW_MS / 2)
+    expect(countGranted()).toBe(5)
+    budget.returnAttempt('other')
+    expect(countGranted()).toBe(0)
+  })
+
   it('stays within the limit when each instance uses its share, restarts and uses its share again', () => {
     fc.assert(fc.property(fc.array(fc.nat(200), { minLength: 1, maxLength: 12 }), requests => {
       const doOnce = (count: number, ageMs: number): number => doTest({ requests: count, instances: requests.length, ageMs })
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -1,4 +1,6 @@
+import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
+import { type TestDependencies } from '../support/createTestDependencies.js'
 import { type AnswerStep, type ScriptedAnswer } from '../support/FakeTargetClient.js'
 import { createEvent, runSilentStream, SILENT_AFTER_START, SILENT_BEFORE_START, type SilentStreamOptions, WHOLE } from '../support/runSilentStream.js'
 
@@ -67,3 +69,15 @@
     expect([sink.describe(), ...dependencies.client.attempts.map(({ attempt }) => attempt.endState)]).toEqual([WHOLE, 'complete', 'aborted'])
   })
 })
+
+describe('a search for another engine that is not needed', () => {
+  it('leaves the retry budget as it was', async () => {
+    const countLeft = ({ budget }: TestDependencies): number => Array.from({ length: 100 }, () => budget.takeAttempt('engines', 'retry')).filter(isTaken => isTaken).length
+    const left: number[] = []
+    const prepare = (dependencies: TestDependencies): void => { dependencies.clock.startTimer(1500, () => left.push(countLeft(dependencies))) }
+    const soon: ScriptedAnswer = { steps: [createEvent(1), 1240, createEvent(2), 1000, 'END'] }
+    await runSilentStream({ a: soon, b: { steps: [createEvent(2), 'END'] } }, { prepare, holds: { answer: Result.ok('second'), afterMs: 600 } })
+    await runSilentStream({ a: { steps: [createEvent(1), createEvent(2), 2000, 'END'] } }, { prepare })
+    expect(left[0]).toBe(left[1])
+  })
+})
