--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -8,6 +8,7 @@
 import { type StreamGaps } from '../speeds/StreamGaps.js'
 import { type AttemptHead, MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { createStreamOrigin, type StreamOrigin } from '../versions/StreamOrigin.js'
+import { AttemptReplacement } from './AttemptReplacement.js'
 import { EventOrder } from './EventOrder.js'
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 import { type RelayContext } from './RelayContext.js'
@@ -45,6 +46,7 @@
   readonly service: ServiceProfile
   readonly allowedRegions?: AllowedRegions
   readonly watch: RunWatch
+  readonly replacement = AttemptReplacement.create()
   /** Names of targets to which the request is not sent again. */
   readonly excludedTargets = new Set<string>()
   /** Names of targets to which the request was sent. */
@@ -67,12 +69,6 @@
   private firstHead: AttemptHead | undefined
   private hasClosed = false
   private pendingContinuation: RunContinuation | undefined
-  /** Attempt that is sent already and goes on with the run when the current one ends. */
-  private nextAttempt: StreamAttempt | undefined
-  /** Resolves when the search for another engine has ended; undefined when there is none. */
-  private replacement: Promise<void> | undefined
-  /** Name of the engine whose silent attempt was ended for another one. */
-  private silentTarget: string | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
@@ -163,54 +159,6 @@
     return next
   }
 
-  /**
-   * Replaces the current attempt by one at another engine, unless such a replacement is in progress.
-   * @param startNext - Starts the other attempt; undefined when the current one goes on.
-   * @returns Whether there is another attempt.
-   */
-  async replaceAttempt (startNext: () => Promise<StreamAttempt | undefined>): Promise<boolean> {
-    if (this.replacement !== undefined) return false
-    this.replacement = startNext().then(next => {
-      this.nextAttempt = next
-      if (this.hasClosed) this.dropNextAttempt()
-    })
-    await this.replacement
-    this.replacement = undefined
-    return this.nextAttempt !== undefined
-  }
-
-  /** Returns and clears the attempt that goes on with the run; waits for a replacement in progress. Returns undefined when there is none. */
-  async takeNextAttempt (): Promise<StreamAttempt | undefined> {
-    await this.replacement
-    const { nextAttempt } = this
-    this.nextAttempt = undefined
-    return nextAttempt
-  }
-
-  /** Ends the attempt that would go on with the run; waits for a replacement in progress. */
-  async dropReplacement (): Promise<void> {
-    await this.replacement
-    this.dropNextAttempt()
-  }
-
-  /**
-   * Records that the silent attempt at an engine is ended for another one.
-   * @param target - Name of the engine.
-   */
-  recordSilentTarget (target: string): void {
-    this.silentTarget = target
-  }
-
-  /**
-   * Lets the engine whose silent attempt was ended get the request again.
-   * @returns Whether there is such an engine.
-   */
-  readmitSilentTarget (): boolean {
-    const { silentTarget } = this
-    this.silentTarget = undefined
-    return silentTarget !== undefined && this.excludedTargets.delete(silentTarget)
-  }
-
   /** Returns whether the run was stopped because it continues at another engine. */
   isContinuing (): boolean {
     return this.pendingContinuation !== undefined
@@ -310,12 +258,7 @@
     this.dependencies.mover.removeRun(this)
     this.closeCurrentAttempt()
     this.pendingContinuation?.reservation.release()
-    this.dropNextAttempt()
-  }
-
-  private dropNextAttempt (): void {
-    this.nextAttempt?.close()
-    this.nextAttempt = undefined
+    this.replacement.close()
   }
 
   private recordOrigin (origin: StreamOrigin): void {
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -34,7 +34,7 @@
  * @param stalled - The attempt.
  */
 export async function replaceStalledAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<void> {
-  const isReplaced = await run.replaceAttempt(async () => await startOtherAttempt(dependencies, context, run, stalled))
+  const isReplaced = await run.replacement.run(async () => await startOtherAttempt(dependencies, context, run, stalled))
   if (isReplaced) stalled.attempt.markLost()
 }
 
@@ -48,7 +48,7 @@
   const goesOn = isNeeded && (answer === 'begun' || (answer === 'pending' && likelyEnds(dependencies, context, other)))
   dependencies.log.recordDecision(context.request.id, 'other engine asked', { target: reservation.target.name, answer, isNeeded, goesOn, afterEvent: other.afterEvent })
   if (!goesOn) return closeOther(dependencies, context, run, other, answer)
-  if (answer === 'pending') run.recordSilentTarget(stalled.target)
+  if (answer === 'pending') run.replacement.recordSilentTarget(stalled.target)
   return other
 }
 
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -63,7 +63,7 @@
 /** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused. */
 async function findContinuation (dependencies: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): Promise<RunContinuation | undefined> {
   const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
-  if (next !== undefined) await run.dropReplacement()
+  if (next !== undefined) await run.replacement.drop()
   return next
 }
 
@@ -88,7 +88,7 @@
 
 /** Returns the attempt that replaces a silent one, or reserves another engine if the request may be repeated there. */
 async function findRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<NextAttempt | undefined> {
-  const sent = await run.takeNextAttempt()
+  const sent = await run.replacement.takeNextAttempt()
   if (sent !== undefined) return { reservation: sent.reservation, sent }
   const reservation = await reserveOtherEngine(dependencies, context, run, end) ?? await reserveSilentEngine(dependencies, context, run)
   return reservation === undefined ? undefined : { reservation }
@@ -104,7 +104,9 @@
 
 /** Reserves the engine whose silent attempt was ended for another one that did not go on with the run. */
 async function reserveSilentEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  if (!canSendAgain(run) || !run.readmitSilentTarget() || !await run.watch.mayRepeat()) return undefined
+  const target = run.replacement.takeSilentTarget()
+  if (target === undefined || !canSendAgain(run) || !await run.watch.mayRepeat()) return undefined
+  run.excludedTargets.delete(target)
   return await reserveEngine(dependencies, context, run)
 }
 
