Count a silent continuation among the engines that run a stream

What targets saw: a resumable stream was sent to three engines although its route allows two.

Cause: after a stall the attempts were counted as those that had answered, and one more only while the caller had no event. A continuation that was silent before its own head was not counted, so that its stall allowed a third engine.

'runs at no more engines than its route allows when the other one is silent as well' fails without the change.

Change: the current attempt counts from when it is read, until its head or its error is counted.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -68,6 +68,8 @@
   private longestGapMs = 0
   private firstHead: AttemptHead | undefined
   private hasClosed = false
+  /** Whether the current attempt is counted among those that ran or may have run. */
+  private isCurrentCounted = false
   private pendingContinuation: RunContinuation | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
@@ -169,10 +171,22 @@
     return this.pendingContinuation !== undefined && this.pendingContinuation.producedEvents > 0 && this.eventCount >= this.pendingContinuation.producedEvents
   }
 
+  /** Records that the current attempt runs or may have run. */
+  recordExecuted (): void {
+    this.executedAttempts++
+    this.isCurrentCounted = true
+  }
+
+  /** Counts the attempts that ran or may run, including the current one. */
+  countPossibleRuns (): number {
+    return this.executedAttempts + (this.isCurrentCounted ? 0 : 1)
+  }
+
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
   startReading (): void {
     this.splitter = EventSplitter.create()
     this.order = EventOrder.create(this.lastEventId)
+    this.isCurrentCounted = false
     this.wasAskedToStop = false
     this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -31,10 +31,10 @@
     const head = await run.currentAttempt!.attempt.head
     if (head.isErr) {
       // An attempt that was stopped for a move may have run.
-      if (head.error === 'lost' || head.error === 'aborted') run.executedAttempts++
+      if (head.error === 'lost' || head.error === 'aborted') run.recordExecuted()
       return head.error
     }
-    run.executedAttempts++
+    run.recordExecuted()
     if (isUsable(context, run, head.value)) return await forwardEvents(dependencies, context, run, head.value, stallDetector)
     const { status, isSigned } = head.value
     dependencies.log.recordDecision(context.request.id, 'answer not used', { target: run.getTarget()?.name, status, isSigned, afterEvent: run.getLastEventId() })
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -37,7 +37,7 @@
  */
 export function canRepeatAfterStall (context: RelayContext, run: StreamRun): boolean {
   const { route } = context
-  return route.isResumable && run.executedAttempts + (run.hasStarted() ? 0 : 1) < route.maxAttempts && canRepeat(context, run, 'lost')
+  return route.isResumable && run.countPossibleRuns() < route.maxAttempts && canRepeat(context, run, 'lost')
 }
 
 /**
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -36,6 +36,11 @@
     expect([sink.describe(), dependencies.client.attempts.length]).toEqual([WHOLE, 4])
   })
 
+  it('runs at no more engines than its route allows when the other one is silent as well', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: silent, b: { afterMs: 3000, steps: [...silent === SILENT_BEFORE_START ? [createEvent(1)] : [], createEvent(2), 'END'] }, c: { steps: [createEvent(2), 'END'] } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
   it('goes on at its engine when that is faster than the other one', async () => {
     const soon: ScriptedAnswer = silent === SILENT_BEFORE_START ? { afterMs: 1400, steps: [createEvent(1), createEvent(2), 'END'] } : { steps: [createEvent(1), 1400, createEvent(2), 'END'] }
     const { sink, dependencies } = await runSilentStream({ a: soon, b: { afterMs: 290, steps: [createEvent(2), 'END'] } })
