Log which requests were at a target whose connection broke

Cause: a call that crashes targets could not be told from one that was there: its lines name ids, and each coming has a new one.

Change: the line 'attempt ended' of a call whose connection broke has the fingerprint of the request: workspace, method, host, path and body, hashed. It is computed for such calls only. No decision uses it.

--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,3 +1,4 @@
+import { computeFingerprint } from '../crashes/computeFingerprint.js'
 import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
@@ -48,7 +49,7 @@
   run.runningAttempts.delete(callAttempt)
   if (answerClass === 'good' && isWholeSuccess(answer) && context.service.engine === undefined) callAttempt.recordAnswer()
   dependencies.health.recordOutcome(callAttempt.reservation.target.name, ATTEMPT_OUTCOMES[answerClass])
-  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(callAttempt, answer, answerClass))
+  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(run, callAttempt, answer, answerClass))
   try {
     return await ANSWER_HANDLERS[answerClass](run, answered)
   } finally {
@@ -78,6 +79,7 @@
   return false
 }
 
-function describeAnswer ({ reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
-  return { target: reservation.target.name, outcome: answerClass, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause() }
+function describeAnswer ({ context }: CallRun, { reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
+  const fingerprint = attempt.isBrokenOff() ? computeFingerprint(context) : undefined
+  return { target: reservation.target.name, outcome: answerClass, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause(), fingerprint }
 }
