--- a/packages/relay/src/calls/CallAttempt.ts
+++ b/packages/relay/src/calls/CallAttempt.ts
@@ -7,6 +7,8 @@
   readonly reservation: TargetReservation
   readonly attempt: Attempt
   readonly abortController: AbortController
+  /** Clock reading at which it was sent. */
+  readonly sentAtMs: number
   /** Resolves with the answer once it is complete or the buffer is full. */
   readonly answered: Promise<AnsweredAttempt>
   /** Records the time of a complete answer. */
--- a/packages/relay/src/calls/CallRun.ts
+++ b/packages/relay/src/calls/CallRun.ts
@@ -1,5 +1,6 @@
 import { type RelayContext } from '../requests/RelayContext.js'
 import { type RelayDependencies } from '../requests/RelayDependencies.js'
+import { type CallWatch } from '../crashes/CallWatch.js'
 import { type BufferedAnswer } from './CallAnswer.js'
 import { type CallAttempt, closeCallAttempt } from './CallAttempt.js'
 
@@ -27,11 +28,15 @@
   failedAnswer: BufferedAnswer | undefined
   /** Whether an attempt without an answer may have run. */
   mayHaveRun = false
+  /** Watches whether the call crashes its targets. */
+  readonly watch: CallWatch
   /** Clock reading at which the first attempt was sent. */
   private sentAtMs: number | undefined
 
   /** @internal */
-  private constructor (readonly dependencies: RelayDependencies, readonly context: RelayContext) {}
+  private constructor (readonly dependencies: RelayDependencies, readonly context: RelayContext) {
+    this.watch = dependencies.crashes.watchCall(context)
+  }
 
   /** Returns whether the call has ended. Timers may fire late after a process pause, so the clock is checked as well. */
   hasEnded (): boolean {
--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -41,6 +41,7 @@
 /** Forwards the rest of an answer until the deadline at most. */
 async function forwardRemainder (run: CallRun, callAttempt: CallAttempt): Promise<void> {
   if (!await forwardUntilEnd(run.context, callAttempt)) return abortAnswer(run, callAttempt)
+  run.watch.recordAnswer(callAttempt.sentAtMs)
   run.context.sink.end()
   run.recordDuration()
 }
@@ -63,7 +64,8 @@
   }
 }
 
-function abortAnswer ({ context, dependencies }: CallRun, { attempt, reservation }: CallAttempt): void {
+function abortAnswer ({ context, dependencies, watch }: CallRun, { attempt, reservation }: CallAttempt): void {
+  if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, true)
   const { sink, request, route } = context
   sink.abort()
   dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome: getAbortOutcome(context), cause: attempt.getCause() })
--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -48,6 +48,7 @@
   const answerClass = classifyCallAnswer(answer)
   run.runningAttempts.delete(callAttempt)
   if (answerClass === 'good' && isWholeSuccess(answer) && context.service.engine === undefined) callAttempt.recordAnswer()
+  watchAnswer(run, answered, answerClass)
   dependencies.health.recordOutcome(callAttempt.reservation.target.name, ATTEMPT_OUTCOMES[answerClass])
   dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(run, callAttempt, answer, answerClass))
   try {
@@ -57,6 +58,12 @@
   }
 }
 
+/** Records what an answer tells of whether the call crashes its targets. */
+function watchAnswer ({ watch }: CallRun, { callAttempt: { attempt, reservation, sentAtMs }, answer }: AnsweredAttempt, answerClass: CallAnswerClass): void {
+  if (answerClass === 'good' && answer.kind === 'answer' && answer.isComplete) watch.recordAnswer(sentAtMs)
+  else if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, false)
+}
+
 /** Returns whether the time of an answer tells the speed of its target; refusals are quick, and large answers depend on links. */
 function isWholeSuccess (answer: CallAnswer): boolean {
   return answer.kind === 'answer' && answer.isComplete && answer.head.status < MIN_NON_SUCCESS_STATUS
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -11,7 +11,7 @@
  * @returns False when there is no target, when no repeat is allowed or would end in time, or when the budget is used up.
  */
 export function startCallAttempt (run: CallRun): boolean {
-  if (run.sentAttempts > 0 && !(run.canRepeat() && run.dependencies.drain.maySend(run.context))) return false
+  if (run.sentAttempts > 0 && !mayRepeat(run)) return false
   const reservation = reserveTarget(run)
   if (reservation === undefined) return false
   sendCallAttempt(run, reservation)
@@ -27,6 +27,11 @@
   if (isStarted) run.dependencies.metrics.countRepeat(run.context.service.name, 'slow')
 }
 
+/** Returns whether the call may be sent to a further target now. */
+function mayRepeat (run: CallRun): boolean {
+  return run.canRepeat() && run.dependencies.drain.maySend(run.context) && run.watch.mayRepeat()
+}
+
 /** Reserves another target, and takes the attempt from the budget if a target was reached before. */
 function reserveTarget (run: CallRun): TargetReservation | undefined {
   const { context: { service, allowedRegions }, dependencies: { placer, budget } } = run
@@ -42,11 +47,12 @@
   run.excludedTargets.add(reservation.target.name)
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   run.recordSent()
+  const sentAtMs = dependencies.clock.nowMs()
   const recordAnswer = dependencies.speeds.startCall(reservation.target)
   const attempt = sendRequest(run, reservation, abortController.signal)
   recordSent(run, reservation)
   const answered = readCallAnswer(attempt).then(answer => ({ callAttempt, answer }))
-  const callAttempt: CallAttempt = { reservation, attempt, abortController, answered, recordAnswer }
+  const callAttempt: CallAttempt = { reservation, attempt, abortController, sentAtMs, answered, recordAnswer }
   run.runningAttempts.add(callAttempt)
 }
 
--- a/packages/relay/src/calls/waitForCallEvent.ts
+++ b/packages/relay/src/calls/waitForCallEvent.ts
@@ -26,6 +26,18 @@
   }
 }
 
+/**
+ * Waits until it is known whether the targets of a call crashed, if the call must not be repeated before; until the call ends at most.
+ * @param run - The call.
+ */
+export async function waitForCrashChecks (run: CallRun): Promise<void> {
+  const checks = run.watch.getCheck()
+  if (checks === undefined || run.runningAttempts.size > 0 || !run.canRepeat()) return
+  const waitController = new AbortController()
+  await Promise.race([checks, waitForEnd(run.context, waitController.signal)])
+  waitController.abort()
+}
+
 /** Waits until a call ends. The promise is not wrapped in another one, so that the end of a call comes before an answer that is already there. */
 function waitForEnd ({ signal }: RelayContext, waitSignal: AbortSignal): Promise<'ended'> {
   return new Promise(resolve => {
--- a/packages/relay/src/crashes/CrashEvidence.ts
+++ b/packages/relay/src/crashes/CrashEvidence.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@fescuespoke/common'
 import { type EngineCrashNews, type SoundPartNews } from '@fescuespoke/schema'
 import { type DecisionLog } from '../logs/DecisionLog.js'
+import { isFingerprint } from './computeFingerprint.js'
 import { type CrashSuspect, type EngineCrash } from './EngineCrash.js'
 
 /** Options of evidence. */
@@ -15,10 +16,11 @@
   readonly learnedAtMs: number
 }
 
-/** Number of crashes, of suspects of one crash, and of sound parts that are remembered. */
+/** Number of crashes, of suspects of one crash, and of sound parts and sound requests that are remembered. */
 const MAX_CRASHES = 64
 const MAX_SUSPECTS = 16
 const MAX_SOUND_PARTS = 256
+const MAX_SOUND_FINGERPRINTS = 256
 
 /** Time for which a crash is remembered, in milliseconds. */
 const RETENTION_MS = 900_000
@@ -33,7 +35,7 @@
 /** Number of further crashes in a message; successive messages list all of them in turn. */
 const MAX_OTHER_NEWS = 4
 
-/** Crashes of engines and parts of prompts that proved sound, as all instances have observed them. */
+/** Crashes of targets, and parts of prompts and fingerprints that proved sound, as all instances have observed them. Fingerprints are remembered as sound only where a crash implicates them. */
 export class CrashEvidence {
   /**
    * Creates evidence without any crash.
@@ -47,6 +49,10 @@
   private readonly records = new Map<string, CrashRecord>()
   /** Clock reading up to which each part is cleared, the part that proved sound last at the end. */
   private readonly soundAtMs = new Map<string, number>()
+  /** The same of fingerprints, which are many. */
+  private readonly soundFingerprintsAtMs = new Map<string, number>()
+  /** Number of crashes that implicate each fingerprint. */
+  private fingerprints: ReadonlyMap<string, number> = new Map()
   private readonly listeners = new Set<() => void>()
   private protectedParts: ReadonlySet<string> = new Set()
   private nextNewsIndex = 0
@@ -72,12 +78,12 @@
   }
 
   /**
-   * Records that a run proved sound, which clears its parts of all crashes before its first event.
-   * @param parts - Ids of the shared parts of its prompt.
-   * @param firstEventAtMs - Clock reading of its first event.
+   * Records that a run proved sound, which clears its parts of earlier crashes.
+   * @param parts - Ids of the shared parts of its prompt, and the fingerprint of the request.
+   * @param atMs - Clock reading up to which they are cleared.
    */
-  recordSoundRun (parts: readonly string[], firstEventAtMs: number): void {
-    const cleared = parts.filter(part => this.mergeSoundPart(part, firstEventAtMs))
+  recordSoundRun (parts: readonly string[], atMs: number): void {
+    const cleared = parts.filter(part => this.mergeSoundPart(part, atMs))
     if (cleared.length > 0) this.notifyListeners()
   }
 
@@ -94,7 +100,22 @@
    * @param part - Id of the part.
    */
   getSoundAtMs (part: string): number | undefined {
-    return this.soundAtMs.get(part)
+    return this.selectSound(part).get(part)
+  }
+
+  /** Returns whether crashes implicate any fingerprints. */
+  hasFingerprints (): boolean {
+    this.prune()
+    return this.fingerprints.size > 0
+  }
+
+  /**
+   * Returns whether a crash implicates a part that has not proved sound since.
+   * @param part - Id of the part.
+   */
+  isImplicated (part: string): boolean {
+    const soundAtMs = this.getSoundAtMs(part) ?? -Infinity
+    return this.listCrashes().some(({ atMs, suspects }) => atMs > soundAtMs && suspects.some(({ parts }) => parts.includes(part)))
   }
 
   /** Lists the crashes that are remembered. */
@@ -122,7 +143,7 @@
     const nowMs = this.options.clock.nowMs()
     const parts = new Set(crashes.flatMap(({ suspects }) => suspects.flatMap(suspect => suspect.parts)))
     return [...parts].flatMap(part => {
-      const atMs = this.soundAtMs.get(part)
+      const atMs = this.getSoundAtMs(part)
       return atMs === undefined ? [] : [{ part, ageMs: Math.round(nowMs - atMs) }]
     })
   }
@@ -135,8 +156,8 @@
    */
   mergeNews (peer: string, crashes: readonly EngineCrashNews[], soundParts: readonly SoundPartNews[]): void {
     const nowMs = this.options.clock.nowMs()
-    const cleared = soundParts.filter(({ part, ageMs }) => this.mergeSoundPart(part, nowMs - ageMs))
     const added = crashes.filter(({ target, startedAtMs, ageMs, suspects }) => this.mergeCrash({ target, startedAtMs, atMs: nowMs - ageMs, suspects }, peer))
+    const cleared = soundParts.filter(({ part, ageMs }) => this.mergeSoundPart(part, nowMs - ageMs))
     if (cleared.length > 0 || added.length > 0) this.notifyListeners()
   }
 
@@ -148,11 +169,12 @@
     if (nowMs - atMs >= RETENTION_MS) return false
     const key = `${target} ${startedAtMs}`
     const known = this.records.get(key)?.crash
-    const suspects = mergeSuspects(known?.suspects ?? [], crash.suspects)
+    const suspects = this.mergeSuspects(known?.suspects ?? [], crash.suspects)
     if (known !== undefined && suspects.every(({ requestId }) => known.suspects.some(other => other.requestId === requestId))) return false
     this.records.set(key, { crash: { target, startedAtMs, atMs: Math.min(atMs, known?.atMs ?? atMs), suspects }, learnedAtMs: nowMs })
+    this.countFingerprints()
     if (known === undefined) {
-      log.recordStateChange('engine crash observed', { target, startedAtMs, source, ageMs: Math.round(nowMs - atMs), suspects: suspects.slice(0, MAX_SUSPECTS) })
+      log.recordStateChange('target crash observed', { target, startedAtMs, source, ageMs: Math.round(nowMs - atMs), suspects: suspects.slice(0, MAX_SUSPECTS) })
       this.dropLeastUseful()
     }
     return true
@@ -160,17 +182,42 @@
 
   /** Returns whether the part is cleared of a known crash by this. */
   private mergeSoundPart (part: string, atMs: number): boolean {
-    const before = this.soundAtMs.get(part) ?? -Infinity
-    if (atMs <= before) return false
-    this.soundAtMs.delete(part)
-    this.soundAtMs.set(part, atMs)
-    if (this.soundAtMs.size > MAX_SOUND_PARTS) this.soundAtMs.delete(this.soundAtMs.keys().next().value!)
+    const sound = this.selectSound(part)
+    const before = sound.get(part) ?? -Infinity
+    if (atMs <= before || (isFingerprint(part) && !this.fingerprints.has(part))) return false
+    sound.delete(part)
+    sound.set(part, atMs)
+    if (sound.size > (isFingerprint(part) ? MAX_SOUND_FINGERPRINTS : MAX_SOUND_PARTS)) sound.delete(sound.keys().next().value!)
     return [...this.records.values()].some(({ crash }) => crash.atMs <= atMs && crash.atMs > before && crash.suspects.some(({ parts }) => parts.includes(part)))
   }
 
   /** Returns whether a part is not cleared of a crash. */
   private isOpen ({ atMs, suspects }: EngineCrash): boolean {
-    return suspects.some(({ parts }) => parts.some(part => (this.soundAtMs.get(part) ?? -Infinity) < atMs))
+    return suspects.some(({ parts }) => parts.some(part => (this.getSoundAtMs(part) ?? -Infinity) < atMs))
+  }
+
+  private selectSound (part: string): Map<string, number> {
+    return isFingerprint(part) ? this.soundFingerprintsAtMs : this.soundAtMs
+  }
+
+  private countFingerprints (): void {
+    const counts = new Map<string, number>()
+    for (const { crash: { suspects } } of this.records.values()) {
+      for (const part of new Set(suspects.flatMap(({ parts }) => parts))) if (isFingerprint(part)) counts.set(part, (counts.get(part) ?? 0) + 1)
+    }
+    this.fingerprints = counts
+    for (const part of this.soundFingerprintsAtMs.keys()) if (!counts.has(part)) this.soundFingerprintsAtMs.delete(part)
+  }
+
+  /** Merges suspects; where there are too many, those that other crashes implicate are kept, and those whose answer had begun. */
+  private mergeSuspects (known: readonly CrashSuspect[], added: readonly CrashSuspect[]): CrashSuspect[] {
+    const byRequest = new Map(known.map(suspect => [suspect.requestId, suspect]))
+    for (const { requestId, parts, hasBegun } of added) {
+      const id = requestId.slice(0, MAX_ID_LENGTH)
+      if (!byRequest.has(id)) byRequest.set(id, { requestId: id, parts, hasBegun })
+    }
+    const countCrashes = ({ parts }: CrashSuspect): number => Math.max(0, ...parts.map(part => this.fingerprints.get(part) ?? 0))
+    return [...byRequest.values()].sort((a, b) => countCrashes(b) - countCrashes(a) || Number(b.hasBegun) - Number(a.hasBegun)).slice(0, MAX_SUSPECTS)
   }
 
   private takeOthers (others: readonly CrashRecord[]): CrashRecord[] {
@@ -187,24 +234,17 @@
     const candidates = [...this.records].map(([key, { crash }]) => ({ key, atMs: crash.atMs, usefulness: Number(isProtected(crash)) * 2 + Number(this.isOpen(crash)) }))
     const [least] = candidates.sort((a, b) => a.usefulness - b.usefulness || a.atMs - b.atMs)
     this.records.delete(least!.key)
+    this.countFingerprints()
   }
 
   private prune (): void {
     const nowMs = this.options.clock.nowMs()
-    for (const [key, { crash }] of this.records) if (nowMs - crash.atMs >= RETENTION_MS) this.records.delete(key)
+    const expired = [...this.records].filter(([, { crash }]) => nowMs - crash.atMs >= RETENTION_MS)
+    for (const [key] of expired) this.records.delete(key)
+    if (expired.length > 0) this.countFingerprints()
   }
 
   private notifyListeners (): void {
     for (const listener of this.listeners) listener()
   }
 }
-
-/** Merges suspects; where there are too many, those whose answer had begun are kept. */
-function mergeSuspects (known: readonly CrashSuspect[], added: readonly CrashSuspect[]): CrashSuspect[] {
-  const byRequest = new Map(known.map(suspect => [suspect.requestId, suspect]))
-  for (const { requestId, parts, hasBegun } of added) {
-    const id = requestId.slice(0, MAX_ID_LENGTH)
-    if (!byRequest.has(id)) byRequest.set(id, { requestId: id, parts, hasBegun })
-  }
-  return [...byRequest.values()].sort((a, b) => Number(b.hasBegun) - Number(a.hasBegun)).slice(0, MAX_SUSPECTS)
-}
--- a/packages/relay/src/crashes/CrashGuard.ts
+++ b/packages/relay/src/crashes/CrashGuard.ts
@@ -2,10 +2,14 @@
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayMetrics } from '../logs/RelayMetrics.js'
 import { type RelayRequest } from '../requests/RelayRequest.js'
+import { CallWatch } from './CallWatch.js'
+import { computeFingerprint, isFingerprint } from './computeFingerprint.js'
 import { type CrashDetector } from './CrashDetector.js'
 import { type CrashEvidence } from './CrashEvidence.js'
+import { type CrashSubject } from './CrashSubject.js'
 import { findPartSuspicions, type PartSuspicion, type SuspicionLevel } from './findPartSuspicions.js'
 import { RunWatch } from './RunWatch.js'
+import { type SuspectRequest } from './SuspectRequest.js'
 import { type TrialSchedule } from './TrialSchedule.js'
 
 /** Options of a crash guard. */
@@ -18,10 +22,16 @@
   readonly log: DecisionLog
 }
 
-/** What the log says about parts that reach a level. */
-const LEVEL_CHANGES: Record<SuspicionLevel, string> = { suspected: 'prompt part suspected', blamed: 'prompt part blamed' }
+/** What is suspected: parts of prompts, or a single request that comes again, by its fingerprint. */
+type SuspicionKind = 'part' | 'request'
 
-/** Keeps requests from engines that would crash engine after engine, by what crashes and sound runs tell of the shared parts of their prompts. */
+/** What the log says about a suspicion. */
+const LOG_TEXTS: Record<SuspicionKind, Record<SuspicionLevel | 'cleared' | 'tried', string>> = {
+  part: { suspected: 'prompt part suspected', blamed: 'prompt part blamed', cleared: 'prompt part cleared', tried: 'blamed prompt part tried again' },
+  request: { suspected: 'request suspected', blamed: 'request blamed', cleared: 'request cleared', tried: 'blamed request tried again' }
+}
+
+/** Keeps requests from targets that would crash target after target, by what crashes and sound runs tell of the shared parts of their prompts and of their fingerprints. */
 export class CrashGuard {
   /**
    * Creates a guard.
@@ -33,6 +43,7 @@
 
   /** Suspicions by key of the parts. */
   private suspicions: ReadonlyMap<string, PartSuspicion> = new Map()
+  private readonly fingerprints = new WeakMap<RelayRequest, string>()
 
   /** @internal */
   private constructor (private readonly options: CrashGuardOptions) {
@@ -40,43 +51,74 @@
   }
 
   /**
-   * Creates a watch on the runs of a request.
-   * @param request - The request.
+   * Creates a watch on the runs of a request whose answer is a stream.
+   * @param subject - The request.
    */
-  watchRuns (request: Pick<RelayRequest, 'id' | 'sharedParts'>): RunWatch {
+  watchRuns (subject: CrashSubject): RunWatch {
     const { clock, evidence, detector } = this.options
-    return RunWatch.create({ clock, evidence, detector, request, isSuspected: parts => this.isSuspected(parts) })
+    return RunWatch.create({ clock, evidence, detector, request: this.createSuspect(subject) })
+  }
+
+  /**
+   * Creates a watch on the attempts of a call.
+   * @param subject - The request.
+   */
+  watchCall (subject: CrashSubject): CallWatch {
+    const { evidence, detector } = this.options
+    return CallWatch.create({ evidence, detector, request: this.createSuspect(subject) })
   }
 
   /**
-   * Returns whether a request must not be sent to an engine, because of the parts of its prompt.
-   * @param request - The request.
+   * Returns whether a request must not be sent to a target, because requests like it crash targets.
+   * @param subject - The request.
    */
-  mustRefuse ({ id, sharedParts }: RelayRequest): boolean {
-    const blamed = this.findBlamed(sharedParts)
+  mustRefuse (subject: CrashSubject): boolean {
+    const blamed = this.findBlamed(subject)
     if (blamed === undefined) return false
     const { trials, log, clock } = this.options
+    const { id } = subject.request
     if (!trials.takeTurn(blamed, id)) return true
-    log.recordDecision(id, 'blamed prompt part tried again', { parts: blamed.parts, crashes: blamed.crashes, lastCrashMs: Math.round(clock.nowMs() - blamed.lastAtMs) })
+    log.recordDecision(id, LOG_TEXTS[classifySuspicion(blamed)].tried, { parts: blamed.parts, crashes: blamed.crashes, lastCrashMs: Math.round(clock.nowMs() - blamed.lastAtMs) })
     return false
   }
 
   /**
-   * Returns the time until a request like this one may try again, in milliseconds; undefined when its parts are not blamed.
-   * @param request - The request.
+   * Returns the time until a request like this one may try again, in milliseconds; undefined when it is not blamed.
+   * @param subject - The request.
    */
-  getTrialWaitMs ({ sharedParts }: Pick<RelayRequest, 'sharedParts'>): number | undefined {
-    const blamed = this.findBlamed(sharedParts)
+  getTrialWaitMs (subject: CrashSubject): number | undefined {
+    const blamed = this.findBlamed(subject)
     return blamed === undefined ? undefined : this.options.trials.getWaitMs(blamed)
   }
 
-  private isSuspected (parts: readonly string[]): boolean {
-    return [...this.suspicions.values()].some(suspicion => isMatch(suspicion, parts))
+  private createSuspect (subject: CrashSubject): SuspectRequest {
+    const { evidence } = this.options
+    const { request: { id, sharedParts = [] } } = subject
+    return {
+      isSuspected: () => this.findSuspicion(subject, () => true) !== undefined,
+      isImplicated: () => evidence.hasFingerprints() && evidence.isImplicated(this.getFingerprint(subject)),
+      listProvableParts: () => evidence.hasFingerprints() ? [...sharedParts, this.getFingerprint(subject)] : sharedParts,
+      describeSuspect: hasBegun => ({ requestId: id, parts: [...sharedParts, this.getFingerprint(subject)], hasBegun })
+    }
   }
 
-  private findBlamed (parts: readonly string[] = []): PartSuspicion | undefined {
-    if (parts.length === 0 || this.suspicions.size === 0) return undefined
-    return [...this.suspicions.values()].find(suspicion => suspicion.level === 'blamed' && isMatch(suspicion, parts))
+  /** Returns the fingerprint of a request, which is computed only once it is needed. */
+  private getFingerprint (subject: CrashSubject): string {
+    const known = this.fingerprints.get(subject.request)
+    if (known !== undefined) return known
+    const fingerprint = computeFingerprint(subject)
+    this.fingerprints.set(subject.request, fingerprint)
+    return fingerprint
+  }
+
+  private findBlamed (subject: CrashSubject): PartSuspicion | undefined {
+    return this.findSuspicion(subject, ({ level }) => level === 'blamed')
+  }
+
+  private findSuspicion (subject: CrashSubject, isWanted: (suspicion: PartSuspicion) => boolean): PartSuspicion | undefined {
+    const { sharedParts = [] } = subject.request
+    const hasPart = (part: string): boolean => isFingerprint(part) ? part === this.getFingerprint(subject) : sharedParts.includes(part)
+    return [...this.suspicions.values()].find(suspicion => isWanted(suspicion) && suspicion.parts.every(hasPart))
   }
 
   private updateSuspicions (): void {
@@ -88,16 +130,21 @@
     evidence.setProtectedParts(new Set(found.filter(({ level }) => level === 'blamed').flatMap(({ parts }) => parts)))
     trials.prune(key => this.suspicions.get(key)?.level === 'blamed')
     for (const [key, suspicion] of this.suspicions) if (previous.get(key)?.level !== suspicion.level) this.logSuspicion(suspicion, previous.get(key)?.level)
-    for (const [key, { parts, level }] of previous) if (!this.suspicions.has(key)) this.options.log.recordStateChange('prompt part cleared', { parts, before: level })
+    for (const [key, suspicion] of previous) if (!this.suspicions.has(key)) this.logCleared(suspicion)
   }
 
-  private logSuspicion ({ parts, level, crashes, requests, lastAtMs, wasSound }: PartSuspicion, before: SuspicionLevel | undefined): void {
+  private logSuspicion (suspicion: PartSuspicion, before: SuspicionLevel | undefined): void {
+    const { parts, level, crashes, requests, lastAtMs, wasSound } = suspicion
     const { clock, log, metrics } = this.options
     if (level === 'blamed') metrics.countBlamedPart()
-    log.recordStateChange(LEVEL_CHANGES[level], { parts, before, crashes, requests, wasSound, lastCrashMs: Math.round(clock.nowMs() - lastAtMs) })
+    log.recordStateChange(LOG_TEXTS[classifySuspicion(suspicion)][level], { parts, before, crashes, requests, wasSound, lastCrashMs: Math.round(clock.nowMs() - lastAtMs) })
+  }
+
+  private logCleared (suspicion: PartSuspicion): void {
+    this.options.log.recordStateChange(LOG_TEXTS[classifySuspicion(suspicion)].cleared, { parts: suspicion.parts, before: suspicion.level })
   }
 }
 
-function isMatch (suspicion: PartSuspicion, parts: readonly string[]): boolean {
-  return suspicion.parts.every(part => parts.includes(part))
+function classifySuspicion ({ parts }: PartSuspicion): SuspicionKind {
+  return parts.some(isFingerprint) ? 'request' : 'part'
 }
--- a/packages/relay/src/crashes/CrashSubject.ts
+++ b/packages/relay/src/crashes/CrashSubject.ts
@@ -1,4 +1,4 @@
 import { type RelayContext } from '../requests/RelayContext.js'
 
-/** A request as its crashes are remembered: with the workspace of its caller. */
+/** A request by which crashes are explained, with the workspace of its caller. */
 export type CrashSubject = Pick<RelayContext, 'request' | 'workspace'>
--- a/packages/relay/src/crashes/RunWatch.ts
+++ b/packages/relay/src/crashes/RunWatch.ts
@@ -1,18 +1,16 @@
 import { type Clock } from '@fescuespoke/common'
 import { type RelayTarget } from '../model/RelayTarget.js'
-import { type RelayRequest } from '../requests/RelayRequest.js'
 import { type Attempt, type AttemptError } from '../targets/RelayTargetClient.js'
 import { type CrashDetector } from './CrashDetector.js'
 import { type CrashEvidence } from './CrashEvidence.js'
+import { type SuspectRequest } from './SuspectRequest.js'
 
 /** Options of a watch. */
 export interface RunWatchOptions {
   readonly clock: Clock
   readonly evidence: CrashEvidence
   readonly detector: CrashDetector
-  readonly request: Pick<RelayRequest, 'id' | 'sharedParts'>
-  /** Returns whether requests with certain parts may crash engines. */
-  readonly isSuspected: (parts: readonly string[]) => boolean
+  readonly request: SuspectRequest
 }
 
 /** Time from the first event of a run from which further events prove it sound, in milliseconds. */
@@ -28,7 +26,6 @@
     return new RunWatch(options)
   }
 
-  private readonly parts: readonly string[]
   private firstEventAtMs: number | undefined
   private currentHead: Attempt['head'] | undefined
   private hasBegun = false
@@ -37,9 +34,7 @@
   private lossChecked: Promise<void> | undefined
 
   /** @internal */
-  private constructor (private readonly options: RunWatchOptions) {
-    this.parts = options.request.sharedParts ?? []
-  }
+  private constructor (private readonly options: RunWatchOptions) {}
 
   /**
    * Records that a run is sent to an engine.
@@ -54,7 +49,7 @@
 
   /** Records that events of the run arrived. */
   recordEvents (): void {
-    if (this.isSound || this.parts.length === 0) return
+    if (this.isSound) return
     const nowMs = this.options.clock.nowMs()
     this.firstEventAtMs ??= nowMs
     if (nowMs - this.firstEventAtMs >= SOUND_AFTER_MS) this.recordSoundness()
@@ -67,21 +62,21 @@
    * @param isBrokenOff - Whether the connection to the engine broke.
    */
   endRun (target: RelayTarget, end: 'complete' | AttemptError, isBrokenOff: boolean): void {
-    if (this.isSound || this.parts.length === 0) return
+    if (this.isSound) return
     if (end === 'complete') this.recordSoundness()
-    else if (end === 'lost' && isBrokenOff) this.lossChecked = this.options.detector.recordLoss(target, { requestId: this.options.request.id, parts: this.parts, hasBegun: this.hasBegun })
+    else if (end === 'lost' && isBrokenOff) this.lossChecked = this.options.detector.recordLoss(target, this.options.request.describeSuspect(this.hasBegun))
   }
 
   /** Returns whether the request may be repeated at another engine; waits until it is known whether the last one crashed. */
   async mayRepeat (): Promise<boolean> {
     if (this.lossChecked === undefined) return true
     await this.lossChecked
-    return !this.options.isSuspected(this.parts)
+    return !this.options.request.isSuspected()
   }
 
   private recordSoundness (): void {
     if (this.firstEventAtMs === undefined) return
     this.isSound = true
-    this.options.evidence.recordSoundRun(this.parts, this.firstEventAtMs)
+    this.options.evidence.recordSoundRun(this.options.request.listProvableParts(), this.firstEventAtMs)
   }
 }
--- a/packages/relay/src/crashes/TrialSchedule.ts
+++ b/packages/relay/src/crashes/TrialSchedule.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { isFingerprint } from './computeFingerprint.js'
 import { type PartSuspicion } from './findPartSuspicions.js'
 
 /** Options of a trial schedule. */
@@ -13,6 +14,7 @@
 /** Time after the last crash at which a request may try again, in milliseconds, and the factor by which each failed trial extends it. */
 const FIRST_TRIAL_DELAY_MS = 30_000
 const FIRST_TRIAL_DELAY_OF_SOUND_MS = 10_000
+const FIRST_TRIAL_DELAY_OF_REQUEST_MS = 60_000
 const TRIAL_DELAY_FACTOR = 4
 
 /** Time in which one instance may let a request try before it is the turn of the next one, in milliseconds. */
@@ -38,8 +40,9 @@
    * Returns the time until a request with blamed parts may try again, in milliseconds.
    * @param suspicion - The parts.
    */
-  getWaitMs ({ lastAtMs, lateCrashes, wasSound }: PartSuspicion): number {
-    const delayMs = (wasSound ? FIRST_TRIAL_DELAY_OF_SOUND_MS : FIRST_TRIAL_DELAY_MS) * TRIAL_DELAY_FACTOR ** lateCrashes
+  getWaitMs (suspicion: PartSuspicion): number {
+    const { lastAtMs, lateCrashes } = suspicion
+    const delayMs = getFirstDelayMs(suspicion) * TRIAL_DELAY_FACTOR ** lateCrashes
     return Math.max(0, lastAtMs + delayMs - this.options.clock.nowMs())
   }
 
@@ -69,3 +72,9 @@
     for (const key of this.trials.keys()) if (!isBlamed(key)) this.trials.delete(key)
   }
 }
+
+/** Returns the time after which the first request tries again. */
+function getFirstDelayMs ({ parts, wasSound }: PartSuspicion): number {
+  if (parts.some(isFingerprint)) return FIRST_TRIAL_DELAY_OF_REQUEST_MS
+  return wasSound ? FIRST_TRIAL_DELAY_OF_SOUND_MS : FIRST_TRIAL_DELAY_MS
+}
--- a/packages/relay/src/crashes/findPartSuspicions.ts
+++ b/packages/relay/src/crashes/findPartSuspicions.ts
@@ -111,7 +111,7 @@
   const crashesByPart = indexByPart(crashes)
   const kept = blamed.map(parts => {
     const explained = crashes.filter(crash => listRequests([crash], parts).size > 0)
-    return { crashes: explained, moments: countMoments(explained, sameMomentMs), alternatives: [parts] }
+    return { crashes: explained, moments: countMoments(explained, parts, sameMomentMs), alternatives: [parts] }
   })
   const isBetter = (others: readonly ConsideredCrash[], explained: readonly ConsideredCrash[]): boolean => others.length > explained.length && explained.every(crash => others.includes(crash))
   return kept.filter(({ crashes: explained, moments }) => moments >= minBlamedCrashes && ![...crashesByPart.values()].some(others => isBetter(others, explained)))
@@ -119,7 +119,7 @@
 
 function explainMostCrashes (open: readonly ConsideredCrash[], { sameMomentMs }: Policy): Explanation | undefined {
   const crashesByPart = indexByPart(open)
-  const candidates = [...crashesByPart].map(([part, crashes]) => ({ part, crashes, moments: countMoments(crashes, sameMomentMs), requests: listRequests(crashes, [part]).size }))
+  const candidates = [...crashesByPart].map(([part, crashes]) => ({ part, crashes, moments: countMoments(crashes, [part], sameMomentMs), requests: listRequests(crashes, [part]).size }))
   const [most] = candidates.sort((a, b) => b.moments - a.moments || b.requests - a.requests || (a.part < b.part ? -1 : 1))
   if (most === undefined || most.moments < MIN_SUSPECTED_CRASHES) return undefined
   const { crashes, moments } = most
@@ -139,13 +139,20 @@
   return index
 }
 
-function countMoments (crashes: readonly ConsideredCrash[], sameMomentMs: number): number {
+/** Counts the moments at which engines crashed under certain parts. A request that was at two engines was sent to the second one after the first had crashed. */
+function countMoments (crashes: readonly ConsideredCrash[], parts: readonly string[], sameMomentMs: number): number {
   let count = 0
   let firstAtMs = -Infinity
-  for (const { atMs } of crashes) {
-    if (atMs - firstAtMs <= sameMomentMs) continue
-    firstAtMs = atMs
-    count++
+  let requestsOfMoment = new Set<string>()
+  for (const crash of crashes) {
+    const requests = listRequests([crash], parts)
+    const isSameMoment = crash.atMs - firstAtMs <= sameMomentMs && ![...requests].some(request => requestsOfMoment.has(request))
+    if (!isSameMoment) {
+      firstAtMs = crash.atMs
+      requestsOfMoment = new Set()
+      count++
+    }
+    for (const request of requests) requestsOfMoment.add(request)
   }
   return count
 }
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -5,6 +5,7 @@
 import { intersectRegions } from '../places/intersectRegions.js'
 import { computeConfirmationEndMs, type ConfirmationLimits } from '../published/ViewConfirmation.js'
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
+import { type CrashSubject } from '../crashes/CrashSubject.js'
 import { type AnswerSink } from './AnswerSink.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext, STOP_REASON } from './RelayContext.js'
@@ -133,11 +134,12 @@
     const choice = await this.findService(request, routes, route)
     if (choice.isErr) return this.refuse(request, sink, routes, route, choice.error)
     const { service, origin } = choice.value
-    const refusalReason = this.findRefusalReason(request, route, service, pauseMs)
-    if (refusalReason !== undefined) return this.refuse(request, sink, routes, route, refusalReason)
+    const workspace = keyHolder?.workspace
+    const refusalReason = this.findRefusalReason({ request, workspace }, route, service, pauseMs)
+    if (refusalReason !== undefined) return this.refuse(request, sink, routes, route, refusalReason, workspace)
     const priority = keyHolder?.priority ?? route.priority
     const allowedRegions = intersectRegions(route.allowedRegions, keyHolder?.allowedRegions)
-    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, allowedRegions, workspace: keyHolder?.workspace, priority })
+    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, allowedRegions, workspace, priority })
   }
 
   /**
@@ -191,10 +193,11 @@
   }
 
   /** Returns the reason for which this process cannot serve a routed request now. */
-  private findRefusalReason (request: RelayRequest, route: RelayRoute, service: ServiceProfile, pauseMs: number): RefusalReason | undefined {
+  private findRefusalReason (subject: CrashSubject, route: RelayRoute, service: ServiceProfile, pauseMs: number): RefusalReason | undefined {
     const { dependencies } = this.options
+    const { request } = subject
     if (!dependencies.drain.maySend({ request, route, service, deadlineAtMs: computeDeadlineMs(request, route) })) return 'stopping'
-    if (dependencies.crashes.mustRefuse(request)) return 'crashesEngines'
+    if (dependencies.crashes.mustRefuse(subject)) return 'crashesEngines'
     // It may have waited for the answers before it on its connection.
     if (computeDeadlineMs(request, route) <= dependencies.clock.nowMs()) return 'timeoutNotRun'
     return route.kind === 'once' && this.canHaveTimedOut(request, route, pauseMs) ? 'timeoutNotRun' : undefined
@@ -251,12 +254,12 @@
     }
   }
 
-  private refuse (request: RelayRequest, sink: AnswerSink, routes: RouteTable | undefined, route: RelayRoute, reason: RefusalReason): void {
+  private refuse (request: RelayRequest, sink: AnswerSink, routes: RouteTable | undefined, route: RelayRoute, reason: RefusalReason, workspace?: string): void {
     const { dependencies } = this.options
     const configuration = routes?.configuration ?? { version: 0, routes: [], services: new Map<string, ServiceProfile>(), limits: NO_LIMITS }
     const service: ServiceProfile = { name: 'none' }
     const deadlineAtMs = request.receivedAtMs + (request.remainingMs ?? route.timeoutMs)
-    refuseRequest(dependencies, { request, sink, configuration, route, service, priority: LOWEST_PRIORITY, deadlineAtMs, signal: sink.callerSignal }, reason)
+    refuseRequest(dependencies, { request, workspace, sink, configuration, route, service, priority: LOWEST_PRIORITY, deadlineAtMs, signal: sink.callerSignal }, reason)
   }
 }
 
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -90,7 +90,7 @@
     this.requestId = context.request.id
     this.service = context.service
     this.allowedRegions = context.allowedRegions
-    this.watch = dependencies.crashes.watchRuns(context.request)
+    this.watch = dependencies.crashes.watchRuns(context)
     this.origin = context.origin
     this.lastEventId = context.request.lastEventId
   }
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -101,8 +101,8 @@
 }
 
 /** Computes the range from the time at which a request with the same parts may try again to twice that time; undefined when one may now. */
-function computeTrialRangeMs ({ crashes }: RelayDependencies, { request }: RelayContext): readonly [number, number] | undefined {
-  const waitMs = crashes.getTrialWaitMs(request) ?? 0
+function computeTrialRangeMs ({ crashes }: RelayDependencies, context: RelayContext): readonly [number, number] | undefined {
+  const waitMs = crashes.getTrialWaitMs(context) ?? 0
   return waitMs > 0 ? [waitMs, 2 * waitMs] : undefined
 }
 
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -50,7 +50,7 @@
  * @param reservation - Reservation of the engine; undefined while there is none.
  */
 export function findObstacle ({ crashes, drain, speeds }: RelayDependencies, context: RelayContext, reservation?: TargetReservation): RefusalReason | undefined {
-  if (crashes.mustRefuse(context.request)) return 'crashesEngines'
+  if (crashes.mustRefuse(context)) return 'crashesEngines'
   const pace = reservation === undefined ? undefined : getTargetPace(speeds, reservation.target)
   return drain.maySend({ ...context, pace }) ? undefined : 'stopping'
 }
--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -32,7 +32,7 @@
     requirements: createRequirements(dependencies, context, run),
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
-    mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(request) === undefined && dependencies.drain.canStillSend(context))
+    mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(context) === undefined && dependencies.drain.canStillSend(context))
   }
   const reservation = holds.isActive(service)
     ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
--- a/packages/relay/src/requests/runRelayedCall.ts
+++ b/packages/relay/src/requests/runRelayedCall.ts
@@ -2,7 +2,7 @@
 import { finishAborted, finishWithoutAttempt } from '../calls/finishCall.js'
 import { handleCallAnswer } from '../calls/handleCallAnswer.js'
 import { startCallAttempt, startHedge } from '../calls/startCallAttempt.js'
-import { waitForCallEvent } from '../calls/waitForCallEvent.js'
+import { waitForCallEvent, waitForCrashChecks } from '../calls/waitForCallEvent.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 
@@ -28,6 +28,7 @@
     if (event === 'ended') break
     if (event === 'hedge') startHedge(run)
     else if (await handleCallAnswer(run, event)) return
+    await waitForCrashChecks(run)
   }
   finishAborted(run)
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -173,8 +173,8 @@
 }
 
 function findUnplacedReason ({ placer, crashes, drain }: RelayDependencies, context: RelayContext): RefusalReason {
-  const { service, request } = context
-  if (crashes.getTrialWaitMs(request) !== undefined) return 'crashesEngines'
+  const { service } = context
+  if (crashes.getTrialWaitMs(context) !== undefined) return 'crashesEngines'
   if (!drain.canStillSend(context)) return 'stopping'
   if (placer.countUsable(service, context) === 0) return 'noTarget'
   const closure = placer.findClosure(service, context)
--- a/packages/relay/test/crashes/CrashDetector.test.ts
+++ b/packages/relay/test/crashes/CrashDetector.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { type TargetReachability } from '../../src/targets/RelayTargetClient.js'
-import { createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
+import { createRequest, createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
 
 const target = createTarget('a')
 
@@ -12,7 +12,7 @@
   table.updateTarget(target)
   prepare(dependencies)
   await clock.advance(100)
-  for (const id of ['q1', 'q2']) crashes.watchRuns({ id, sharedParts: ['c', id] }).endRun(target, 'lost', true)
+  for (const id of ['q1', 'q2']) crashes.watchRuns({ request: createRequest({ id, sharedParts: ['c', id] }) }).endRun(target, 'lost', true)
   await clock.advance(500)
   act(dependencies)
   await clock.advance(10_000)
@@ -23,7 +23,7 @@
   it('observes a crash when the engine refuses a new connection', async () => {
     expect(await doTest('refusing')).toMatchInlineSnapshot(`
       [
-        "a 1 at 100: q1 c+q1, q2 c+q2",
+        "a 1 at 100: q1 c+q1+=LkgS4no8B0hy, q2 c+q2+=LkgS4no8B0hy",
       ]
     `)
   })
@@ -35,7 +35,7 @@
   it('observes a crash when the entry of an engine that gave no answer leaves the store soon', async () => {
     expect(await doTest('unknown', ({ table }) => table.handleRemoval('a'))).toMatchInlineSnapshot(`
       [
-        "a 1 at 100: q1 c+q1, q2 c+q2",
+        "a 1 at 100: q1 c+q1+=LkgS4no8B0hy, q2 c+q2+=LkgS4no8B0hy",
       ]
     `)
     expect(await doTest('unknown', ({ clock, table }) => { clock.startTimer(6000, () => table.handleRemoval('a')) })).toEqual([])
--- a/packages/relay/test/crashes/RunWatch.test.ts
+++ b/packages/relay/test/crashes/RunWatch.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { type RunWatch } from '../../src/crashes/RunWatch.js'
 import { type AttemptError, type AttemptHead } from '../../src/targets/RelayTargetClient.js'
-import { createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
+import { createRequest, createTarget, createTestDependencies, type TestDependencies } from '../support/createTestDependencies.js'
 
 const target = createTarget('a')
 const HEAD = Result.ok<AttemptHead, AttemptError>({ status: 200, headers: [], isSigned: true, isFramed: true, isEventStream: true })
@@ -14,7 +14,7 @@
   client.reachability.set('a', 'refusing')
   table.updateTarget(target)
   await clock.advance(100)
-  const watch = crashes.watchRuns({ id: 'q1', sharedParts })
+  const watch = crashes.watchRuns({ request: createRequest({ sharedParts }) })
   watch.startRun(Promise.resolve(HEAD))
   await act(watch, dependencies)
   await clock.advance(1000)
@@ -49,10 +49,13 @@
     })).toEqual([undefined, 1])
   })
 
-  it('counts nothing against a run that ended in another way, or without shared parts', async () => {
+  it('counts nothing against a run that ended in another way', async () => {
     expect(await doTest(async watch => watch.endRun(target, 'lost', false))).toEqual([undefined, 0])
     for (const end of ['notSent', 'notExecuted', 'notHere', 'aborted'] as const) expect(await doTest(async watch => watch.endRun(target, end, true))).toEqual([undefined, 0])
-    expect(await doTest(async watch => watch.endRun(target, 'lost', true), [])).toEqual([undefined, 0])
+  })
+
+  it('counts the loss of a run whose prompt has no shared parts', async () => {
+    expect(await doTest(async watch => watch.endRun(target, 'lost', true), [])).toEqual([undefined, 1])
   })
 
   it('tells whether the answer of a run had begun', async () => {
--- a/packages/relay/test/support/CrashFleet.ts
+++ b/packages/relay/test/support/CrashFleet.ts
@@ -6,9 +6,10 @@
 import { TargetNewsExchange } from '../../src/instance/TargetNewsExchange.js'
 import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import { RouteTable } from '../../src/model/RouteTable.js'
+import { type RelayRequest } from '../../src/requests/RelayRequest.js'
 import { RelayService } from '../../src/requests/RelayService.js'
 import { type ArrivedRequest, CrashingEngines, type EngineFault } from './CrashingEngines.js'
-import { createConfiguration, createRequest, createRoute, createTarget, createTestDependencies, ENGINES, type TestDependencies } from './createTestDependencies.js'
+import { CALLS, createConfiguration, createRequest, createRoute, createTarget, createTestDependencies, ENGINES, type TestDependencies } from './createTestDependencies.js'
 import { FakeSink } from './FakeSink.js'
 
 /** Options of a fleet. */
@@ -17,14 +18,23 @@
   readonly engineCount: number
   readonly seed: number
   /** Parts of prompts on which engines crash. */
-  readonly crashingParts: readonly string[]
+  readonly crashingParts?: readonly string[]
+  /** Number of plain targets; none by default. */
+  readonly plainCount?: number
+  /** Returns whether a plain target crashes when it runs a call. */
+  readonly isCrashingCall?: (call: CallIdentity) => boolean
   /** Share of the messages between instances that are lost. */
   readonly lossRate?: number
 }
 
-/** A crash of an engine. */
+/** What a call has in common with its next coming. */
+export type CallIdentity = Pick<RelayRequest, 'path' | 'key' | 'body' | 'method'>
+
+/** A crash of an engine or a plain target. */
 export interface RecordedCrash {
   readonly atMs: number
+  /** Path of the call that caused it; absent when it had another cause, or was a stream. */
+  readonly path?: string
   /** Shared parts of the request that caused it; absent when it had another cause. */
   readonly sharedParts?: readonly string[]
 }
@@ -58,8 +68,19 @@
 /** Delay before a caller repeats a request that was not answered, unless it is told when to return, in milliseconds. */
 const RETURN_DELAY_MS = 100
 
+/** Time for which the caller of a call waits, in milliseconds, and maximum number of its attempts. */
+const CALL_TIMEOUT_MS = 2000
+const MAX_CALLER_ATTEMPTS = 4
+
+/** Path below which calls are idempotent. */
+export const IDEMPOTENT_PREFIX = '/idempotent/'
+
 const ROUTE = createRoute({ kind: 'stream', isResumable: true, maxAttempts: 2, timeoutMs: 6000, objectiveMs: 1500, services: [{ service: ENGINES.name, weight: 1 }] })
-const ROUTES = RouteTable.create(createConfiguration([ROUTE]))
+const ROUTES = RouteTable.create(createConfiguration([
+  ROUTE,
+  createRoute({ name: 'safe', prefix: IDEMPOTENT_PREFIX, timeoutMs: CALL_TIMEOUT_MS }),
+  createRoute({ name: 'once', prefix: '/once/', kind: 'once', timeoutMs: CALL_TIMEOUT_MS })
+]))
 
 /** Instances before engines that crash on certain parts of prompts, in virtual time, and callers that repeat once. */
 export class CrashFleet {
@@ -85,10 +106,11 @@
     this.random = SeededRandom.create(options.seed)
     this.network = InMemoryNetwork.create({ clock: this.clock, random: SeededRandom.create(options.seed + 1), shouldEncode: true, faults: { latencyMs: 2, jitterMs: 8, lossRate: options.lossRate ?? 0 } })
     this.engines = CrashingEngines.create({
-      clock: this.clock, random: this.random, isCrashing: part => options.crashingParts.includes(part), onCrash: (engine, causedBy) => this.handleCrash(engine, causedBy?.sharedParts)
+      clock: this.clock, random: this.random, isCrashing: part => options.crashingParts?.includes(part) === true, isCrashingCall: options.isCrashingCall, onCrash: (engine, causedBy) => this.handleCrash(engine, causedBy)
     })
     for (let index = 0; index < options.instanceCount; index++) this.startInstance(index)
-    for (let index = 0; index < options.engineCount; index++) this.startEngine()
+    for (let index = 0; index < options.engineCount; index++) this.startTarget(ENGINES.name)
+    for (let index = 0; index < (options.plainCount ?? 0); index++) this.startTarget(CALLS.name)
   }
 
   /** Lets a fault happen to random engines. */
@@ -122,6 +144,26 @@
     await this.serve(sharedParts)
   }
 
+  /** Sends a call, which its caller sends again as callers do; returns what each attempt of the caller brought. */
+  async sendCall (call: CallIdentity): Promise<string[]> {
+    const endAtMs = this.clock.nowMs() + CALL_TIMEOUT_MS
+    const outcomes: string[] = []
+    while (outcomes.length < MAX_CALLER_ATTEMPTS && this.clock.nowMs() < endAtMs) {
+      const { endState, refusal } = await this.serveRequest({ ...call, remainingMs: endAtMs - this.clock.nowMs() })
+      outcomes.push(refusal === undefined ? String(endState) : `${refusal.status} ${refusal.reason}`)
+      const mayReturn = endState !== 'complete' && (call.path.startsWith(IDEMPOTENT_PREFIX) || refusal?.status === 503)
+      if (!mayReturn) break
+      await this.clock.sleep(refusal?.retryAfterMs ?? RETURN_DELAY_MS * this.random.nextFloat())
+    }
+    return outcomes
+  }
+
+  /** Lists the times at which calls reached targets, except from instances that had restarted shortly before. */
+  listArrivals (isWanted: (call: CallIdentity) => boolean, excusedMs: number): number[] {
+    const isCounted = ({ requestId, request, atMs }: ArrivedRequest): boolean => isWanted(request) && atMs >= this.restartedAtMs.get(requestId)! + excusedMs
+    return this.engines.arrived.filter(isCounted).map(({ atMs }) => atMs)
+  }
+
   /** Counts the requests with a part that reached engines in a time, except those of instances that had restarted shortly before. */
   countArrived (part: string, { fromMs, untilMs = Infinity, excusedMs }: { readonly fromMs: number, readonly untilMs?: number, readonly excusedMs: number }): number {
     const isCounted = ({ sharedParts, atMs, requestId }: ArrivedRequest): boolean => sharedParts.includes(part) && atMs > fromMs && atMs < untilMs && atMs >= this.restartedAtMs.get(requestId)! + excusedMs
@@ -135,33 +177,39 @@
 
   /** Returns whether all instances refuse requests with certain parts. */
   isRefusedEverywhere (sharedParts: readonly string[]): boolean {
-    return this.instances.every(({ dependencies: { crashes } }) => crashes.getTrialWaitMs({ sharedParts }) !== undefined)
+    return this.instances.every(({ dependencies: { crashes } }) => crashes.getTrialWaitMs({ request: createRequest({ sharedParts }) }) !== undefined)
   }
 
   private async serve (sharedParts: readonly string[]): Promise<FakeSink> {
+    return await this.serveRequest({ sharedParts, size: { promptTokens: 300, maxOutputTokens: 100 } })
+  }
+
+  /** Lets a random instance serve a request. */
+  private async serveRequest (change: Partial<RelayRequest>): Promise<FakeSink> {
     const { service, sinks, restartedAtMs } = this.instances[pickIndex(this.random, this.instances.length)]!
     const sink = FakeSink.create()
     sinks.add(sink)
     const id = `q${++this.requestCount}`
     this.restartedAtMs.set(id, restartedAtMs)
-    await service.serve(createRequest({ id, sharedParts, receivedAtMs: this.clock.nowMs(), size: { promptTokens: 300, maxOutputTokens: 100 } }), sink)
+    await service.serve(createRequest({ id, receivedAtMs: this.clock.nowMs(), ...change }), sink)
     sinks.delete(sink)
     return sink
   }
 
-  private handleCrash (name: string, sharedParts: readonly string[] | undefined): void {
-    this.crashes.push({ atMs: this.clock.nowMs(), sharedParts })
+  private handleCrash (name: string, causedBy: RelayRequest | undefined): void {
+    const { service } = this.targets.get(name)!
+    this.crashes.push({ atMs: this.clock.nowMs(), sharedParts: causedBy?.sharedParts, path: service === CALLS.name ? causedBy?.path : undefined })
     this.clock.startTimer(this.pickDuration(REMOVAL_RANGE_MS), () => {
       this.targets.delete(name)
       this.announce(name)
     })
-    this.clock.startTimer(this.pickDuration(REPLACEMENT_RANGE_MS), () => this.startEngine())
+    this.clock.startTimer(this.pickDuration(REPLACEMENT_RANGE_MS), () => this.startTarget(service))
   }
 
-  private startEngine (): void {
+  private startTarget (service: string): void {
     const name = `engine${++this.engineCount}`
     this.engines.start(name)
-    this.targets.set(name, createTarget(name, { service: ENGINES.name, startedAtMs: this.engineCount, slots: 4 }))
+    this.targets.set(name, createTarget(name, { service, startedAtMs: this.engineCount, slots: 4 }))
     this.announce(name)
   }
 
--- a/packages/relay/test/support/CrashingEngines.ts
+++ b/packages/relay/test/support/CrashingEngines.ts
@@ -8,6 +8,7 @@
 export interface ArrivedRequest {
   readonly requestId: string
   readonly sharedParts: readonly string[]
+  readonly request: AttemptOptions['request']
   readonly atMs: number
 }
 
@@ -20,6 +21,8 @@
   readonly random: Random
   /** Returns whether an engine crashes when it begins to write an answer on a part. */
   readonly isCrashing: (part: string) => boolean
+  /** Returns whether a plain target crashes when it runs a call. By default, none does. */
+  readonly isCrashingCall?: (call: AttemptOptions['request']) => boolean
   readonly onCrash: (engine: string, causedBy: AttemptOptions['request'] | undefined) => void
 }
 
@@ -34,7 +37,14 @@
 /** Time from the beginning of an answer until the engine crashes, in milliseconds. */
 const CRASH_DELAY_MS = 95
 
-/** Engines that all instances share, and that crash when they begin to write an answer on certain parts of prompts. */
+/** Minimum and maximum duration of a call, in milliseconds. */
+const MIN_CALL_MS = 20
+const MAX_CALL_MS = 100
+
+/** Service of plain targets. */
+const CALL_SERVICE = 'calls'
+
+/** Engines and plain targets that all instances share, and that crash when they begin to write an answer on certain parts of prompts, or run certain calls. */
 export class CrashingEngines implements RelayTargetClient {
   /** Creates a client without engines. */
   static create (options: CrashingEnginesOptions): CrashingEngines {
@@ -77,10 +87,9 @@
   sendRequest (target: RelayTarget, options: AttemptOptions): Attempt {
     const attempts = this.attemptsByEngine.get(target.name)
     if (attempts === undefined) return this.createAttempt({ error: 'notSent' }, options)
-    const { id: requestId, sharedParts = [] } = options.request
-    this.arrived.push({ requestId, sharedParts, atMs: this.options.clock.nowMs() })
-    const prefillMs = MIN_PREFILL_MS + this.options.random.nextFloat() * (MAX_PREFILL_MS - MIN_PREFILL_MS)
-    const attempt = sharedParts.some(this.options.isCrashing) ? this.createCrashingAttempt(target, options, prefillMs) : this.createSoundAttempt(options, prefillMs)
+    const { request, request: { id: requestId, sharedParts = [] } } = options
+    this.arrived.push({ requestId, sharedParts, request, atMs: this.options.clock.nowMs() })
+    const attempt = target.service === CALL_SERVICE ? this.createCallAttempt(target, options) : this.createStreamAttempt(target, options)
     this.attemptsByEngine.set(target.name, [...attempts.filter(({ endState }) => endState === undefined), attempt])
     return attempt
   }
@@ -109,6 +118,20 @@
 
   async close (): Promise<void> {}
 
+  private createStreamAttempt (target: RelayTarget, options: AttemptOptions): ScriptedAttempt {
+    const { sharedParts = [] } = options.request
+    const prefillMs = MIN_PREFILL_MS + this.options.random.nextFloat() * (MAX_PREFILL_MS - MIN_PREFILL_MS)
+    return sharedParts.some(this.options.isCrashing) ? this.createCrashingAttempt(target, options, prefillMs) : this.createSoundAttempt(options, prefillMs)
+  }
+
+  private createCallAttempt ({ name }: RelayTarget, options: AttemptOptions): ScriptedAttempt {
+    const durationMs = MIN_CALL_MS + this.options.random.nextFloat() * (MAX_CALL_MS - MIN_CALL_MS)
+    if (this.options.isCrashingCall?.(options.request) !== true) return this.createAttempt({ afterMs: durationMs, steps: ['x', 'END'] }, options)
+    const attempt = this.createAttempt({ afterMs: Infinity }, options)
+    this.options.clock.startTimer(durationMs, () => { if (attempt.endState === undefined) this.crash(name, options.request) })
+    return attempt
+  }
+
   private createCrashingAttempt ({ name }: RelayTarget, options: AttemptOptions, prefillMs: number): ScriptedAttempt {
     const attempt = this.createAttempt({ afterMs: prefillMs, steps: [] }, options)
     this.options.clock.startTimer(prefillMs + CRASH_DELAY_MS, () => { if (attempt.endState === undefined) this.crash(name, options.request) })
