--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,3 +1,4 @@
+import { computeFingerprint } from '../crashes/computeFingerprint.js'
 import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
@@ -47,8 +48,9 @@
   const answerClass = classifyCallAnswer(answer)
   run.runningAttempts.delete(callAttempt)
   if (answerClass === 'good' && isWholeSuccess(answer) && context.service.engine === undefined) callAttempt.recordAnswer()
+  watchAnswer(run, answered, answerClass)
   dependencies.health.recordOutcome(callAttempt.reservation.target.name, ATTEMPT_OUTCOMES[answerClass])
-  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(callAttempt, answer, answerClass))
+  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(run, callAttempt, answer, answerClass))
   try {
     return await ANSWER_HANDLERS[answerClass](run, answered)
   } finally {
@@ -56,6 +58,12 @@
   }
 }
 
+/** Records what an answer tells of whether the call crashes its targets. */
+function watchAnswer ({ watch }: CallRun, { callAttempt: { attempt, reservation, sentAtMs }, answer }: AnsweredAttempt, answerClass: CallAnswerClass): void {
+  if (answerClass === 'good' && answer.kind === 'answer' && answer.isComplete) watch.recordAnswer(sentAtMs)
+  else if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, false)
+}
+
 /** Returns whether the time of an answer tells the speed of its target; refusals are quick, and large answers depend on links. */
 function isWholeSuccess (answer: CallAnswer): boolean {
   return answer.kind === 'answer' && answer.isComplete && answer.head.status < MIN_NON_SUCCESS_STATUS
@@ -78,6 +86,7 @@
   return false
 }
 
-function describeAnswer ({ reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
-  return { target: reservation.target.name, outcome: answerClass, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause() }
+function describeAnswer ({ context }: CallRun, { reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
+  const fingerprint = attempt.isBrokenOff() ? computeFingerprint(context) : undefined
+  return { target: reservation.target.name, outcome: answerClass, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause(), fingerprint }
 }
