--- a/packages/relay/test/instance/NewsPush.test.ts
+++ b/packages/peers/test/membership/NewsPush.test.ts
@@ -1,6 +1,6 @@
 import { VirtualClock } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
-import { NewsPush } from '../../src/instance/NewsPush.js'
+import { NewsPush } from '../../src/membership/NewsPush.js'
 
 /** Schedules pushes at certain times and returns those at which they happen, in milliseconds. */
 async function doTest (...scheduledAtMs: number[]): Promise<number[]> {
--- a/packages/relay/test/support/CrashFleet.ts
+++ b/packages/relay/test/support/CrashFleet.ts
@@ -1,6 +1,5 @@
 import { type PeerTransport, pickIndex, type Random, rankByRendezvous, SeededRandom, VirtualClock } from '@fescuespoke/common'
-import { InMemoryNetwork, Membership } from '@fescuespoke/peers'
-import { NewsPush } from '../../src/instance/NewsPush.js'
+import { InMemoryNetwork, Membership, NewsPush } from '@fescuespoke/peers'
 import { PROBE_LIMITS } from '../../src/instance/RelayPeers.js'
 import { InstanceCensus } from '../../src/instance/InstanceCensus.js'
 import { TargetNewsExchange } from '../../src/instance/TargetNewsExchange.js'
