Refuse requests of the daemon under which target after target crashed

Callers whose request crashes the target that runs it got `failed` or `unknown`, and submitted it again; each submission ended up to three more targets, and the answers of all other callers there.

Cause: nothing was kept about a request beyond its id. Three attempts bound one submission; nothing bounded the request.

A lost run whose target is gone, or reports another incarnation, is now a crash. Crashes, with a fingerprint of each run's content, go with gossip. Three crashes that no other fingerprint explains better make a request harmful: it is refused as `crashesTargets`, before it is placed and right before it is sent, with the time at which one such request may try. A complete answer clears its fingerprint.

--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -48,6 +48,12 @@
     labels: ['service'],
     unboundedLabels: ['service']
   },
+  harmfulRequests: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_harmful_requests_total',
+    help: 'Times that this instance began to refuse requests because targets crashed under the same request.',
+    labels: []
+  },
   stallTime: {
     kind: 'histogram',
     exposedName: 'fescuespoke_stall_time_milliseconds',
--- a/packages/daemon/src/dispatch/RequestRunner.ts
+++ b/packages/daemon/src/dispatch/RequestRunner.ts
@@ -1,7 +1,8 @@
 import { type Clock, type ModelReference, type Target } from '@fescuespoke/common'
 import { type Reason } from '@fescuespoke/schema'
 import { type Placement, type PlacementRefusal, type PlacementRequest, type Scheduler } from '@fescuespoke/scheduling'
-import { Result } from 'true-myth'
+import { type Ok, Result } from 'true-myth/result'
+import { type HarmfulRequests } from '../crashes/HarmfulRequests.js'
 import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type ResumeTokenCodec } from '../resume/ResumeTokenCodec.js'
 import { type TargetClient } from '../targets/TargetClient.js'
@@ -58,6 +59,7 @@
   readonly scheduler: Scheduler
   readonly targetClient: TargetClient
   readonly targetReadiness: TargetReadiness
+  readonly harmfulRequests: Pick<HarmfulRequests, 'findRefusal' | 'recordLoss' | 'recordCompletion'>
   readonly resumeTokenCodec: ResumeTokenCodec
   readonly observer: RequestObserver
   /** Creates a generation id that is unique across processes. */
@@ -86,12 +88,14 @@
   entry: RequestEntry, dependencies: RunnerDependencies, failedTargets: string[]
 ): Promise<Result<Placement, PlacementRefusal>> {
   while (true) {
+    const refusal = dependencies.harmfulRequests.findRefusal(entry)
+    if (refusal !== undefined) return Result.err(refusal)
     const placementResult = await dependencies.scheduler.acquirePlacement(createPlacementRequest(entry, failedTargets))
     if (placementResult.isErr) return placementResult
     const { target, detail } = placementResult.value
     dependencies.observer.observePlacement(entry)
     entry.recordStep('placed', `${target.name}: ${detail}`)
-    if (dependencies.targetReadiness.isReady(target) || await dependencies.targetReadiness.confirmReady(target)) return placementResult
+    if (dependencies.targetReadiness.isReady(target) || await dependencies.targetReadiness.confirmReady(target)) return refuseHarmful(entry, dependencies, placementResult)
     entry.recordStep('closed', `${target.name} takes no new work or cannot be confirmed`)
     placementResult.value.release('rejected')
     failedTargets.push(target.name)
@@ -99,6 +103,14 @@
   }
 }
 
+/** Gives up a placement if the request was found to be harmful while it waited. */
+function refuseHarmful (entry: RequestEntry, { harmfulRequests }: RunnerDependencies, placed: Ok<Placement, PlacementRefusal>): Result<Placement, PlacementRefusal> {
+  const refusal = harmfulRequests.findRefusal(entry)
+  if (refusal === undefined) return placed
+  placed.value.release('cancelled')
+  return Result.err(refusal)
+}
+
 const STALE_VIEW_REFUSAL: PlacementRefusal = {
   reason: 'viewStale',
   retryAfterMs: 1000,
--- a/packages/daemon/src/dispatch/runCall.ts
+++ b/packages/daemon/src/dispatch/runCall.ts
@@ -1,5 +1,6 @@
 import { type Placement } from '@fescuespoke/scheduling'
 import { type Result } from 'true-myth'
+import { type Loss } from '../crashes/CrashDetector.js'
 import { type RequestEntry } from '../requests/RequestEntry.js'
 import { type CallError, type CallReply } from '../targets/TargetClient.js'
 import { acquireConfirmedPlacement, endCancelled, endDeadlineExceeded, MAX_ATTEMPTS, endUnplaced, type RunnerDependencies } from './RequestRunner.js'
@@ -31,7 +32,8 @@
 
 async function sendAttempt (entry: RequestEntry, placement: Placement, dependencies: RunnerDependencies): Promise<AttemptResult> {
   const { clock, targetClient } = dependencies
-  const remainingMs = entry.options.deadlineMs - clock.nowMs()
+  const startedAtMs = clock.nowMs()
+  const remainingMs = entry.options.deadlineMs - startedAtMs
   const cancelDeadline = clock.startTimer(remainingMs, () => endAtDeadline(entry))
   const reply = await targetClient.sendCall(placement.target, {
     request: entry.options.id,
@@ -41,13 +43,15 @@
     canSend: () => startDispatch(entry, placement, dependencies)
   })
   cancelDeadline()
-  return handleReply(entry, placement, reply)
+  const result = handleReply(entry, placement, reply)
+  await recordRun(entry, { target: placement.target, kind: 'closed', startedAtMs }, reply, dependencies)
+  return result
 }
 
 /** Rechecks all conditions right before the first byte is sent, because the process may have been paused since the placement. */
 function startDispatch (entry: RequestEntry, placement: Placement, dependencies: RunnerDependencies): boolean {
   if (entry.isEnded() || entry.isDeadlineExceeded() || entry.cancellation.signal.aborted) return false
-  if (!dependencies.targetReadiness.isReady(placement.target)) return false
+  if (!dependencies.targetReadiness.isReady(placement.target) || dependencies.harmfulRequests.findRefusal(entry) !== undefined) return false
   entry.setDispatched()
   entry.recordStep('sent', placement.target.name)
   return true
@@ -61,6 +65,12 @@
   }
 }
 
+/** Records what the end of a run tells of whether the request crashes targets. */
+async function recordRun (entry: RequestEntry, loss: Loss, reply: Result<CallReply, CallError>, { harmfulRequests }: RunnerDependencies): Promise<void> {
+  if (reply.isOk) harmfulRequests.recordCompletion(entry)
+  else if (reply.error === 'replyLost') await harmfulRequests.recordLoss(entry, loss)
+}
+
 function handleReply (entry: RequestEntry, placement: Placement, reply: Result<CallReply, CallError>): AttemptResult {
   if (reply.isOk) {
     placement.release('complete')
--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -93,18 +93,31 @@
 async function readGeneration (
   entry: RequestEntry, placement: Placement, generation: string, dependencies: RunnerDependencies
 ): Promise<GenerationEnd> {
-  let end = await readStream(entry, placement, generation, dependencies, createGenerationSpec(entry, placement))
+  let end = await readWatchedStream(entry, placement, generation, dependencies, createGenerationSpec(entry, placement))
   const mayHaveStarted = isReopenable(entry, end)
   for (let reopenCount = 0; isReopenable(entry, end) && reopenCount < MAX_CONSECUTIVE_REOPENS; reopenCount++) {
+    if (entry.tokens.getEndOffset() === 0 && dependencies.harmfulRequests.findRefusal(entry) !== undefined) break
     entry.recordStep('reopened', `${placement.target.name}: ${end}`)
     await dependencies.clock.sleep(REOPEN_DELAY_MS, entry.cancellation.signal)
     const previousEndOffset = entry.tokens.getEndOffset()
-    end = await readStream(entry, placement, generation, dependencies, previousEndOffset === 0 ? createGenerationSpec(entry, placement) : undefined)
+    end = await readWatchedStream(entry, placement, generation, dependencies, previousEndOffset === 0 ? createGenerationSpec(entry, placement) : undefined)
     if (entry.tokens.getEndOffset() > previousEndOffset) reopenCount = 0
   }
   return mayHaveStarted && wasNeverStarted(entry, end) ? 'cut' : end
 }
 
+/** Reads a stream, and records what its end tells of whether the request crashes targets. */
+async function readWatchedStream (
+  entry: RequestEntry, placement: Placement, generation: string, dependencies: RunnerDependencies, spec: GenerationSpec | undefined
+): Promise<GenerationEnd> {
+  const { harmfulRequests, clock } = dependencies
+  const startedAtMs = clock.nowMs()
+  const end = await readStream(entry, placement, generation, dependencies, spec)
+  if (end === 'complete') harmfulRequests.recordCompletion(entry)
+  if (end === 'cut' || end === 'silent') await harmfulRequests.recordLoss(entry, { target: placement.target, kind: end === 'cut' ? 'closed' : 'silent', startedAtMs })
+  return end
+}
+
 async function readStream (
   entry: RequestEntry, placement: Placement, generation: string, dependencies: RunnerDependencies, spec: GenerationSpec | undefined
 ): Promise<GenerationEnd> {
--- a/packages/daemon/src/instance/createComponents.ts
+++ b/packages/daemon/src/instance/createComponents.ts
@@ -1,5 +1,8 @@
 import { PauseDetector } from '@fescuespoke/common'
 import { Agent, type Dispatcher } from 'undici'
+import { CrashDetector } from '../crashes/CrashDetector.js'
+import { HarmfulRequests } from '../crashes/HarmfulRequests.js'
+import { TrialTurns } from '../crashes/TrialTurns.js'
 import { type RunnerDependencies } from '../dispatch/RequestRunner.js'
 import { LeaseRegistry } from '../leases/LeaseRegistry.js'
 import { RequestMetrics } from '../metrics/RequestMetrics.js'
@@ -48,7 +51,7 @@
     ...settings.requests,
     clock,
     leases,
-    runnerDependencies: createRunnerDependencies(context, targets, resumeTokenCodec),
+    runnerDependencies: createRunnerDependencies(context, views, targets, resumeTokenCodec),
     getSnapshot: () => configuration.getSnapshot(),
     isRejectingRequests: hooks.isRejectingRequests,
     isRecovering: () => pauses.isRecovering()
@@ -99,7 +102,8 @@
   return new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: connectTimeoutMs, bodyTimeout: 0 })
 }
 
-function createRunnerDependencies (context: InstanceContext, { scheduler, targetClient, targetStates }: TargetComponents, resumeTokenCodec: ResumeTokenCodec): RunnerDependencies {
+function createRunnerDependencies (context: InstanceContext, views: Views, targets: TargetComponents, resumeTokenCodec: ResumeTokenCodec): RunnerDependencies {
+  const { scheduler, targetClient, targetStates } = targets
   const { settings, incarnation, clock, metrics } = context
   let generationCount = 0
   return {
@@ -110,6 +114,7 @@
       isReady: ({ name }) => targetStates.canReceiveWork(name),
       confirmReady: async target => (await targetStates.confirm(target)).isOk
     },
+    harmfulRequests: createHarmfulRequests(context, views, targets),
     resumeTokenCodec,
     observer: RequestMetrics.create({ metrics, clock, tokenIntervalMs: settings.scheduling.tokenIntervalMs }),
     createGenerationId: () => `${settings.instance.id}~${incarnation}~${++generationCount}`,
@@ -117,6 +122,17 @@
   }
 }
 
+function createHarmfulRequests (context: InstanceContext, { crashRecords: records, configuration, peers }: Views, targets: TargetComponents): HarmfulRequests {
+  const { id: instance } = context.settings.instance
+  return HarmfulRequests.create({
+    ...context,
+    records,
+    detector: CrashDetector.create({ ...context, ...targets, records }),
+    turns: TrialTurns.create({ ...context, instance, listInstances: () => peers.listAliveInstances().map(member => member.instance) }),
+    getRevision: () => configuration.getRevision()
+  })
+}
+
 function recordPause ({ audit, settings }: InstanceContext, revision: number, pauseMs: number): void {
   const cause = `the process did not run for ${Math.round(pauseMs)} ms`
   audit.record({ kind: 'pauseDetected', subject: settings.instance.id, revision, cause })
--- a/packages/daemon/src/instance/createViews.ts
+++ b/packages/daemon/src/instance/createViews.ts
@@ -2,9 +2,10 @@
   ConfigurationFollower, ConfigurationView, type FleetMember, HttpConfigurationSource, HttpInstanceListSource, InstanceListFollower,
   InstanceListView
 } from '@fescuespoke/configuration'
-import { type GossipPayload } from '@fescuespoke/peers'
+import { type GossipPayload, NewsPush } from '@fescuespoke/peers'
 import { type Maybe } from 'true-myth'
 import { PeerGroup } from '../peers/PeerGroup.js'
+import { CrashRecords } from '../crashes/CrashRecords.js'
 import { type InstanceContext } from './InstanceContext.js'
 import { createTcpTransportFactory } from './createTcpTransportFactory.js'
 import { type InstanceOptions } from './InstanceOptions.js'
@@ -14,6 +15,7 @@
   readonly configuration: ConfigurationView
   readonly instanceList: InstanceListView
   readonly peers: PeerGroup
+  readonly crashRecords: CrashRecords
   readonly configurationFollower: ConfigurationFollower
   readonly instanceListFollower: InstanceListFollower
 }
@@ -28,10 +30,11 @@
   const configuration = ConfigurationView.create({ clock, audit })
   const getRevision = (): number => configuration.getRevision()
   const instanceList = InstanceListView.create({ clock, audit, getRevision })
+  const crashRecords = CrashRecords.create({ clock, audit, getRevision })
   const peers = PeerGroup.create({
     ...context,
     createTransport: options.createTransport ?? createTcpTransportFactory(context),
-    getFleetVersions: () => ({ revision: getRevision(), listVersion: instanceList.getVersion(), listAgeMs: getListAgeMs(instanceList) }),
+    getFleetVersions: () => ({ revision: getRevision(), listVersion: instanceList.getVersion(), listAgeMs: getListAgeMs(instanceList), ...crashRecords.createNews() }),
     observeFleetVersions: (from, versions, sentAtMs) => applyPeerVersions(views, from, versions, sentAtMs)
   })
   const { id, availabilityZone } = settings.instance
@@ -44,17 +47,21 @@
     configuration,
     instanceList,
     peers,
+    crashRecords,
     configurationFollower: ConfigurationFollower.create({ ...followerOptions, view: configuration, source: configurationSource }),
     instanceListFollower: InstanceListFollower.create({ ...followerOptions, view: instanceList, source: listSource })
   }
   instanceList.addListener(() => peers.setListedInstances(instanceList.listInstances()))
   configuration.addListener(() => peers.announceFleetVersions())
+  const crashPush = NewsPush.create({ clock, push: () => peers.announceFleetVersions() })
+  crashRecords.addListener(() => crashPush.schedulePush())
   return views
 }
 
-/** Applies the configuration revision and the confirmation of the instance list that a peer sent with its probe. */
+/** Applies the configuration revision, the crashes and the confirmation of the instance list that a peer sent with its probe. */
 function applyPeerVersions (views: Views, from: string, versions: GossipPayload, sentAtMs: Maybe<number>): void {
   views.configurationFollower.requestRevision(versions.revision, from)
+  views.crashRecords.mergeNews(from, versions)
   if (sentAtMs.isJust) views.instanceList.recordConfirmation(versions.listVersion, sentAtMs.value - versions.listAgeMs)
 }
 
--- a/packages/daemon/test/fleet/SimulatedInstance.ts
+++ b/packages/daemon/test/fleet/SimulatedInstance.ts
@@ -3,6 +3,7 @@
 import { type Clock, type Random } from '@fescuespoke/common'
 import { type Deployment } from '@fescuespoke/standins'
 import { Result } from 'true-myth'
+import { type TargetClient } from '../../src/index.js'
 import { createComponents, type InstanceComponents, startComponents } from '../../src/instance/createComponents.js'
 import { type ListeningTransport } from '../../src/instance/InstanceOptions.js'
 import { runDrain } from '../../src/instance/runDrain.js'
@@ -10,7 +11,7 @@
 import { createUnknownEnd, locateLease } from '../../src/leases/locateLease.js'
 import { readEvents } from '../../src/requests/readEvents.js'
 import { InMemoryOrderClient } from './InMemoryOrderClient.js'
-import { InMemoryTargetClient } from './InMemoryTargetClient.js'
+import { InMemoryTargetClient, type InMemoryTargetClientOptions } from './InMemoryTargetClient.js'
 import { type Links } from './Links.js'
 import { createPlatformSources } from './PlatformSources.js'
 
@@ -32,6 +33,8 @@
   readonly resettingTargets: Set<string>
   /** Finds a running instance by name. */
   readonly findInstance: (name: string) => SimulatedInstance | undefined
+  /** Creates the target client of an instance; in place of {@link InMemoryTargetClient}. */
+  readonly createTargetClient?: (options: InMemoryTargetClientOptions) => TargetClient
 }
 
 /** Options of a simulated instance. */
@@ -56,13 +59,14 @@
 
   constructor (readonly options: SimulatedInstanceOptions) {
     const { name, environment } = options
+    const { createTargetClient = (clientOptions: InMemoryTargetClientOptions) => new InMemoryTargetClient(clientOptions) } = environment
     this.clock = PausableClock.create(environment.clock)
     this.components = createComponents({
       settings: this.createSettings(),
       clock: this.clock,
       random: environment.random,
       orderClient: new InMemoryOrderClient({ ...environment, clock: this.clock, instance: name }),
-      targetClient: new InMemoryTargetClient({ ...environment, globalClock: environment.clock, clock: this.clock, instance: name }),
+      targetClient: createTargetClient({ ...environment, globalClock: environment.clock, clock: this.clock, instance: name }),
       createTransport: () => this.createTransport(),
       ...createPlatformSources({ ...environment, clock: this.clock, instance: name })
     }, { isRejectingRequests: () => this.isRejectingRequests })
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -5,6 +5,7 @@
 import { type Lease, LeaseRegistry, RequestService, ResumeTokenCodec, type RunnerDependencies } from '../../src/index.js'
 import { RequestMetrics } from '../../src/metrics/RequestMetrics.js'
 import { readEvents } from '../../src/requests/readEvents.js'
+import { createHarmfulRequests } from './createHarmfulRequests.js'
 import { FakeTargetClient } from './FakeTargetClient.js'
 
 const TARGET_NAMES = ['t1', 't2', 't3']
@@ -87,6 +88,7 @@
     scheduler,
     targetClient,
     targetReadiness: { isReady: ({ name }) => readyTargets.has(name), confirmReady: async ({ name }) => flags.canConfirmTargets && readyTargets.add(name).has(name) },
+    harmfulRequests: createHarmfulRequests(clock, targetClient),
     resumeTokenCodec: ResumeTokenCodec.create({ fleetKey: 'key-of-this-test' }),
     observer: RequestMetrics.create({ metrics: MetricsRegistry.create({ clock }), clock, tokenIntervalMs: 43 }),
     createGenerationId: () => `g${++generationCount}`,
--- a/packages/model/test/support/OwnerDriver.ts
+++ b/packages/model/test/support/OwnerDriver.ts
@@ -4,6 +4,7 @@
 } from '@fescuespoke/daemon'
 import { type StreamEvent } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
+import { createHarmfulRequests } from '../../../daemon/test/support/createHarmfulRequests.js'
 import { RequestMetrics } from '../../../daemon/src/metrics/RequestMetrics.js'
 import { readEvents } from '../../../daemon/src/requests/readEvents.js'
 import { type RequestKind } from '../../src/index.js'
@@ -164,6 +165,7 @@
       scheduler: this.scheduler,
       targetClient: this.targets,
       targetReadiness: { isReady: () => true, confirmReady: async () => true },
+      harmfulRequests: createHarmfulRequests(clock, this.targets),
       resumeTokenCodec: this.resumeTokenCodec,
       observer: RequestMetrics.create({ metrics: MetricsRegistry.create({ clock }), clock, tokenIntervalMs: 43 }),
       createGenerationId: () => `g${++generationCount}`,
