Count pauses of short streams in what a stopping instance sends

Cause: a stream is sent while it is safe, which is the time to the first event and the stated maximum at the engine's pace, and half as much again. A pause within a stream is in neither: the pace is a mean over four events or more, and streams of less than 20 tokens counted for no pace at all. So a stream with half a second of work was sent with a second left, fell silent for longer, and was cut.

Now the time from the first to the last event of short streams is recorded, which single pauses decide, and what 99 in 100 do not exceed is added to the safe time.

--- a/packages/relay/src/drain/AnswerDurations.ts
+++ b/packages/relay/src/drain/AnswerDurations.ts
@@ -49,6 +49,8 @@
   /** Times to the first event, and times per token, at engines of ordinary speed. */
   readonly firstEventMs: RecentQuantile
   readonly tokenMs: RecentQuantile
+  /** From the first event to the last one of short generations, which single pauses decide. */
+  readonly pauseMs: RecentQuantile
   /** From when the request was sent to the last event. */
   readonly generationMs: RecentQuantile
   /** Output relative to the caller's estimate, and to the stated maximum. */
@@ -87,6 +89,7 @@
     const times = this.getTimes(service)
     times.firstEventMs.record(firstEventMs * speed)
     if (tokens >= MIN_PACE_TOKENS) times.tokenMs.record(durationMs / tokens * speed)
+    else times.pauseMs.record(durationMs)
     times.generationMs.record(firstEventMs + durationMs)
     if (size === undefined) return
     const { maxOutputTokens, expectedOutputTokens = 0 } = size
@@ -135,6 +138,15 @@
     return firstEventMs === undefined || tokenMs === undefined ? undefined : firstEventMs + generation.outputTokens * tokenMs
   }
 
+  /**
+   * Returns the time for which a share of the generations does not pause, in milliseconds; 0 while no short one has ended.
+   * @param service - Name of the service.
+   * @param share - The share, from 0 to 1.
+   */
+  findPauseMs (service: string, share: number): number {
+    return findValue(this.getTimes(service).pauseMs, share) ?? 0
+  }
+
   /**
    * Estimates the output that a generation likely does not exceed, in tokens.
    * @param service - Name of the service.
@@ -158,6 +170,7 @@
       callMs: { idempotent: RecentQuantile.create(), once: RecentQuantile.create() },
       firstEventMs: RecentQuantile.create(),
       tokenMs: RecentQuantile.create(),
+      pauseMs: RecentQuantile.create(),
       generationMs: RecentQuantile.create(),
       estimateRatios: RecentQuantile.create(),
       maximumRatios: RecentQuantile.create()
--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -204,7 +204,8 @@
   const likelyOutput = durations.estimateLikelyOutput(service.name, size)
   const firstEventMs = durations.findFirstEventMs(service.name, { share: LIKELY_QUANTILE, speed }) ?? objectiveMs
   const runMs = generationTimes.estimateDurationMs(service.name, { ...size, expectedOutputTokens: likelyOutput }, speed)
-  return { safeMs: longestMs === undefined ? undefined : longestMs * STREAM_MARGIN, likelyMs: firstEventMs + runMs * LIKELY_MARGIN }
+  const safeMs = longestMs === undefined ? undefined : longestMs * STREAM_MARGIN + durations.findPauseMs(service.name, STREAM_SHARE)
+  return { safeMs, likelyMs: firstEventMs + runMs * LIKELY_MARGIN }
 }
 
 function roundMs (durationMs: number | undefined): number | undefined {
--- a/packages/relay/test/drain/AnswerDurations.test.ts
+++ b/packages/relay/test/drain/AnswerDurations.test.ts
@@ -25,6 +25,13 @@
   it('does not let one slow generation of many decide', () => expect(doTest([...createGenerations(199, () => 2), { firstEventMs: 5000, durationMs: 9000 }], 50)).toBe('longest 1200 ms, likely 100 tokens'))
   it('relates times to engines of ordinary speed', () => expect(doTest(Array.from({ length: 40 }, () => ({ firstEventMs: 400, durationMs: 2000, speed: 0.5 })))).toBe('longest 1200 ms, likely 1000 tokens'))
 
+  it('knows from short generations for how long nearly all pause, whatever the speed of their engines', () => {
+    const durations = AnswerDurations.create()
+    const before = durations.findPauseMs(SERVICE, 0.99)
+    for (let index = 0; index < 100; index++) durations.recordGeneration(SERVICE, { size: undefined, tokens: index === 0 ? 100 : 8, firstEventMs: 200, durationMs: index % 20 === 0 ? 3000 : 60, speed: 0.5 })
+    expect([before, durations.findPauseMs(SERVICE, 0.5), durations.findPauseMs(SERVICE, 0.99)]).toEqual([0, 60, 3000])
+  })
+
   it('knows the calls of each kind, and takes more than the longest of a few', () => {
     const durations = AnswerDurations.create()
     durations.recordCall(SERVICE, 'once', 1000)
--- a/packages/relay/test/drain/DrainAdmission.test.ts
+++ b/packages/relay/test/drain/DrainAdmission.test.ts
@@ -17,11 +17,17 @@
   /** Duration of one call of the history, in milliseconds, and the number of all. */
   readonly longCallMs?: number
   readonly calls?: number
+  /** Duration of some short streams of the history, in milliseconds; by default there are no short streams. */
+  readonly pauseMs?: number
 }
 
 const SHORT: GenerationSize = { promptTokens: 10, maxOutputTokens: 40 }
 const LONG: GenerationSize = { promptTokens: 10, maxOutputTokens: 2000, expectedOutputTokens: 20 }
 
+function recordShortStreams ({ durations }: TestDependencies, pauseMs: number): void {
+  for (let index = 0; index < 40; index++) durations.recordGeneration(ENGINES.name, { size: SHORT, tokens: 8, firstEventMs: 200, durationMs: index % 10 === 0 ? pauseMs : 80 })
+}
+
 function createHistory ({ durations, generationTimes }: TestDependencies, longCallMs: number, calls: number): void {
   for (const kind of ['idempotent', 'once'] as const) for (let index = 0; index < calls; index++) durations.recordCall(ENGINES.name, kind, index === 0 ? longCallMs : 300)
   for (let index = 0; index < 40; index++) {
@@ -31,10 +37,11 @@
 }
 
 /** Returns the seconds of a drain at which a request may be sent; requests are checked each half second. */
-async function doTest ({ kind = 'stream', remainingMs = 60_000, size, hasHistory = true, longCallMs = 300, calls = 40 }: Options): Promise<string> {
+async function doTest ({ kind = 'stream', remainingMs = 60_000, size, hasHistory = true, longCallMs = 300, calls = 40, pauseMs }: Options): Promise<string> {
   const dependencies = createTestDependencies({ graceMs: GRACE_MS })
   const { clock, drain } = dependencies
   if (hasHistory) createHistory(dependencies, longCallMs, calls)
+  if (pauseMs !== undefined) recordShortStreams(dependencies, pauseMs)
   drain.start()
   const sentAt: number[] = []
   for (let elapsedMs = 0; elapsedMs < GRACE_MS; elapsedMs += 500) {
@@ -54,6 +61,15 @@
     expect(await doTest({ size: SHORT })).toMatchInlineSnapshot('"0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5"')
   })
 
+  it('sends short streams only for as long as they would end in time although their engine falls silent as long as it did before', async () => {
+    expect([await doTest({ size: SHORT, pauseMs: 80 }), await doTest({ size: SHORT, pauseMs: 3000 })]).toMatchInlineSnapshot(`
+      [
+        "0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5",
+        "0 0.5 1 1.5 2 2.5 3 3.5",
+      ]
+    `)
+  })
+
   it('sends streams by assumed times at first while none has ended', async () => {
     expect(await doTest({ size: SHORT, hasHistory: false })).toMatchInlineSnapshot('"0 0.5 1 1.5 2"')
   })
--- a/packages/relay/test/drain/stopsUnderLoad.test.ts
+++ b/packages/relay/test/drain/stopsUnderLoad.test.ts
@@ -15,7 +15,11 @@
 const SLOW_WORK = { mean: 280, spread: 0.5, max: 6000, tailShare: 0.004, tailFactor: 20 }
 const UNEVEN_SPEEDS = [1.78, 1.7, 1.5, 1.25, 1, 0.8, 0.64, 0.53, 0.43]
 
+/** A fifth of the short streams falls silent. */
+const SILENCES = { share: 0.2, rangeMs: [500, 3500] } as const
+
 const SEEDS = [1, 2, 3, 4]
+const MORE_SEEDS = [...SEEDS, 5, 6, 7, 8]
 
 /** Targets of a stop; see docs/design/0024-requests-at-a-stopping-instance.md. */
 const MIN_SERVED_SHARE = 0.95
@@ -51,8 +55,8 @@
 }
 
 /** Plays a load with some seeds, and lists which targets were missed, and by how much. */
-async function doTest (load: StopLoad): Promise<string[]> {
-  const requests = (await Promise.all(SEEDS.map(async seed => await playStop(load, seed)))).flat()
+async function doTest (load: StopLoad, seeds = SEEDS): Promise<string[]> {
+  const requests = (await Promise.all(seeds.map(async seed => await playStop(load, seed)))).flat()
   const select = (...kinds: PlayedKind[]): PlayedRequest[] => requests.filter(({ kind }) => kinds.includes(kind))
   const lateCuts = requests.filter(({ end, arrivedAfterMs }) => end === 'cut' && arrivedAfterMs > LATE_AFTER_MS)
   const missed = (['idempotent', 'once', 'short'] as const).filter(kind => computeMissedShare(select(kind)) > 1 - MIN_SERVED_SHARE)
@@ -70,4 +74,5 @@
 
   it('slow calls of patient callers, of which few are very slow', async () => expect(await doTest({ ...LOADS.b!, workMs: SLOW_WORK, callLimitMs: PATIENT_LIMIT_MS })).toEqual([]))
   it('engines of very different speeds', async () => expect(await doTest({ ...LOADS.c!, speeds: UNEVEN_SPEEDS })).toEqual([]))
+  it.each([1, 2])('short streams that fall silent, attempts: %i', async shortAttempts => expect(await doTest({ ...LOADS.c!, silences: SILENCES, shortAttempts }, MORE_SEEDS)).toEqual([]))
 })
--- a/packages/relay/test/support/StopPlay.ts
+++ b/packages/relay/test/support/StopPlay.ts
@@ -1,8 +1,9 @@
-import { type Random, SeededRandom } from '@fescuespoke/common'
+import { pickIndex, type Random, SeededRandom } from '@fescuespoke/common'
 import { type RelayRoute, type ServiceProfile } from '../../src/model/RelayConfiguration.js'
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { RelayService } from '../../src/requests/RelayService.js'
 import { type RelayRequest } from '../../src/requests/RelayRequest.js'
+import { type AttemptOptions } from '../../src/targets/RelayTargetClient.js'
 import { CALLS, createConfiguration, createRequest, createRoute, createTarget, createTestDependencies, type TestDependencies } from './createTestDependencies.js'
 import { FakeSink } from './FakeSink.js'
 import { type AnswerStep, ScriptedAttempt } from './FakeTargetClient.js'
@@ -16,6 +17,12 @@
   readonly tailFactor?: number
 }
 
+/** How many streams fall silent, and the range of the time for which they do, in milliseconds. */
+export interface Silences {
+  readonly share: number
+  readonly rangeMs: readonly [number, number]
+}
+
 /** Calls, streams and engines of a deployment, as one of its instances sees them. */
 export interface StopLoad {
   readonly workMs: Spread
@@ -29,6 +36,10 @@
   readonly speeds?: readonly number[]
   /** Factor on the gaps between events in some spans of time; 1 by default. */
   readonly noiseFactor?: number
+  /** Engines that fall silent once during some of the short streams, after their first event; by default, none does. */
+  readonly silences?: Silences
+  /** Number of engines to which a short stream may be sent; 1 by default. Streams with more may be resumed. */
+  readonly shortAttempts?: number
 }
 
 /** Kinds of played requests. */
@@ -43,7 +54,7 @@
   /** Time from the start of the stop to its arrival, and from its arrival to the end of the stop, in milliseconds. */
   readonly arrivedAfterMs: number
   readonly leftMs: number
-  /** Time that its answer usually takes, in milliseconds. */
+  /** Time that its answer usually takes without silences, in milliseconds. */
   readonly usualMs: number
   /** Time that the longest answer that its caller allows usually takes, in milliseconds; that of a call is its own time. */
   readonly usualLongestMs: number
@@ -97,7 +108,7 @@
     const routes = RouteTable.create(createConfiguration(createRoutes(load), { services: new Map([[CALLS.name, CALLS], [engines.name, engines]]) }))
     for (let index = 0; index < load.engines; index++) table.updateTarget(createTarget(`e${index}`, { service: engines.name, slots: load.slots }))
     for (const name of ['c0', 'c1', 'c2']) table.updateTarget(createTarget(name, { service: CALLS.name }))
-    client.sendRequest = (target, options) => new ScriptedAttempt(dependencies.clock, this.createAnswer(target.name, options.request.id), options, () => undefined)
+    client.sendRequest = (target, options) => new ScriptedAttempt(dependencies.clock, this.createAnswer(target.name, options), options, () => undefined)
     this.service = RelayService.create({ dependencies, getRoutes: () => routes, getPauseMs: () => 0, isViewStale: () => false })
   }
 
@@ -133,7 +144,7 @@
     this.draws.set(id, draw)
     const sink = FakeSink.create()
     await this.service.serve(this.createRequest(id, draw), sink)
-    return { kind, arrivedAfterMs, leftMs, usualMs: this.computeUsualMs(draw), usualLongestMs: this.computeUsualMs({ ...draw, events: this.getEvents(kind).max }), end: classifyEnd(sink) }
+    return { kind, arrivedAfterMs, leftMs, usualMs: this.computeUsualMs(draw), usualLongestMs: this.computeUsualMs({ ...draw, events: this.getEvents(kind).max }) + this.getLongestSilenceMs(kind), end: classifyEnd(sink) }
   }
 
   private createRequest (id: string, { kind, events }: Draw): RelayRequest {
@@ -142,15 +153,29 @@
     return createRequest({ id, path: `/${kind}/x`, receivedAtMs: this.dependencies.clock.nowMs(), size })
   }
 
-  private createAnswer (target: string, id: string): { afterMs: number, steps: AnswerStep[], isEventStream: boolean } {
+  private createAnswer (target: string, { request: { id }, lastEventId = '0' }: AttemptOptions): { afterMs: number, steps: AnswerStep[], isEventStream: boolean } {
     const { kind, workMs, events } = this.draws.get(id)!
     if (isCall(kind)) return { afterMs: workMs, steps: ['answer', 'END'], isEventStream: false }
     const runs = this.runsByEngine.get(target) ?? 0
     const speed = this.getSpeed(target)
     const firstMs = this.computeFirstMs() * (0.7 + 0.6 * this.random.nextFloat()) / speed
-    const gaps = Array.from({ length: events - 1 }, this.createGapSource(runs, speed))
+    const firstEvent = Number(lastEventId) + 1
+    const gaps = Array.from({ length: events - firstEvent }, this.createGapSource(runs, speed))
+    if (kind === 'short') this.addSilence(gaps)
     this.countRun(target, firstMs + gaps.reduce((sum, gapMs) => sum + gapMs, 0))
-    return { afterMs: firstMs, steps: [createEvent(1), ...gaps.flatMap((gapMs, index) => [gapMs, createEvent(index + 2)]), 'END'], isEventStream: true }
+    return { afterMs: firstMs, steps: [createEvent(firstEvent), ...gaps.flatMap((gapMs, index) => [gapMs, createEvent(firstEvent + index + 1)]), 'END'], isEventStream: true }
+  }
+
+  private getLongestSilenceMs (kind: PlayedKind): number {
+    return kind === 'short' ? this.load.silences?.rangeMs[1] ?? 0 : 0
+  }
+
+  /** Makes one gap of some streams longer by the time for which the engine is silent. */
+  private addSilence (gaps: number[]): void {
+    const { silences } = this.load
+    if (silences === undefined || gaps.length === 0 || this.random.nextFloat() >= silences.share) return
+    const [shortestMs, longestMs] = silences.rangeMs
+    gaps[pickIndex(this.random, gaps.length)]! += shortestMs + this.random.nextFloat() * (longestMs - shortestMs)
   }
 
   /** Returns a function that returns the gaps of one run, which are longer in some spans of time. */
@@ -205,12 +230,12 @@
   }
 }
 
-function createRoutes ({ callLimitMs }: StopLoad): RelayRoute[] {
+function createRoutes ({ callLimitMs, shortAttempts = 1 }: StopLoad): RelayRoute[] {
   const engines = [{ service: 'engines', weight: 1 }]
   return [
     createRoute({ name: 'idempotent', prefix: '/idempotent/', kind: 'idempotent', timeoutMs: callLimitMs, maxAttempts: 2 }),
     createRoute({ name: 'once', prefix: '/once/', kind: 'once', timeoutMs: callLimitMs, maxAttempts: 1 }),
-    createRoute({ name: 'short', prefix: '/short/', kind: 'stream', timeoutMs: STREAM_LIMITS_MS.short, objectiveMs: 1500, maxAttempts: 1, services: engines }),
+    createRoute({ name: 'short', prefix: '/short/', kind: 'stream', timeoutMs: STREAM_LIMITS_MS.short, objectiveMs: 1500, maxAttempts: shortAttempts, isResumable: shortAttempts > 1, services: engines }),
     createRoute({ name: 'long', prefix: '/long/', kind: 'stream', timeoutMs: STREAM_LIMITS_MS.long, objectiveMs: 1800, maxAttempts: 1, services: engines })
   ]
 }
