Leave the time for which the process stands still out of stalls

Cause: the checks for a stall are timers. When the process has stood still, the timers that are due run before the input that has arrived is read, and the check takes the whole pause for a silence of the engine. Each open stream that was silent for the rest of the timeout then has its attempt replaced, which uses attempts of the route and of the budget, or is moved.

Not shown: that the case that was seen beside busy processes was this one.

A check that is late now moves the start of the silence by its lateness, as a suspension does; where both overlap, the pause is left out once. A stall that is real is found one check later at most for each late one.

--- a/packages/relay/src/requests/StallDetector.ts
+++ b/packages/relay/src/requests/StallDetector.ts
@@ -12,7 +12,10 @@
 /** Number of checks in the stall timeout. */
 const CHECKS_PER_TIMEOUT = 4
 
-/** Detects that a stream has stalled; uses a single timer per stream. */
+/**
+ * Detects that a stream has stalled; uses a single timer per stream. The time for which the process itself stands still does not count,
+ * since what has arrived meanwhile is read after the timers that are due.
+ */
 export class StallDetector {
   /**
    * Starts a detector.
@@ -22,10 +25,12 @@
     return new StallDetector(options)
   }
 
-  /** Time of the last progress or stall, moved forward by the time for which the detector was suspended since. */
+  /** Time of the last progress or stall, moved forward by the time for which the detector was suspended or its checks were late since. */
   private lastProgressAtMs: number
   private suspendedAtMs: number | undefined
   private hasStalled = false
+  /** Clock reading at which the next check is due. */
+  private checkDueAtMs = 0
   private cancelCheck: CancelTimer
 
   /** @internal */
@@ -65,11 +70,20 @@
 
   private scheduleCheck (): CancelTimer {
     const { clock, stallTimeoutMs } = this.options
-    return clock.startTimer(stallTimeoutMs / CHECKS_PER_TIMEOUT, () => this.check())
+    const intervalMs = stallTimeoutMs / CHECKS_PER_TIMEOUT
+    this.checkDueAtMs = clock.nowMs() + intervalMs
+    return clock.startTimer(intervalMs, () => this.check())
+  }
+
+  /** Leaves out the time by which a check is late; a suspension leaves it out by itself. */
+  private skipLateness (): void {
+    const nowMs = this.options.clock.nowMs()
+    if (this.suspendedAtMs === undefined) this.lastProgressAtMs = Math.min(nowMs, this.lastProgressAtMs + nowMs - this.checkDueAtMs)
   }
 
   private check (): void {
     const { clock, stallTimeoutMs, onStall } = this.options
+    this.skipLateness()
     this.cancelCheck = this.scheduleCheck()
     if (this.suspendedAtMs !== undefined || clock.nowMs() - this.lastProgressAtMs < stallTimeoutMs) return
     this.lastProgressAtMs = clock.nowMs()
--- a/packages/relay/test/requests/silentStreams.test.ts
+++ b/packages/relay/test/requests/silentStreams.test.ts
@@ -67,6 +67,18 @@
   report()
 }
 
+/** Guards against LOST: after a pause of the process, streams counted as stalled whose events had arrived and were not read yet. */
+describe('a stream whose events arrive while the process stands still', () => {
+  it.each<[string, ScriptedAnswer]>([
+    ['before its first event', { afterMs: 1000, steps: [createEvent(1), createEvent(2), 'END'] }],
+    ['between two events', { steps: [createEvent(1), 1000, createEvent(2), 'END'] }]
+  ])('stays at its engine: %s', async (_, answer) => {
+    const prepare = ({ clock }: TestDependencies): void => { clock.startTimer(700, () => clock.jump(2000)) }
+    const { sink, dependencies } = await doTest({ a: answer, b: other }, { prepare })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a']])
+  })
+})
+
 describe.each(SILENT)('a stream that is silent for a while %s', (_, silent) => {
   it('is not given up when there is no other engine', async () => {
     expect((await doTest({ a: silent })).sink.describe()).toBe(WHOLE)
