Read a silent attempt on until the other engine has answered

What callers saw: the same as before, more rarely: a resumable stream broken off with time left.

Cause: the silent attempt was given up 0.3 s after the request had been sent to another engine, answered or not. An engine that is busy begins or refuses later than that; what it then refused was lost.

'goes on when the other one refuses the stream late' fails without the change.

Ruled out: that both engines then work on the run for long.

Change: no limit. The silent attempt is ended when the other engine has begun; if it ends by itself before, the other attempt goes on with the run. The return to an engine that was given up, and the estimate for it during a stop, are not needed any more and are gone.

--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -158,16 +158,6 @@
     return this.getTimeLeftMs() === Infinity || this.findBasis(this.computeTimes(subject)) !== undefined
   }
 
-  /**
-   * Returns whether a request likely ends before the drain does, wherever it is sent now.
-   * @param subject - The request.
-   */
-  likelyEnds (subject: DrainSubject): boolean {
-    if (this.getTimeLeftMs() === Infinity) return true
-    const { timeLeftMs, remainingMs, likelyMs } = this.computeTimes(subject)
-    return timeLeftMs > 0 && Math.min(remainingMs, likelyMs) <= timeLeftMs
-  }
-
   private computeTimes (subject: DrainSubject): RequestTimes {
     const pace = subject.pace ?? this.fastestPaces.get(subject.service.name)
     const estimate = ESTIMATORS[subject.route.kind](this.options, subject, pace)
--- a/packages/relay/src/requests/AttemptReplacement.ts
+++ b/packages/relay/src/requests/AttemptReplacement.ts
@@ -11,8 +11,8 @@
   private nextAttempt: StreamAttempt | undefined
   /** Resolves when the replacement in progress has ended; undefined when there is none. */
   private progress: Promise<void> | undefined
-  /** Name of the engine whose silent attempt was ended for another one. */
-  private silentTarget: string | undefined
+  /** Ends the wait for the answer of the other engine; undefined while nobody waits. */
+  private endWait: (() => void) | undefined
   private hasClosed = false
 
   /** @internal */
@@ -34,38 +34,37 @@
     return this.nextAttempt !== undefined
   }
 
-  /** Returns and clears the attempt that goes on with the run; waits for a replacement in progress. Returns undefined when there is none. */
+  /**
+   * Waits for the answer of the other engine, until the current attempt ends at most.
+   * @param answer - The answer.
+   * @returns The answer, or `pending` when the current attempt ended before it.
+   */
+  async waitForAnswer<Answer> (answer: Promise<Answer>): Promise<Answer | 'pending'> {
+    const attemptEnded = new Promise<'pending'>(resolve => { this.endWait = () => resolve('pending') })
+    const result = await Promise.race([answer, attemptEnded])
+    this.endWait = undefined
+    return result
+  }
+
+  /** Returns and clears the attempt that goes on with the run now that the current one has ended; undefined when there is none. */
   async takeNextAttempt (): Promise<StreamAttempt | undefined> {
+    this.endWait?.()
     await this.progress
     const { nextAttempt } = this
     this.nextAttempt = undefined
     return nextAttempt
   }
 
-  /** Ends the attempt that would go on with the run; waits for a replacement in progress. */
+  /** Ends the attempt that would go on with the run. */
   async drop (): Promise<void> {
-    await this.progress
-    this.dropNextAttempt()
-  }
-
-  /**
-   * Records that the silent attempt at an engine is ended for another one that has not answered yet.
-   * @param target - Name of the engine.
-   */
-  recordSilentTarget (target: string): void {
-    this.silentTarget = target
-  }
-
-  /** Returns and clears the name of the engine whose silent attempt was ended; undefined when there is none. */
-  takeSilentTarget (): string | undefined {
-    const { silentTarget } = this
-    this.silentTarget = undefined
-    return silentTarget
+    const next = await this.takeNextAttempt()
+    next?.close()
   }
 
   /** Ends the other attempt, also one that is in progress once it is sent. */
   close (): void {
     this.hasClosed = true
+    this.endWait?.()
     this.dropNextAttempt()
   }
 
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -96,7 +96,7 @@
   const onStall = (): void => {
     const isRepeatable = canRepeatAfterStall(context, run)
     dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
-    if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { target: reservation.target.name, attempt, isStalled: () => stallDetector.isStalled() })
+    if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
     else if (run.hasStarted()) dependencies.mover.moveStalledRun(run)
   }
   const stallDetector = StallDetector.start({ clock: dependencies.clock, stallTimeoutMs, onStall })
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -9,15 +9,6 @@
 /** Maximum number of attempts that are sent for one request. */
 const MAX_SENT_ATTEMPTS = 4
 
-/**
- * Returns whether a run may be sent once more to any target.
- * @param run - Run of the request.
- */
-export function canSendAgain (run: StreamRun): boolean {
-  const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
-  return run.sentAttempts < MAX_SENT_ATTEMPTS && !hasStartedWithoutEvents
-}
-
 /**
  * Returns whether a request may be sent to another target after an attempt that was not moved.
  * @param context - The request.
@@ -25,7 +16,8 @@
  * @param end - Result of the attempt.
  */
 export function canRepeat ({ route }: RelayContext, run: StreamRun, end: StreamEnd): boolean {
-  if (!canSendAgain(run)) return false
+  const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
+  if (run.sentAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
   const hasRun = end === 'lost' || end === 'aborted' || run.executedAttempts > 0
   return !hasRun || (route.isResumable && run.executedAttempts < route.maxAttempts)
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -8,7 +8,7 @@
 import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { reserveEngine } from './reserveEngine.js'
-import { canRepeat, canSendAgain, findObstacle } from './repeatStream.js'
+import { canRepeat, findObstacle } from './repeatStream.js'
 import { recordAttemptEnd, startStreamAttempt, type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
 import { StreamRun } from './StreamRun.js'
 
@@ -90,7 +90,7 @@
 async function findRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<NextAttempt | undefined> {
   const sent = await run.replacement.takeNextAttempt()
   if (sent !== undefined) return { reservation: sent.reservation, sent }
-  const reservation = await reserveOtherEngine(dependencies, context, run, end) ?? await reserveSilentEngine(dependencies, context, run)
+  const reservation = await reserveOtherEngine(dependencies, context, run, end)
   return reservation === undefined ? undefined : { reservation }
 }
 
@@ -102,14 +102,6 @@
   return reservation
 }
 
-/** Reserves the engine whose silent attempt was ended for another one that did not go on with the run. */
-async function reserveSilentEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const target = run.replacement.takeSilentTarget()
-  if (target === undefined || !canSendAgain(run) || !await run.watch.mayRepeat()) return undefined
-  run.excludedTargets.delete(target)
-  return await reserveEngine(dependencies, context, run)
-}
-
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { reservation, move, sent }: NextAttempt): Promise<StreamEnd> {
   const streamAttempt = sent ?? startStreamAttempt(dependencies, context, run, { reservation, continuation: move?.continuation })
   run.currentAttempt = streamAttempt
