Read what has arrived before the requests of a stopping instance are ended

Cause: the end of a stop is a timer. When the process stands still beyond it, the timers that are due run before input is read, and all requests in progress were ended at once.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -29,13 +29,15 @@
 export interface CallerConnections {
   /** Counts the requests of which at least the head has arrived, and whose answers are not written completely. */
   countOpenAnswers(): number
+  /** Waits until what has arrived at the process was read. */
+  waitForInput(): Promise<void>
   /** Accepts no further connections. */
   stopAccepting(): void
   /** Answers requests that have not arrived completely as not run; from then on, connections that callers have yet to close count as open answers. */
   finishOpenRequests(): void
 }
 
-const NO_CONNECTIONS: CallerConnections = { countOpenAnswers: () => 0, stopAccepting: () => {}, finishOpenRequests: () => {} }
+const NO_CONNECTIONS: CallerConnections = { countOpenAnswers: () => 0, waitForInput: async () => {}, stopAccepting: () => {}, finishOpenRequests: () => {} }
 
 /** A process that relays requests: watches the published keys, tracks its peers, and serves callers. */
 export class RelayInstance {
@@ -144,6 +146,8 @@
     // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
     history.restart()
     while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await this.sleepWhileDraining(Math.min(DRAIN_CHECK_INTERVAL_MS, drain.getTimeLeftMs()))
+    // The end of an answer may have arrived while the process stood still.
+    await connections.waitForInput()
     this.recordDrainStep('drain ended', connections)
     await this.finishLastAnswers(connections)
     this.recordDrainStep('last answers written', connections)
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -62,7 +62,7 @@
     const endMs = times.requestsEndedMs === undefined ? requestEndMs : isReaderSilent ? Infinity : times.requestsEndedMs + WRITE_MS
     return getTimeMs() < endMs ? 1 : 0
   }
-  instance.drain({ countOpenAnswers, stopAccepting: () => { times.requestsEndedMs = getTimeMs() }, finishOpenRequests: () => {} }).then(() => { times.overMs = getTimeMs() })
+  instance.drain({ countOpenAnswers, waitForInput: async () => {}, stopAccepting: () => { times.requestsEndedMs = getTimeMs() }, finishOpenRequests: () => {} }).then(() => { times.overMs = getTimeMs() })
   await virtualClock.advance(GRACE_MS + 4000)
   return times
 }
@@ -149,7 +149,7 @@
     const times: Record<string, number> = {}
     instance.service.stopExceptSlowReaders = () => { times.others = clock.nowMs() }
     instance.service.stop = () => { times.slowReaders = clock.nowMs() }
-    instance.drain({ countOpenAnswers: () => 1, stopAccepting: () => {}, finishOpenRequests: () => {} })
+    instance.drain({ countOpenAnswers: () => 1, waitForInput: async () => {}, stopAccepting: () => {}, finishOpenRequests: () => {} })
     await clock.advance(GRACE_MS)
     expect(times).toMatchInlineSnapshot(`
       {
