Bound what crashes of many targets at one moment cost between instances

Calls make a crash of a whole zone evidence of thousands of targets, of which 64 are kept. What an instance had dropped it learned again from the next peer, told it as new, and so on without end. And once all parts of a crash were cleared it was no longer told, so that peers went on counting it against requests that had proved sound.

Change: a crash that a peer reports displaces one that is no less useful only when it is a second newer; crashes whose requests were at others as well are kept longer. That the parts of a crash are cleared is told for the 5 s that all other news is.

--- a/packages/relay/src/crashes/CrashEvidence.ts
+++ b/packages/relay/src/crashes/CrashEvidence.ts
@@ -11,9 +11,10 @@
 }
 
 interface CrashRecord {
+  readonly key: string
   readonly crash: EngineCrash
   /** Clock reading at which this instance learned something about it that peers may not know. */
-  readonly learnedAtMs: number
+  learnedAtMs: number
 }
 
 /** Number of crashes, of suspects of one crash, and of sound parts and sound requests that are remembered. */
@@ -25,6 +26,9 @@
 /** Time for which a crash is remembered, in milliseconds. */
 const RETENTION_MS = 900_000
 
+/** Source of what this instance has observed itself. */
+const OWN_SOURCE = 'own'
+
 /** Maximum length of the id of a request, in characters. */
 const MAX_ID_LENGTH = 32
 
@@ -32,6 +36,9 @@
 const FRESH_MS = 5000
 const MAX_FRESH_NEWS = 12
 
+/** Time by which a crash that a peer reports must be later than one that it displaces, in milliseconds; many targets may crash at one moment. */
+const DISPLACEMENT_MS = 1000
+
 /** Number of further crashes in a message; successive messages list all of them in turn. */
 const MAX_OTHER_NEWS = 4
 
@@ -124,12 +131,14 @@
     return [...this.records.values()].map(({ crash }) => crash)
   }
 
-  /** Lists crashes for a message to a peer: the fresh ones, and some of the others. Crashes of which all parts are cleared are left out. */
+  /** Lists crashes for a message to a peer: the fresh ones, and some of the others. Crashes of which all parts are cleared are left out, unless that is fresh. */
   listCrashNews (): EngineCrashNews[] {
     this.prune()
     const nowMs = this.options.clock.nowMs()
-    const open = [...this.records.values()].filter(({ crash }) => this.isOpen(crash)).reverse()
-    const fresh = open.filter(({ learnedAtMs }) => nowMs - learnedAtMs < FRESH_MS).slice(0, MAX_FRESH_NEWS)
+    const records = [...this.records.values()].reverse()
+    const open = records.filter(({ crash }) => this.isOpen(crash))
+    const cleared = records.filter(({ crash }) => !this.isOpen(crash))
+    const fresh = [...open, ...cleared].filter(({ learnedAtMs }) => nowMs - learnedAtMs < FRESH_MS).slice(0, MAX_FRESH_NEWS)
     return [...fresh, ...this.takeOthers(open.filter(record => !fresh.includes(record)))].map(({ crash: { target, startedAtMs, atMs, suspects } }) => ({
       target, startedAtMs, ageMs: Math.round(nowMs - atMs), suspects: suspects.map(({ requestId, parts, hasBegun }) => ({ requestId, parts: [...parts], hasBegun }))
     }))
@@ -170,13 +179,12 @@
     const key = `${target} ${startedAtMs}`
     const known = this.records.get(key)?.crash
     const suspects = this.mergeSuspects(known?.suspects ?? [], crash.suspects)
-    if (known !== undefined && suspects.every(({ requestId }) => known.suspects.some(other => other.requestId === requestId))) return false
-    this.records.set(key, { crash: { target, startedAtMs, atMs: Math.min(atMs, known?.atMs ?? atMs), suspects }, learnedAtMs: nowMs })
+    const record: CrashRecord = { key, crash: { target, startedAtMs, atMs: Math.min(atMs, known?.atMs ?? atMs), suspects }, learnedAtMs: nowMs }
+    const isNew = known === undefined ? this.makeRoom(record, source === OWN_SOURCE ? 0 : DISPLACEMENT_MS) : !suspects.every(suspect => hasSuspect(known, suspect))
+    if (!isNew) return false
+    this.records.set(key, record)
     this.countFingerprints()
-    if (known === undefined) {
-      log.recordStateChange('target crash observed', { target, startedAtMs, source, ageMs: Math.round(nowMs - atMs), suspects: suspects.slice(0, MAX_SUSPECTS) })
-      this.dropLeastUseful()
-    }
+    if (known === undefined) log.recordStateChange('target crash observed', { target, startedAtMs, source, ageMs: Math.round(nowMs - atMs), suspects })
     return true
   }
 
@@ -188,7 +196,9 @@
     sound.delete(part)
     sound.set(part, atMs)
     if (sound.size > (isFingerprint(part) ? MAX_SOUND_FINGERPRINTS : MAX_SOUND_PARTS)) sound.delete(sound.keys().next().value!)
-    return [...this.records.values()].some(({ crash }) => crash.atMs <= atMs && crash.atMs > before && crash.suspects.some(({ parts }) => parts.includes(part)))
+    const cleared = [...this.records.values()].filter(({ crash }) => crash.atMs <= atMs && crash.atMs > before && crash.suspects.some(({ parts }) => parts.includes(part)))
+    for (const record of cleared) record.learnedAtMs = this.options.clock.nowMs()
+    return cleared.length > 0
   }
 
   /** Returns whether a part is not cleared of a crash. */
@@ -227,14 +237,26 @@
     return selected
   }
 
-  /** Drops a crash if there are too many: of those that tell nothing of blamed parts, one that is explained by sound parts, or the oldest. */
-  private dropLeastUseful (): void {
-    if (this.records.size <= MAX_CRASHES) return
-    const isProtected = ({ suspects }: EngineCrash): boolean => suspects.some(({ parts }) => parts.some(part => this.protectedParts.has(part)))
-    const candidates = [...this.records].map(([key, { crash }]) => ({ key, atMs: crash.atMs, usefulness: Number(isProtected(crash)) * 2 + Number(this.isOpen(crash)) }))
-    const [least] = candidates.sort((a, b) => a.usefulness - b.usefulness || a.atMs - b.atMs)
+  /**
+   * Drops a crash if there are too many: the one that is least useful, or the oldest of these.
+   * @returns Whether there is room; an added crash that is no more useful displaces none that is not older by a given time.
+   */
+  private makeRoom (added: CrashRecord, displacementMs: number): boolean {
+    if (this.records.size < MAX_CRASHES) return true
+    const usefulness = new Map([...this.records.values(), added].map(record => [record, this.rankUsefulness(record.crash)]))
+    const [least] = [...this.records.values()].sort((a, b) => usefulness.get(a)! - usefulness.get(b)! || a.crash.atMs - b.crash.atMs)
+    const gain = usefulness.get(added)! - usefulness.get(least!)!
+    if (gain < 0 || (gain === 0 && added.crash.atMs < least!.crash.atMs + displacementMs)) return false
     this.records.delete(least!.key)
-    this.countFingerprints()
+    return true
+  }
+
+  /** Ranks a crash by what it tells: of blamed parts, of requests that were at other crashes as well, of parts that are not cleared, or nothing. */
+  private rankUsefulness (crash: EngineCrash): number {
+    const parts = crash.suspects.flatMap(suspect => suspect.parts)
+    if (parts.some(part => this.protectedParts.has(part))) return 3
+    if (!this.isOpen(crash)) return 0
+    return parts.some(part => (this.fingerprints.get(part) ?? 0) > 1) ? 2 : 1
   }
 
   private prune (): void {
@@ -248,3 +270,7 @@
     for (const listener of this.listeners) listener()
   }
 }
+
+function hasSuspect ({ suspects }: EngineCrash, { requestId }: CrashSuspect): boolean {
+  return suspects.some(other => other.requestId === requestId)
+}
