Find suspicions in less time where crashes have many requests in common

Change: parts of a single crash are left out first, requests are collected with the index, no moments are counted of a part that has fewer crashes than the best one has moments, and at most 32 sets of crashes are explained, those of most first.

--- a/packages/relay/src/crashes/findPartSuspicions.ts
+++ b/packages/relay/src/crashes/findPartSuspicions.ts
@@ -38,12 +38,22 @@
 /** Minimum number of crashes for which parts are blamed that have proved sound before, or that are not the only explanation. */
 const MIN_DOUBTFUL_CRASHES = 5
 
-/** Maximum number of explanations of the same crashes. */
+/** Maximum number of explanations of the same crashes, and of sets of crashes that are explained; those of most crashes come first. */
 const MAX_EXPLANATIONS = 8
+const MAX_EXPLAINED_SETS = 32
 
 /** A crash, with those suspects that may have caused it and those of their parts that are considered. */
 type ConsideredCrash = Pick<EngineCrash, 'atMs' | 'suspects'>
 
+/** A part that is implicated in several crashes. */
+interface ImplicatedPart {
+  readonly part: string
+  readonly crashes: ConsideredCrash[]
+  /** Ids of the requests with the part, by index of the crash at which they were, and all of them. */
+  readonly requestsAt: string[][]
+  readonly requests: Set<string>
+}
+
 /** Crashes that have parts in common, and the sets of parts that explain all of them. */
 interface Explanation {
   readonly crashes: readonly ConsideredCrash[]
@@ -97,62 +107,92 @@
   const explanations = keepExplanations(crashes, policy, blamed)
   const kept = new Set(explanations.flatMap(explanation => explanation.crashes))
   let open = crashes.filter(crash => !kept.has(crash))
-  for (;;) {
+  while (explanations.length < MAX_EXPLAINED_SETS) {
     const explanation = explainMostCrashes(open, policy)
-    if (explanation === undefined) return explanations
+    if (explanation === undefined) break
     explanations.push(explanation)
     const explained = new Set(explanation.crashes)
     open = open.filter(crash => !explained.has(crash))
   }
+  return explanations
 }
 
 /** Keeps the explanations by parts that are blamed already, unless a part explains the same crashes and others. */
 function keepExplanations (crashes: readonly ConsideredCrash[], { sameMomentMs, minBlamedCrashes }: Policy, blamed: ReadonlyArray<readonly string[]>): Explanation[] {
-  const crashesByPart = indexByPart(crashes)
+  const implicated = listImplicated(crashes)
   const kept = blamed.map(parts => {
     const explained = crashes.filter(crash => listRequests([crash], parts).size > 0)
-    return { crashes: explained, moments: countMoments(explained, parts, sameMomentMs), alternatives: [parts] }
+    return { crashes: explained, moments: countMoments(explained, explained.map(crash => [...listRequests([crash], parts)]), sameMomentMs), alternatives: [parts] }
   })
   const isBetter = (others: readonly ConsideredCrash[], explained: readonly ConsideredCrash[]): boolean => others.length > explained.length && explained.every(crash => others.includes(crash))
-  return kept.filter(({ crashes: explained, moments }) => moments >= minBlamedCrashes && ![...crashesByPart.values()].some(others => isBetter(others, explained)))
+  return kept.filter(({ crashes: explained, moments }) => moments >= minBlamedCrashes && !implicated.some(other => isBetter(other.crashes, explained)))
 }
 
 function explainMostCrashes (open: readonly ConsideredCrash[], { sameMomentMs }: Policy): Explanation | undefined {
-  const crashesByPart = indexByPart(open)
-  const candidates = [...crashesByPart].map(([part, crashes]) => ({ part, crashes, moments: countMoments(crashes, [part], sameMomentMs), requests: listRequests(crashes, [part]).size }))
-  const [most] = candidates.sort((a, b) => b.moments - a.moments || b.requests - a.requests || (a.part < b.part ? -1 : 1))
-  if (most === undefined || most.moments < MIN_SUSPECTED_CRASHES) return undefined
-  const { crashes, moments } = most
-  const tied = candidates.filter(other => other.crashes.length === crashes.length && other.crashes.every((crash, index) => crash === crashes[index])).map(({ part }) => part)
+  const implicated = listImplicated(open)
+  const most = findMostImplicated(implicated, sameMomentMs)
+  if (most === undefined) return undefined
+  const { part: { crashes }, moments } = most
+  const tied = implicated.filter(other => other.crashes.length === crashes.length && other.crashes.every((crash, index) => crash === crashes[index])).map(({ part }) => part)
   return { crashes, moments, alternatives: findAlternatives(crashes, tied.sort()) }
 }
 
-function indexByPart (crashes: readonly ConsideredCrash[]): Map<string, ConsideredCrash[]> {
-  const index = new Map<string, ConsideredCrash[]>()
+/** Finds the part that is implicated at most moments, and in most requests of these; undefined when there is none at several moments. */
+function findMostImplicated (implicated: readonly ImplicatedPart[], sameMomentMs: number): { readonly part: ImplicatedPart, readonly moments: number } | undefined {
+  let most: { readonly part: ImplicatedPart, readonly moments: number } | undefined
+  for (const part of [...implicated].sort(compareImplicated)) {
+    // There are at most as many moments as crashes.
+    if (most !== undefined && part.crashes.length < most.moments) break
+    const moments = countMoments(part.crashes, part.requestsAt, sameMomentMs)
+    if (moments >= MIN_SUSPECTED_CRASHES && (most === undefined || moments > most.moments || (moments === most.moments && compareRequests(part, most.part) < 0))) most = { part, moments }
+  }
+  return most
+}
+
+function compareImplicated (a: ImplicatedPart, b: ImplicatedPart): number {
+  return b.crashes.length - a.crashes.length || compareRequests(a, b)
+}
+
+function compareRequests (a: ImplicatedPart, b: ImplicatedPart): number {
+  return b.requests.size - a.requests.size || (a.part < b.part ? -1 : 1)
+}
+
+/** Lists the parts that are implicated in as many crashes as a suspicion needs. */
+function listImplicated (crashes: readonly ConsideredCrash[]): ImplicatedPart[] {
+  const index = new Map<string, ImplicatedPart>()
   for (const crash of crashes) {
-    for (const part of new Set(crash.suspects.flatMap(({ parts }) => parts))) {
-      const known = index.get(part)
-      if (known === undefined) index.set(part, [crash])
-      else known.push(crash)
+    for (const { requestId, parts } of crash.suspects) {
+      for (const part of parts) addImplicated(index, part, crash, requestId)
     }
   }
-  return index
+  return [...index.values()].filter(part => part.crashes.length >= MIN_SUSPECTED_CRASHES)
+}
+
+function addImplicated (index: Map<string, ImplicatedPart>, part: string, crash: ConsideredCrash, requestId: string): void {
+  const known = index.get(part) ?? { part, crashes: [], requestsAt: [], requests: new Set() }
+  if (known.crashes.at(-1) !== crash) {
+    known.crashes.push(crash)
+    known.requestsAt.push([])
+  }
+  known.requestsAt.at(-1)!.push(requestId)
+  known.requests.add(requestId)
+  index.set(part, known)
 }
 
-/** Counts the moments at which engines crashed under certain parts. A request that was at two engines was sent to the second one after the first had crashed. */
-function countMoments (crashes: readonly ConsideredCrash[], parts: readonly string[], sameMomentMs: number): number {
+/** Counts the moments at which engines crashed under certain requests. A request that was at two engines was sent to the second one after the first had crashed. */
+function countMoments (crashes: readonly ConsideredCrash[], requestsAt: ReadonlyArray<readonly string[]>, sameMomentMs: number): number {
   let count = 0
   let firstAtMs = -Infinity
-  let requestsOfMoment = new Set<string>()
-  for (const crash of crashes) {
-    const requests = listRequests([crash], parts)
-    const isSameMoment = crash.atMs - firstAtMs <= sameMomentMs && ![...requests].some(request => requestsOfMoment.has(request))
+  let requestsOfMoment: string[] = []
+  for (const [index, { atMs }] of crashes.entries()) {
+    const requests = requestsAt[index]!
+    const isSameMoment = atMs - firstAtMs <= sameMomentMs && !requests.some(request => requestsOfMoment.includes(request))
     if (!isSameMoment) {
-      firstAtMs = crash.atMs
-      requestsOfMoment = new Set()
+      firstAtMs = atMs
+      requestsOfMoment = []
       count++
     }
-    for (const request of requests) requestsOfMoment.add(request)
+    requestsOfMoment.push(...requests)
   }
   return count
 }
--- a/packages/relay/test/crashes/findPartSuspicions.test.ts
+++ b/packages/relay/test/crashes/findPartSuspicions.test.ts
@@ -44,6 +44,11 @@
     expect(doTest([[0, 'c'], [10, 'c'], [20, 'c'], [90, 'c']])).toEqual([])
   })
 
+  it('counts engines apart that crash shortly after one another under the same request', () => {
+    const crashes = [0, 60, 110, 170].map((atMs, index) => ({ ...createCrash([atMs], index), suspects: [{ requestId: `q${Math.floor(index / 2)}`, parts: ['bad'], hasBegun: false }] }))
+    expect(findPartSuspicions(crashes, () => undefined).map(({ crashes: count }) => count)).toEqual([3])
+  })
+
   it('blames parts that came in the same requests together', () => {
     expect(doTest([[0, 'c bad'], [500, 'c bad', 'c x'], [900, 'c bad', 'c y']])).toMatchInlineSnapshot(`
       [
