Tell requests apart by the shared parts of their prompts as well

What callers saw: in a deployment whose requests differ by their prompts' parts alone, three requests with different parts that crash engines within half a second let all requests with that path, caller and body be refused for a minute.

Cause: the fingerprint did not hold the parts, so that it was in all of the crashes, while soundness of fingerprints is known only from the first crash on.

Change: the shared parts are hashed as well.

Test: CrashGuard.test.ts, 503 crashesEngines for a sound request before.

--- a/packages/relay/src/crashes/computeFingerprint.ts
+++ b/packages/relay/src/crashes/computeFingerprint.ts
@@ -11,8 +11,8 @@
  * Computes the fingerprint of a request: it is the same when the same caller sends the same request again, under any id and at any instance.
  * @param subject - The request.
  */
-export function computeFingerprint ({ request: { method, host, path, body, key = '' }, workspace = key }: CrashSubject): string {
-  const head = JSON.stringify([workspace, method, host.toLowerCase(), path])
+export function computeFingerprint ({ request: { method, host, path, body, sharedParts = [], key = '' }, workspace = key }: CrashSubject): string {
+  const head = JSON.stringify([workspace, method, host.toLowerCase(), path, ...sharedParts])
   return FINGERPRINT_MARK + createHash('sha256').update(head).update(body).digest('base64url').slice(0, FINGERPRINT_LENGTH)
 }
 
--- a/packages/relay/test/crashes/CrashDetector.test.ts
+++ b/packages/relay/test/crashes/CrashDetector.test.ts
@@ -23,7 +23,7 @@
   it('observes a crash when the engine refuses a new connection', async () => {
     expect(await doTest('refusing')).toMatchInlineSnapshot(`
       [
-        "a 1 at 100: q1 c+q1+=LkgS4no8B0hy, q2 c+q2+=LkgS4no8B0hy",
+        "a 1 at 100: q1 c+q1+=rM8E20ow240Q, q2 c+q2+=BWKqr-mjxtiZ",
       ]
     `)
   })
@@ -35,7 +35,7 @@
   it('observes a crash when the entry of an engine that gave no answer leaves the store soon', async () => {
     expect(await doTest('unknown', ({ table }) => table.handleRemoval('a'))).toMatchInlineSnapshot(`
       [
-        "a 1 at 100: q1 c+q1+=LkgS4no8B0hy, q2 c+q2+=LkgS4no8B0hy",
+        "a 1 at 100: q1 c+q1+=rM8E20ow240Q, q2 c+q2+=BWKqr-mjxtiZ",
       ]
     `)
     expect(await doTest('unknown', ({ clock, table }) => { clock.startTimer(6000, () => table.handleRemoval('a')) })).toEqual([])
--- a/packages/relay/test/crashes/CrashGuard.test.ts
+++ b/packages/relay/test/crashes/CrashGuard.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { computeFingerprint } from '../../src/crashes/computeFingerprint.js'
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { type RelayRefusal } from '../../src/requests/RelayRequest.js'
 import { RelayService } from '../../src/requests/RelayService.js'
@@ -18,10 +19,12 @@
   /** Time from the last crash to the request, in milliseconds. */
   readonly afterMs?: number
   readonly act?: (dependencies: TestDependencies) => void
+  /** Called before the request is sent. */
+  readonly prepare?: (dependencies: TestDependencies) => void
 }
 
 /** Reports crashes under part `bad`, sends a request, and returns what its caller gets and which engines it reached. */
-async function doTest ({ crashes = 3, parts = ['c', 'bad'], answers = { a: SOUND, b: SOUND }, afterMs = 1000, act }: Options): Promise<[string, string[], { refusal?: RelayRefusal, endedAtMs?: number }]> {
+async function doTest ({ crashes = 3, parts = ['c', 'bad'], answers = { a: SOUND, b: SOUND }, afterMs = 1000, act, prepare }: Options): Promise<[string, string[], { refusal?: RelayRefusal, endedAtMs?: number }]> {
   const dependencies = createTestDependencies()
   const { clock, client, table, evidence } = dependencies
   const service = RelayService.create({ dependencies, getRoutes: () => ROUTES, getPauseMs: () => 0, isViewStale: () => false })
@@ -32,6 +35,7 @@
   }
   evidence.recordSoundRun(['c'], 0)
   for (let index = 0; index < crashes; index++) reportCrash(dependencies, index)
+  prepare?.(dependencies)
   await clock.advance(1000 + afterMs)
   const sink = FakeSink.create()
   let endedAtMs: number | undefined
@@ -46,6 +50,21 @@
 }
 
 describe('CrashGuard', () => {
+  it('does not refuse requests whose path, caller and body are those of several that crash engines, and whose prompts are not', async () => {
+    const [outcome] = await doTest({
+      crashes: 0,
+      parts: ['c', 'other'],
+      prepare: ({ evidence }) => {
+        for (const [index, part] of ['bad1', 'bad2', 'bad3'].entries()) {
+          const parts = ['c', part]
+          const fingerprint = computeFingerprint({ request: createRequest({ sharedParts: parts }) })
+          evidence.addCrash({ target: `e${index}`, startedAtMs: 1, atMs: index * 500, suspects: [{ requestId: `q${index}`, parts: [...parts, fingerprint], hasBegun: true }] }, 'peer')
+        }
+      }
+    })
+    expect(outcome).toBe('200 "id: 1\\ndata: x\\n\\n" complete')
+  })
+
   it('refuses requests with a blamed part at once, as not run, and tells the caller to return late', async () => {
     const [outcome, targets, { refusal }] = await doTest({})
     expect([outcome, targets, refusal?.retryAfterMs]).toEqual(['503 crashesEngines', [], 2000])
--- a/packages/relay/test/crashes/computeFingerprint.test.ts
+++ b/packages/relay/test/crashes/computeFingerprint.test.ts
@@ -16,7 +16,7 @@
   })
 
   it.each<[string, Partial<RelayRequest>, string?]>([
-    ['path', { path: '/a?b=d' }], ['method', { method: 'PUT' }], ['host', { host: 'other' }], ['body', { body: Buffer.from('y') }], ['workspace', {}, 'v']
+    ['path', { path: '/a?b=d' }], ['method', { method: 'PUT' }], ['host', { host: 'other' }], ['body', { body: Buffer.from('y') }], ['shared parts', { sharedParts: ['a'] }], ['workspace', {}, 'v']
   ])('tells requests apart by their %s', (_, change, workspace) => {
     expect(doTest(change, workspace)).not.toBe(doTest())
   })
