Do not open a generation again at a target that has crashed before its first token

Where an engine is back within the 50 ms before a lost stream is opened again, one submission that crashes engines ended more than three of them.

Cause: a stream without a token is opened again with the whole generation. That is meant for an engine that still has it; the next incarnation of a crashed one does not know it, and runs it as a new one.

The check that tells a crash from a lost connection is made before a stream is opened again, so the attempt ends there, and the next target is picked as after any other lost attempt. A stream with tokens is still opened again, since that only attaches.

--- a/packages/daemon/src/dispatch/runGeneration.ts
+++ b/packages/daemon/src/dispatch/runGeneration.ts
@@ -11,8 +11,8 @@
 /** Engine priority of each scheduling class. */
 const ENGINE_PRIORITIES: Record<Priority, number> = { high: 2, normal: 1, low: 0 }
 
-/** How one attempt to generate ended. */
-type GenerationEnd = 'complete' | 'cancelled' | 'deadlineExceeded' | 'withheld' | TargetError
+/** How one attempt to generate ended; `crashed` if its target crashed before it sent a token. */
+type GenerationEnd = 'complete' | 'cancelled' | 'deadlineExceeded' | 'withheld' | 'crashed' | TargetError
 
 /**
  * Runs a generation. A lost generation is restarted on another target as long as none of its tokens have been delivered.
@@ -114,8 +114,9 @@
   const startedAtMs = clock.nowMs()
   const end = await readStream(entry, placement, generation, dependencies, spec)
   if (end === 'complete') harmfulRequests.recordCompletion(entry)
-  if (end === 'cut' || end === 'silent') await harmfulRequests.recordLoss(entry, { target: placement.target, kind: end === 'cut' ? 'closed' : 'silent', startedAtMs })
-  return end
+  if (end !== 'cut' && end !== 'silent') return end
+  const hasCrashed = await harmfulRequests.recordLoss(entry, { target: placement.target, kind: end === 'cut' ? 'closed' : 'silent', startedAtMs })
+  return hasCrashed && entry.tokens.getEndOffset() === 0 ? 'crashed' : end
 }
 
 async function readStream (
--- a/packages/daemon/test/crashes/requestsThatCrashTargets.test.ts
+++ b/packages/daemon/test/crashes/requestsThatCrashTargets.test.ts
@@ -13,6 +13,9 @@
 /** Time from the third crash under a request in which instances have told one another, in milliseconds. */
 const CONTACT_MS = 3000
 
+/** Number of runs of one submission. */
+const MAX_RUNS_OF_SUBMISSION = 3
+
 /** Number of runs of a deadly request that may reach targets after that. */
 const MAX_LATE_RUNS = 3
 
@@ -112,6 +115,16 @@
     })
   }
 
+  for (const service of SERVICES) {
+    it(`run at most three times for each submission where targets are back at once: ${service}`, async () => {
+      const fleet = new CrashFleet({ seed: 1, restartMs: 20 })
+      await fleet.start()
+      fleet.submit(createBody(service, 'deadly'))
+      await fleet.finish()
+      expect(fleet.targets.crashes.length).toBeLessThanOrEqual(MAX_RUNS_OF_SUBMISSION)
+    })
+  }
+
   for (const service of ['held', 'lookup']) {
     it(`are told from one another: ${service}`, async () => {
       const { lateRuns, soundRefusals } = await doTest({ service, seed: 3, deadlyCount: 3 })
