Let an instance that starts learn the crashes that its peers remember

Where instances restart one after another, a request under which targets had crashed ended more of them: an instance grants leases before its first gossip, which may be a second away, and runs a submission at up to three targets.

The instances of the simulated fleet wait for this as `Instance` does.

--- a/packages/daemon/src/crashes/CrashRecords.ts
+++ b/packages/daemon/src/crashes/CrashRecords.ts
@@ -98,15 +98,18 @@
       .filter(({ suspects }) => suspects.length > 0)
   }
 
-  /** Creates the fields for a message. They are absent where there is nothing to tell. */
+  /** Creates the fields for a gossip message. They are absent where there is nothing to tell. */
   createNews (): CrashNews {
     const nowMs = this.options.clock.nowMs()
     const open = this.listOpenCrashes().reverse()
     const fresh = open.filter(crash => nowMs - this.records.get(getKey(crash))!.learnedAtMs < FRESH_MS).slice(0, MAX_FRESH_NEWS)
     const others = this.takeOthers(open.filter(crash => !fresh.includes(crash)), MAX_NEWS - fresh.length)
-    const targetCrashes = [...fresh, ...others].map(({ target, incarnation, atMs, suspects }) => ({ target, incarnation, ageMs: Math.round(nowMs - atMs), suspects: suspects.map(({ fingerprint, runMs }) => ({ fingerprint, runMs: Math.round(runMs) })) }))
-    const soundRequests = [...this.soundAtMs].slice(-MAX_SOUND_NEWS).map(([fingerprint, atMs]) => ({ fingerprint, ageMs: Math.round(nowMs - atMs) }))
-    return { ...(targetCrashes.length > 0 ? { targetCrashes } : {}), ...(soundRequests.length > 0 ? { soundRequests } : {}) }
+    return this.formatNews([...fresh, ...others], MAX_SOUND_NEWS)
+  }
+
+  /** Creates the fields for a message to an instance that knows nothing yet. */
+  createCompleteNews (): CrashNews {
+    return this.formatNews(this.listOpenCrashes(), MAX_SOUND)
   }
 
   /**
@@ -121,6 +124,15 @@
     if (added.length > 0 || cleared.length > 0) this.notifyListeners()
   }
 
+  private formatNews (crashes: readonly TargetCrash[], maxSound: number): CrashNews {
+    const nowMs = this.options.clock.nowMs()
+    const targetCrashes = crashes.map(({ target, incarnation, atMs, suspects }) => ({
+      target, incarnation, ageMs: Math.round(nowMs - atMs), suspects: suspects.map(({ fingerprint, runMs }) => ({ fingerprint, runMs: Math.round(runMs) }))
+    }))
+    const soundRequests = [...this.soundAtMs].slice(-maxSound).map(([fingerprint, atMs]) => ({ fingerprint, ageMs: Math.round(nowMs - atMs) }))
+    return { ...(targetCrashes.length > 0 ? { targetCrashes } : {}), ...(soundRequests.length > 0 ? { soundRequests } : {}) }
+  }
+
   /** Returns whether the crash told something new. */
   private mergeCrash (crash: TargetCrash, source: string): boolean {
     const nowMs = this.options.clock.nowMs()
--- a/packages/daemon/src/instance/Instance.ts
+++ b/packages/daemon/src/instance/Instance.ts
@@ -141,10 +141,11 @@
     this.logCounters()
   }
 
-  /** Queries peers before the instance becomes ready, so that it does not start with records that the fleet has replaced. */
+  /** Queries peers before the instance becomes ready, so that it does not start with records that the fleet has replaced, or without crashes that it remembers. */
   private async queryFleet (): Promise<void> {
-    const { configurationFollower, instanceList } = this.components
+    const { configurationFollower, instanceList, crashExchange } = this.components
     await configurationFollower.waitForInitialRefresh(() => instanceList.getVersion() > 0)
+    await crashExchange.fetchCrashes()
     this.hasQueriedFleet = true
     this.updateReadiness()
   }
--- a/packages/daemon/src/instance/createComponents.ts
+++ b/packages/daemon/src/instance/createComponents.ts
@@ -1,6 +1,7 @@
 import { PauseDetector } from '@fescuespoke/common'
 import { Agent, type Dispatcher } from 'undici'
 import { CrashDetector } from '../crashes/CrashDetector.js'
+import { CrashExchange } from '../crashes/CrashExchange.js'
 import { HarmfulRequests } from '../crashes/HarmfulRequests.js'
 import { TrialTurns } from '../crashes/TrialTurns.js'
 import { type RunnerDependencies } from '../dispatch/RequestRunner.js'
@@ -21,6 +22,7 @@
   readonly leases: LeaseRegistry
   readonly requests: RequestService
   readonly resumes: ResumeService
+  readonly crashExchange: CrashExchange
   readonly resumeTokenCodec: ResumeTokenCodec
   /** Connections to other instances for forwarded requests. */
   readonly dispatcher: Dispatcher
@@ -66,6 +68,7 @@
     requests,
     resumes: ResumeService.create({ clock, targetClient, resumeTokenCodec }),
     resumeTokenCodec,
+    crashExchange: createCrashExchange(context, views),
     dispatcher: createDispatcher(context)
   }
 }
@@ -133,6 +136,10 @@
   })
 }
 
+function createCrashExchange ({ settings }: InstanceContext, { crashRecords: records, instanceList, peers: { transport } }: Views): CrashExchange {
+  return CrashExchange.create({ instance: settings.instance.id, records, transport, listEntries: () => instanceList.listInstances() })
+}
+
 function recordPause ({ audit, settings }: InstanceContext, revision: number, pauseMs: number): void {
   const cause = `the process did not run for ${Math.round(pauseMs)} ms`
   audit.record({ kind: 'pauseDetected', subject: settings.instance.id, revision, cause })
--- a/packages/daemon/test/crashes/requestsThatCrashTargets.test.ts
+++ b/packages/daemon/test/crashes/requestsThatCrashTargets.test.ts
@@ -10,9 +10,15 @@
 const MIN_PAUSE_MS = 500
 const PAUSE_RANGE_MS = 1500
 
+/** Interval between two restarts of instances, in seconds. */
+const RESTART_INTERVAL_S = 4
+
 /** Time from the third crash under a request in which instances have told one another, in milliseconds. */
 const CONTACT_MS = 3000
 
+/** Number of crashes after which a request has to be known. */
+const MIN_KNOWN_CRASHES = 3
+
 /** Number of runs of one submission. */
 const MAX_RUNS_OF_SUBMISSION = 3
 
@@ -40,6 +46,8 @@
 }
 
 interface PlayResult {
+  /** Whether at least three targets crashed under each deadly request. */
+  readonly isPlayed: boolean
   /** Runs of each deadly request that reached targets after instances have told one another. */
   readonly lateRuns: number[]
   /** Sound requests refused for crashes. */
@@ -73,12 +81,13 @@
 function summarize ({ targets: { arrivals, crashes }, results }: CrashFleet, contents: readonly string[]): PlayResult {
   const crashesOf = (content: string): number[] => crashes.filter(crash => crash.content === content).map(({ atMs }) => atMs)
   const countLate = (content: string): number => {
-    const knownAtMs = (crashesOf(content)[2] ?? Infinity) + CONTACT_MS
+    const knownAtMs = (crashesOf(content)[MIN_KNOWN_CRASHES - 1] ?? Infinity) + CONTACT_MS
     return arrivals.filter(arrival => arrival.content === content && arrival.atMs > knownAtMs).length
   }
   const hasRun = (result: CallerResult): boolean => arrivals.some(({ content, atMs }) => content === getContent(result) && atMs >= result.submittedAtMs && atMs <= result.endedAtMs)
   const refused = results.filter(({ end }) => end?.reason === 'crashesTargets')
   return {
+    isPlayed: contents.every(content => crashesOf(content).length >= MIN_KNOWN_CRASHES),
     lateRuns: contents.map(countLate),
     soundRefusals: refused.filter(result => !contents.includes(getContent(result))).length,
     untrueOutcomes: results.filter(result => result.end?.outcome === 'notRun' && contents.length === 1 && getContent(result) === contents[0] && hasRun(result) && isAlone(result, results)).length,
@@ -105,13 +114,13 @@
     it(`reach few targets, however often and wherever they are made again: ${service}`, async () => {
       const { lateRuns, ...faults } = await doTest({ service })
       expect(Math.max(...lateRuns)).toBeLessThanOrEqual(MAX_LATE_RUNS)
-      expect(faults).toEqual({ soundRefusals: 0, untrueOutcomes: 0, refusalsWithoutTime: 0 })
+      expect(faults).toEqual({ isPlayed: true, soundRefusals: 0, untrueOutcomes: 0, refusalsWithoutTime: 0 })
     })
 
     it(`are told from sound requests at targets that crash for another reason: ${service}`, async () => {
-      const { lateRuns, soundRefusals } = await doTest({ service, seed: 2, disturb: async (fleet, second) => await crashOthers(service, fleet, second) })
+      const { isPlayed, lateRuns, soundRefusals } = await doTest({ service, seed: 2, disturb: async (fleet, second) => await crashOthers(service, fleet, second) })
       expect(Math.max(...lateRuns)).toBeLessThanOrEqual(MAX_LATE_RUNS)
-      expect(soundRefusals).toBe(0)
+      expect({ isPlayed, soundRefusals }).toEqual({ isPlayed: true, soundRefusals: 0 })
     })
   }
 
@@ -126,10 +135,18 @@
   }
 
   for (const service of ['held', 'lookup']) {
+    it(`are not forgotten by instances that restart one after another: ${service}`, async () => {
+      const { isPlayed, lateRuns } = await doTest({
+        service, disturb: async (fleet, second) => { if (second % RESTART_INTERVAL_S === 0) await fleet.restartInstance(second / RESTART_INTERVAL_S % 4) }
+      })
+      expect(isPlayed).toBe(true)
+      expect(Math.max(...lateRuns)).toBeLessThanOrEqual(MAX_LATE_RUNS)
+    })
+
     it(`are told from one another: ${service}`, async () => {
-      const { lateRuns, soundRefusals } = await doTest({ service, seed: 3, deadlyCount: 3 })
+      const { isPlayed, lateRuns, soundRefusals } = await doTest({ service, seed: 3, deadlyCount: 3 })
       expect(Math.max(...lateRuns)).toBeLessThanOrEqual(MAX_LATE_RUNS)
-      expect(soundRefusals).toBe(0)
+      expect({ isPlayed, soundRefusals }).toEqual({ isPlayed: true, soundRefusals: 0 })
     })
   }
 })
--- a/packages/daemon/test/fleet/SimulatedInstance.ts
+++ b/packages/daemon/test/fleet/SimulatedInstance.ts
@@ -55,6 +55,7 @@
   private isRejectingRequests = false
   private isDraining = false
   private isHandingOver = false
+  private hasQueriedFleet = false
   private exchanges = 0
 
   constructor (readonly options: SimulatedInstanceOptions) {
@@ -79,6 +80,7 @@
   async start (): Promise<void> {
     await this.components.peers.listen(`http://${this.options.name}`)
     startComponents(this.components)
+    this.queryFleet()
   }
 
   pause (): void {
@@ -118,7 +120,7 @@
   /** Grants a lease unless the instance is not ready. */
   async grantLease (workspace: string): Promise<string | undefined> {
     await this.waitUntilRunning()
-    if (this.isDraining || this.components.configuration.getRevision() === 0) return undefined
+    if (this.isDraining || !this.hasQueriedFleet || this.components.configuration.getRevision() === 0) return undefined
     return this.components.leases.grantLease(workspace).map(({ token }) => token).unwrapOr(undefined)
   }
 
@@ -183,6 +185,13 @@
     }
   }
 
+  private async queryFleet (): Promise<void> {
+    const { configurationFollower, instanceList, crashExchange } = this.components
+    await configurationFollower.waitForInitialRefresh(() => instanceList.getVersion() > 0)
+    await crashExchange.fetchCrashes()
+    this.hasQueriedFleet = true
+  }
+
   /** Waits until the process is not paused. */
   private async waitUntilRunning (): Promise<void> {
     await this.clock.sleep(1)
