Refuse a request that waits for a target as soon as it is found to be harmful

A request that waited in the queue while targets crashed under the same request was refused only once a target had room for it, up to its deadline.

Cause: whether it is harmful was looked at before and after the wait alone. The wait now ends when the request is found to be harmful, and it gets its final answer with the time to return; other waits go on.

--- a/packages/daemon/src/crashes/HarmfulRequests.ts
+++ b/packages/daemon/src/crashes/HarmfulRequests.ts
@@ -18,6 +18,14 @@
   readonly getRevision: () => number
 }
 
+/** Watch on a request that waits for a target. */
+export interface WaitWatch {
+  /** Aborts when the request is found to be harmful. */
+  readonly signal: AbortSignal
+  /** Ends the watch. */
+  stop(): void
+}
+
 /** Keeps requests from targets that would crash one target after the other, however often and wherever they are submitted. */
 export class HarmfulRequests {
   /**
@@ -30,6 +38,8 @@
 
   /** Harmful requests by fingerprint. */
   private known: ReadonlyMap<string, HarmfulRequest> = new Map()
+  /** Requests that wait for a target. */
+  private readonly waiting = new Map<RequestEntry, AbortController>()
 
   /** @internal */
   private constructor (private readonly options: HarmfulRequestsOptions) {
@@ -51,6 +61,16 @@
     }
   }
 
+  /**
+   * Watches a request while it waits for a target.
+   * @param entry - The request.
+   */
+  watchWait (entry: RequestEntry): WaitWatch {
+    const abort = new AbortController()
+    this.waiting.set(entry, abort)
+    return { signal: abort.signal, stop: () => { this.waiting.delete(entry) } }
+  }
+
   /**
    * Records that a run of a request was lost at a target, and finds out whether the target crashed.
    * @param entry - The request.
@@ -76,10 +96,16 @@
     const previous = this.known
     const found = findHarmfulRequests(this.options.records.listOpenCrashes())
     this.known = new Map(found.map(harmful => [harmful.fingerprint, harmful]))
-    for (const harmful of found) if (!previous.has(harmful.fingerprint)) this.recordFound(harmful)
+    const added = found.filter(({ fingerprint }) => !previous.has(fingerprint))
+    for (const harmful of added) this.recordFound(harmful)
+    if (added.length > 0) this.abortWaits()
     for (const fingerprint of previous.keys()) if (!this.known.has(fingerprint)) this.recordAudit({ kind: 'requestCleared', subject: fingerprint, cause: 'answered completely, or its crashes are explained by another request' })
   }
 
+  private abortWaits (): void {
+    for (const [entry, abort] of this.waiting) if (this.known.has(computeFingerprint(entry))) abort.abort()
+  }
+
   private recordFound ({ fingerprint, crashes }: HarmfulRequest): void {
     this.options.metrics.getCounter('harmfulRequests', {}).add()
     this.recordAudit({ kind: 'requestHarmful', subject: fingerprint, cause: `${crashes} targets crashed under it` })
--- a/packages/daemon/src/dispatch/RequestRunner.ts
+++ b/packages/daemon/src/dispatch/RequestRunner.ts
@@ -59,7 +59,7 @@
   readonly scheduler: Scheduler
   readonly targetClient: TargetClient
   readonly targetReadiness: TargetReadiness
-  readonly harmfulRequests: Pick<HarmfulRequests, 'findRefusal' | 'recordLoss' | 'recordCompletion'>
+  readonly harmfulRequests: Pick<HarmfulRequests, 'findRefusal' | 'watchWait' | 'recordLoss' | 'recordCompletion'>
   readonly resumeTokenCodec: ResumeTokenCodec
   readonly observer: RequestObserver
   /** Creates a generation id that is unique across processes. */
@@ -90,7 +90,8 @@
   while (true) {
     const refusal = dependencies.harmfulRequests.findRefusal(entry)
     if (refusal !== undefined) return Result.err(refusal)
-    const placementResult = await dependencies.scheduler.acquirePlacement(createPlacementRequest(entry, failedTargets))
+    const placementResult = await acquirePlacement(entry, dependencies, failedTargets)
+    if (placementResult === 'harmful') continue
     if (placementResult.isErr) return placementResult
     const { target, detail } = placementResult.value
     dependencies.observer.observePlacement(entry)
@@ -103,6 +104,18 @@
   }
 }
 
+/** Waits for a placement, until the request is found to be harmful. */
+async function acquirePlacement (
+  entry: RequestEntry, { scheduler, harmfulRequests }: RunnerDependencies, failedTargets: readonly string[]
+): Promise<Result<Placement, PlacementRefusal> | 'harmful'> {
+  const watch = harmfulRequests.watchWait(entry)
+  const signal = AbortSignal.any([entry.cancellation.signal, watch.signal])
+  const placementResult = await scheduler.acquirePlacement(createPlacementRequest(entry, failedTargets, signal))
+  watch.stop()
+  const isHarmful = placementResult.isErr && watch.signal.aborted && !entry.cancellation.signal.aborted
+  return isHarmful ? 'harmful' : placementResult
+}
+
 /** Gives up a placement if the request was found to be harmful while it waited. */
 function refuseHarmful (entry: RequestEntry, { harmfulRequests }: RunnerDependencies, placed: Ok<Placement, PlacementRefusal>): Result<Placement, PlacementRefusal> {
   const refusal = harmfulRequests.findRefusal(entry)
@@ -168,7 +181,7 @@
   }
 }
 
-function createPlacementRequest (entry: RequestEntry, failedTargets: readonly string[]): PlacementRequest {
+function createPlacementRequest (entry: RequestEntry, failedTargets: readonly string[], signal: AbortSignal): PlacementRequest {
   const { id, workspace, service, snapshot, priority, body, deadlineMs } = entry.options
   return {
     requestId: id,
@@ -182,6 +195,6 @@
     prefix: body.prefix,
     deadlineMs,
     failedTargets,
-    signal: entry.cancellation.signal
+    signal
   }
 }
--- a/packages/daemon/test/support/createOwner.ts
+++ b/packages/daemon/test/support/createOwner.ts
@@ -5,7 +5,8 @@
 import { type Lease, LeaseRegistry, RequestService, ResumeTokenCodec, type RunnerDependencies } from '../../src/index.js'
 import { RequestMetrics } from '../../src/metrics/RequestMetrics.js'
 import { readEvents } from '../../src/requests/readEvents.js'
-import { createHarmfulRequests } from './createHarmfulRequests.js'
+import { type CrashRecords } from '../../src/crashes/CrashRecords.js'
+import { createCrashRecords, createHarmfulRequests } from './createHarmfulRequests.js'
 import { FakeTargetClient } from './FakeTargetClient.js'
 
 const TARGET_NAMES = ['t1', 't2', 't3']
@@ -40,6 +41,7 @@
   readonly scheduler: FirstTargetScheduler
   readonly leases: LeaseRegistry
   readonly requests: RequestService
+  readonly crashRecords: CrashRecords
   readonly lease: Lease
   /** Targets with a recent report that they accept new work. */
   readonly readyTargets: Set<string>
@@ -82,13 +84,14 @@
   const leases = LeaseRegistry.create({ instance: 'i', incarnation: 'n', clock, random, leaseMs: 60_000, retentionMs: 60_000, maxLeases: 10 })
   const readyTargets = new Set(TARGET_NAMES)
   const flags = { canConfirmTargets: false, isRejecting: false, isRecovering: false, isHandingOver: false }
+  const crashRecords = createCrashRecords(clock)
   let generationCount = 0
   const runnerDependencies: RunnerDependencies = {
     clock,
     scheduler,
     targetClient,
     targetReadiness: { isReady: ({ name }) => readyTargets.has(name), confirmReady: async ({ name }) => flags.canConfirmTargets && readyTargets.add(name).has(name) },
-    harmfulRequests: createHarmfulRequests(clock, targetClient),
+    harmfulRequests: createHarmfulRequests(clock, targetClient, crashRecords),
     resumeTokenCodec: ResumeTokenCodec.create({ fleetKey: 'key-of-this-test' }),
     observer: RequestMetrics.create({ metrics: MetricsRegistry.create({ clock }), clock, tokenIntervalMs: 43 }),
     createGenerationId: () => `g${++generationCount}`,
@@ -118,6 +121,7 @@
     scheduler,
     leases,
     requests,
+    crashRecords,
     lease,
     readyTargets,
     read,
