Count no call that was given up without a reply as ended by a crash

A call whose target answers nothing, since the link to it is lost, counted as a crash of the target under it when no state could be requested either; three such calls would have been refused as harmful.

Cause: a call that reaches its timeout closes its own connection, and was recorded like one whose connection the target closed. It is now recorded as silent, so that only another incarnation of the target shows a crash.

The test failed before (2 losses counted instead of 1), and passes now.

--- a/packages/daemon/src/dispatch/runCall.ts
+++ b/packages/daemon/src/dispatch/runCall.ts
@@ -34,17 +34,19 @@
   const { clock, targetClient } = dependencies
   const startedAtMs = clock.nowMs()
   const remainingMs = entry.options.deadlineMs - startedAtMs
+  const timeoutMs = remainingMs + MAX_LATE_REPLY_WAIT_MS
   const cancelDeadline = clock.startTimer(remainingMs, () => endAtDeadline(entry))
   const reply = await targetClient.sendCall(placement.target, {
     request: entry.options.id,
     body: entry.options.body.body,
     remainingMs,
-    timeoutMs: remainingMs + MAX_LATE_REPLY_WAIT_MS,
+    timeoutMs,
     canSend: () => startDispatch(entry, placement, dependencies)
   })
   cancelDeadline()
   const result = handleReply(entry, placement, reply)
-  await recordRun(entry, { target: placement.target, kind: 'closed', startedAtMs }, reply, dependencies)
+  const kind = clock.nowMs() - startedAtMs >= timeoutMs ? 'silent' : 'closed'
+  await recordRun(entry, { target: placement.target, kind, startedAtMs }, reply, dependencies)
   return result
 }
 
--- a/packages/daemon/test/crashes/HarmfulRequests.test.ts
+++ b/packages/daemon/test/crashes/HarmfulRequests.test.ts
@@ -1,3 +1,4 @@
+import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
 import { computeFingerprint } from '../../src/crashes/computeFingerprint.js'
 import { createOwner, formatEvents, type Owner } from '../support/createOwner.js'
@@ -41,6 +42,19 @@
     expect(formatEvents(events).at(-1)).toBe('end complete finished')
   })
 
+  it('counts a call whose connection was closed by a target that is gone, and none that was given up without a reply', async () => {
+    const owner = createOwner()
+    owner.targetClient.fetchState = async () => Result.err('unreachable')
+    owner.targetClient.calls.set('t1', [Result.err('replyLost'), 'hang'])
+    const countLosses = async (number: number, waitMs: number): Promise<number> => {
+      owner.submit(number, { service: 'charge', body: number })
+      await owner.clock.advance(waitMs)
+      return owner.crashRecords.listOpenCrashes().flatMap(({ suspects }) => suspects).length
+    }
+    expect([await countLosses(1, 1000), await countLosses(2, 100_000)]).toEqual([1, 1])
+    expect(owner.targetClient.log).toEqual(['call i~n~1~1 at t1', 'call i~n~1~2 at t1'])
+  })
+
   it('lets one request try after half a minute, and refuses it no longer once it was answered', async () => {
     const owner = createCrashingOwner()
     owner.submit(1, BODY)
