Encode the field names of crashes as numbers

A ping with 16 crashes of 16 runs each and 16 sound fingerprints, the largest one, has 8,176 bytes (before 11,944); with 3 crashes of one run 702 (928); 36 without crashes. Encoded by `MessageCodec`, no members.

--- a/packages/peers/src/framing/messageKeys.ts
+++ b/packages/peers/src/framing/messageKeys.ts
@@ -16,5 +16,6 @@
   'items', 'running', 'unreadTokens', 'viewAgeMs', 'era', 'haveEra', 'limits', 'limit', 'startedAtMs', 'turns',
   'streams', 'requestId', 'origin', 'service', 'softwareVersion', 'services', 'windowMs', 'origins', 'isComplete', 'leavingTargets',
   'engineCrashes', 'suspects', 'parts', 'soundParts', 'part', 'hasBegun', 'isStoreLost',
-  'coldTargets', 'remainingMs', 'possibleInstances', 'promptPrefixes', 'arrivedTokens'
+  'coldTargets', 'remainingMs', 'possibleInstances', 'promptPrefixes', 'arrivedTokens',
+  'targetCrashes', 'soundRequests', 'fingerprint', 'runMs'
 ]
