Let fingerprints explain only crashes that parts of prompts do not

Cause: with the shared parts in the hash, requests at a crashed engine whose parts have long been known as sound had fingerprints that were not, and these explained crashes together with the parts that cause them.

Change: parts of prompts that never proved sound explain crashes first, as before there were fingerprints; fingerprints explain what is left; then those that were sound before.

--- a/packages/relay/src/crashes/findPartSuspicions.ts
+++ b/packages/relay/src/crashes/findPartSuspicions.ts
@@ -1,3 +1,4 @@
+import { isFingerprint } from './computeFingerprint.js'
 import { type EngineCrash } from './EngineCrash.js'
 
 /** Whether requests with certain parts may go on, or are refused. */
@@ -75,22 +76,28 @@
 /**
  * Finds the parts that crash engines. The part that is implicated in most crashes explains these, so that they no longer count
  * against the other parts of the same requests, nor against those of other requests at the same engines. A part is cleared of all
- * crashes before a run with it that proved sound. Parts that never proved sound are considered first, and before them those that are
- * blamed already, so that new crashes of other parts do not change what is known.
+ * crashes before a run with it that proved sound. Parts of prompts that never proved sound are considered first, and before them those
+ * that are blamed already, so that new crashes of other parts do not change what is known. Fingerprints explain what is left.
  * @param crashes - Known crashes.
  * @param getSoundAtMs - Returns the clock reading up to which a part is cleared; undefined when it never proved sound.
  * @param blamed - Parts that are blamed already.
  */
 export function findPartSuspicions (crashes: readonly EngineCrash[], getSoundAtMs: (part: string) => number | undefined, blamed: ReadonlyArray<readonly string[]> = []): PartSuspicion[] {
   const sorted = [...crashes].sort((a, b) => a.atMs - b.atMs)
-  const unproven = sorted.map(crash => considerParts(crash, part => getSoundAtMs(part) === undefined))
-  const found = explainCrashes(unproven, UNPROVEN, blamed).map(explanation => ({ explanation, suspicions: createSuspicions(explanation, UNPROVEN) }))
-  const explained = new Set(found.filter(({ suspicions }) => suspicions.some(isBlamed)).flatMap(({ explanation }) => explanation.crashes))
-  const others = sorted
-    .filter((_, index) => !explained.has(unproven[index]!))
-    .map(crash => considerParts(crash, part => (getSoundAtMs(part) ?? Infinity) < crash.atMs))
+  const isUnproven = (part: string): boolean => getSoundAtMs(part) === undefined
+  const byPart = findExplained(sorted, part => !isFingerprint(part) && isUnproven(part), blamed)
+  const byRequest = findExplained(byPart.others, part => isFingerprint(part) && isUnproven(part), blamed)
+  const others = byRequest.others.map(crash => considerParts(crash, part => (getSoundAtMs(part) ?? Infinity) < crash.atMs))
   const soundBefore = explainCrashes(others, SOUND_BEFORE, []).flatMap(explanation => createSuspicions(explanation, SOUND_BEFORE)).filter(isBlamed)
-  return [...found.flatMap(({ suspicions }) => suspicions), ...soundBefore]
+  return [...byPart.suspicions, ...byRequest.suspicions, ...soundBefore]
+}
+
+/** Finds suspicions of some of the parts, none of which has proved sound, and the crashes that those who are blamed do not explain. */
+function findExplained (crashes: readonly EngineCrash[], isConsidered: (part: string) => boolean, blamed: ReadonlyArray<readonly string[]>): { readonly suspicions: PartSuspicion[], readonly others: EngineCrash[] } {
+  const considered = crashes.map(crash => considerParts(crash, isConsidered))
+  const found = explainCrashes(considered, UNPROVEN, blamed).map(explanation => ({ explanation, suspicions: createSuspicions(explanation, UNPROVEN) }))
+  const explained = new Set(found.filter(({ suspicions }) => suspicions.some(isBlamed)).flatMap(({ explanation }) => explanation.crashes))
+  return { suspicions: found.flatMap(({ suspicions }) => suspicions), others: crashes.filter((_, index) => !explained.has(considered[index]!)) }
 }
 
 function isBlamed ({ level }: PartSuspicion): boolean {
--- a/packages/relay/test/crashes/findPartSuspicions.test.ts
+++ b/packages/relay/test/crashes/findPartSuspicions.test.ts
@@ -49,6 +49,11 @@
     expect(findPartSuspicions(crashes, () => undefined).map(({ crashes: count }) => count)).toEqual([3])
   })
 
+  it('lets fingerprints explain only what parts of prompts do not', () => {
+    const crashes: Crash[] = [[0, 'bad =1', 'x =9'], [500, 'bad =2', 'x =9'], [900, 'bad =3', 'x =9'], [1300, '=4'], [1800, '=4', '=5'], [2300, '=4']]
+    expect(doTest(crashes, { x: -1 })).toEqual(['blamed bad 3/3', 'blamed =4 3/3'])
+  })
+
   it('blames parts that came in the same requests together', () => {
     expect(doTest([[0, 'c bad'], [500, 'c bad', 'c x'], [900, 'c bad', 'c y']])).toMatchInlineSnapshot(`
       [
