Log why no engine is reserved for a request that was sent before

'not repeated' told that it might be repeated, but not whether an engine or an attempt of the retry budget was missing. The new line tells which, and for how long the request would have waited.

--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -22,7 +22,7 @@
  * @returns The reservation; undefined when there was no engine with capacity in time, or no attempt in the budget.
  */
 export async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue, holds, budget } = dependencies
+  const { clock, admissionQueue, holds, budget, log } = dependencies
   const { service, request, route } = context
   const remainingMs = context.deadlineAtMs - clock.nowMs()
   const waitedMs = clock.nowMs() - request.receivedAtMs
@@ -37,8 +37,10 @@
   const reservation = holds.isActive(service)
     ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
     : await admissionQueue.waitForTarget(admission)
-  if (reservation === undefined || run.sentAttempts === run.unsentAttempts || budget.takeAttempt(service.name, 'retry')) return reservation
-  reservation.release()
+  const isRepeat = run.sentAttempts > run.unsentAttempts
+  if (reservation !== undefined && (!isRepeat || budget.takeAttempt(service.name, 'retry'))) return reservation
+  if (run.sentAttempts > 0) log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size })
+  reservation?.release()
   return undefined
 }
 
