Let a late stop signal end no request that had arrived unread

What callers saw: beside a busy machine, requests that were sent around SIGTERM got a reset, with more than half of the grace left.

Cause: a process that handles its signal seconds late counts the time since the signal as drained. Nothing was in progress that it had read, so the drain ended at once, and what waited in its sockets was reset at the exit.

'waits for a request that had arrived unread before a late stop signal was handled' fails without the change.

Change: the drain ends when nothing is in progress after the input that has arrived was read; what is found then is served while the grace lasts.

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -145,9 +145,7 @@
     peers.announceLeaving()
     // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
     history.restart()
-    while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await this.sleepWhileDraining(Math.min(DRAIN_CHECK_INTERVAL_MS, drain.getTimeLeftMs()))
-    // The end of an answer may have arrived while the process stood still.
-    await connections.waitForInput()
+    await this.waitForRequests(connections)
     this.recordDrainStep('drain ended', connections)
     await this.finishLastAnswers(connections)
     this.recordDrainStep('last answers written', connections)
@@ -169,6 +167,15 @@
     this.components.log.recordStateChange('stopped')
   }
 
+  /** Waits until the requests in progress have ended, and those that arrived while the process stood still, or the grace period is over. */
+  private async waitForRequests (connections: CallerConnections): Promise<void> {
+    const { drain } = this.components.dependencies
+    do {
+      while (drain.getTimeLeftMs() > 0 && this.shouldKeepDraining(connections)) await this.sleepWhileDraining(Math.min(DRAIN_CHECK_INTERVAL_MS, drain.getTimeLeftMs()))
+      await connections.waitForInput()
+    } while (drain.getTimeLeftMs() > 0 && this.hasOpenRequests(connections))
+  }
+
   private shouldKeepDraining (connections: CallerConnections): boolean {
     const canReceiveLateCallers = this.components.dependencies.drain.getElapsedMs() < Math.min(this.options.maxAddressTtlMs, LATE_CALLER_GRACE_MS)
     return canReceiveLateCallers || this.hasOpenRequests(connections)
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -36,6 +36,8 @@
   readonly requestEndMs?: number
   /** Time for which the process stands still before it handles the stop signal, in milliseconds. */
   readonly signalDelayMs?: number
+  /** Whether the request has arrived and is not read before the process waits for its input; by default it is read before the stop. */
+  readonly isUnread?: boolean
 }
 
 /** A store that gives no answers. */
@@ -45,7 +47,7 @@
 }
 
 /** Stops an instance with one request in progress, and returns when that is ended and when the stop is over, in milliseconds. */
-async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0 }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
+async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
   const virtualClock = VirtualClock.create()
   const clock = LateClock.create(virtualClock)
   clock.lateMs = lateMs
@@ -58,11 +60,14 @@
   virtualClock.jump(signalDelayMs)
   const getTimeMs = (): number => clock.nowMs() - signalAtMs
   const times: { requestsEndedMs?: number, overMs?: number } = {}
+  let isRead = !isUnread
+  const waitForInput = async (): Promise<void> => { isRead = true }
   const countOpenAnswers = (): number => {
+    if (!isRead) return 0
     const endMs = times.requestsEndedMs === undefined ? requestEndMs : isReaderSilent ? Infinity : times.requestsEndedMs + WRITE_MS
     return getTimeMs() < endMs ? 1 : 0
   }
-  instance.drain({ countOpenAnswers, waitForInput: async () => {}, stopAccepting: () => { times.requestsEndedMs = getTimeMs() }, finishOpenRequests: () => {} }).then(() => { times.overMs = getTimeMs() })
+  instance.drain({ countOpenAnswers, waitForInput, stopAccepting: () => { times.requestsEndedMs = getTimeMs() }, finishOpenRequests: () => {} }).then(() => { times.overMs = getTimeMs() })
   await virtualClock.advance(GRACE_MS + 4000)
   return times
 }
@@ -75,6 +80,11 @@
       "requestsEndedMs": 7600,
     }
   `))
+  it('waits for a request that had arrived unread before a late stop signal was handled', async () => {
+    const { requestsEndedMs } = await doTest({ isUnread: true, signalDelayMs: 3000, requestEndMs: 5000 })
+    expect(requestsEndedMs).toBe(5000)
+  })
+
   it('comes soon after the last request', async () => expect(await doTest({ requestEndMs: 4000 })).toMatchInlineSnapshot(`
     {
       "overMs": 4020,
