--- a/packages/relay/test/crashes/callsThatCrashTargets.test.ts
+++ b/packages/relay/test/crashes/callsThatCrashTargets.test.ts
@@ -139,6 +139,8 @@
     ['several', 5, { ...SMALL, crashingCount: 3 }],
     ['several, few targets', 6, { ...FEW_TARGETS, crashingCount: 3 }],
     ['several that are not idempotent', 7, { ...FEW_TARGETS, crashingCount: 3, isIdempotent: false }],
+    ['five, few targets', 203, { ...FEW_TARGETS, crashingCount: 5 }],
+    ['two beside many sound ones, few targets', 207, { ...FEW_TARGETS, crashingCount: 2, soundPerSecond: 150 }],
     ['beside other crashes and resets', 8, { ...SMALL, crashesAtMs: [6000, 9000, 14_000], halfCrashesAtMs: [5500, 20_000], resetsAtMs: [7000, 8000, 12_000] }],
     ['lost messages between instances', 9, { ...SMALL, lossRate: 0.2 }],
     ['instances that restart one after the other', 10, { ...SMALL, restartsAtMs: [20_000, 24_000, 28_000, 32_000, 36_000, 40_000, 41_000, 44_000] }],
