Give a silent attempt up only for an engine that has sent bytes of its answer

What callers could see: a stream that its engine would have ended during a stop, cut off at the end.

Cause: the head of another engine's answer counted as its taking the run over. An engine may send its head and fall silent as well, so that the first one was given up for nothing.

Change: the first bytes of the other answer are awaited, and read when the attempt goes on with the run (PeekedAttempt).

--- a/packages/relay/src/requests/StreamAttempt.ts
+++ b/packages/relay/src/requests/StreamAttempt.ts
@@ -3,6 +3,7 @@
 import { recordPrefixUse } from '../prefixes/recordPrefixUse.js'
 import { type Attempt, type AttemptError, type Continuation } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
+import { PeekedAttempt } from './PeekedAttempt.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { sendToTarget } from './sendToTarget.js'
@@ -14,7 +15,7 @@
 /** An attempt of a stream at one target. */
 export interface StreamAttempt {
   readonly reservation: TargetReservation
-  readonly attempt: Attempt
+  readonly attempt: PeekedAttempt
   readonly abortController: AbortController
   /** Id of the last event that the caller had received when the attempt was sent. */
   readonly afterEvent: string | undefined
@@ -57,7 +58,7 @@
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   if (continuation === undefined) run.excludedTargets.add(reservation.target.name)
   run.sentAttempts++
-  const attempt = sendStream(dependencies, context, run, { reservation, continuation }, abortController.signal)
+  const attempt = PeekedAttempt.create(sendStream(dependencies, context, run, { reservation, continuation }, abortController.signal))
   run.sentTargets.add(reservation.target.name)
   const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
   recordSent(dependencies, context, run, { reservation, continuation })
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -15,12 +15,12 @@
   readonly isStalled: () => boolean
 }
 
-/** How another engine answers: it has begun an answer that can be used, it has not answered when the stalled attempt ends, or it does not go on with the run. */
+/** How another engine answers: it has sent the first bytes of an answer that can be used, it has not answered when the stalled attempt ends, or it does not go on with the run. */
 type OtherAnswer = 'begun' | 'pending' | AttemptError
 
 /**
- * Replaces a stalled attempt by one at another engine. The stalled attempt is ended once the other engine has begun to answer; until then
- * it goes on, since its engine may only be silent.
+ * Replaces a stalled attempt by one at another engine. The stalled attempt is ended once the other engine has sent the first bytes of its
+ * answer; until then it goes on, since its engine may only be silent.
  * @param dependencies - Components that handle the request.
  * @param context - The request.
  * @param run - Run of the request.
@@ -61,11 +61,13 @@
   return run.hasStarted() || findObstacle(dependencies, context, reservation) === undefined
 }
 
-/** Waits until another engine answers. */
+/** Waits for the first bytes of another engine's answer; its head alone does not show that it runs the request. */
 async function classifyAnswer (run: StreamRun, { attempt }: StreamAttempt): Promise<OtherAnswer> {
   const head = await attempt.head
   if (head.isErr) return head.error
-  return isUsableHead(run, head.value) ? 'begun' : 'lost'
+  if (!isUsableHead(run, head.value)) return 'lost'
+  const first = await attempt.waitForBytes()
+  return first.isErr ? first.error : 'begun'
 }
 
 /** Returns whether the caller still needs the other attempt: the stalled one is silent or has ended, and the caller has no further event. */
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -62,6 +62,16 @@
     expect([sink.describe(), ...dependencies.client.attempts.map(({ attempt }) => attempt.endState)]).toEqual([WHOLE, 'complete', 'aborted'])
   })
 
+  it('goes on while the other one has sent no more than its head', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 50, steps: [10_000, ...rest] } })
+    expect([sink.describe(), ...dependencies.client.attempts.map(({ attempt }) => attempt.endState)]).toEqual([WHOLE, 'complete', 'aborted'])
+  })
+
+  it('goes on when the other one breaks off after its head', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 50, steps: [100, { error: 'lost' }] } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
   it('goes on when the other one refuses the stream late', async () => {
     const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 1000, error: 'notExecuted' } })
     expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
