Release the reservation of a move whose caller leaves before it is used

What instances saw: an engine's capacity counted as used for good, where a caller left while a stream moved and another engine was asked for the same run; the moved run also waited for that other engine.

Cause: dropping the other attempt waited for its engine, between taking the move and checking whether the caller was still there.

Change: the other attempt is dropped without waiting, and a move whose caller has left is released.

--- a/packages/relay/src/requests/AttemptReplacement.ts
+++ b/packages/relay/src/requests/AttemptReplacement.ts
@@ -55,10 +55,11 @@
     return nextAttempt
   }
 
-  /** Ends the attempt that would go on with the run. */
-  async drop (): Promise<void> {
-    const next = await this.takeNextAttempt()
-    next?.close()
+  /** Ends the attempt that would go on with the run, also one that is in progress once it is sent. */
+  drop (): void {
+    this.endWait?.()
+    this.progress?.then(() => this.dropNextAttempt())
+    this.dropNextAttempt()
   }
 
   /** Ends the other attempt, also one that is in progress once it is sent. */
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -48,7 +48,10 @@
     if (end === 'complete') return
     const { move: previousMove }: NextAttempt = next
     const move = context.signal.aborted ? undefined : await findContinuation(dependencies, run, previousMove, end)
-    if (context.signal.aborted) return finishAborted(dependencies, context, run)
+    if (context.signal.aborted) {
+      move?.reservation.release()
+      return finishAborted(dependencies, context, run)
+    }
     next = move === undefined ? await findRepeat(dependencies, context, run, end) : { reservation: move.reservation, move }
     if (next === undefined) return finishWithoutAttempt(dependencies, context, run, end)
   }
@@ -63,7 +66,7 @@
 /** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused. */
 async function findContinuation (dependencies: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): Promise<RunContinuation | undefined> {
   const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
-  if (next !== undefined) await run.replacement.drop()
+  if (next !== undefined) run.replacement.drop()
   return next
 }
 
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
-import { type TestDependencies } from '../support/createTestDependencies.js'
+import { createTarget, ENGINES, type TestDependencies } from '../support/createTestDependencies.js'
 import { type AnswerStep, type ScriptedAnswer } from '../support/FakeTargetClient.js'
 import { createEvent, runSilentStream, SILENT_AFTER_START, SILENT_BEFORE_START, type SilentStreamOptions, WHOLE } from '../support/runSilentStream.js'
 
@@ -48,9 +48,9 @@
   })
 })
 
-describe('the engine of a silent stream', () => {
-  const rest: AnswerStep[] = [createEvent(2), 'END']
+const rest: AnswerStep[] = [createEvent(2), 'END']
 
+describe('the engine of a silent stream', () => {
   it('is left as soon as another one has begun to answer', async () => {
     const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 50, steps: rest } })
     const [first] = dependencies.client.attempts
@@ -89,6 +89,17 @@
   })
 })
 
+describe('a stream that moves while another engine is asked', () => {
+  it('leaves no reservation behind when its caller leaves meanwhile', async () => {
+    const prepare: SilentStreamOptions['prepare'] = ({ clock, table, client }) => {
+      client.answerCopy = async () => Result.ok({ handle: 'copy', producedEvents: 1 })
+      clock.startTimer(1245, () => table.updateTarget(createTarget('a', { service: ENGINES.name, phase: 'leaving' })))
+    }
+    const { dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { steps: [10_000, ...rest] }, c: { steps: rest } }, { prepare, holds: { answer: Result.ok('second'), afterMs: 600 }, route: { timeoutMs: 1290 } })
+    expect([...dependencies.loads.listOwnLoads()]).toEqual([])
+  })
+})
+
 describe('a search for another engine that is not needed', () => {
   it('leaves the retry budget as it was', async () => {
     const countLeft = ({ budget }: TestDependencies): number => Array.from({ length: 100 }, () => budget.takeAttempt('engines', 'retry')).filter(isTaken => isTaken).length
