Send a suspected call to another target when the first one did not run it

What callers saw: 503 at the first target that refused the connection, for a sound call that two crashes implicate, although another target was there.

Cause: a suspected call was held back from any further target, also where nothing of it had run.

Evidence: 'are sent to another target although they are suspected, when the first one did not run them' fails without the change.

--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -29,7 +29,8 @@
 
 /** Returns whether the call may be sent to a further target now. */
 function mayRepeat (run: CallRun): boolean {
-  return run.canRepeat() && run.dependencies.drain.maySend(run.context) && run.watch.mayRepeat()
+  const mayRunTwice = run.runningAttempts.size > 0 || run.executedAttempts > 0
+  return run.canRepeat() && run.dependencies.drain.maySend(run.context) && (!mayRunTwice || run.watch.mayRepeat())
 }
 
 /** Reserves another target, and takes the attempt from the budget if a target was reached before. */
--- a/packages/relay/test/crashes/CallWatch.test.ts
+++ b/packages/relay/test/crashes/CallWatch.test.ts
@@ -57,6 +57,11 @@
 }
 
 describe('calls whose targets crash', () => {
+  it.each(['notSent', 'notExecuted'] as const)('are sent to another target although they are suspected, when the first one did not run them: %s', async error => {
+    const { answer, sent } = await doTest({ reported: 2, answers: { a: { error }, b: WHOLE }, broken: {} })
+    expect([answer, sent]).toEqual(['200 "x" complete', ['a', 'b']])
+  })
+
   it('are repeated at once after a first loss, which a whole answer then clears', async () => {
     expect(await doTest({})).toEqual({ answer: '200 "x" complete', sent: ['a', 'b'], tookMs: 40, crashes: 1, isImplicated: false })
   })
