Count the time to a first event from when its engine was asked

A stopping instance took streams for shorter than they are: an attempt that replaces a silent one is sent before it is read, and its first event was timed from when it was read. Finding the next attempt is one function less long.

--- a/packages/relay/src/requests/StreamAttempt.ts
+++ b/packages/relay/src/requests/StreamAttempt.ts
@@ -17,6 +17,8 @@
   readonly reservation: TargetReservation
   readonly attempt: PeekedAttempt
   readonly abortController: AbortController
+  /** Clock reading at which it was sent. */
+  readonly sentAtMs: number
   /** Id of the last event that the caller had received when the attempt was sent. */
   readonly afterEvent: string | undefined
   /** Ends the attempt and releases its target. */
@@ -68,7 +70,7 @@
     abortController.abort()
     reservation.release()
   }
-  return { reservation, attempt, abortController, afterEvent: run.getLastEventId(), close }
+  return { reservation, attempt, abortController, sentAtMs: dependencies.clock.nowMs(), afterEvent: run.getLastEventId(), close }
 }
 
 /**
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -190,7 +190,7 @@
     this.wasAskedToStop = false
     this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
-    else this.sentAtMs = this.dependencies.clock.nowMs()
+    else this.sentAtMs = this.currentAttempt?.sentAtMs
   }
 
   /**
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -47,11 +47,8 @@
     const end = await runAttempt(dependencies, context, run, next)
     if (end === 'complete') return
     const { move: previousMove }: NextAttempt = next
-    const move = context.signal.aborted ? undefined : await findContinuation(dependencies, run, previousMove, end)
-    if (context.signal.aborted) {
-      move?.reservation.release()
-      return finishAborted(dependencies, context, run)
-    }
+    const move = await findContinuation(dependencies, context, run, { previousMove, end })
+    if (context.signal.aborted) return finishAborted(dependencies, context, run)
     next = move === undefined ? await findRepeat(dependencies, context, run, end) : { reservation: move.reservation, move }
     if (next === undefined) return finishWithoutAttempt(dependencies, context, run, end)
   }
@@ -63,11 +60,20 @@
   else sent.close()
 }
 
-/** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused. */
-async function findContinuation (dependencies: RelayDependencies, run: StreamRun, previousMove: RunContinuation | undefined, end: StreamEnd): Promise<RunContinuation | undefined> {
+/** The attempt that has ended: the move after which it began, and its result. */
+interface EndedAttempt {
+  readonly previousMove: RunContinuation | undefined
+  readonly end: StreamEnd
+}
+
+/** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused; undefined once the request is aborted. */
+async function findContinuation (dependencies: RelayDependencies, { signal }: RelayContext, run: StreamRun, { previousMove, end }: EndedAttempt): Promise<RunContinuation | undefined> {
+  if (signal.aborted) return undefined
   const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
   if (next !== undefined) run.replacement.drop()
-  return next
+  if (!signal.aborted) return next
+  next?.reservation.release()
+  return undefined
 }
 
 /** Returns the continuation after a move, or from a copy if the stream was interrupted. */
