Send no suspected stream to a second engine because its first one is silent

What targets saw: a stream that is suspected or blamed of crashing engines went to a second one after a stall, while the first one still had it.

Cause: only repeats after a loss asked whether the request is suspected.

Evidence: 'a suspected stream that is silent' in replacedStreams.test.ts, two cases, fail without the change.

--- a/packages/relay/src/crashes/RunWatch.ts
+++ b/packages/relay/src/crashes/RunWatch.ts
@@ -71,7 +71,12 @@
   async mayRepeat (): Promise<boolean> {
     if (this.lossChecked === undefined) return true
     await this.lossChecked
-    return !this.options.request.isSuspected()
+    return !this.isSuspected()
+  }
+
+  /** Returns whether the request may crash engines, by what is known now. */
+  isSuspected (): boolean {
+    return this.options.request.isSuspected()
   }
 
   private recordSoundness (): void {
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -56,8 +56,9 @@
   return undefined
 }
 
-/** Returns whether nothing keeps a stream from being sent; one that has started is continued in any case. */
+/** Returns whether nothing keeps a stream from being sent to a second engine; one that has started is continued unless it may crash engines. */
 function maySend (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation?: TargetReservation): boolean {
+  if (run.watch.isSuspected()) return false
   return run.hasStarted() || findObstacle(dependencies, context, reservation) === undefined
 }
 
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -1,8 +1,9 @@
 import { Result } from 'true-myth'
 import { describe, expect, it } from 'vitest'
-import { createTarget, ENGINES, type TestDependencies } from '../support/createTestDependencies.js'
+import { computeFingerprint } from '../../src/crashes/computeFingerprint.js'
+import { createRequest, createTarget, ENGINES, type TestDependencies } from '../support/createTestDependencies.js'
 import { type AnswerStep, type ScriptedAnswer } from '../support/FakeTargetClient.js'
-import { createEvent, runSilentStream, SILENT_AFTER_START, SILENT_BEFORE_START, type SilentStreamOptions, WHOLE } from '../support/runSilentStream.js'
+import { createEvent, runSilentStream, SILENT_AFTER_START, SILENT_BEFORE_START, SILENT_STREAM_SIZE, type SilentStreamOptions, WHOLE } from '../support/runSilentStream.js'
 
 const SILENT: ReadonlyArray<[string, ScriptedAnswer]> = [['before its first event', SILENT_BEFORE_START], ['between two events', SILENT_AFTER_START]]
 
@@ -89,6 +90,24 @@
   })
 })
 
+describe.each(SILENT)('a suspected stream that is silent %s', (_, silent) => {
+  it('is not sent to a second engine, which it may crash as well', async () => {
+    const prepare = ({ evidence }: TestDependencies): void => {
+      const parts = [computeFingerprint({ request: createRequest({ size: SILENT_STREAM_SIZE }) })]
+      for (const [target, atMs] of [['x', 0], ['y', -1000]] as const) evidence.addCrash({ target, startedAtMs: 1, atMs, suspects: [{ requestId: target, parts, hasBegun: false }] }, 'peer')
+    }
+    const { sink, dependencies } = await runSilentStream({ a: silent, b: { steps: rest } }, { prepare })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a']])
+  })
+})
+
+describe('the time to the first event', () => {
+  it('counts from when the request was sent to the engine that goes on with it', async () => {
+    const { dependencies } = await runSilentStream({ a: { afterMs: 20_000 }, b: { afterMs: 300, steps: [createEvent(1), createEvent(2), 'END'] } })
+    expect(dependencies.durations.findFirstEventMs(ENGINES.name, { share: 0.5, speed: 1 })).toBeGreaterThanOrEqual(300)
+  })
+})
+
 describe('a stream that moves while another engine is asked', () => {
   it('leaves no reservation behind when its caller leaves meanwhile', async () => {
     const prepare: SilentStreamOptions['prepare'] = ({ clock, table, client }) => {
--- a/packages/relay/test/support/runSilentStream.ts
+++ b/packages/relay/test/support/runSilentStream.ts
@@ -11,6 +11,9 @@
 
 const HOLDING: ServiceProfile = { ...ENGINES, engine: { ...ENGINES.engine!, maxHoldMs: 2000 } }
 
+/** Sizes that the caller states. */
+export const SILENT_STREAM_SIZE = { promptTokens: 1000, maxOutputTokens: 400 }
+
 /** Duration of a silence, in milliseconds. */
 export const SILENCE_MS = 5000
 
@@ -40,7 +43,7 @@
     return holds.answer
   }
   const route = createRoute({ kind: 'stream', maxAttempts: 2, isResumable: true, timeoutMs: 20_000, objectiveMs: 1000, maxGapMs: 100, ...routeOptions })
-  const { context, sink, endController } = createContext(route, HOLDING, { size: { promptTokens: 1000, maxOutputTokens: 400 } })
+  const { context, sink, endController } = createContext(route, HOLDING, { size: SILENT_STREAM_SIZE })
   dependencies.clock.startTimer(route.timeoutMs, () => endController.abort())
   prepare?.(dependencies)
   runRelayedStream(dependencies, context)
