Keep the attempt of a stream and its start in modules without a circle

importCircles.test.ts failed: AttemptReplacement, StreamAttempt and StreamRun imported one another. The types stay in StreamAttempt.ts; startStreamAttempt and recordAttemptEnd have a module of their own. No behaviour changes.

--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -5,7 +5,8 @@
 import { type RelayDependencies } from './RelayDependencies.js'
 import { findObstacle } from './repeatStream.js'
 import { reserveEngine } from './reserveEngine.js'
-import { recordAttemptEnd, startStreamAttempt, type StreamAttempt } from './StreamAttempt.js'
+import { recordAttemptEnd, startStreamAttempt } from './startStreamAttempt.js'
+import { type StreamAttempt } from './StreamAttempt.js'
 import { type StreamRun } from './StreamRun.js'
 
 /** An attempt whose stream has stalled. */
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -9,7 +9,8 @@
 import { type RelayDependencies } from './RelayDependencies.js'
 import { reserveEngine } from './reserveEngine.js'
 import { canRepeat, findObstacle } from './repeatStream.js'
-import { recordAttemptEnd, startStreamAttempt, type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
+import { recordAttemptEnd, startStreamAttempt } from './startStreamAttempt.js'
+import { type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
 import { StreamRun } from './StreamRun.js'
 
 /**
