Take news in turn by one class instead of three copies

Cause: the records of crashes of the daemon repeated the rotation of CrashEvidence, which TargetLimits had already.

Change: RoundRobin in packages/common serves the three.

Checked: type check, linter, tests of the three users and of RoundRobin. Conclusion: no behaviour changes.

--- a/packages/daemon/src/crashes/CrashRecords.ts
+++ b/packages/daemon/src/crashes/CrashRecords.ts
@@ -1,4 +1,4 @@
-import { type AuditTrail, type Clock } from '@fescuespoke/common'
+import { type AuditTrail, type Clock, RoundRobin } from '@fescuespoke/common'
 import { type News } from '@fescuespoke/schema'
 import { type CrashSuspect, type TargetCrash } from './TargetCrash.js'
 
@@ -55,7 +55,7 @@
   /** Clock time of the latest complete answer by fingerprint, the latest one at the end. */
   private readonly soundAtMs = new Map<string, number>()
   private readonly listeners = new Set<() => void>()
-  private nextNewsIndex = 0
+  private readonly newsRound = RoundRobin.create()
 
   /** @internal */
   private constructor (private readonly options: CrashRecordsOptions) {}
@@ -103,7 +103,7 @@
     const nowMs = this.options.clock.nowMs()
     const open = this.listOpenCrashes().reverse()
     const fresh = open.filter(crash => nowMs - this.records.get(getKey(crash))!.learnedAtMs < FRESH_MS).slice(0, MAX_FRESH_NEWS)
-    const others = this.takeOthers(open.filter(crash => !fresh.includes(crash)), MAX_NEWS - fresh.length)
+    const others = this.newsRound.take(open.filter(crash => !fresh.includes(crash)), MAX_NEWS - fresh.length)
     return this.formatNews([...fresh, ...others], MAX_SOUND_NEWS)
   }
 
@@ -162,13 +162,6 @@
     return (this.soundAtMs.get(fingerprint) ?? -Infinity) >= crashAtMs
   }
 
-  private takeOthers (others: readonly TargetCrash[], maxCount: number): TargetCrash[] {
-    const count = Math.min(maxCount, others.length)
-    const selected = Array.from({ length: count }, (_, index) => others[(this.nextNewsIndex + index) % others.length]!)
-    this.nextNewsIndex = others.length === 0 ? 0 : (this.nextNewsIndex + count) % others.length
-    return selected
-  }
-
   /** Returns the key of the crash whose suspects are in the fewest other crashes; of several, that of the oldest one. */
   private findLeastUseful (): string {
     const open = this.listOpenCrashes()
--- a/packages/relay/src/crashes/CrashEvidence.ts
+++ b/packages/relay/src/crashes/CrashEvidence.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type Clock, RoundRobin } from '@fescuespoke/common'
 import { type EngineCrashNews, type SoundPartNews } from '@fescuespoke/schema'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { isFingerprint } from './computeFingerprint.js'
@@ -62,7 +62,7 @@
   private fingerprints: ReadonlyMap<string, number> = new Map()
   private readonly listeners = new Set<() => void>()
   private protectedParts: ReadonlySet<string> = new Set()
-  private nextNewsIndex = 0
+  private readonly newsRound = RoundRobin.create()
 
   /** @internal */
   private constructor (private readonly options: CrashEvidenceOptions) {}
@@ -139,7 +139,7 @@
     const open = records.filter(({ crash }) => this.isOpen(crash))
     const cleared = records.filter(({ crash }) => !this.isOpen(crash))
     const fresh = [...open, ...cleared].filter(({ learnedAtMs }) => nowMs - learnedAtMs < FRESH_MS).slice(0, MAX_FRESH_NEWS)
-    return [...fresh, ...this.takeOthers(open.filter(record => !fresh.includes(record)))].map(({ crash: { target, startedAtMs, atMs, suspects } }) => ({
+    return [...fresh, ...this.newsRound.take(open.filter(record => !fresh.includes(record)), MAX_OTHER_NEWS)].map(({ crash: { target, startedAtMs, atMs, suspects } }) => ({
       target, startedAtMs, ageMs: Math.round(nowMs - atMs), suspects: suspects.map(({ requestId, parts, hasBegun }) => ({ requestId, parts: [...parts], hasBegun }))
     }))
   }
@@ -230,13 +230,6 @@
     return [...byRequest.values()].sort((a, b) => countCrashes(b) - countCrashes(a) || Number(b.hasBegun) - Number(a.hasBegun)).slice(0, MAX_SUSPECTS)
   }
 
-  private takeOthers (others: readonly CrashRecord[]): CrashRecord[] {
-    const count = Math.min(MAX_OTHER_NEWS, others.length)
-    const selected = Array.from({ length: count }, (_, index) => others[(this.nextNewsIndex + index) % others.length]!)
-    this.nextNewsIndex = others.length === 0 ? 0 : (this.nextNewsIndex + count) % others.length
-    return selected
-  }
-
   /**
    * Drops a crash if there are too many: the one that is least useful, or the oldest of these.
    * @returns Whether there is room; an added crash that is no more useful displaces none that is not older by a given time.
--- a/packages/relay/src/limits/TargetLimits.ts
+++ b/packages/relay/src/limits/TargetLimits.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type Clock, RoundRobin } from '@fescuespoke/common'
 import { type TargetLimitNews } from '@fescuespoke/schema'
 import { type DecisionLog } from '../logs/DecisionLog.js'
 import { type RelayTarget } from '../model/RelayTarget.js'
@@ -69,7 +69,7 @@
 
   private readonly records = new Map<string, LimitRecord>()
   private readonly places = new Map<string, CachedPlace>()
-  private nextNewsIndex = 0
+  private readonly newsRound = RoundRobin.create()
 
   /** @internal */
   private constructor (private readonly options: TargetLimitsOptions) {}
@@ -111,11 +111,7 @@
   listNews (): TargetLimitNews[] {
     this.prune()
     const nowMs = this.options.clock.nowMs()
-    const records = [...this.records]
-    const count = Math.min(MAX_NEWS, records.length)
-    const selected = Array.from({ length: count }, (_, index) => records[(this.nextNewsIndex + index) % records.length]!)
-    this.nextNewsIndex = records.length === 0 ? 0 : (this.nextNewsIndex + count) % records.length
-    return selected.map(([target, record]) => ({
+    return this.newsRound.take([...this.records], MAX_NEWS).map(([target, record]) => ({
       target, startedAtMs: record.startedAtMs, limit: record.perSecond, turns: countTurns(record, nowMs), ageMs: Math.round(nowMs - record.observedAtMs)
     }))
   }
