Drop the second way of ending an attempt that replaces another one

Cause: AttemptReplacement had close beside drop, and a flag for runs that had closed. A closed run never gets a further attempt, since isStillNeeded asks for that, so the flag changed nothing. Two modules also had a function reserveOtherEngine of their own.

Change: StreamRun drops the replacement when it closes; the function of the stall is called reserveReplacement.

Conclusion: no behaviour changes.

--- a/packages/relay/src/requests/AttemptReplacement.ts
+++ b/packages/relay/src/requests/AttemptReplacement.ts
@@ -13,7 +13,6 @@
   private progress: Promise<void> | undefined
   /** Ends the wait for the answer of the other engine; undefined while nobody waits. */
   private endWait: (() => void) | undefined
-  private hasClosed = false
 
   /** @internal */
   private constructor () {}
@@ -25,10 +24,7 @@
    */
   async run (startNext: () => Promise<StreamAttempt | undefined>): Promise<boolean> {
     if (this.progress !== undefined) return false
-    this.progress = startNext().then(next => {
-      this.nextAttempt = next
-      if (this.hasClosed) this.dropNextAttempt()
-    })
+    this.progress = startNext().then(next => { this.nextAttempt = next })
     await this.progress
     this.progress = undefined
     return this.nextAttempt !== undefined
@@ -62,13 +58,6 @@
     this.dropNextAttempt()
   }
 
-  /** Ends the other attempt, also one that is in progress once it is sent. */
-  close (): void {
-    this.hasClosed = true
-    this.endWait?.()
-    this.dropNextAttempt()
-  }
-
   private dropNextAttempt (): void {
     this.nextAttempt?.close()
     this.nextAttempt = undefined
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -272,7 +272,7 @@
     this.dependencies.mover.removeRun(this)
     this.closeCurrentAttempt()
     this.pendingContinuation?.reservation.release()
-    this.replacement.close()
+    this.replacement.drop()
   }
 
   private recordOrigin (origin: StreamOrigin): void {
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -34,7 +34,7 @@
 
 /** Starts an attempt at another engine; returns undefined when the stalled one goes on. */
 async function startOtherAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<StreamAttempt | undefined> {
-  const reservation = await reserveOtherEngine(dependencies, context, run, stalled)
+  const reservation = await reserveReplacement(dependencies, context, run, stalled)
   if (reservation === undefined) return undefined
   const other = startStreamAttempt(dependencies, context, run, { reservation })
   const answer = await run.replacement.waitForAnswer(classifyAnswer(run, other))
@@ -46,7 +46,7 @@
 }
 
 /** Reserves another engine if the stalled attempt still waits when one is found. */
-async function reserveOtherEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<TargetReservation | undefined> {
+async function reserveReplacement (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<TargetReservation | undefined> {
   const reservation = maySend(dependencies, context, run) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
   const isUsable = reservation !== undefined && stalled.isStalled() && run.currentAttempt?.attempt === stalled.attempt && maySend(dependencies, context, run, reservation)
   dependencies.log.recordDecision(context.request.id, 'other engine sought', { found: reservation?.target.name, isUsable, afterEvent: run.getLastEventId() })
