Hash the body of a lost call once

Cause: the log line of a lost attempt computed the fingerprint of its call again, although its watch had computed it for the suspect just before; bodies may be 4 MB, and targets lose many calls at once.

Change: the line takes the fingerprint from the watch, which keeps it.

Checked: type check, linter, tests of calls, CallWatch and runRelayedCall. Conclusion: the same lines and decisions.

--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,4 +1,3 @@
-import { computeFingerprint } from '../crashes/computeFingerprint.js'
 import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
@@ -86,7 +85,7 @@
   return false
 }
 
-function describeAnswer ({ context }: CallRun, { reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
-  const fingerprint = attempt.isBrokenOff() ? computeFingerprint(context) : undefined
+function describeAnswer ({ watch }: CallRun, { reservation, attempt }: CallAttempt, answer: CallAnswer, answerClass: CallAnswerClass): Record<string, unknown> {
+  const fingerprint = attempt.isBrokenOff() ? watch.getFingerprint() : undefined
   return { target: reservation.target.name, outcome: answerClass, status: answer.kind === 'answer' ? answer.head.status : undefined, cause: attempt.getCause(), fingerprint }
 }
--- a/packages/relay/src/crashes/CallWatch.ts
+++ b/packages/relay/src/crashes/CallWatch.ts
@@ -50,6 +50,11 @@
     this.lastCheck = check
   }
 
+  /** Returns the fingerprint of the call. */
+  getFingerprint (): string {
+    return this.options.request.getFingerprint()
+  }
+
   /** Returns what resolves when it is known whether the targets that broke off crashed; undefined where that need not be waited for. */
   getCheck (): Promise<unknown> | undefined {
     return this.checks
--- a/packages/relay/src/crashes/CrashGuard.ts
+++ b/packages/relay/src/crashes/CrashGuard.ts
@@ -95,6 +95,7 @@
     const { evidence } = this.options
     const { request: { id, sharedParts = [] } } = subject
     return {
+      getFingerprint: () => this.getFingerprint(subject),
       isSuspected: () => this.findSuspicion(subject, () => true) !== undefined,
       isImplicated: () => evidence.hasFingerprints() && evidence.isImplicated(this.getFingerprint(subject)),
       listProvableParts: () => evidence.hasFingerprints() ? [...sharedParts, this.getFingerprint(subject)] : sharedParts,
--- a/packages/relay/src/crashes/SuspectRequest.ts
+++ b/packages/relay/src/crashes/SuspectRequest.ts
@@ -4,6 +4,8 @@
 export interface SuspectRequest {
   /** Returns whether requests with these parts may crash targets. */
   isSuspected(): boolean
+  /** Returns the fingerprint of the request. */
+  getFingerprint(): string
   /** Returns whether a crash implicates the request by its fingerprint. */
   isImplicated(): boolean
   /** Lists the parts of which it is remembered that they proved sound; without the fingerprint where no crash implicates any. */
