Bound the bytes that a process buffers for all connections together

Other operators report a process that ran out of memory because a faulty sender never ended its answer. Each buffer here has a bound of its own, but no bound is for the process. A budget counts what connections and answers keep, and ends what keeps most once all of them exceed it; nothing uses it yet. Evidence: BufferBudget.test.ts, 6 tests.

--- /dev/null
+++ b/packages/common/test/memory/BufferBudget.test.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from 'vitest'
+import { BufferBudget } from '../../src/memory/BufferBudget.js'
+
+function createBudget (maxBytes: number): { readonly open: (name: string) => ReturnType<BufferBudget['openAccount']>, readonly budget: BufferBudget, readonly ended: string[] } {
+  const budget = BufferBudget.create({ maxBytes })
+  const ended: string[] = []
+  return { budget, ended, open: name => budget.openAccount({ end: () => { ended.push(name) } }) }
+}
+
+describe('BufferBudget', () => {
+  it('ends nothing while all accounts together are within the budget', () => {
+    const { budget, ended, open } = createBudget(100)
+    open('a').setBytes(60)
+    open('b').setBytes(40)
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: [], usedBytes: 100 })
+  })
+
+  it('ends the account that holds most, whichever one exceeds the budget', () => {
+    const { budget, ended, open } = createBudget(100)
+    open('large').setBytes(70)
+    open('small').setBytes(31)
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: ['large'], usedBytes: 31 })
+  })
+
+  it('ends an account that alone exceeds the budget', () => {
+    const { budget, ended, open } = createBudget(100)
+    open('a').setBytes(101)
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: ['a'], usedBytes: 0 })
+  })
+
+  it('counts the bytes that an account holds now, and none once it is closed', () => {
+    const { budget, ended, open } = createBudget(100)
+    const account = open('a')
+    account.setBytes(90)
+    account.setBytes(20)
+    open('b').setBytes(80)
+    account.close()
+    open('c').setBytes(20)
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: [], usedBytes: 100 })
+  })
+
+  it('ends an account once, and counts nothing of it afterwards', () => {
+    const { budget, ended, open } = createBudget(100)
+    const account = open('a')
+    account.setBytes(101)
+    account.setBytes(200)
+    account.close()
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: ['a'], usedBytes: 0 })
+  })
+
+  it('is bounded while many senders without end go on', () => {
+    const { budget, ended, open } = createBudget(1000)
+    const accounts = Array.from({ length: 50 }, (_, index) => open(String(index)))
+    for (let bytes = 10; bytes <= 500; bytes += 10) {
+      for (const account of accounts) {
+        account.setBytes(bytes)
+        expect(budget.getUsedBytes()).toBeLessThanOrEqual(1000)
+      }
+    }
+    expect(ended.length).toBeGreaterThan(0)
+  })
+})
