Share the address and the end of the servers of stand-ins by one base class

Four servers of stand-ins had the same constructor, url and close. They extend one class now; nothing else changes. Evidence: type check, linter, tests of the package.

--- a/packages/standins/src/configuration/ConfigurationServer.ts
+++ b/packages/standins/src/configuration/ConfigurationServer.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { CoreServer } from '../http/CoreServer.js'
 import { respondWithResult } from '../http/respondWithResult.js'
 import { FaultInjectingHttpServer, type Route } from '../http/FaultInjectingHttpServer.js'
 import { parseQueryInteger } from '../http/parseQueryInteger.js'
@@ -12,7 +13,7 @@
 }
 
 /** Serves the configuration service over HTTP. */
-export class ConfigurationServer {
+export class ConfigurationServer extends CoreServer<ConfigurationCore> {
   /**
    * Creates a listening server.
    * @param options - Options of the server.
@@ -21,19 +22,6 @@
     const routes = createRoutes(options.core)
     return new ConfigurationServer(options.core, await FaultInjectingHttpServer.create({ clock: options.clock, routes }))
   }
-
-  /** @internal */
-  private constructor (readonly core: ConfigurationCore, readonly httpServer: FaultInjectingHttpServer) {}
-
-  /** Base URL. */
-  get url (): string {
-    return this.httpServer.url
-  }
-
-  /** Closes the port and all connections. */
-  async close (): Promise<void> {
-    await this.httpServer.close()
-  }
 }
 
 function createRoutes (core: ConfigurationCore): Route[] {
--- a/packages/standins/src/instances/InstanceListServer.ts
+++ b/packages/standins/src/instances/InstanceListServer.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { CoreServer } from '../http/CoreServer.js'
 import { respondWithResult } from '../http/respondWithResult.js'
 import { FaultInjectingHttpServer } from '../http/FaultInjectingHttpServer.js'
 import { parseQueryInteger } from '../http/parseQueryInteger.js'
@@ -12,7 +13,7 @@
 }
 
 /** Serves the instance list over HTTP. */
-export class InstanceListServer {
+export class InstanceListServer extends CoreServer<InstanceListCore> {
   /**
    * Creates a listening server.
    * @param options - Options of the server.
@@ -33,17 +34,4 @@
     })
     return new InstanceListServer(core, httpServer)
   }
-
-  /** @internal */
-  private constructor (readonly core: InstanceListCore, readonly httpServer: FaultInjectingHttpServer) {}
-
-  /** Base URL. */
-  get url (): string {
-    return this.httpServer.url
-  }
-
-  /** Closes the port and all connections. */
-  async close (): Promise<void> {
-    await this.httpServer.close()
-  }
 }
--- a/packages/standins/src/service/PlainServiceServer.ts
+++ b/packages/standins/src/service/PlainServiceServer.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { CoreServer } from '../http/CoreServer.js'
 import { type Exchange, FaultInjectingHttpServer } from '../http/FaultInjectingHttpServer.js'
 import { type PlainServiceCore } from './PlainServiceCore.js'
 
@@ -16,7 +17,7 @@
 export const REQUEST_ID_HEADER = 'fescuespoke-request'
 
 /** Serves a plain service over HTTP. */
-export class PlainServiceServer {
+export class PlainServiceServer extends CoreServer<PlainServiceCore> {
   /**
    * Creates a listening server.
    * @param options - Options of the server.
@@ -36,14 +37,6 @@
   private remainingReplyDrops = 0
   private replyDropMode: ReplyDropMode = 'closed'
 
-  /** @internal */
-  private constructor (readonly core: PlainServiceCore, readonly httpServer: FaultInjectingHttpServer) {}
-
-  /** Base URL. */
-  get url (): string {
-    return this.httpServer.url
-  }
-
   /**
    * Drops the replies of the next calls; the calls are still executed.
    * @param count - Number of calls.
@@ -74,11 +67,6 @@
     this.httpServer.kill()
   }
 
-  /** Closes the port and all connections. */
-  async close (): Promise<void> {
-    await this.httpServer.close()
-  }
-
   private async handleCall (exchange: Exchange): Promise<void> {
     const shouldDropReply = this.remainingReplyDrops > 0
     if (shouldDropReply) this.remainingReplyDrops--
--- a/packages/standins/src/weights/WeightStoreServer.ts
+++ b/packages/standins/src/weights/WeightStoreServer.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@fescuespoke/common'
+import { CoreServer } from '../http/CoreServer.js'
 import { respondWithResult } from '../http/respondWithResult.js'
 import { FaultInjectingHttpServer } from '../http/FaultInjectingHttpServer.js'
 import { type WeightStoreCore } from './WeightStoreCore.js'
@@ -11,7 +12,7 @@
 }
 
 /** Serves the weight store over HTTP. */
-export class WeightStoreServer {
+export class WeightStoreServer extends CoreServer<WeightStoreCore> {
   /**
    * Creates a listening server.
    * @param options - Options of the server.
@@ -31,17 +32,4 @@
     })
     return new WeightStoreServer(core, httpServer)
   }
-
-  /** @internal */
-  private constructor (readonly core: WeightStoreCore, readonly httpServer: FaultInjectingHttpServer) {}
-
-  /** Base URL. */
-  get url (): string {
-    return this.httpServer.url
-  }
-
-  /** Closes the port and all connections. */
-  async close (): Promise<void> {
-    await this.httpServer.close()
-  }
 }
