Never wait for the reader of the log, neither while running nor at the exit

What callers saw: streams and calls in progress at a stop were cut by SIGKILL. A process whose standard output was not read did not end on SIGTERM, and its last lines were lost with it.

Cause: two waits at the exit. Writes to a pipe went through the thread pool; libuv joins its threads at the exit, so that one write() blocked in a full pipe holds the exit for ever, whatever JavaScript does (a program of two lines, fs.write to a full pipe and process.exit, hangs). Besides, the library's exit hook writes what is buffered in a loop that sleeps on EAGAIN and on any other error, such as EPIPE and ENOSPC, without a bound.

Fix: standard output is opened again without blocking (a description of its own, so that processes which share the pipe neither change it for this one nor are changed), or set not to block where it is a socket, and lines are written directly.

--- a/packages/common/src/logging/createLogger.ts
+++ b/packages/common/src/logging/createLogger.ts
@@ -1,4 +1,6 @@
 import { pino, type Logger } from 'pino'
+import { StandardOutput } from './StandardOutput.js'
+import { LogWriter } from './LogWriter.js'
 
 export type { Logger } from 'pino'
 
@@ -8,23 +10,16 @@
   readonly instance: string
   /** Lowest level that is logged; by default `info`. */
   readonly level?: 'debug' | 'info' | 'warn' | 'error' | 'silent'
-  /** Whether lines are written asynchronously, so that a slow reader of the output never blocks the process. */
-  readonly isAsync?: boolean
-  /** Called with each line that was dropped because the buffer was full; only for asynchronous writing. */
-  readonly onDrop?: (line: string) => void
+  /** Called for each line that was dropped because the reader of the output was too far behind, or had closed it. */
+  readonly onDrop?: () => void
 }
 
-/** Size of the buffer for asynchronous writing. Lines that do not fit are dropped. */
-const MAX_BUFFERED_BYTES = 1024 * 1024
-
 /**
- * Creates a logger that writes JSON lines to standard output.
+ * Creates a logger that writes JSON lines to standard output, and never waits for its reader.
  * @param options - Options of the logger.
  */
-export function createLogger (options: LoggerOptions): Logger {
-  const settings = { level: options.level ?? 'info', base: { instance: options.instance } }
-  if (options.isAsync !== true) return pino(settings)
-  const destination = pino.destination({ dest: 1, sync: false, maxLength: MAX_BUFFERED_BYTES })
-  if (options.onDrop !== undefined) destination.on('drop', options.onDrop)
-  return pino(settings, destination)
+export function createLogger ({ instance, level = 'info', onDrop }: LoggerOptions): Logger {
+  const settings = { level, base: { instance } }
+  if (level === 'silent') return pino(settings)
+  return pino(settings, LogWriter.create({ output: StandardOutput.open(), onDrop }))
 }
