Count a moved run once, and no engine that has ended, among the runs of a stream

Callers saw started streams broken off with seconds left after the second engine of theirs had left. Cause: each attempt counted as a run, also one that went on from the memory of the run before it (the platform counts it as the same run), and one at an engine that had ended since (it does not count). After a move or two departures a stream had no attempt left.

Now the targets are counted at which a run began and that still serve; a moved run counts where it began. Attempts that go on from memory do not count for the limit of sent attempts either. A target at which an attempt ran is not asked again, also if the run came there by a move.

Two new tests fail on untouched code; a third keeps the limit of two sound engines.

--- a/packages/relay/src/requests/StreamAttempt.ts
+++ b/packages/relay/src/requests/StreamAttempt.ts
@@ -12,6 +12,8 @@
   readonly abortController: AbortController
   /** Clock reading at which it was sent. */
   readonly sentAtMs: number
+  /** Whether it goes on from the memory of an earlier attempt, with which it counts as one run. */
+  readonly isContinuation: boolean
   /** Id of the last event that the caller had received when the attempt was sent. */
   readonly afterEvent: string | undefined
   /** Ends the attempt and releases its target. */
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -55,6 +55,8 @@
   executedAttempts = 0
   /** Number of attempts that were sent. */
   sentAttempts = 0
+  /** Number of sent attempts that went on from the memory of an earlier one. */
+  continuedAttempts = 0
   /** Number of attempts that did not reach their target; they use no budget. */
   unsentAttempts = 0
   currentAttempt: StreamAttempt | undefined
@@ -68,8 +70,8 @@
   private longestGapMs = 0
   private firstHead: AttemptHead | undefined
   private hasClosed = false
-  /** Whether the current attempt is counted among those that ran or may have run. */
-  private isCurrentCounted = false
+  /** Targets at which a run of the request began or may have begun. */
+  private readonly runTargets = new Set<RelayTarget>()
   private pendingContinuation: RunContinuation | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
@@ -171,22 +173,42 @@
     return this.pendingContinuation !== undefined && this.pendingContinuation.producedEvents > 0 && this.eventCount >= this.pendingContinuation.producedEvents
   }
 
-  /** Records that the current attempt runs or may have run. */
-  recordExecuted (): void {
+  /**
+   * Records that an attempt runs or may have run.
+   * @param attempt - The attempt; by default, the current one.
+   */
+  recordExecuted (attempt: StreamAttempt = this.currentAttempt!): void {
     this.executedAttempts++
-    this.isCurrentCounted = true
+    const { reservation: { target }, isContinuation } = attempt
+    this.excludedTargets.add(target.name)
+    if (!isContinuation) this.runTargets.add(target)
+  }
+
+  /**
+   * Records that the connection to a target broke during an attempt. A target that was about to shut down has ended.
+   * @param target - The target.
+   */
+  recordBrokenConnection (target: RelayTarget): void {
+    const tracked = this.dependencies.table.getTracked(target.name)
+    if (tracked?.state === 'leaving') this.runTargets.delete(target)
   }
 
-  /** Counts the attempts that ran or may run, including the current one. */
-  countPossibleRuns (): number {
-    return this.executedAttempts + (this.isCurrentCounted ? 0 : 1)
+  /** Counts the targets at which the request ran or may have run and that have not ended since. A run that is moved counts where it began. */
+  countRunTargets (): number {
+    return this.listRunTargets().length
+  }
+
+  /** Counts the targets as `countRunTargets` does, with the one at which the current attempt may run. */
+  countPossibleRunTargets (): number {
+    const { currentAttempt } = this
+    const isCounted = currentAttempt === undefined || currentAttempt.isContinuation || this.runTargets.has(currentAttempt.reservation.target)
+    return this.countRunTargets() + (isCounted ? 0 : 1)
   }
 
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
   startReading (): void {
     this.splitter = EventSplitter.create()
     this.order = EventOrder.create(this.lastEventId)
-    this.isCurrentCounted = false
     this.wasAskedToStop = false
     this.gaps = this.startGaps()
     if (this.hasStarted()) this.updateTokens()
@@ -275,6 +297,15 @@
     this.replacement.drop()
   }
 
+  private listRunTargets (): RelayTarget[] {
+    const { table } = this.dependencies
+    return [...this.runTargets].filter(({ name, startedAtMs }) => {
+      const tracked = table.getTracked(name)
+      const hasLeft = tracked?.state === 'gone' && !tracked.hasExpired
+      return tracked?.target.startedAtMs === startedAtMs && !hasLeft
+    })
+  }
+
   private recordOrigin (origin: StreamOrigin): void {
     const { context: { route, request }, dependencies } = this
     this.origin = origin
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -6,7 +6,7 @@
 import { type StreamEnd } from './StreamAttempt.js'
 import { type StreamRun } from './StreamRun.js'
 
-/** Maximum number of attempts that are sent for one request. */
+/** Maximum number of attempts that are sent for one request, apart from those that go on from the memory of an earlier one. */
 const MAX_SENT_ATTEMPTS = 4
 
 /**
@@ -17,9 +17,9 @@
  */
 export function canRepeat ({ route }: RelayContext, run: StreamRun, end: StreamEnd): boolean {
   const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
-  if (run.sentAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
+  if (run.sentAttempts - run.continuedAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
   const hasRun = end === 'lost' || end === 'aborted' || run.executedAttempts > 0
-  return !hasRun || (route.isResumable && run.executedAttempts < route.maxAttempts)
+  return !hasRun || (route.isResumable && run.countRunTargets() < route.maxAttempts)
 }
 
 /**
@@ -29,7 +29,7 @@
  */
 export function canRepeatAfterStall (context: RelayContext, run: StreamRun): boolean {
   const { route } = context
-  return route.isResumable && run.countPossibleRuns() < route.maxAttempts && canRepeat(context, run, 'lost')
+  return route.isResumable && run.countPossibleRunTargets() < route.maxAttempts && canRepeat(context, run, 'lost')
 }
 
 /**
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -81,7 +81,7 @@
 /** Ends an attempt that is not needed or did not go on with the run; it may have run. */
 function closeOther (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, other: StreamAttempt, answer: OtherAnswer): void {
   const end = answer === 'begun' || answer === 'pending' ? 'aborted' : answer
-  if (end === 'lost' || (end === 'aborted' && other.attempt.isSent())) run.executedAttempts++
+  if (end === 'lost' || (end === 'aborted' && other.attempt.isSent())) run.recordExecuted(other)
   recordAttemptEnd(dependencies, context, run, other, end)
   other.close()
 }
--- a/packages/relay/src/requests/startStreamAttempt.ts
+++ b/packages/relay/src/requests/startStreamAttempt.ts
@@ -45,6 +45,7 @@
   if (run.sentAttempts === 0) dependencies.budget.recordRequest(context.service.name)
   if (continuation === undefined) run.excludedTargets.add(reservation.target.name)
   run.sentAttempts++
+  if (continuation !== undefined) run.continuedAttempts++
   const attempt = PeekedAttempt.create(sendStream(dependencies, context, run, { reservation, continuation }, abortController.signal))
   run.sentTargets.add(reservation.target.name)
   const endPrefixUse = recordPrefixUse(dependencies.prefixes, { target: reservation.target, request, attempt, isContinuation: continuation !== undefined })
@@ -55,7 +56,7 @@
     abortController.abort()
     reservation.release()
   }
-  return { reservation, attempt, abortController, sentAtMs: dependencies.clock.nowMs(), afterEvent: run.getLastEventId(), close }
+  return { reservation, attempt, abortController, sentAtMs: dependencies.clock.nowMs(), isContinuation: continuation !== undefined, afterEvent: run.getLastEventId(), close }
 }
 
 /**
@@ -69,6 +70,7 @@
 export function recordAttemptEnd (dependencies: RelayDependencies, { request }: RelayContext, run: StreamRun, { attempt, reservation }: StreamAttempt, end: StreamEnd): void {
   if (attempt.isSent() && !NOT_RUN_ENDS.has(end)) recordRun(dependencies, reservation)
   if (end === 'notSent') run.unsentAttempts++
+  if (end === 'lost' && attempt.isBrokenOff()) run.recordBrokenConnection(reservation.target)
   run.watch.endRun(reservation.target, end, attempt.isBrokenOff())
   dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
   dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() })
--- /dev/null
+++ b/packages/relay/test/requests/engineLossesDuringStreams.test.ts
@@ -0,0 +1,45 @@
+import { Result } from 'true-myth'
+import { describe, expect, it } from 'vitest'
+import { createTarget, ENGINES, type TestDependencies } from '../support/createTestDependencies.js'
+import { type ScriptedAnswer } from '../support/FakeTargetClient.js'
+import { createEvent, runSilentStream } from '../support/runSilentStream.js'
+
+const WHOLE = `200 ${JSON.stringify([1, 2, 3, 4].map(createEvent).join(''))} complete`
+
+const beginning: ScriptedAnswer = { steps: [createEvent(1), 60_000] }
+
+function leave ({ table }: TestDependencies, name: string): void {
+  table.updateTarget(createTarget(name, { service: ENGINES.name, phase: 'leaving' }))
+}
+
+/** Guards against started streams that are broken off with time left because runs were counted that do not count. */
+describe('a started stream that may run at two engines', () => {
+  it('goes on at a third one when it was moved to the second one, which is the same run, and that breaks off', async () => {
+    const prepare = (dependencies: TestDependencies): void => {
+      dependencies.client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 })
+      dependencies.clock.startTimer(200, () => leave(dependencies, 'a'))
+    }
+    const { sink, dependencies } = await runSilentStream({ a: beginning, b: { steps: [createEvent(2), 100, { error: 'lost' }] }, c: { steps: [createEvent(3), createEvent(4), 'END'] } }, { prepare, route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b', 'c']])
+  })
+
+  it('goes on at a third one when the first two have left and ended', async () => {
+    const prepare = (dependencies: TestDependencies): void => {
+      const { clock, client } = dependencies
+      for (const [index, name] of ['a', 'b'].entries()) {
+        clock.startTimer(1000 * index + 200, () => leave(dependencies, name))
+        clock.startTimer(1000 * index + 500, () => {
+          client.reachability.set(name, 'refusing')
+          client.attempts[index]!.attempt.breakOff()
+        })
+      }
+    }
+    const { sink, dependencies } = await runSilentStream({ a: beginning, b: { steps: [createEvent(2), 60_000] }, c: { steps: [createEvent(3), createEvent(4), 'END'] } }, { prepare, route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b', 'c']])
+  })
+
+  it('is not sent to a third one while the first two still serve', async () => {
+    const { dependencies } = await runSilentStream({ a: { steps: [createEvent(1), { error: 'lost' }] }, b: { steps: [createEvent(2), { error: 'lost' }] }, c: { steps: [createEvent(3), createEvent(4), 'END'] } })
+    expect(dependencies.client.listTargets()).not.toContain('c')
+  })
+})
