Let a started stream wait for an engine and for an attempt of the budget

Callers saw started streams broken off with seconds left because nothing was free at the moment their engine was lost. Two causes: a stream could wait for an engine only until half of its objective had passed since its arrival, and not at all after that; and a stream that found the retry budget empty was broken off at once, as a request is refused that has not started.

Now a started stream waits for both until its deadline or the end of a stop. In the queue it goes before requests that have not started, none of which can be in its way, and no estimate refuses it. It may use the share of the budget that moves may use. What this instance adds stays within the budget. The wait for an engine in place of a silent one ends when that one goes on. An attempt goes back to the budget only if it was taken from it.

Four of the new tests fail on untouched code.

--- a/packages/relay/src/budget/AttemptBudget.ts
+++ b/packages/relay/src/budget/AttemptBudget.ts
@@ -17,13 +17,13 @@
   readonly countInstances: () => number
 }
 
-/** Purpose of an additional attempt; `move` continues a run that would otherwise be lost. */
-export type AttemptPurpose = 'retry' | 'move'
+/** Purpose of an additional attempt. `resume` and `move` go on with an answer that has begun, from its last event or from the memory of its run. */
+export type AttemptPurpose = 'retry' | 'resume' | 'move'
 
 const SLICES_PER_WINDOW = 10
 
 /** Share of this instance's budget that attempts of each purpose may use. */
-const USABLE_SHARES: Record<AttemptPurpose, number> = { retry: 0.6, move: 0.95 }
+const USABLE_SHARES: Record<AttemptPurpose, number> = { retry: 0.6, resume: 0.95, move: 0.95 }
 
 /** Share of the extra attempts that a process may use in its first window; a previous process may have used some of them. */
 const FIRST_WINDOW_SHARE = 0.5
@@ -69,12 +69,20 @@
    * @param purpose - Purpose of the attempt.
    */
   takeAttempt (service: string, purpose: AttemptPurpose): boolean {
-    const slice = this.getSlice(service)
+    if (!this.hasAttempt(service, purpose)) return false
+    this.getSlice(service).additionalAttempts++
+    return true
+  }
+
+  /**
+   * Returns whether an additional attempt is left for a purpose.
+   * @param service - Name of the service.
+   * @param purpose - Purpose of the attempt.
+   */
+  hasAttempt (service: string, purpose: AttemptPurpose): boolean {
     const { requests, additionalAttempts } = this.sumWindow(service)
     const allowed = this.options.limits.ratio * requests + this.computeExtra()
-    if (additionalAttempts + 1 > allowed * USABLE_SHARES[purpose]) return false
-    slice.additionalAttempts++
-    return true
+    return additionalAttempts + 1 <= allowed * USABLE_SHARES[purpose]
   }
 
   /**
--- a/packages/relay/src/placement/AdmissionQueue.ts
+++ b/packages/relay/src/placement/AdmissionQueue.ts
@@ -28,6 +28,8 @@
   readonly mayWait?: () => boolean
   /** Whether the request waits for the next attempt to admit requests, even if a target seems free; by default it does not. */
   readonly mustWait?: boolean
+  /** Whether the caller has a part of the answer, so that the request goes before others and waits for its whole time; by default it does not. */
+  readonly hasStarted?: boolean
 }
 
 const DEFAULT_MAX_WAITING = 400
@@ -81,7 +83,7 @@
    */
   async waitForTarget (options: AdmissionRequest): Promise<TargetReservation | undefined> {
     const item = this.admission.isActive() ? this.recordRequest(options) : createItemByAge(options)
-    const mayTakeNow = options.mustWait !== true && this.isFirst(item)
+    const mayTakeNow = options.mustWait !== true && (options.hasStarted === true || this.isFirst(item))
     const reservation = mayTakeNow ? this.reserveTarget(item, options) : undefined
     if (reservation !== undefined) this.recordPlacement(item, options, reservation, this.isBacklogged(item))
     if (reservation === undefined && this.canWait(item, options)) return await this.waitForCapacity(item, options)
@@ -127,8 +129,10 @@
   }
 
   private canWait (item: AdmissionItem, options: AdmissionRequest): boolean {
-    const { maxWaitMs } = options
-    if (maxWaitMs <= 0 || !this.canBeAdmitted(options) || this.getOpeningMs(options) > maxWaitMs) return false
+    const { maxWaitMs, hasStarted } = options
+    if (maxWaitMs <= 0 || !this.canBeAdmitted(options)) return false
+    if (hasStarted === true) return true
+    if (this.getOpeningMs(options) > maxWaitMs) return false
     if (this.admission.isActive()) return this.estimateItemWaitMs(item, maxWaitMs) <= maxWaitMs
     return this.queue.count() < this.getMaxWaiting()
   }
@@ -148,7 +152,7 @@
       options.signal.addEventListener('abort', cancelWait)
       this.queue.add(entry)
       this.recordBacklog(item)
-      if (this.queue.count() > this.getMaxWaiting()) this.queue.list().at(-1)?.finish(undefined)
+      if (this.queue.count() > this.getMaxWaiting()) this.listWaiting(false).at(-1)?.finish(undefined)
       this.scheduleRetry()
     })
   }
@@ -164,10 +168,19 @@
     this.countResult(entry, reservation === undefined ? 'refusedAfterWait' : 'placedAfterWait')
   }
 
+  /** Admits the streams that have started; none of them waits behind another one that needs more. */
+  private admitStarted (): void {
+    for (const { options, finish, ...item } of this.listWaiting(true)) {
+      const reservation = options.mayWait?.() === false ? undefined : this.reserveTarget(item, options)
+      if (reservation !== undefined || options.mayWait?.() === false || !this.canBeAdmitted(options)) finish(reservation)
+    }
+  }
+
   private admitQueued (): void {
+    this.admitStarted()
     const passes = new Map<string, PoolPass>()
     const nowMs = this.options.clock.nowMs()
-    for (const entry of this.queue.list()) {
+    for (const entry of this.listWaiting(false)) {
       const { options, pool, waitEndsAtMs, finish } = entry
       if (options.mayWait?.() === false) {
         finish(undefined)
@@ -221,6 +234,11 @@
     return this.queue.list().some(other => other.pool === pool && other.priority === priority)
   }
 
+  /** Lists the waiting requests whose answer has started, or all others, in their order. */
+  private listWaiting (hasStarted: boolean): QueuedRequest[] {
+    return this.queue.list().filter(({ options }) => (options.hasStarted === true) === hasStarted)
+  }
+
   private countInPool (pool: string): number {
     return this.queue.list().reduce((count, other) => other.pool === pool ? count + 1 : count, 0)
   }
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -4,7 +4,7 @@
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { findObstacle } from './repeatStream.js'
-import { reserveEngine } from './reserveEngine.js'
+import { type ReservedEngine, reserveEngine } from './reserveEngine.js'
 import { recordAttemptEnd, startStreamAttempt } from './startStreamAttempt.js'
 import { type StreamAttempt } from './StreamAttempt.js'
 import { type StreamRun } from './StreamRun.js'
@@ -47,16 +47,21 @@
 
 /** Reserves another engine if the stalled attempt still waits when one is found. */
 async function reserveReplacement (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<TargetReservation | undefined> {
-  const reservation = maySend(dependencies, context, run) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run) : undefined
-  const isUsable = reservation !== undefined && stalled.isStalled() && run.currentAttempt?.attempt === stalled.attempt && maySend(dependencies, context, run, reservation)
-  dependencies.log.recordDecision(context.request.id, 'other engine sought', { found: reservation?.target.name, isUsable, afterEvent: run.getLastEventId() })
-  if (isUsable) return reservation
-  if (reservation === undefined) return undefined
-  reservation.release()
-  dependencies.budget.returnAttempt(context.service.name)
+  const isStillStalled = (): boolean => stalled.isStalled() && run.currentAttempt?.attempt === stalled.attempt
+  const engine = maySend(dependencies, context, run) && await run.watch.mayRepeat() ? await reserveEngine(dependencies, context, run, isStillStalled) : undefined
+  const isUsable = engine !== undefined && isStillStalled() && maySend(dependencies, context, run, engine.reservation)
+  dependencies.log.recordDecision(context.request.id, 'other engine sought', { found: engine?.reservation.target.name, isUsable, afterEvent: run.getLastEventId() })
+  if (isUsable) return engine.reservation
+  if (engine !== undefined) dropEngine(dependencies, context, engine)
   return undefined
 }
 
+/** Releases an engine to which nothing is sent, and returns its attempt to the budget if it was taken from there. */
+function dropEngine ({ budget }: RelayDependencies, { service }: RelayContext, { reservation, isFromBudget }: ReservedEngine): void {
+  reservation.release()
+  if (isFromBudget) budget.returnAttempt(service.name)
+}
+
 /** Returns whether nothing keeps a stream from being sent to a second engine; one that has started is continued unless it may crash engines. */
 function maySend (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, reservation?: TargetReservation): boolean {
   if (run.watch.isSuspected()) return false
--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -1,4 +1,5 @@
 import { createAdmissionSubject } from '../admission/AdmissionSubject.js'
+import { type AttemptPurpose } from '../budget/AttemptBudget.js'
 import { getTargetPace } from '../drain/TargetPace.js'
 import { reserveHeldEngine } from '../holds/reserveHeldEngine.js'
 import { type AdmissionRequest } from '../placement/AdmissionQueue.js'
@@ -14,34 +15,91 @@
 const MAX_WAIT_OBJECTIVE_SHARE = 0.5
 const MAX_WAIT_REMAINING_SHARE = 0.25
 
+/** Interval at which a started stream checks the retry budget while it has no attempt left, in milliseconds. */
+const BUDGET_CHECK_INTERVAL_MS = 50
+
+/** An engine that is reserved for an attempt. */
+export interface ReservedEngine {
+  readonly reservation: TargetReservation
+  /** Whether the attempt was taken from the retry budget. */
+  readonly isFromBudget: boolean
+}
+
 /**
- * Reserves an engine for the next attempt at a stream, and takes the attempt from the budget if one was sent before.
+ * Reserves an engine for the next attempt at a stream, and takes the attempt from the budget if one was sent before. A stream that has
+ * started goes before others, and waits for an engine and an attempt as long as its time allows.
  * @param dependencies - Components that handle the request.
  * @param context - The request.
  * @param run - Run of the request.
+ * @param isNeeded - Returns whether the engine is still needed; by default it is.
  * @returns The reservation; undefined when there was no engine with capacity in time, or no attempt in the budget.
  */
-export async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<TargetReservation | undefined> {
-  const { clock, admissionQueue, holds, budget, log } = dependencies
-  const { service, request, route } = context
-  const remainingMs = context.deadlineAtMs - clock.nowMs()
+export async function reserveEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, isNeeded: () => boolean = () => true): Promise<ReservedEngine | undefined> {
+  const mayWait = (): boolean => isNeeded() && !context.signal.aborted && !run.isClosed()
+  let reservation: TargetReservation | undefined
+  do {
+    if (run.hasStarted()) await waitForBudget(dependencies, context, run, mayWait)
+    const maxWaitMs = computeMaxWaitMs(dependencies, context, run)
+    reservation = await waitForEngine(dependencies, context, run, { maxWaitMs, mayWait })
+    const isFromBudget = isRepeat(run)
+    if (reservation !== undefined && (!isFromBudget || dependencies.budget.takeAttempt(context.service.name, getPurpose(run)))) return { reservation, isFromBudget }
+    recordFailure(dependencies, context, run, { reservation, maxWaitMs })
+    reservation?.release()
+  } while (reservation !== undefined && run.hasStarted() && mayWait())
+  return undefined
+}
+
+/** Returns whether the next attempt is one beyond the first that was sent. */
+function isRepeat ({ sentAttempts, unsentAttempts }: StreamRun): boolean {
+  return sentAttempts > unsentAttempts
+}
+
+function getPurpose (run: StreamRun): AttemptPurpose {
+  return run.hasStarted() ? 'resume' : 'retry'
+}
+
+async function waitForBudget ({ clock, budget }: RelayDependencies, { service, signal }: RelayContext, run: StreamRun, mayWait: () => boolean): Promise<void> {
+  while (mayWait() && isRepeat(run) && !budget.hasAttempt(service.name, getPurpose(run))) await clock.sleep(BUDGET_CHECK_INTERVAL_MS, signal)
+}
+
+function computeMaxWaitMs ({ clock }: RelayDependencies, { deadlineAtMs, request, route }: RelayContext, run: StreamRun): number {
+  const remainingMs = deadlineAtMs - clock.nowMs()
+  if (run.hasStarted()) return remainingMs
   const waitedMs = clock.nowMs() - request.receivedAtMs
-  const maxWaitMs = Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
+  return Math.min(route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE, remainingMs * MAX_WAIT_REMAINING_SHARE) - waitedMs
+}
+
+/** How long a stream may wait for an engine. */
+interface EngineWait {
+  readonly maxWaitMs: number
+  readonly mayWait: () => boolean
+}
+
+async function waitForEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { maxWaitMs, mayWait }: EngineWait): Promise<TargetReservation | undefined> {
+  const { admissionQueue, crashes, drain, holds } = dependencies
+  const { service, request, route: { objectiveMs } } = context
+  const canBegin = (): boolean => crashes.getTrialWaitMs(context) === undefined && drain.canStillSend(context)
   const admission: AdmissionRequest = {
     ...createAdmissionSubject(context),
     requirements: createRequirements(dependencies, context, run),
     waitStartedAtMs: request.receivedAtMs,
     maxWaitMs,
-    mayWait: () => run.hasStarted() || (dependencies.crashes.getTrialWaitMs(context) === undefined && dependencies.drain.canStillSend(context))
+    mayWait: () => mayWait() && (run.hasStarted() || canBegin()),
+    hasStarted: run.hasStarted()
   }
-  const reservation = holds.isActive(service)
-    ? await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs: route.objectiveMs })
-    : await admissionQueue.waitForTarget(admission)
-  const isRepeat = run.sentAttempts > run.unsentAttempts
-  if (reservation !== undefined && (!isRepeat || budget.takeAttempt(service.name, 'retry'))) return reservation
-  if (run.sentAttempts > 0) log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size })
-  reservation?.release()
-  return undefined
+  if (!holds.isActive(service)) return await admissionQueue.waitForTarget(admission)
+  return await reserveHeldEngine(dependencies, { requestId: request.id, admission, tokens: Math.max(estimateHoldTokens(request.size), run.getHeldTokens()), objectiveMs })
+}
+
+/** Why there is no engine for a stream that was sent before: none in time, or one without an attempt in the budget. */
+interface EngineFailure {
+  readonly reservation: TargetReservation | undefined
+  readonly maxWaitMs: number
+}
+
+function recordFailure ({ log }: RelayDependencies, { request }: RelayContext, run: StreamRun, { reservation, maxWaitMs }: EngineFailure): void {
+  if (run.sentAttempts === 0) return
+  log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size })
 }
 
 function createRequirements (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): TargetRequirements {
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -7,7 +7,7 @@
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
-import { reserveEngine } from './reserveEngine.js'
+import { type ReservedEngine, reserveEngine } from './reserveEngine.js'
 import { canRepeat, findObstacle } from './repeatStream.js'
 import { recordAttemptEnd, startStreamAttempt } from './startStreamAttempt.js'
 import { type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
@@ -36,8 +36,7 @@
 }
 
 async function runAttempts (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<void> {
-  const reservation = await reserveEngine(dependencies, context, run)
-  let next: NextAttempt | undefined = reservation === undefined ? undefined : { reservation }
+  let next: NextAttempt | undefined = await reserveEngine(dependencies, context, run)
   while (next !== undefined) {
     if (context.signal.aborted) {
       closeNext(next)
@@ -100,16 +99,15 @@
 async function findRepeat (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<NextAttempt | undefined> {
   const sent = await run.replacement.takeNextAttempt()
   if (sent !== undefined) return { reservation: sent.reservation, sent }
-  const reservation = await reserveOtherEngine(dependencies, context, run, end)
-  return reservation === undefined ? undefined : { reservation }
+  return await reserveOtherEngine(dependencies, context, run, end)
 }
 
-async function reserveOtherEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<TargetReservation | undefined> {
+async function reserveOtherEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): Promise<ReservedEngine | undefined> {
   const isRepeatable = canRepeat(context, run, end)
   const mayRepeat = isRepeatable && await run.watch.mayRepeat()
-  const reservation = mayRepeat ? await reserveEngine(dependencies, context, run) : undefined
-  if (reservation === undefined) dependencies.log.recordDecision(context.request.id, 'not repeated', { after: end, isRepeatable, mayRepeat, sentAttempts: run.sentAttempts, executedAttempts: run.executedAttempts, afterEvent: run.getLastEventId() })
-  return reservation
+  const engine = mayRepeat ? await reserveEngine(dependencies, context, run) : undefined
+  if (engine === undefined) dependencies.log.recordDecision(context.request.id, 'not repeated', { after: end, isRepeatable, mayRepeat, sentAttempts: run.sentAttempts, executedAttempts: run.executedAttempts, afterEvent: run.getLastEventId() })
+  return engine
 }
 
 async function runAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { reservation, move, sent }: NextAttempt): Promise<StreamEnd> {
--- a/packages/relay/test/requests/engineLossesDuringStreams.test.ts
+++ b/packages/relay/test/requests/engineLossesDuringStreams.test.ts
@@ -43,3 +43,47 @@
     expect(dependencies.client.listTargets()).not.toContain('c')
   })
 })
+
+/** Guards against started streams that are broken off with time left because nothing was free when their engine was lost. */
+describe('a started stream whose engine is lost late', () => {
+  const late: ScriptedAnswer = { steps: [createEvent(1), 600, createEvent(2), 600, { error: 'lost' }] }
+  const rest: ScriptedAnswer = { steps: [createEvent(3), createEvent(4), 'END'] }
+  const setCrowd = ({ loads }: TestDependencies, running: number): void => loads.updatePeer('peer', new Map([['b', { running, tokens: 0 }]]))
+  const useUpBudget = ({ budget }: TestDependencies): void => { while (budget.takeAttempt(ENGINES.name, 'move')); }
+
+  it('waits until another one has capacity', async () => {
+    const prepare = (dependencies: TestDependencies): void => {
+      dependencies.clock.startTimer(1000, () => setCrowd(dependencies, 4))
+      dependencies.clock.startTimer(5000, () => setCrowd(dependencies, 0))
+    }
+    const { sink, dependencies } = await runSilentStream({ a: late, b: rest }, { prepare, route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('waits until the engine that refused it has capacity again', async () => {
+    let isFull = true
+    const prepare = ({ client, clock }: TestDependencies): void => {
+      client.answerHold = async ({ target }) => isFull && target.name === 'b' ? Result.err('full') : Result.ok('hold')
+      clock.startTimer(5000, () => { isFull = false })
+    }
+    const { sink, dependencies } = await runSilentStream({ a: late, b: rest }, { prepare, holds: { answer: Result.ok('second'), afterMs: 5 }, route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('waits until the retry budget has an attempt again', async () => {
+    const prepare = (dependencies: TestDependencies): void => { dependencies.clock.startTimer(1000, () => useUpBudget(dependencies)) }
+    const { sink, dependencies } = await runSilentStream({ a: late, b: rest }, { prepare, route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('uses attempts that are kept for it from requests that have not started', async () => {
+    const prepare = (dependencies: TestDependencies): void => { dependencies.clock.startTimer(1000, () => { while (dependencies.budget.takeAttempt(ENGINES.name, 'retry')); }) }
+    const { sink, dependencies } = await runSilentStream({ a: late, b: rest }, { prepare, route: { maxGapMs: 1000, timeoutMs: 3000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+  })
+
+  it('does not wait where no engine of its version is left', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: late }, { route: { maxGapMs: 1000 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([`200 ${JSON.stringify(createEvent(1) + createEvent(2))} brokenOff`, ['a']])
+  })
+})
--- a/packages/relay/test/requests/reserveEngine.test.ts
+++ b/packages/relay/test/requests/reserveEngine.test.ts
@@ -21,7 +21,7 @@
       {
         "excludedCount": 1,
         "found": undefined,
-        "maxWaitMs": -700,
+        "maxWaitMs": 18800,
         "missing": "capacity",
       }
     `)
@@ -33,7 +33,7 @@
       {
         "excludedCount": 1,
         "found": "b",
-        "maxWaitMs": -700,
+        "maxWaitMs": 15000,
         "missing": "budget",
       }
     `)
