Create one buffer budget per process, and hand it to all its connections

The budget is an eighth of the memory of the machine by default. An account states its owner: what the bytes are, and the request and the target or peer where there is one.

--- a/packages/common/src/memory/BufferBudget.ts
+++ b/packages/common/src/memory/BufferBudget.ts
@@ -1,11 +1,35 @@
+import { totalmem } from 'node:os'
+
+/** Share of the memory of the machine that buffers may use. */
+export const BUFFER_MEMORY_SHARE = 1 / 8
+
+/** What a buffer holds bytes of: a request of a caller or its answer, an answer of a target, of the store or of the platform, or messages of a peer. */
+export type BufferKind = 'callerRequest' | 'callerAnswer' | 'targetAnswer' | 'controlAnswer' | 'storeAnswer' | 'platformAnswer' | 'peerMessage'
+
+/** What a buffer belongs to. */
+export interface BufferOwner {
+  readonly kind: BufferKind
+  /** Id of the request, where there is one. */
+  readonly request?: string
+  /** Name of the target or the peer, where there is one. */
+  readonly peer?: string
+}
+
+/** An account that was ended, since it held most when the budget was exceeded. */
+export interface EndedBuffer extends BufferOwner {
+  readonly bytes: number
+}
+
 /** Options of a buffer budget. */
 export interface BufferBudgetOptions {
-  /** Maximum number of bytes that all accounts together may hold. */
-  readonly maxBytes: number
+  /** Maximum number of bytes that all accounts together may hold; by default a share of the memory of the machine. */
+  readonly maxBytes?: number
+  /** Called with each account that is ended. */
+  readonly handleEnd?: (ended: EndedBuffer) => void
 }
 
 /** Options of a buffer account. */
-export interface BufferAccountOptions {
+export interface BufferAccountOptions extends BufferOwner {
   /** Ends whatever fills the buffer; called at most once, when the budget is exceeded and no other account holds more. */
   readonly end: () => void
 }
@@ -22,7 +46,8 @@
 }
 
 /** An open account. */
-interface OpenAccount extends BufferAccountOptions {
+interface OpenAccount {
+  readonly options: BufferAccountOptions
   bytes: number
 }
 
@@ -35,22 +60,25 @@
    * Creates a budget of which nothing is used.
    * @param options - Options of the budget.
    */
-  static create (options: BufferBudgetOptions): BufferBudget {
+  static create (options: BufferBudgetOptions = {}): BufferBudget {
     return new BufferBudget(options)
   }
 
   private readonly accounts = new Set<OpenAccount>()
+  private readonly maxBytes: number
   private usedBytes = 0
 
   /** @internal */
-  private constructor (private readonly options: BufferBudgetOptions) {}
+  private constructor (private readonly options: BufferBudgetOptions) {
+    this.maxBytes = options.maxBytes ?? Math.floor(totalmem() * BUFFER_MEMORY_SHARE)
+  }
 
   /**
    * Opens an account that holds nothing.
    * @param options - Options of the account.
    */
-  openAccount ({ end }: BufferAccountOptions): BufferAccount {
-    const account: OpenAccount = { end, bytes: 0 }
+  openAccount (options: BufferAccountOptions): BufferAccount {
+    const account: OpenAccount = { options, bytes: 0 }
     this.accounts.add(account)
     return {
       setBytes: bytes => this.setBytes(account, bytes),
@@ -67,7 +95,7 @@
     if (!this.accounts.has(account)) return
     this.usedBytes += bytes - account.bytes
     account.bytes = bytes
-    while (this.usedBytes > this.options.maxBytes) this.endLargest()
+    while (this.usedBytes > this.maxBytes) this.endLargest()
   }
 
   private closeAccount (account: OpenAccount): void {
@@ -76,7 +104,9 @@
 
   private endLargest (): void {
     const largest = [...this.accounts].reduce((a, b) => b.bytes > a.bytes ? b : a)
+    const { options: { end, ...owner }, bytes } = largest
     this.closeAccount(largest)
-    largest.end()
+    this.options.handleEnd?.({ ...owner, bytes })
+    end()
   }
 }
--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -204,6 +204,12 @@
     help: 'Requests without a complete answer when this instance closed the connection of their caller, by reason.',
     labels: ['reason']
   },
+  endedBuffers: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_ended_buffers_total',
+    help: 'Connections that were closed because the process buffered too many bytes for all of them, by what the buffer held.',
+    labels: ['kind']
+  },
   droppedLines: {
     kind: 'counter',
     exposedName: 'fescuespoke_dropped_log_lines_total',
--- a/packages/common/test/memory/BufferBudget.test.ts
+++ b/packages/common/test/memory/BufferBudget.test.ts
@@ -1,10 +1,11 @@
+import { totalmem } from 'node:os'
 import { describe, expect, it } from 'vitest'
-import { BufferBudget } from '../../src/memory/BufferBudget.js'
+import { BUFFER_MEMORY_SHARE, BufferBudget, type EndedBuffer } from '../../src/memory/BufferBudget.js'
 
 function createBudget (maxBytes: number): { readonly open: (name: string) => ReturnType<BufferBudget['openAccount']>, readonly budget: BufferBudget, readonly ended: string[] } {
   const budget = BufferBudget.create({ maxBytes })
   const ended: string[] = []
-  return { budget, ended, open: name => budget.openAccount({ end: () => { ended.push(name) } }) }
+  return { budget, ended, open: name => budget.openAccount({ kind: 'targetAnswer', peer: name, end: () => { ended.push(name) } }) }
 }
 
 describe('BufferBudget', () => {
@@ -48,6 +49,22 @@
     expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: ['a'], usedBytes: 0 })
   })
 
+  it('tells whose bytes it ended, before they are', () => {
+    const events: unknown[] = []
+    const budget = BufferBudget.create({ maxBytes: 100, handleEnd: ended => events.push(ended) })
+    budget.openAccount({ kind: 'targetAnswer', request: 'r1', peer: 'i-1', end: () => events.push('end') }).setBytes(101)
+    expect(events).toEqual([{ kind: 'targetAnswer', request: 'r1', peer: 'i-1', bytes: 101 }, 'end'])
+  })
+
+  it('is a share of the memory of the machine by default', () => {
+    const ended: EndedBuffer[] = []
+    const account = BufferBudget.create({ handleEnd: value => ended.push(value) }).openAccount({ kind: 'storeAnswer', end: () => undefined })
+    account.setBytes(Math.floor(totalmem() * BUFFER_MEMORY_SHARE))
+    expect(ended).toHaveLength(0)
+    account.setBytes(totalmem())
+    expect(ended).toHaveLength(1)
+  })
+
   it('is bounded while many senders without end go on', () => {
     const { budget, ended, open } = createBudget(1000)
     const accounts = Array.from({ length: 50 }, (_, index) => open(String(index)))
--- a/packages/daemon/src/instance/InstanceContext.ts
+++ b/packages/daemon/src/instance/InstanceContext.ts
@@ -1,4 +1,4 @@
-import { AuditTrail, type Clock, createLogger, type Logger, MetricsRegistry, type Random, SystemClock, SystemRandom } from '@fescuespoke/common'
+import { AuditTrail, type BufferBudget, type Clock, createBufferBudget, createLogger, type Logger, MetricsRegistry, type Random, SystemClock, SystemRandom } from '@fescuespoke/common'
 import { type Settings } from '@fescuespoke/schema'
 import { type InstanceOptions } from './InstanceOptions.js'
 
@@ -14,6 +14,8 @@
   readonly logger: Logger
   readonly audit: AuditTrail
   readonly metrics: MetricsRegistry
+  /** Bounds the bytes that the process buffers for all connections together. */
+  readonly bufferBudget: BufferBudget
 }
 
 /**
@@ -27,5 +29,7 @@
   const logger = options.logger ?? createLogger({ instance, level: 'silent' })
   const audit = AuditTrail.create({ instance, incarnation })
   audit.addListener(event => logger.info({ audit: event }, event.kind))
-  return { settings, incarnation, clock, random, logger, audit, metrics: MetricsRegistry.create({ instance, clock }) }
+  const metrics = MetricsRegistry.create({ instance, clock })
+  const bufferBudget = createBufferBudget({ clock, logger, metrics })
+  return { settings, incarnation, clock, random, logger, audit, metrics, bufferBudget }
 }
--- a/packages/daemon/src/instance/createTcpTransportFactory.ts
+++ b/packages/daemon/src/instance/createTcpTransportFactory.ts
@@ -6,7 +6,7 @@
  * Creates the factory for the peer transport over TCP.
  * @param context - Settings and services of the instance.
  */
-export function createTcpTransportFactory ({ settings, clock, random, logger, metrics }: InstanceContext): TransportFactory {
+export function createTcpTransportFactory ({ settings, clock, random, logger, metrics, bufferBudget }: InstanceContext): TransportFactory {
   const { id, peerHost, peerPort } = settings.instance
   return (findPeerAddress, incarnation) => {
     const network = PeerNetwork.create({
@@ -16,6 +16,7 @@
       clock,
       random,
       logger,
+      bufferBudget,
       findPeerAddress,
       host: peerHost,
       port: peerPort,
--- a/packages/peers/src/network/PeerNetwork.ts
+++ b/packages/peers/src/network/PeerNetwork.ts
@@ -1,5 +1,5 @@
 import {
-  type AnyPeerMessage, type Clock, type Logger, type PeerError, type PeerHandler, type PeerMessageOf, type PeerMessageType,
+  type AnyPeerMessage, BufferBudget, type Clock, type Logger, type PeerError, type PeerHandler, type PeerMessageOf, type PeerMessageType,
   type PeerTransport, type Random
 } from '@fescuespoke/common'
 import { type Hello } from '@fescuespoke/schema'
@@ -30,6 +30,8 @@
   readonly logger?: Logger
   /** Overrides of `DEFAULT_PEER_LIMITS`. */
   readonly limits?: Partial<PeerLimits>
+  /** Bounds the bytes that the process buffers; by default those of this network alone. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /** Sends messages between instances over TCP, as CBOR frames after an authenticated handshake. */
@@ -43,6 +45,7 @@
   }
 
   private readonly limits: PeerLimits
+  private readonly bufferBudget: BufferBudget
   private readonly codec = MessageCodec.create()
   private readonly counters = new CounterSet()
   private readonly handlers = new Map<string, PeerHandler<PeerMessageType>>()
@@ -56,6 +59,7 @@
   /** @internal */
   private constructor (private readonly options: PeerNetworkOptions) {
     this.limits = { ...DEFAULT_PEER_LIMITS, ...options.limits }
+    this.bufferBudget = options.bufferBudget ?? BufferBudget.create()
     this.refusalLog = RefusalLog.create(options.logger)
   }
 
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Logger, type MetricsRegistry, type Random } from '@fescuespoke/common'
+import { type BufferBudget, type Clock, type Logger, type MetricsRegistry, type Random } from '@fescuespoke/common'
 import { type AttemptBudgetLimits } from '../budget/AttemptBudget.js'
 import { type ColdBound } from '../limits/computeColdInterval.js'
 import { type PublishedDecoder } from '../published/PublishedDecoder.js'
@@ -44,4 +44,6 @@
   readonly source: PublishedSource
   readonly decodeItem: PublishedDecoder
   readonly client: RelayTargetClient
+  /** Bounds the bytes that the process buffers; by default those of this instance's peers alone. */
+  readonly bufferBudget?: BufferBudget
 }
--- a/packages/relay/src/instance/RelayPeers.ts
+++ b/packages/relay/src/instance/RelayPeers.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Logger, type PeerTransport, type Random, rankByRendezvous } from '@fescuespoke/common'
+import { type BufferBudget, type Clock, type Logger, type PeerTransport, type Random, rankByRendezvous } from '@fescuespoke/common'
 import { type Member, Membership, NewsPush, parsePeerAddress, PeerNetwork } from '@fescuespoke/peers'
 import { type Result } from 'true-myth'
 import { type DecisionLog } from '../logs/DecisionLog.js'
@@ -38,6 +38,8 @@
   readonly targetNews: TargetNewsExchange
   /** Called when a peer is declared dead. */
   readonly onPeerDead: (peer: string) => void
+  /** Bounds the bytes that the process buffers. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /** Limits of the membership protocol: times in milliseconds, of which `suspicionMs` is that in which a suspected instance may refute the suspicion, and the members in one gossip message. */
@@ -76,12 +78,12 @@
 
   /** @internal */
   private constructor (private readonly options: RelayPeersOptions) {
-    const { identity, clock, random, logger } = options
+    const { identity, clock, random, logger, bufferBudget } = options
     const { peerAddress: instance, availabilityZone, region, cores, linkMbps } = identity
     const incarnation = random.nextString(INCARNATION_BYTES)
     const { host, port } = parsePeerAddress(instance).unwrapOr({ host: instance, port: 0 })
     this.network = PeerNetwork.create({
-      ...identity, instance, incarnation, clock, random, logger, host, port, findPeerAddress: name => parsePeerAddress(name).map(() => name)
+      ...identity, instance, incarnation, clock, random, logger, bufferBudget, host, port, findPeerAddress: name => parsePeerAddress(name).map(() => name)
     })
     this.membership = Membership.create({
       instance,
