Bound what all streams together keep of events without an end

What callers saw: a stream may keep up to 1 MB of an event whose end has not come, and nothing bounded all streams together. With hundreds of such streams (a faulty engine, or many) the process runs out of memory, and the requests of all other callers end with it.

Cause: EventSplitter bounds one event, and no account was kept for the process. A few bytes of the next event also kept the whole part in memory that they arrived with, and an attempt's part of an event stayed until the next attempt began to read, also while the request waited for an engine.

Now each attempt of a stream accounts the buffer of its incomplete event in the budget of the process. The one that holds most is ended as lost, with its cause in the log, so that it is answered by 502, broken off, or goes on at another engine, as after any other loss. The remainder is copied, and dropped when the attempt ends.

--- a/packages/common/src/memory/BufferBudget.ts
+++ b/packages/common/src/memory/BufferBudget.ts
@@ -3,6 +3,9 @@
 /** Share of the memory of the machine that buffers may use. */
 export const BUFFER_MEMORY_SHARE = 1 / 8
 
+/** Why a connection ended that held most of the buffered bytes, for the log. */
+export const BUFFER_BUDGET_CAUSE = 'the process buffers too many bytes'
+
 /** What a buffer holds bytes of: a request of a caller or its answer, an answer of a target, of the store or of the platform, or messages of a peer. */
 export type BufferKind = 'callerRequest' | 'callerAnswer' | 'targetAnswer' | 'controlAnswer' | 'storeAnswer' | 'platformAnswer' | 'peerMessage'
 
--- a/packages/relay/src/instance/RelayInstanceOptions.ts
+++ b/packages/relay/src/instance/RelayInstanceOptions.ts
@@ -44,6 +44,6 @@
   readonly source: PublishedSource
   readonly decodeItem: PublishedDecoder
   readonly client: RelayTargetClient
-  /** Bounds the bytes that the process buffers; by default those of this instance's peers alone. */
+  /** Bounds the bytes that the process buffers; by default those of the answers of targets and those of peers alone, each. */
   readonly bufferBudget?: BufferBudget
 }
--- a/packages/relay/src/instance/createRelayComponents.ts
+++ b/packages/relay/src/instance/createRelayComponents.ts
@@ -1,4 +1,4 @@
-import { type PauseDetector } from '@fescuespoke/common'
+import { BufferBudget, type PauseDetector } from '@fescuespoke/common'
 import { AttemptBudget } from '../budget/AttemptBudget.js'
 import { CrashDetector } from '../crashes/CrashDetector.js'
 import { CrashEvidence } from '../crashes/CrashEvidence.js'
@@ -115,7 +115,7 @@
 
 function createDependencies (shared: SharedComponents, viewComponents: ViewComponents): RelayDependencies {
   const { options, metrics, log, loads, limits, speeds, backoffs, evacuatedZones, coldTargets, regions, gateway } = shared
-  const { clock, random, client, identity } = options
+  const { clock, random, identity } = options
   const table = TargetTable.create({ clock, getTimeSinceStoreOutageMs: () => getTimeSinceStoreOutageMs(viewComponents) })
   const health = TargetHealth.create(clock)
   const prefixes = PromptPrefixes.create({ clock, log })
@@ -137,13 +137,7 @@
     listDeclining: service => viewComponents.history.listDeclining(service)
   })
   const budget = AttemptBudget.create({ clock, limits: options.budget, countInstances: () => viewComponents.peers.estimateFleetSize() })
-  table.addListener(({ target, state }, previousState) => {
-    if (state === 'gone') {
-      client.closeConnections(target)
-      prefixes.removeTarget(target.name)
-    }
-    log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
-  })
+  watchTargets(shared, table, prefixes)
   const mover = RunMover.create({ clock, gateway, table, placer, budget, loads, instance: identity.peerAddress, metrics, log, getTimeLeftMs: () => drain.getTimeLeftMs(), mayAskEngines: service => holds.isActive(service) })
   const generationTimes = GenerationTimeEstimator.create()
   const durations = AnswerDurations.create()
@@ -170,10 +164,22 @@
     origins: createOriginExchange(options, log, viewComponents, table),
     metrics,
     log,
+    bufferBudget: options.bufferBudget ?? BufferBudget.create(),
     getViewAgeMs: () => Math.round(viewComponents.watcher.getAgeMs())
   }
 }
 
+/** Logs the changes of targets, and drops what is kept for those that no longer exist. */
+function watchTargets ({ options: { client }, log }: SharedComponents, table: TargetTable, prefixes: PromptPrefixes): void {
+  table.addListener(({ target, state }, previousState) => {
+    if (state === 'gone') {
+      client.closeConnections(target)
+      prefixes.removeTarget(target.name)
+    }
+    log.recordStateChange('target changed', { target: target.name, service: target.service, softwareVersion: target.softwareVersion, address: target.address, before: previousState, state })
+  })
+}
+
 function createAdmissionQueue ({ options: { clock, random }, metrics, log }: SharedComponents, { peers, pauseDetector }: ViewComponents, placer: RelayPlacer): AdmissionQueue {
   const queue = AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: () => peers.isLoadPartial(), countInstances: () => peers.estimateFleetSize() })
   pauseDetector.addListener(() => queue.dropEstimates())
--- a/packages/relay/src/requests/EventSplitter.ts
+++ b/packages/relay/src/requests/EventSplitter.ts
@@ -70,6 +70,11 @@
     return this.length > MAX_EVENT_BYTES ? undefined : events
   }
 
+  /** Returns the size of the buffer of the incomplete event, in bytes. */
+  getBufferedBytes (): number {
+    return this.buffer.length
+  }
+
   /** Returns the bytes of the incomplete event. */
   getRemainder (): Buffer {
     return this.buffer.subarray(0, this.length)
@@ -90,9 +95,12 @@
     this.buffer = enlarged
   }
 
-  /** Keeps the bytes after the complete events; those events share the memory of the buffer, which is therefore not reused. */
+  /**
+   * Keeps the bytes after the complete events; those events share the memory of the buffer, which is therefore not reused. Copies them, since
+   * a few bytes would keep all that arrived with them in memory.
+   */
   private keepRemainder (pending: Buffer, start: number): void {
-    if (start > 0 || this.length === 0) this.buffer = pending.subarray(start)
+    if (start > 0 || this.length === 0) this.buffer = Buffer.from(pending.subarray(start))
     this.length = pending.length - start
     this.searchedBytes = this.length
   }
--- a/packages/relay/src/requests/PeekedAttempt.ts
+++ b/packages/relay/src/requests/PeekedAttempt.ts
@@ -54,7 +54,7 @@
   }
 
   /** @inheritdoc */
-  markLost (): void {
-    this.attempt.markLost()
+  markLost (cause?: string): void {
+    this.attempt.markLost(cause)
   }
 }
--- a/packages/relay/src/requests/RelayDependencies.ts
+++ b/packages/relay/src/requests/RelayDependencies.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Random } from '@fescuespoke/common'
+import { type BufferBudget, type Clock, type Random } from '@fescuespoke/common'
 import { type AttemptBudget } from '../budget/AttemptBudget.js'
 import { type CrashGuard } from '../crashes/CrashGuard.js'
 import { type AnswerDurations } from '../drain/AnswerDurations.js'
@@ -42,6 +42,8 @@
   readonly origins: OriginExchange
   readonly metrics: RelayMetrics
   readonly log: DecisionLog
+  /** Bounds the bytes that the process buffers for all connections together. */
+  readonly bufferBudget: BufferBudget
   /** Returns the age of the last answer of the platform's store, in milliseconds. */
   readonly getViewAgeMs: () => number
 }
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -1,3 +1,4 @@
+import { BUFFER_BUDGET_CAUSE, type BufferAccount } from '@fescuespoke/common'
 import { type RunWatch } from '../crashes/RunWatch.js'
 import { type LogFields } from '../logs/DecisionLog.js'
 import { type MovableRun, type RunContinuation } from '../moves/MovableRun.js'
@@ -74,6 +75,8 @@
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
   private splitter = EventSplitter.create()
+  /** Account of the bytes that the splitter keeps for the current attempt. */
+  private bufferAccount: BufferAccount | undefined
   private order = EventOrder.create(undefined)
   /** Gaps between the events of the current attempt; undefined for a service without engines. */
   private gaps: StreamGaps | undefined
@@ -185,6 +188,7 @@
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
   startReading (): void {
     this.splitter = EventSplitter.create()
+    this.bufferAccount = this.openBufferAccount()
     this.order = EventOrder.create(this.lastEventId)
     this.isCurrentCounted = false
     this.wasAskedToStop = false
@@ -199,7 +203,7 @@
    * @param bytes - The bytes.
    */
   async forwardBytes (head: AttemptHead, bytes: Buffer): Promise<ForwardResult> {
-    const events = this.splitter.addBytes(bytes)
+    const events = this.splitBytes(bytes)
     if (events === undefined) return isEventSeries(head) ? 'unusable' : await this.forwardRemainder(head)
     const result = !isEventSeries(head) || events.some(({ hasData }) => hasData) ? 'progress' : 'noProgress'
     if (events.length === 0) return result
@@ -251,6 +255,13 @@
     return { isFramed, incompleteEventBytes: this.splitter.getRemainder().length, isMoving: this.dependencies.mover.isMoving(this) || this.isContinuing() }
   }
 
+  /** Returns the events that bytes of the stream complete; undefined when they are not events. */
+  private splitBytes (bytes: Buffer): StreamEvent[] | undefined {
+    const events = this.splitter.addBytes(bytes)
+    this.bufferAccount?.setBytes(this.splitter.getBufferedBytes())
+    return events
+  }
+
   /** Forwards what is buffered of a body that is not a series of events. */
   private async forwardRemainder (head: AttemptHead): Promise<ForwardResult> {
     const remainder = this.splitter.getRemainder()
@@ -260,10 +271,12 @@
     return 'progress'
   }
 
-  /** Ends the current attempt and releases its target. */
+  /** Ends the current attempt, drops what is buffered of its answer and releases its target. */
   closeCurrentAttempt (): void {
     this.currentAttempt?.close()
     this.currentAttempt = undefined
+    this.splitter = EventSplitter.create()
+    this.bufferAccount?.close()
   }
 
   /** Ends the run and releases all its resources. */
@@ -275,6 +288,14 @@
     this.replacement.drop()
   }
 
+  /** Opens an account for the answer of the current attempt, which is lost if it holds too many bytes. */
+  private openBufferAccount (): BufferAccount | undefined {
+    const { currentAttempt: current } = this
+    if (current === undefined) return undefined
+    const owner = { kind: 'targetAnswer', request: this.requestId, peer: current.reservation.target.name } as const
+    return this.dependencies.bufferBudget.openAccount({ ...owner, end: () => current.attempt.markLost(BUFFER_BUDGET_CAUSE) })
+  }
+
   private recordOrigin (origin: StreamOrigin): void {
     const { context: { route, request }, dependencies } = this
     this.origin = origin
--- a/packages/relay/src/targets/RelayTargetClient.ts
+++ b/packages/relay/src/targets/RelayTargetClient.ts
@@ -76,8 +76,11 @@
   getCause(): string | undefined
   /** Returns the limit that the answer names; undefined when the answer does not tell, or before `head` has resolved. */
   getNamedLimit(): NamedLimit | undefined
-  /** Ends the attempt as lost because no data arrived for too long. */
-  markLost(): void
+  /**
+   * Ends the attempt as lost, because no data arrived for too long or because of a cause that is stated.
+   * @param cause - The cause, for the log.
+   */
+  markLost(cause?: string): void
 }
 
 /** A copy of a run's memory. */
--- a/packages/relay/test/support/createTestDependencies.ts
+++ b/packages/relay/test/support/createTestDependencies.ts
@@ -1,4 +1,4 @@
-import { createLogger, type Logger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { BufferBudget, createLogger, type Logger, MetricsRegistry, type PeerTransport, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { InMemoryNetwork } from '@fescuespoke/peers'
 import { AttemptBudget } from '../../src/budget/AttemptBudget.js'
 import { CrashDetector } from '../../src/crashes/CrashDetector.js'
@@ -54,7 +54,7 @@
 }
 
 /** Creates dependencies with a virtual clock and fake targets. */
-export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[], graceMs?: number, getColdFleet?: (target: string) => ColdFleet } = {}): TestDependencies {
+export function createTestDependencies (options: { extra?: number, getTimeSinceStoreOutageMs?: () => number, clock?: VirtualClock, seed?: number, client?: RelayTargetClient, instanceCount?: number, getRank?: (key: string) => number, transport?: PeerTransport, isLoadPartial?: () => boolean, pickPreferred?: (targets: readonly RelayTarget[]) => ReadonlySet<string>, logger?: Logger, listPeers?: () => readonly string[], graceMs?: number, getColdFleet?: (target: string) => ColdFleet, bufferBudget?: BufferBudget } = {}): TestDependencies {
   const { clock = VirtualClock.create(), seed = 1 } = options
   const random = SeededRandom.create(seed)
   const client = FakeTargetClient.create(clock)
@@ -86,7 +86,11 @@
   const generationTimes = GenerationTimeEstimator.create()
   const durations = AnswerDurations.create()
   const drain = DrainAdmission.create({ clock, graceMs: options.graceMs, durations, generationTimes, log, listPaces: service => listTargetPaces({ table, speeds }, service) })
-  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes, durations, drain, speeds, admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, getViewAgeMs: () => 0 }
+  return { clock, random, client: options.client as FakeTargetClient ?? client, gateway, loads, notices, table, health, limits, placer, prefixes, holds, generationTimes, durations, drain, speeds, admissionQueue: AdmissionQueue.create({ clock, random, placer, metrics, log, isLoadPartial: options.isLoadPartial, countInstances: () => options.instanceCount ?? 1 }), budget, crashes, evidence, evacuatedZones, coldTargets, mover, origins, history, metrics, registry, log, bufferBudget: getBufferBudget(options.bufferBudget), getViewAgeMs: () => 0 }
+}
+
+function getBufferBudget (bufferBudget = BufferBudget.create()): BufferBudget {
+  return bufferBudget
 }
 
 function createColdTargets (clock: VirtualClock, log: DecisionLog, getFleet: (target: string) => ColdFleet = () => ({ alive: 1, possible: 1, rank: 0 })): ColdTargets {
