Write the lines of failures beside a quota that successes have used up

What operators saw: no line named a lost request. The quota of 60 lines a second dropped the line of a request that was broken off as readily as that of a success, and `lines left out` came only with the next line about a request, so never after the last one.

Fix: lines of failures (broken off unless the caller left, 502 and 504, attempts that were lost or failed, not repeated after a run, no engine reserved, stalled streams, answers not used, failed moves) have a quota of their own, and the level `warn`, by which the writer puts them before others when its reader is behind. It is written when its second is over, by the maintenance that runs anyway.

--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -1,4 +1,4 @@
-import { getAbortOutcome } from '../requests/abortOutcomes.js'
+import { getAbortLineKind, getAbortOutcome } from '../requests/abortOutcomes.js'
 import { type RelayContext } from '../requests/RelayContext.js'
 import { writeToCaller } from '../requests/writeToCaller.js'
 import { MIN_FAILURE_STATUS } from '../targets/RelayTargetClient.js'
@@ -67,6 +67,7 @@
 function abortAnswer ({ context, dependencies, watch }: CallRun, { attempt, reservation }: CallAttempt): void {
   if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, true)
   const { sink, request, route } = context
+  const outcome = getAbortOutcome(context)
   sink.abort()
-  dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome: getAbortOutcome(context), cause: attempt.getCause() })
+  dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome, cause: attempt.getCause() }, getAbortLineKind(outcome))
 }
--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,3 +1,4 @@
+import { type LineKind } from '../logs/LineQuota.js'
 import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
@@ -12,6 +13,11 @@
   good: 'success', failed: 'failure', notSent: 'unreachable', notExecuted: 'success', notHere: 'unreachable', lost: 'failure', aborted: 'success'
 }
 
+/** Kinds of the lines about answers; a call whose attempt did not run may still be served. */
+const LINE_KINDS: Record<CallAnswerClass, LineKind> = {
+  good: 'ordinary', failed: 'failure', notSent: 'ordinary', notExecuted: 'ordinary', notHere: 'ordinary', lost: 'failure', aborted: 'ordinary'
+}
+
 /** Handles the answer of an attempt; returns whether the caller has its final answer. */
 type AnswerHandler = (run: CallRun, answered: AnsweredAttempt) => boolean | Promise<boolean>
 
@@ -49,7 +55,7 @@
   if (answerClass === 'good' && isWholeSuccess(answer) && context.service.engine === undefined) callAttempt.recordAnswer()
   watchAnswer(run, answered, answerClass)
   dependencies.health.recordOutcome(callAttempt.reservation.target.name, ATTEMPT_OUTCOMES[answerClass])
-  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(run, callAttempt, answer, answerClass))
+  dependencies.log.recordDecision(context.request.id, 'attempt ended', describeAnswer(run, callAttempt, answer, answerClass), LINE_KINDS[answerClass])
   try {
     return await ANSWER_HANDLERS[answerClass](run, answered)
   } finally {
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -258,6 +258,7 @@
       await clock.sleep(MAINTENANCE_INTERVAL_MS, this.stopController.signal)
       this.components.dependencies.table.expireEntries()
       this.components.history.checkView()
+      this.components.log.runMaintenance()
     }
   }
 }
--- a/packages/relay/src/logs/DecisionLog.ts
+++ b/packages/relay/src/logs/DecisionLog.ts
@@ -1,4 +1,6 @@
 import { type Clock, type Logger } from '@fescuespoke/common'
+import { LeftOutLines } from './LeftOutLines.js'
+import { type LineKind, LineQuota } from './LineQuota.js'
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>
@@ -7,7 +9,7 @@
 export interface DecisionLogOptions {
   readonly logger: Logger
   readonly clock: Clock
-  /** Maximum number of lines about requests per second; further lines are dropped and counted. */
+  /** Maximum number of lines about requests per second, of failures and of others; further lines are dropped and counted. */
   readonly maxLinesPerSecond?: number
   /** Called when a line was dropped. */
   readonly countDropped?: () => void
@@ -15,8 +17,6 @@
 
 const DEFAULT_LINES_PER_SECOND = 60
 
-const WINDOW_MS = 1000
-
 /** One in this many requests is logged even when the limit is reached. */
 const SAMPLE_RATE = 16
 
@@ -30,26 +30,30 @@
     return new DecisionLog(options)
   }
 
-  private windowStartMs = -Infinity
-  private written = 0
-  private dropped = 0
+  private readonly quota: LineQuota
+  private readonly leftOut = LeftOutLines.create()
 
   /** @internal */
-  private constructor (private readonly options: DecisionLogOptions) {}
+  private constructor (private readonly options: DecisionLogOptions) {
+    const { clock, maxLinesPerSecond = DEFAULT_LINES_PER_SECOND } = options
+    this.quota = LineQuota.create({ clock, maxLinesPerSecond, handleWindow: () => this.recordLeftOut() })
+  }
 
   /**
    * Logs a decision about a request.
    * @param request - Id of the request.
    * @param decision - Message that names the decision.
    * @param fields - Inputs of the decision, their age or version, and the outcome.
+   * @param kind - Whether the request fails with it, or may have run without an answer.
    */
-  recordDecision (request: string, decision: string, fields: LogFields = {}): void {
-    if (!this.consumeLineQuota() && !isSampled(request)) {
-      this.dropped++
+  recordDecision (request: string, decision: string, fields: LogFields = {}, kind: LineKind = 'ordinary'): void {
+    const isFailure = kind === 'failure'
+    if (!this.quota.takeLine(kind) && !isSampled(request)) {
+      this.leftOut.addLine({ request, decision, isFailure })
       this.options.countDropped?.()
       return
     }
-    this.options.logger.info({ request, ...fields }, decision)
+    this.options.logger[isFailure ? 'warn' : 'info']({ request, ...fields }, decision)
   }
 
   /**
@@ -61,18 +65,15 @@
     this.options.logger.info(fields, change)
   }
 
-  private consumeLineQuota (): boolean {
-    const nowMs = this.options.clock.nowMs()
-    if (nowMs - this.windowStartMs >= WINDOW_MS) this.startWindow(nowMs)
-    this.written++
-    return this.written <= (this.options.maxLinesPerSecond ?? DEFAULT_LINES_PER_SECOND)
+  /** Logs how many lines were left out, when the second in which they were is over. */
+  runMaintenance (): void {
+    this.quota.updateWindow()
   }
 
-  private startWindow (nowMs: number): void {
-    if (this.dropped > 0) this.options.logger.warn({ dropped: this.dropped }, 'lines left out')
-    this.windowStartMs = nowMs
-    this.written = 0
-    this.dropped = 0
+  /** Logs how many lines were left out since the last line that said so. */
+  recordLeftOut (): void {
+    const summary = this.leftOut.takeSummary()
+    if (summary !== undefined) this.options.logger.warn(summary, 'lines left out')
   }
 }
 
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -214,7 +214,7 @@
 
   private recordMove ({ run, source, noticeAtMs }: RunMoveOptions, result: MoveResult): void {
     this.options.metrics.countMove(result)
-    this.options.log.recordDecision(run.requestId, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - noticeAtMs) })
+    this.options.log.recordDecision(run.requestId, 'move ended', { source: source.name, result, noticeMs: Math.round(this.options.clock.nowMs() - noticeAtMs) }, result === 'moved' || result === 'over' ? 'ordinary' : 'failure')
   }
 }
 
--- a/packages/relay/src/requests/abortOutcomes.ts
+++ b/packages/relay/src/requests/abortOutcomes.ts
@@ -1,3 +1,4 @@
+import { type LineKind } from '../logs/LineQuota.js'
 import { type RelayContext, STOP_REASON } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
 
@@ -14,6 +15,14 @@
   return signal.reason === STOP_REASON ? 'stopped' : 'timeout'
 }
 
+/**
+ * Returns the kind of the line about an answer that is broken off; a caller that has left misses nothing.
+ * @param outcome - Why the answer is broken off.
+ */
+export function getAbortLineKind (outcome: AbortOutcome): LineKind {
+  return outcome === 'callerLeft' ? 'ordinary' : 'failure'
+}
+
 /**
  * Returns the reason with which an aborted request is refused.
  * @param context - The request, whose signal is aborted.
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -37,7 +37,7 @@
     run.recordExecuted()
     if (isUsable(context, run, head.value)) return await forwardEvents(dependencies, context, run, head.value, stallDetector)
     const { status, isSigned } = head.value
-    dependencies.log.recordDecision(context.request.id, 'answer not used', { target: run.getTarget()?.name, status, isSigned, afterEvent: run.getLastEventId() })
+    dependencies.log.recordDecision(context.request.id, 'answer not used', { target: run.getTarget()?.name, status, isSigned, afterEvent: run.getLastEventId() }, 'failure')
     return 'lost'
   } finally {
     stallDetector.stop()
@@ -95,7 +95,7 @@
   const stallTimeoutMs = run.hasStarted() ? Math.max(MIN_STALL_TIMEOUT_MS, (route.maxGapMs ?? 0) * STALL_GAP_FACTOR) : route.objectiveMs * FIRST_EVENT_OBJECTIVE_FACTOR
   const onStall = (): void => {
     const isRepeatable = canRepeatAfterStall(context, run)
-    dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable })
+    dependencies.log.recordDecision(context.request.id, 'stream stalled', { target: reservation.target.name, stallMs: stallTimeoutMs, afterEvent: run.getLastEventId(), isRepeatable }, 'failure')
     if (isRepeatable) replaceStalledAttempt(dependencies, context, run, { attempt, isStalled: () => stallDetector.isStalled() })
     else if (run.hasStarted()) dependencies.mover.moveStalledRun(run)
   }
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -26,6 +26,9 @@
   lost: 502
 }
 
+/** Statuses after which a caller does not know whether its request has run. */
+const UNSURE_STATUSES: ReadonlySet<number> = new Set([502, 504])
+
 /** Reasons of refusals while all targets of a service are closed, by reason of the closure. */
 export const CLOSURE_REFUSALS: Record<ClosureReason, RefusalReason> = { backoff: 'backoff', limited: 'limited', evacuated: 'evacuated', warming: 'warming', full: 'overloaded' }
 
@@ -74,7 +77,7 @@
   dependencies.metrics.countOutcome(route.name, reason)
   dependencies.log.recordDecision(request.id, 'refused', {
     route: route.name, reason, status, retryAfterMs, heldMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs(), ...advice?.inputs
-  })
+  }, UNSURE_STATUSES.has(status) ? 'failure' : 'ordinary')
   sink.refuse({ status, reason, retryAfterMs })
 }
 
--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -39,7 +39,7 @@
     : await admissionQueue.waitForTarget(admission)
   const isRepeat = run.sentAttempts > run.unsentAttempts
   if (reservation !== undefined && (!isRepeat || budget.takeAttempt(service.name, 'retry'))) return reservation
-  if (run.sentAttempts > 0) log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size })
+  if (run.sentAttempts > 0) log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size }, 'failure')
   reservation?.release()
   return undefined
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -2,7 +2,7 @@
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
 import { readStream } from './readStream.js'
-import { type AbortOutcome, findAbortReason, getAbortOutcome } from './abortOutcomes.js'
+import { type AbortOutcome, findAbortReason, getAbortLineKind, getAbortOutcome } from './abortOutcomes.js'
 import { CLOSURE_REFUSALS, refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
@@ -108,7 +108,7 @@
   const isRepeatable = canRepeat(context, run, end)
   const mayRepeat = isRepeatable && await run.watch.mayRepeat()
   const reservation = mayRepeat ? await reserveEngine(dependencies, context, run) : undefined
-  if (reservation === undefined) dependencies.log.recordDecision(context.request.id, 'not repeated', { after: end, isRepeatable, mayRepeat, sentAttempts: run.sentAttempts, executedAttempts: run.executedAttempts, afterEvent: run.getLastEventId() })
+  if (reservation === undefined) dependencies.log.recordDecision(context.request.id, 'not repeated', { after: end, isRepeatable, mayRepeat, sentAttempts: run.sentAttempts, executedAttempts: run.executedAttempts, afterEvent: run.getLastEventId() }, mayHaveRun(run, end) ? 'failure' : 'ordinary')
   return reservation
 }
 
@@ -134,7 +134,11 @@
 
 function finishWithoutAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, end: StreamEnd): void {
   if (run.hasStarted()) return abortAnswer(dependencies, context, run, 'brokenOff')
-  refuseRequest(dependencies, context, run.executedAttempts > 0 || end === 'lost' ? 'lost' : 'notExecuted')
+  refuseRequest(dependencies, context, mayHaveRun(run, end) ? 'lost' : 'notExecuted')
+}
+
+function mayHaveRun (run: StreamRun, end: StreamEnd): boolean {
+  return run.executedAttempts > 0 || end === 'lost'
 }
 
 function finishWithoutEngine (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): void {
@@ -162,5 +166,5 @@
 function abortAnswer ({ metrics, log }: RelayDependencies, { sink, route, request }: RelayContext, run: StreamRun, outcome: AbortOutcome): void {
   sink.abort()
   metrics.countOutcome(route.name, outcome)
-  log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeProgress() })
+  log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeProgress() }, getAbortLineKind(outcome))
 }
--- a/packages/relay/src/requests/startStreamAttempt.ts
+++ b/packages/relay/src/requests/startStreamAttempt.ts
@@ -71,7 +71,7 @@
   if (end === 'notSent') run.unsentAttempts++
   run.watch.endRun(reservation.target, end, attempt.isBrokenOff())
   dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
-  dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() })
+  dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() }, end === 'lost' ? 'failure' : 'ordinary')
 }
 
 function sendStream (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { reservation, continuation }: StreamAttemptOptions, signal: AbortSignal): Attempt {
