--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -99,7 +99,7 @@
 
 function recordFailure ({ log }: RelayDependencies, { request }: RelayContext, run: StreamRun, { reservation, maxWaitMs }: EngineFailure): void {
   if (run.sentAttempts === 0) return
-  log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size })
+  log.recordDecision(request.id, 'no engine reserved', { missing: reservation === undefined ? 'capacity' : 'budget', found: reservation?.target.name, maxWaitMs: Math.round(maxWaitMs), excludedCount: run.excludedTargets.size }, 'failure')
 }
 
 function createRequirements (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): TargetRequirements {
