Go on with an answer that has begun elsewhere when a silent engine leaves

A stream falls silent, another engine is asked and begins to answer, and the silent engine leaves at that time. The answer that had begun was dropped for the move, the caller waited for copies of up to two seconds, and the run at the other engine did not count.

Now an answer that has begun goes first, and the move ends; what it copies later is freed, and does not end the attempt that goes on. An attempt that has not begun is still ended for a move, and counts as one that may have run. A run that went back to its source is found by the name and start of that target, since the move has another description of it.

--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -101,6 +101,13 @@
     return !run.isClosed() && run.getTarget()?.name === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
   }
 
+  /** Returns whether the run goes on at another engine already. */
+  private isElsewhere (): boolean {
+    const { run, source } = this.options
+    const target = run.getTarget()
+    return target !== undefined && target.name !== source.name
+  }
+
   private getNoticeAgeMs (): number {
     return this.dependencies.clock.nowMs() - this.options.noticeAtMs
   }
@@ -181,7 +188,7 @@
     const handle = lastCopy.isOk ? lastCopy.value.handle : lastCopy.error.handle
     if (handle === undefined) return lastCopy.isErr ? lastCopy.error.reason : 'over'
     this.standbyCopy = { source, reservation, handle }
-    if (run.isClosed()) return 'over'
+    if (run.isClosed() || this.isElsewhere()) return 'over'
     this.standbyCopy = undefined
     this.dependencies.budget.takeAttempt(run.service.name, 'move')
     if (!lastCopy.isOk) reservation.release()
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -200,7 +200,8 @@
     // Another copy to the same engine only completes the earlier one, and keeps its handle.
     this.dropStandbyCopy(run, copy.handle)
     this.standbyCopies.set(run, copy)
-    if (run.isClosed()) this.dropStandbyCopy(run)
+    const target = run.getTarget()
+    if (run.isClosed() || (target !== undefined && target.name !== copy.source.name)) this.dropStandbyCopy(run)
   }
 
   /** Releases the reservation of a copy and frees its memory, unless its handle is one that is still used. */
--- a/packages/relay/src/requests/AttemptReplacement.ts
+++ b/packages/relay/src/requests/AttemptReplacement.ts
@@ -42,15 +42,20 @@
     return result
   }
 
-  /** Returns and clears the attempt that goes on with the run now that the current one has ended; undefined when there is none. */
-  async takeNextAttempt (): Promise<StreamAttempt | undefined> {
-    this.endWait?.()
-    await this.progress
+  /** Returns and clears the attempt that goes on with the run if its answer has begun; undefined when there is none. */
+  takeBegunAttempt (): StreamAttempt | undefined {
     const { nextAttempt } = this
     this.nextAttempt = undefined
     return nextAttempt
   }
 
+  /** Returns and clears the attempt that goes on with the run now that the current one has ended, also one that is in progress; undefined when there is none. */
+  async takeNextAttempt (): Promise<StreamAttempt | undefined> {
+    this.endWait?.()
+    await this.progress
+    return this.takeBegunAttempt()
+  }
+
   /** Ends the attempt that would go on with the run, also one that is in progress once it is sent. */
   drop (): void {
     this.endWait?.()
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -163,6 +163,12 @@
     return next
   }
 
+  /** Drops the continuation of a run that goes on without it. */
+  dropContinuation (): void {
+    this.pendingContinuation?.reservation.release()
+    this.pendingContinuation = undefined
+  }
+
   /** Returns whether the run was stopped because it continues at another engine. */
   isContinuing (): boolean {
     return this.pendingContinuation !== undefined
@@ -188,9 +194,9 @@
    * Records that the connection to a target broke during an attempt. A target that was about to shut down has ended.
    * @param target - The target.
    */
-  recordBrokenConnection (target: RelayTarget): void {
-    const tracked = this.dependencies.table.getTracked(target.name)
-    if (tracked?.state === 'leaving') this.runTargets.delete(target)
+  recordBrokenConnection ({ name, startedAtMs }: RelayTarget): void {
+    if (this.dependencies.table.getTracked(name)?.state !== 'leaving') return
+    for (const target of this.runTargets) if (target.name === name && target.startedAtMs === startedAtMs) this.runTargets.delete(target)
   }
 
   /** Counts the targets at which the request ran or may have run and that have not ended since. A run that is moved counts where it began. */
@@ -293,7 +299,7 @@
     this.hasClosed = true
     this.dependencies.mover.removeRun(this)
     this.closeCurrentAttempt()
-    this.pendingContinuation?.reservation.release()
+    this.dropContinuation()
     this.replacement.drop()
   }
 
--- a/packages/relay/src/requests/replaceStalledAttempt.ts
+++ b/packages/relay/src/requests/replaceStalledAttempt.ts
@@ -32,6 +32,17 @@
   if (isReplaced) stalled.attempt.markLost()
 }
 
+/**
+ * Ends the attempt at another engine that is not needed because the run goes on from its memory; it may have run.
+ * @param dependencies - Components that handle the request.
+ * @param context - The request.
+ * @param run - Run of the request.
+ */
+export async function dropReplacement (dependencies: RelayDependencies, context: RelayContext, run: StreamRun): Promise<void> {
+  const other = await run.replacement.takeNextAttempt()
+  if (other !== undefined) closeOther(dependencies, context, run, other, 'pending')
+}
+
 /** Starts an attempt at another engine; returns undefined when the stalled one goes on. */
 async function startOtherAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, stalled: StalledAttempt): Promise<StreamAttempt | undefined> {
   const reservation = await reserveReplacement(dependencies, context, run, stalled)
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -9,6 +9,7 @@
 import { type RelayDependencies } from './RelayDependencies.js'
 import { type ReservedEngine, reserveEngine } from './reserveEngine.js'
 import { canRepeat, findObstacle } from './repeatStream.js'
+import { dropReplacement } from './replaceStalledAttempt.js'
 import { recordAttemptEnd, startStreamAttempt } from './startStreamAttempt.js'
 import { type StreamAttempt, type StreamEnd } from './StreamAttempt.js'
 import { StreamRun } from './StreamRun.js'
@@ -47,9 +48,8 @@
     const end = await runAttempt(dependencies, context, run, next)
     if (end === 'complete') return
     const { move: previousMove }: NextAttempt = next
-    const move = await findContinuation(dependencies, context, run, { previousMove, end })
-    if (context.signal.aborted) return finishAborted(dependencies, context, run)
-    next = move === undefined ? await findRepeat(dependencies, context, run, end) : { reservation: move.reservation, move }
+    next = await findNextAttempt(dependencies, context, run, { previousMove, end })
+    if (next === undefined && context.signal.aborted) return finishAborted(dependencies, context, run)
     if (next === undefined) return finishWithoutAttempt(dependencies, context, run, end)
   }
   finishWithoutEngine(dependencies, context, run)
@@ -66,11 +66,24 @@
   readonly end: StreamEnd
 }
 
+/** Returns the attempt with which a run goes on: one elsewhere whose answer has begun, one from the memory of the run, or a repetition. */
+async function findNextAttempt (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, ended: EndedAttempt): Promise<NextAttempt | undefined> {
+  const begun = run.replacement.takeBegunAttempt()
+  if (begun !== undefined) {
+    run.dropContinuation()
+    return { reservation: begun.reservation, sent: begun }
+  }
+  const move = await findContinuation(dependencies, context, run, ended)
+  if (move !== undefined) return { reservation: move.reservation, move }
+  return context.signal.aborted ? undefined : await findRepeat(dependencies, context, run, ended.end)
+}
+
 /** Returns the continuation after a move, from a copy, or at the source of a move that its destination refused; undefined once the request is aborted. */
-async function findContinuation (dependencies: RelayDependencies, { signal }: RelayContext, run: StreamRun, { previousMove, end }: EndedAttempt): Promise<RunContinuation | undefined> {
+async function findContinuation (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, { previousMove, end }: EndedAttempt): Promise<RunContinuation | undefined> {
+  const { signal } = context
   if (signal.aborted) return undefined
   const next = await takeContinuation(dependencies, run, end) ?? continueAtSource(dependencies, run, previousMove, end)
-  if (next !== undefined) run.replacement.drop()
+  if (next !== undefined) dropReplacement(dependencies, context, run)
   if (!signal.aborted) return next
   next?.reservation.release()
   return undefined
--- a/packages/relay/test/requests/engineLossesDuringStreams.test.ts
+++ b/packages/relay/test/requests/engineLossesDuringStreams.test.ts
@@ -38,6 +38,20 @@
     expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b', 'c']])
   })
 
+  it('goes on at another one when the only one that it may run at refused to give it away, and has ended', async () => {
+    const prepare = (dependencies: TestDependencies): void => {
+      const { clock, client } = dependencies
+      client.answerCopy = async ({ isLast }) => isLast ? Result.err({ reason: 'noRoom', handle: 'h' }) : Result.ok({ handle: 'h', producedEvents: 1 })
+      clock.startTimer(200, () => leave(dependencies, 'a'))
+      clock.startTimer(1000, () => {
+        client.reachability.set('a', 'refusing')
+        client.attempts[1]!.attempt.breakOff()
+      })
+    }
+    const { sink, dependencies } = await runSilentStream({ a: [beginning, { steps: [createEvent(2), 60_000] }], b: { steps: [createEvent(3), createEvent(4), 'END'] } }, { prepare, route: { maxGapMs: 1000, maxAttempts: 1 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'a', 'b']])
+  })
+
   it('is not sent to a third one while the first two still serve', async () => {
     const { dependencies } = await runSilentStream({ a: { steps: [createEvent(1), { error: 'lost' }] }, b: { steps: [createEvent(2), { error: 'lost' }] }, c: { steps: [createEvent(3), createEvent(4), 'END'] } })
     expect(dependencies.client.listTargets()).not.toContain('c')
--- a/packages/relay/test/requests/replacedStreams.test.ts
+++ b/packages/relay/test/requests/replacedStreams.test.ts
@@ -119,6 +119,36 @@
   })
 })
 
+describe('a silent stream whose engine leaves while another one is asked', () => {
+  /** Lets the engine leave just after another one was asked; each copy takes as long as given. */
+  const leave = (copyMs: (isLast: boolean) => number): SilentStreamOptions['prepare'] => ({ clock, table, client }) => {
+    client.answerCopy = async ({ isLast }) => {
+      await clock.sleep(copyMs(isLast))
+      if (isLast) client.attempts[0]!.attempt.finish('lost')
+      return Result.ok({ handle: 'copy', producedEvents: 1 })
+    }
+    clock.startTimer(1210, () => table.updateTarget(createTarget('a', { service: ENGINES.name, phase: 'leaving' })))
+  }
+  const copied: ScriptedAnswer = { steps: [createEvent(2), 'END'] }
+
+  it('goes on with the answer that has begun there, and not from a copy that is not complete', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 100, steps: rest }, c: copied }, { prepare: leave(() => 1000) })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'b']])
+    expect([...dependencies.loads.listOwnLoads()]).toEqual([])
+  })
+
+  it('goes on with the answer that has begun there when the copy is complete later', async () => {
+    const { sink, dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 100, steps: [createEvent(2), 400, createEvent(3), 2000, 'END'] }, c: copied }, { prepare: leave(isLast => isLast ? 500 : 10), route: { maxGapMs: 1000, objectiveMs: 1000 } })
+    expect([sink.endState, sink.text, dependencies.client.listTargets()]).toEqual(['complete', [1, 2, 3].map(createEvent).join(''), ['a', 'b']])
+    expect([[...dependencies.loads.listOwnLoads()], dependencies.client.dropped]).toEqual([[], ['copy']])
+  })
+
+  it('counts the other engine among those that ran it, if it goes on from the copy', async () => {
+    const { dependencies } = await runSilentStream({ a: SILENT_AFTER_START, b: { afterMs: 10_000, steps: rest }, c: { steps: [createEvent(2), 100, { error: 'lost' }] }, d: { steps: [createEvent(3), 'END'] } }, { prepare: leave(() => 10) })
+    expect(dependencies.client.listTargets()).toEqual(['a', 'b', 'c'])
+  })
+})
+
 describe('a search for another engine that is not needed', () => {
   it('leaves the retry budget as it was', async () => {
     const countLeft = ({ budget }: TestDependencies): number => Array.from({ length: 100 }, () => budget.takeAttempt('engines', 'retry')).filter(isTaken => isTaken).length
