Hold short streams back that arrive during a stop until they are complete

Callers of streams that arrived late in a stop got a head and events, and then the end of the connection.

A stream that arrives during the stop is held back if its whole answer likely comes before its first event is due, and later in the stop if it is only sent because it would certainly end in time.

--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -158,6 +158,17 @@
     return this.getTimeLeftMs() === Infinity || this.findBasis(this.computeTimes(subject)) !== undefined
   }
 
+  /**
+   * Returns whether the answer to a request that has arrived during the drain is held back until it is complete. A stream is sent since it
+   * would end in time; where its engine falls silent or leaves, its caller then gets a final answer in place of a part of one.
+   * @param subject - The request.
+   */
+  shouldHoldBack (subject: DrainSubject): boolean {
+    if (!this.hasStarted() || subject.route.kind !== 'stream') return false
+    const { safeMs = Infinity, likelyMs, timeLeftMs } = this.computeTimes(subject)
+    return likelyMs <= subject.route.objectiveMs || (!this.isLikelyEnough() && safeMs <= timeLeftMs)
+  }
+
   private computeTimes (subject: DrainSubject): RequestTimes {
     const pace = subject.pace ?? this.fastestPaces.get(subject.service.name)
     const estimate = ESTIMATORS[subject.route.kind](this.options, subject, pace)
--- a/packages/relay/src/requests/AnswerSink.ts
+++ b/packages/relay/src/requests/AnswerSink.ts
@@ -16,6 +16,8 @@
   writeBytes(bytes: Buffer): Promise<void> | undefined
   /** Returns whether bytes of the answer wait for the caller to read. */
   isWaitingForCaller(): boolean
+  /** Returns whether nothing of an answer has been passed on, so that the request may still be refused. */
+  mayRefuse(): boolean
   /** Ends the answer as complete. */
   end(): void
   /** Aborts the answer in such a way that the caller cannot mistake it for a complete one. */
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -1,12 +1,14 @@
-import { type Random } from '@fescuespoke/common'
+import { BufferBudget, type Random } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type KeyHolder, type RelayRoute, type ServiceProfile, type RouteKind, type WeightedService } from '../model/RelayConfiguration.js'
 import { type RouteError, type RouteTable } from '../model/RouteTable.js'
 import { intersectRegions } from '../places/intersectRegions.js'
 import { computeConfirmationEndMs, type ConfirmationLimits } from '../published/ViewConfirmation.js'
 import { type StreamOrigin } from '../versions/StreamOrigin.js'
+import { type DrainSubject } from '../drain/DrainAdmission.js'
 import { type CrashSubject } from '../crashes/CrashSubject.js'
 import { type AnswerSink } from './AnswerSink.js'
+import { HeldBackSink } from './HeldBackSink.js'
 import { refuseRequest } from './refuseRequest.js'
 import { type RelayContext, STOP_REASON } from './RelayContext.js'
 import { type RefusalReason, type RelayRequest } from './RelayRequest.js'
@@ -67,6 +69,9 @@
 const MAX_START_WAIT_MS = 2000
 const START_WAIT_SHARE = 0.6
 
+/** Number of bytes of all answers that are held back at most. */
+const MAX_HELD_BACK_BYTES = 8 * 1024 * 1024
+
 /** Interval at which a request checks for the first configuration, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 25
 
@@ -85,6 +90,7 @@
   }
 
   private runningCount = 0
+  private readonly heldBackBudget = BufferBudget.create({ maxBytes: MAX_HELD_BACK_BYTES })
   /** Aborted when the process stops. */
   private readonly stopController = new AbortController()
   /** Functions that end the requests in progress when the process stops, by the sinks of their answers. */
@@ -139,7 +145,7 @@
     if (refusalReason !== undefined) return this.refuse(request, sink, routes, route, refusalReason, workspace)
     const priority = keyHolder?.priority ?? route.priority
     const allowedRegions = intersectRegions(route.allowedRegions, keyHolder?.allowedRegions)
-    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, allowedRegions, workspace, priority })
+    await this.run({ request, sink: this.createSink({ request, route, service }, sink), configuration: routes.configuration, route, service, origin, allowedRegions, workspace, priority })
   }
 
   /**
@@ -233,6 +239,12 @@
     return AbortSignal.any([callerSignal, this.stopController.signal])
   }
 
+  /** Returns the sink that holds the answer back where this process could otherwise end with a part of it passed on. */
+  private createSink (subject: Omit<DrainSubject, 'deadlineAtMs'>, sink: AnswerSink): AnswerSink {
+    const { drain } = this.options.dependencies
+    return drain.shouldHoldBack({ ...subject, deadlineAtMs: computeDeadlineMs(subject.request, subject.route) }) ? HeldBackSink.create({ sink, budget: this.heldBackBudget }) : sink
+  }
+
   private async run (partialContext: Omit<RelayContext, 'deadlineAtMs' | 'signal'>): Promise<void> {
     const { clock } = this.options.dependencies
     const { request, route, sink } = partialContext
--- a/packages/relay/src/requests/abortOutcomes.ts
+++ b/packages/relay/src/requests/abortOutcomes.ts
@@ -4,6 +4,9 @@
 /** Why an answer that has begun is broken off. */
 export type AbortOutcome = 'brokenOff' | 'callerLeft' | 'timeout' | 'stopped'
 
+/** Reasons with which a request is refused whose answer had begun, but was held back. */
+export const HELD_BACK_REFUSALS: Record<AbortOutcome, RefusalReason> = { brokenOff: 'lost', callerLeft: 'lost', timeout: 'timeout', stopped: 'lost' }
+
 /**
  * Returns why an answer that has begun is broken off.
  * @param context - The request.
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -2,7 +2,7 @@
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { createStreamOrigin, isSameOrigin } from '../versions/StreamOrigin.js'
 import { readStream } from './readStream.js'
-import { type AbortOutcome, findAbortReason, getAbortOutcome } from './abortOutcomes.js'
+import { type AbortOutcome, findAbortReason, getAbortOutcome, HELD_BACK_REFUSALS } from './abortOutcomes.js'
 import { CLOSURE_REFUSALS, refuseRequest } from './refuseRequest.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
@@ -159,8 +159,12 @@
   refuseRequest(dependencies, context, findAbortReason(context, run.sentAttempts > 0))
 }
 
-function abortAnswer ({ metrics, log }: RelayDependencies, { sink, route, request }: RelayContext, run: StreamRun, outcome: AbortOutcome): void {
+/** Breaks off an answer that has begun, or refuses the request if the answer was held back. */
+function abortAnswer (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, outcome: AbortOutcome): void {
+  const { sink, route, request } = context
+  const isHeldBack = sink.mayRefuse()
+  dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, outcome, isHeldBack, ...run.describeProgress() })
+  if (isHeldBack) return refuseRequest(dependencies, context, HELD_BACK_REFUSALS[outcome])
   sink.abort()
-  metrics.countOutcome(route.name, outcome)
-  log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeProgress() })
+  dependencies.metrics.countOutcome(route.name, outcome)
 }
--- a/packages/relay/test/support/FakeSink.ts
+++ b/packages/relay/test/support/FakeSink.ts
@@ -37,6 +37,10 @@
     return this.isBlocked
   }
 
+  mayRefuse (): boolean {
+    return this.status === undefined
+  }
+
   end (): void {
     this.finish('complete')
   }
--- a/packages/relay/test/support/StopPlay.ts
+++ b/packages/relay/test/support/StopPlay.ts
@@ -1,10 +1,12 @@
 import { pickIndex, type Random, SeededRandom } from '@fescuespoke/common'
 import { type RelayRoute, type ServiceProfile } from '../../src/model/RelayConfiguration.js'
+import { type RelayTarget } from '../../src/model/RelayTarget.js'
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { RelayService } from '../../src/requests/RelayService.js'
 import { type RelayRequest } from '../../src/requests/RelayRequest.js'
 import { type AttemptOptions } from '../../src/targets/RelayTargetClient.js'
 import { CALLS, createConfiguration, createRequest, createRoute, createTarget, createTestDependencies, type TestDependencies } from './createTestDependencies.js'
+import { EngineTroubles, type PlannedEvent, type TroubleOptions } from './EngineTroubles.js'
 import { FakeSink } from './FakeSink.js'
 import { type AnswerStep, ScriptedAttempt } from './FakeTargetClient.js'
 
@@ -40,6 +42,10 @@
   readonly silences?: Silences
   /** Number of engines to which a short stream may be sent; 1 by default. Streams with more may be resumed. */
   readonly shortAttempts?: number
+  /** What happens to engines during the stop; by default, nothing does. */
+  readonly troubles?: TroubleOptions
+  /** Requests a second of some kinds that differ from the usual ones. */
+  readonly rates?: Partial<Readonly<Record<PlayedKind, number>>>
 }
 
 /** Kinds of played requests. */
@@ -59,6 +65,8 @@
   /** Time that the longest answer that its caller allows usually takes, in milliseconds; that of a call is its own time. */
   readonly usualLongestMs: number
   readonly end: PlayedEnd
+  /** Whether it was lost by the rule for stops: its answer was cut off, and its time was not over. */
+  readonly isLost: boolean
 }
 
 interface Draw {
@@ -68,6 +76,14 @@
 }
 
 const GRACE_MS = 8000
+
+/** Separates the random numbers of troubles from those of the load. */
+const TROUBLE_SEED_OFFSET = 1000
+
+/** The rule excuses a request that was sent up to this time after the signal if it was cut off in the last part of the grace period, in milliseconds. */
+const EXCUSED_AFTER_MS = 3000
+const LAST_PART_MS = GRACE_MS / 6
+
 const WARM_UP_MS = 20_000
 
 /** Requests a second at the instance. */
@@ -94,7 +110,8 @@
 
 class StopPlay {
   static create (load: StopLoad, seed: number): StopPlay {
-    return new StopPlay(load, SeededRandom.create(seed), createTestDependencies({ graceMs: GRACE_MS, seed }))
+    const troubles = EngineTroubles.create(load.troubles ?? {}, SeededRandom.create(seed + TROUBLE_SEED_OFFSET), WARM_UP_MS, GRACE_MS)
+    return new StopPlay(load, SeededRandom.create(seed), createTestDependencies({ graceMs: GRACE_MS, seed }), troubles)
   }
 
   private readonly draws = new Map<string, Draw>()
@@ -102,11 +119,11 @@
   private readonly played: Array<Promise<PlayedRequest>> = []
   private readonly service: RelayService
 
-  private constructor (private readonly load: StopLoad, private readonly random: Random, private readonly dependencies: TestDependencies) {
+  private constructor (private readonly load: StopLoad, private readonly random: Random, private readonly dependencies: TestDependencies, private readonly troubles: EngineTroubles) {
     const { table, client } = dependencies
     const engines: ServiceProfile = { name: 'engines', engine: { slots: load.slots, memoryTokens: 1_000_000, linkMbps: 1000, tokenBytes: 1000, tokensPerEvent: TOKENS_PER_EVENT, canMove: false } }
     const routes = RouteTable.create(createConfiguration(createRoutes(load), { services: new Map([[CALLS.name, CALLS], [engines.name, engines]]) }))
-    for (let index = 0; index < load.engines; index++) table.updateTarget(createTarget(`e${index}`, { service: engines.name, slots: load.slots }))
+    for (let index = 0; index < load.engines; index++) this.addEngine(createTarget(`e${index}`, { service: engines.name, slots: load.slots }), index)
     for (const name of ['c0', 'c1', 'c2']) table.updateTarget(createTarget(name, { service: CALLS.name }))
     client.sendRequest = (target, options) => new ScriptedAttempt(dependencies.clock, this.createAnswer(target.name, options), options, () => undefined)
     this.service = RelayService.create({ dependencies, getRoutes: () => routes, getPauseMs: () => 0, isViewStale: () => false })
@@ -126,6 +143,16 @@
     return await Promise.all(this.played)
   }
 
+  /** Adds an engine, which may leave during the stop. */
+  private addEngine (engine: RelayTarget, index: number): void {
+    const { clock, table } = this.dependencies
+    const { noticeAtMs, endAtMs } = this.troubles.plan(engine.name, index)
+    table.updateTarget(engine)
+    if (noticeAtMs === Infinity) return
+    clock.startTimer(noticeAtMs, () => table.updateTarget({ ...engine, phase: 'leaving', sequence: engine.sequence + 1 }))
+    clock.startTimer(endAtMs, () => table.handleRemoval(engine.name))
+  }
+
   private scheduleRequests (durationMs: number, add: (played: Promise<PlayedRequest>) => void): void {
     for (const kind of Object.keys(RATES) as PlayedKind[]) {
       for (let atMs = this.drawPause(kind); atMs < durationMs; atMs += this.drawPause(kind)) {
@@ -135,7 +162,7 @@
   }
 
   private drawPause (kind: PlayedKind): number {
-    return -Math.log(1 - this.random.nextFloat()) * 1000 / RATES[kind]
+    return -Math.log(1 - this.random.nextFloat()) * 1000 / (this.load.rates?.[kind] ?? RATES[kind])
   }
 
   private async serve (kind: PlayedKind, arrivedAfterMs: number, leftMs: number): Promise<PlayedRequest> {
@@ -143,8 +170,13 @@
     const id = `q${this.draws.size}`
     this.draws.set(id, draw)
     const sink = FakeSink.create()
+    const { clock } = this.dependencies
+    const receivedAtMs = clock.nowMs()
     await this.service.serve(this.createRequest(id, draw), sink)
-    return { kind, arrivedAfterMs, leftMs, usualMs: this.computeUsualMs(draw), usualLongestMs: this.computeUsualMs({ ...draw, events: this.getEvents(kind).max }) + this.getLongestSilenceMs(kind), end: classifyEnd(sink) }
+    const end = classifyEnd(sink)
+    const isTimeOver = !isCall(kind) && clock.nowMs() - receivedAtMs >= STREAM_LIMITS_MS[kind]
+    const isExcused = arrivedAfterMs <= EXCUSED_AFTER_MS && clock.nowMs() >= WARM_UP_MS + GRACE_MS - LAST_PART_MS
+    return { kind, arrivedAfterMs, leftMs, usualMs: this.computeUsualMs(draw), usualLongestMs: this.computeUsualMs({ ...draw, events: this.getEvents(kind).max }) + this.getLongestSilenceMs(kind), end, isLost: end === 'cut' && !isTimeOver && !isExcused }
   }
 
   private createRequest (id: string, { kind, events }: Draw): RelayRequest {
@@ -163,7 +195,22 @@
     const gaps = Array.from({ length: events - firstEvent }, this.createGapSource(runs, speed))
     if (kind === 'short') this.addSilence(gaps)
     this.countRun(target, firstMs + gaps.reduce((sum, gapMs) => sum + gapMs, 0))
-    return { afterMs: firstMs, steps: [createEvent(firstEvent), ...gaps.flatMap((gapMs, index) => [gapMs, createEvent(firstEvent + index + 1)]), 'END'], isEventStream: true }
+    const planned = [0, ...gaps].map((pauseMs, index) => ({ pauseMs, text: createEvent(firstEvent + index) }))
+    return this.createStreamAnswer(target, firstMs, planned)
+  }
+
+  /** Returns the answer of an engine, which sends its head with the first event. */
+  private createStreamAnswer (target: string, firstMs: number, events: readonly PlannedEvent[]): { afterMs: number, steps: AnswerStep[], isEventStream: boolean, error?: 'lost' } {
+    const nowMs = this.dependencies.clock.nowMs()
+    const [first, ...others] = this.addTroubleSilence(events, nowMs)
+    const [afterMs, firstStep, ...steps] = this.troubles.createSteps(target, nowMs, [{ ...first!, pauseMs: firstMs + this.troubles.drawQueueMs(nowMs) }, ...others])
+    return { afterMs: afterMs as number, steps: [firstStep!, ...steps], isEventStream: true, ...typeof firstStep === 'string' ? {} : { error: 'lost' } }
+  }
+
+  /** Lets a run fall silent after its first event, as planned for the stop. */
+  private addTroubleSilence (events: readonly PlannedEvent[], nowMs: number): readonly PlannedEvent[] {
+    const silenceMs = this.troubles.drawSilenceMs(nowMs)
+    return events.map((event, index) => index === 1 ? { ...event, pauseMs: event.pauseMs + silenceMs } : event)
   }
 
   private getLongestSilenceMs (kind: PlayedKind): number {
@@ -247,7 +294,7 @@
   return refusal?.reason === 'stopping' ? 'refused' : 'other'
 }
 
-function isCall (kind: PlayedKind): boolean {
+function isCall (kind: PlayedKind): kind is 'idempotent' | 'once' {
   return kind === 'idempotent' || kind === 'once'
 }
 
