Cut no stream before its time is over that was sent for that reason

A stopping instance sends a stream whose own time is over before the end of the stop. The end was taken with the margin of that moment, 0.4 s, which grows to 1 s when timers fire late: such a stream was then cut off up to 0.6 s early, with time left, which is LOST where it came later than 3 s after the signal.

Such a stream is now sent only if its time is over before the earliest end that the schedule can have. Calls stay as they are: one that is ended early gets a final answer either way.

The new test of DrainAdmission failed before: at 4 s, streams with 3.1 to 3.6 s left were sent, and were to be cut after 3 s once the process had run late.

--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -51,6 +51,8 @@
 interface RequestTimes extends DurationEstimate {
   readonly pace: TargetPace
   readonly timeLeftMs: number
+  /** Time after which an answer that goes on then may be cut off. */
+  readonly certainTimeLeftMs: number
   /** Time until the request is ended. */
   readonly remainingMs: number
 }
@@ -172,16 +174,21 @@
   private computeTimes (subject: DrainSubject): RequestTimes {
     const pace = subject.pace ?? this.fastestPaces.get(subject.service.name)
     const estimate = ESTIMATORS[subject.route.kind](this.options, subject, pace)
-    return { ...estimate, pace, timeLeftMs: this.getTimeLeftMs(), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
+    return { ...estimate, pace, timeLeftMs: this.getTimeLeftMs(), certainTimeLeftMs: this.getCertainTimeLeftMs(subject.route.kind), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
   }
 
-  private findBasis ({ timeLeftMs, remainingMs, safeMs, likelyMs }: RequestTimes): Basis | undefined {
+  private findBasis ({ timeLeftMs, certainTimeLeftMs, remainingMs, safeMs, likelyMs }: RequestTimes): Basis | undefined {
     if (timeLeftMs <= 0) return undefined
-    if (remainingMs <= timeLeftMs) return 'deadline'
+    if (remainingMs <= certainTimeLeftMs) return 'deadline'
     if (safeMs !== undefined && safeMs <= timeLeftMs) return 'safe'
     return this.isLikelyEnough() && likelyMs <= timeLeftMs ? 'likely' : undefined
   }
 
+  /** A call that is ended early gets a final answer, as it does when its time is over; a stream is cut off. */
+  private getCertainTimeLeftMs (kind: RouteKind): number {
+    return kind === 'stream' ? this.schedule.getCertainTimeLeftMs() : this.getTimeLeftMs()
+  }
+
   private isLikelyEnough (): boolean {
     return this.getElapsedMs() <= Math.min(MAX_LIKELY_PERIOD_MS, this.getGraceMs() * LIKELY_SHARE)
   }
--- a/packages/relay/src/drain/DrainSchedule.ts
+++ b/packages/relay/src/drain/DrainSchedule.ts
@@ -84,8 +84,7 @@
 
   /** Returns the time before the kill at which requests in progress are ended, in milliseconds. */
   getMarginMs (): number {
-    const wantedMs = EXIT_MARGIN_MS + MARGIN_PER_LATENESS * this.getLatenessMs()
-    return Math.min(wantedMs, Math.max(EXIT_MARGIN_MS, this.options.graceMs * MAX_MARGIN_SHARE))
+    return Math.min(EXIT_MARGIN_MS + MARGIN_PER_LATENESS * this.getLatenessMs(), this.getMaxMarginMs())
   }
 
   /** Returns the time after which requests in progress are ended, in milliseconds; `Infinity` before the drain. */
@@ -93,6 +92,11 @@
     return this.getTimeUntilKillMs() - this.getMarginMs()
   }
 
+  /** Returns the time for which requests in progress go on however late the process runs, in milliseconds; `Infinity` before the drain. */
+  getCertainTimeLeftMs (): number {
+    return this.getTimeUntilKillMs() - this.getMaxMarginMs()
+  }
+
   /** Returns the time for which the last answers are waited for, in milliseconds. */
   getWriteTimeLeftMs (): number {
     return this.getTimeUntilKillMs() - this.getMarginMs() * WRITE_END_SHARE
@@ -103,6 +107,10 @@
     return Math.max(0, Math.min(MAX_CLOSE_MS, this.getTimeUntilKillMs() - this.getMarginMs() * CLOSE_END_SHARE))
   }
 
+  private getMaxMarginMs (): number {
+    return Math.max(EXIT_MARGIN_MS, this.options.graceMs * MAX_MARGIN_SHARE)
+  }
+
   private getTimeUntilKillMs (): number {
     return this.signalAtMs + this.options.graceMs - this.options.clock.nowMs()
   }
--- a/packages/relay/test/drain/DrainAdmission.test.ts
+++ b/packages/relay/test/drain/DrainAdmission.test.ts
@@ -79,7 +79,7 @@
       [
         "0 0.5 1 1.5 2",
         "",
-        "0 0.5 1 1.5 2 2.5",
+        "0 0.5 1 1.5 2",
       ]
     `)
   })
@@ -110,6 +110,16 @@
     expect(await doTest({ kind: 'once', remainingMs: 1000, hasHistory: false })).toMatchInlineSnapshot('"0 0.5 1 1.5 2 2.5 3 3.5 4 4.5 5 5.5 6 6.5"')
   })
 
+  it('cuts no stream before its own time is over that it has sent for that reason, however late it runs later (LOST)', async () => {
+    const { drain, clock } = createTestDependencies({ graceMs: GRACE_MS })
+    drain.start()
+    await clock.advance(4000)
+    const isSent = (remainingMs: number): boolean => drain.maySend({ request: createRequest({}), route: createRoute({ kind: 'stream' }), service: ENGINES, deadlineAtMs: clock.nowMs() + remainingMs })
+    const sentMs = Array.from({ length: 40 }, (_, index) => index * 100).filter(isSent)
+    drain.schedule.recordLateness(5000)
+    expect([sentMs.length > 0, sentMs.filter(remainingMs => remainingMs > drain.getTimeLeftMs())]).toEqual([true, []])
+  })
+
   it('sends everything before its drain, and nothing after the end', async () => {
     const { drain, clock } = createTestDependencies({ graceMs: GRACE_MS })
     const subject = { request: createRequest({}), route: createRoute({ kind: 'stream' }), service: ENGINES, deadlineAtMs: clock.nowMs() + 60_000 }
