--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -51,6 +51,8 @@
 interface RequestTimes extends DurationEstimate {
   readonly pace: TargetPace
   readonly timeLeftMs: number
+  /** Time after which an answer that goes on then may be cut off. */
+  readonly certainTimeLeftMs: number
   /** Time until the request is ended. */
   readonly remainingMs: number
 }
@@ -158,19 +160,35 @@
     return this.getTimeLeftMs() === Infinity || this.findBasis(this.computeTimes(subject)) !== undefined
   }
 
+  /**
+   * Returns whether the answer to a request that has arrived during the drain is held back until it is complete. A stream is sent since it
+   * would end in time; where its engine falls silent or leaves, its caller then gets a final answer in place of a part of one.
+   * @param subject - The request.
+   */
+  shouldHoldBack (subject: DrainSubject): boolean {
+    if (!this.hasStarted() || subject.route.kind !== 'stream') return false
+    const { safeMs = Infinity, likelyMs, timeLeftMs } = this.computeTimes(subject)
+    return likelyMs <= subject.route.objectiveMs || (!this.isLikelyEnough() && safeMs <= timeLeftMs)
+  }
+
   private computeTimes (subject: DrainSubject): RequestTimes {
     const pace = subject.pace ?? this.fastestPaces.get(subject.service.name)
     const estimate = ESTIMATORS[subject.route.kind](this.options, subject, pace)
-    return { ...estimate, pace, timeLeftMs: this.getTimeLeftMs(), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
+    return { ...estimate, pace, timeLeftMs: this.getTimeLeftMs(), certainTimeLeftMs: this.getCertainTimeLeftMs(subject.route.kind), remainingMs: subject.deadlineAtMs - this.options.clock.nowMs() }
   }
 
-  private findBasis ({ timeLeftMs, remainingMs, safeMs, likelyMs }: RequestTimes): Basis | undefined {
+  private findBasis ({ timeLeftMs, certainTimeLeftMs, remainingMs, safeMs, likelyMs }: RequestTimes): Basis | undefined {
     if (timeLeftMs <= 0) return undefined
-    if (remainingMs <= timeLeftMs) return 'deadline'
+    if (remainingMs <= certainTimeLeftMs) return 'deadline'
     if (safeMs !== undefined && safeMs <= timeLeftMs) return 'safe'
     return this.isLikelyEnough() && likelyMs <= timeLeftMs ? 'likely' : undefined
   }
 
+  /** A call that is ended early gets a final answer, as it does when its time is over; a stream is cut off. */
+  private getCertainTimeLeftMs (kind: RouteKind): number {
+    return kind === 'stream' ? this.schedule.getCertainTimeLeftMs() : this.getTimeLeftMs()
+  }
+
   private isLikelyEnough (): boolean {
     return this.getElapsedMs() <= Math.min(MAX_LIKELY_PERIOD_MS, this.getGraceMs() * LIKELY_SHARE)
   }
