Bound what all calls together buffer of answers

What callers saw: a call buffers up to 256 KB of an answer before it is passed on, and as much of a failed answer while another target is tried; nothing bounded all calls together. Some hundred calls at faulty servers whose answers pour and then stand still take the memory of the process.

Now the buffer of each attempt is an account of the budget of the process. The one that holds most is dropped: its attempt is lost, so that the call goes on at another target or gets 502; a failed answer that was kept is forgotten, and the call ends as lost; an answer of which a part was sent is broken off. Parts leave the account as they are written to the caller. Each part counts 256 bytes more than it has, since single bytes use memory too.

--- a/packages/common/src/memory/BufferBudget.ts
+++ b/packages/common/src/memory/BufferBudget.ts
@@ -3,6 +3,9 @@
 /** Share of the memory of the machine that buffers may use. */
 export const BUFFER_MEMORY_SHARE = 1 / 8
 
+/** Memory that a part of a buffer uses beside its bytes, in bytes; a sender of single bytes would fill the memory with it. */
+export const BUFFER_OVERHEAD_BYTES = 256
+
 /** Why a connection ended that held most of the buffered bytes, for the log. */
 export const BUFFER_BUDGET_CAUSE = 'the process buffers too many bytes'
 
--- a/packages/relay/src/calls/CallAnswer.ts
+++ b/packages/relay/src/calls/CallAnswer.ts
@@ -1,4 +1,5 @@
 import { type Attempt, type AttemptError, type AttemptHead } from '../targets/RelayTargetClient.js'
+import { type AnswerBuffer } from './AnswerBuffer.js'
 
 /** Maximum size of an answer that is buffered completely before its first byte is forwarded, in bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
@@ -6,7 +7,7 @@
 /** The buffered start of an answer, or the whole answer. */
 export interface BufferedAnswer {
   readonly head: AttemptHead
-  readonly chunks: readonly Buffer[]
+  readonly buffer: AnswerBuffer
   /** Whether this is the whole answer. */
   readonly isComplete: boolean
 }
@@ -19,18 +20,16 @@
 /**
  * Reads the answer of an attempt until it is complete or the buffer is full.
  * @param attempt - The attempt.
+ * @param buffer - Receives the bytes of the answer.
  */
-export async function readCallAnswer (attempt: Attempt): Promise<CallAnswer> {
+export async function readCallAnswer (attempt: Attempt, buffer: AnswerBuffer): Promise<CallAnswer> {
   const head = await attempt.head
   if (head.isErr) return { kind: 'error', error: head.error }
-  const chunks: Buffer[] = []
-  let bufferedBytes = 0
-  while (bufferedBytes < MAX_BUFFERED_BYTES) {
+  while (buffer.getByteCount() < MAX_BUFFERED_BYTES) {
     const next = await attempt.readBytes()
     if (next.isErr) return { kind: 'error', error: next.error }
-    if (next.value === undefined) return { kind: 'answer', head: head.value, chunks, isComplete: true }
-    chunks.push(next.value)
-    bufferedBytes += next.value.length
+    if (next.value === undefined) return { kind: 'answer', head: head.value, buffer, isComplete: true }
+    buffer.addBytes(next.value)
   }
-  return { kind: 'answer', head: head.value, chunks, isComplete: false }
+  return { kind: 'answer', head: head.value, buffer, isComplete: false }
 }
--- a/packages/relay/src/calls/CallAttempt.ts
+++ b/packages/relay/src/calls/CallAttempt.ts
@@ -1,5 +1,6 @@
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Attempt } from '../targets/RelayTargetClient.js'
+import { type AnswerBuffer } from './AnswerBuffer.js'
 import { type CallAnswer } from './CallAnswer.js'
 
 /** An attempt of a call at one target, and the reservation of the target. */
@@ -7,6 +8,8 @@
   readonly reservation: TargetReservation
   readonly attempt: Attempt
   readonly abortController: AbortController
+  /** Bytes of the answer that are not forwarded yet. */
+  readonly buffer: AnswerBuffer
   /** Clock reading at which it was sent. */
   readonly sentAtMs: number
   /** Resolves with the answer once it is complete or the buffer is full. */
--- a/packages/relay/src/calls/CallRun.ts
+++ b/packages/relay/src/calls/CallRun.ts
@@ -24,12 +24,12 @@
   sentAttempts = 0
   /** Number of attempts that did not reach their target; they use no budget. */
   unsentAttempts = 0
-  /** Failed answer of a target, kept in case no other target succeeds. */
-  failedAnswer: BufferedAnswer | undefined
   /** Whether an attempt without an answer may have run. */
   mayHaveRun = false
   /** Watches whether the call crashes its targets. */
   readonly watch: CallWatch
+  /** Failed answer of a target, kept in case no other target succeeds. */
+  private failedAnswer: BufferedAnswer | undefined
   /** Clock reading at which the first attempt was sent. */
   private sentAtMs: number | undefined
 
@@ -74,8 +74,34 @@
     this.mayHaveRun = true
   }
 
-  /** Ends the attempts in progress. */
+  /** Returns the failed answer of a target that is kept; undefined when there is none, or its bytes were dropped. */
+  getFailedAnswer (): BufferedAnswer | undefined {
+    return this.failedAnswer?.buffer.isDropped() === true ? undefined : this.failedAnswer
+  }
+
+  /**
+   * Keeps the failed answer of a target in place of an earlier one, if it is complete; it has run in any case.
+   * @param answer - The answer.
+   */
+  keepFailedAnswer (answer: BufferedAnswer): void {
+    this.mayHaveRun = true
+    if (!answer.isComplete) return
+    this.failedAnswer?.buffer.release()
+    this.failedAnswer = answer
+  }
+
+  /**
+   * Ends an attempt whose answer is handled, and drops the answer unless it is kept.
+   * @param callAttempt - The attempt.
+   */
+  closeAttempt (callAttempt: CallAttempt): void {
+    closeCallAttempt(callAttempt)
+    if (this.failedAnswer?.buffer !== callAttempt.buffer) callAttempt.buffer.release()
+  }
+
+  /** Ends the attempts in progress, and drops all answers. */
   close (): void {
-    for (const callAttempt of this.runningAttempts) closeCallAttempt(callAttempt)
+    for (const callAttempt of this.runningAttempts) this.closeAttempt(callAttempt)
+    this.failedAnswer?.buffer.release()
   }
 }
--- a/packages/relay/src/calls/classifyCallAnswer.ts
+++ b/packages/relay/src/calls/classifyCallAnswer.ts
@@ -6,11 +6,12 @@
 export type CallAnswerClass = 'good' | 'failed' | AttemptError
 
 /**
- * Classifies the answer of an attempt. One that is not passed on counts as lost.
+ * Classifies the answer of an attempt. One that is not passed on, or whose bytes were dropped, counts as lost.
  * @param answer - The answer.
  */
 export function classifyCallAnswer (answer: CallAnswer): CallAnswerClass {
   if (answer.kind === 'error') return answer.error
+  if (answer.buffer.isDropped()) return 'lost'
   const headClass = classifyHead(answer.head)
   return headClass === 'unusable' ? 'lost' : headClass
 }
--- a/packages/relay/src/calls/finishCall.ts
+++ b/packages/relay/src/calls/finishCall.ts
@@ -9,7 +9,8 @@
  * @param run - The call.
  */
 export async function finishWithoutAttempt (run: CallRun): Promise<void> {
-  const { context, dependencies, failedAnswer } = run
+  const { context, dependencies } = run
+  const failedAnswer = run.getFailedAnswer()
   if (failedAnswer !== undefined) return await forwardWholeAnswer(run, failedAnswer)
   refuseRequest(dependencies, context, findRefusalReason(run))
 }
@@ -20,7 +21,7 @@
  */
 export function finishAborted (run: CallRun): void {
   if (run.dependencies.clock.nowMs() >= run.context.deadlineAtMs) run.recordDuration()
-  const isSent = run.mayHaveRun || run.failedAnswer !== undefined || [...run.runningAttempts].some(({ attempt }) => attempt.isSent())
+  const isSent = run.mayHaveRun || [...run.runningAttempts].some(({ attempt }) => attempt.isSent())
   refuseRequest(run.dependencies, run.context, findAbortReason(run.context, isSent))
 }
 
--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -1,3 +1,5 @@
+import { BUFFER_BUDGET_CAUSE } from '@fescuespoke/common'
+import { type LogFields } from '../logs/DecisionLog.js'
 import { getAbortOutcome } from '../requests/abortOutcomes.js'
 import { type RelayContext } from '../requests/RelayContext.js'
 import { writeToCaller } from '../requests/writeToCaller.js'
@@ -14,7 +16,7 @@
  */
 export async function forwardCallAnswer (run: CallRun, callAttempt: CallAttempt, answer: BufferedAnswer): Promise<void> {
   if (answer.isComplete) return await forwardWholeAnswer(run, answer)
-  await forwardBuffered(run.context, answer)
+  if (!await forwardBuffered(run.context, answer)) return breakOffDropped(run)
   await forwardRemainder(run, callAttempt)
 }
 
@@ -26,21 +28,23 @@
 export async function forwardWholeAnswer (run: CallRun, answer: BufferedAnswer): Promise<void> {
   const { context, dependencies } = run
   const { route, request, sink } = context
-  await forwardBuffered(context, answer)
+  if (!await forwardBuffered(context, answer)) return breakOffDropped(run)
   sink.end()
   dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
   dependencies.metrics.recordAnswerTime(route.name, dependencies.clock.nowMs() - request.receivedAtMs)
   run.recordDuration()
 }
 
-async function forwardBuffered (context: RelayContext, { head, chunks }: BufferedAnswer): Promise<void> {
+/** Forwards what is buffered of an answer; returns whether nothing of it was dropped. */
+async function forwardBuffered (context: RelayContext, { head, buffer }: BufferedAnswer): Promise<boolean> {
   context.sink.writeHead(head)
-  for (const chunk of chunks) await writeToCaller(context, chunk)
+  for (let chunk = buffer.takeChunk(); chunk !== undefined; chunk = buffer.takeChunk()) await writeToCaller(context, chunk)
+  return !buffer.isDropped()
 }
 
 /** Forwards the rest of an answer until the deadline at most. */
 async function forwardRemainder (run: CallRun, callAttempt: CallAttempt): Promise<void> {
-  if (!await forwardUntilEnd(run.context, callAttempt)) return abortAnswer(run, callAttempt)
+  if (!await forwardUntilEnd(run.context, callAttempt)) return abortRemainder(run, callAttempt)
   run.watch.recordAnswer(callAttempt.sentAtMs)
   run.context.sink.end()
   run.recordDuration()
@@ -64,9 +68,18 @@
   }
 }
 
-function abortAnswer ({ context, dependencies, watch }: CallRun, { attempt, reservation }: CallAttempt): void {
-  if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, true)
+function abortRemainder (run: CallRun, { attempt, reservation }: CallAttempt): void {
+  if (attempt.isBrokenOff()) run.watch.recordLoss(reservation.target, true)
+  breakOff(run, { target: reservation.target.name, cause: attempt.getCause() })
+}
+
+/** Breaks off an answer of which buffered bytes were dropped. */
+function breakOffDropped (run: CallRun): void {
+  breakOff(run, { cause: BUFFER_BUDGET_CAUSE })
+}
+
+function breakOff ({ context, dependencies }: CallRun, fields: LogFields): void {
   const { sink, request, route } = context
   sink.abort()
-  dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome: getAbortOutcome(context), cause: attempt.getCause() })
+  dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, outcome: getAbortOutcome(context), ...fields })
 }
--- a/packages/relay/src/calls/handleCallAnswer.ts
+++ b/packages/relay/src/calls/handleCallAnswer.ts
@@ -1,7 +1,7 @@
 import { MIN_NON_SUCCESS_STATUS } from '../targets/RelayTargetClient.js'
 import { type AttemptOutcome } from '../targets/TargetHealth.js'
 import { type CallAnswer } from './CallAnswer.js'
-import { type AnsweredAttempt, type CallAttempt, closeCallAttempt } from './CallAttempt.js'
+import { type AnsweredAttempt, type CallAttempt } from './CallAttempt.js'
 import { type CallRun } from './CallRun.js'
 import { type CallAnswerClass, classifyCallAnswer } from './classifyCallAnswer.js'
 import { forwardCallAnswer } from './forwardCallAnswer.js'
@@ -20,7 +20,7 @@
   failed: async (run, answered) => {
     const { answer } = answered
     run.executedAttempts++
-    keepFailedAnswer(run, answer)
+    if (answer.kind === 'answer') run.keepFailedAnswer(answer)
     // An attempt is started before this answer is given up.
     if (run.runningAttempts.size > 0 || startCallAttempt(run)) return false
     return await deliverAnswer(run, answered)
@@ -53,7 +53,7 @@
   try {
     return await ANSWER_HANDLERS[answerClass](run, answered)
   } finally {
-    closeCallAttempt(callAttempt)
+    run.closeAttempt(callAttempt)
   }
 }
 
@@ -68,12 +68,6 @@
   return answer.kind === 'answer' && answer.isComplete && answer.head.status < MIN_NON_SUCCESS_STATUS
 }
 
-/** Keeps a failed answer in case no other target succeeds, or records that the request has run if the answer is too long to be kept. */
-function keepFailedAnswer (run: CallRun, answer: CallAnswer): void {
-  if (answer.kind === 'answer' && answer.isComplete) run.failedAnswer = answer
-  else run.mayHaveRun = true
-}
-
 async function deliverAnswer (run: CallRun, { callAttempt, answer }: AnsweredAttempt): Promise<boolean> {
   if (answer.kind === 'error') return false
   await forwardCallAnswer(run, callAttempt, answer)
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -1,6 +1,8 @@
+import { BUFFER_BUDGET_CAUSE } from '@fescuespoke/common'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { sendToTarget } from '../requests/sendToTarget.js'
 import { type Attempt } from '../targets/RelayTargetClient.js'
+import { AnswerBuffer } from './AnswerBuffer.js'
 import { readCallAnswer } from './CallAnswer.js'
 import { type CallAttempt } from './CallAttempt.js'
 import { type CallRun } from './CallRun.js'
@@ -52,11 +54,21 @@
   const recordAnswer = dependencies.speeds.startCall(reservation.target)
   const attempt = sendRequest(run, reservation, abortController.signal)
   recordSent(run, reservation)
-  const answered = readCallAnswer(attempt).then(answer => ({ callAttempt, answer }))
-  const callAttempt: CallAttempt = { reservation, attempt, abortController, sentAtMs, answered, recordAnswer }
+  const buffer = createAnswerBuffer(run, reservation, attempt)
+  const answered = readCallAnswer(attempt, buffer).then(answer => ({ callAttempt, answer }))
+  const callAttempt: CallAttempt = { reservation, attempt, abortController, buffer, sentAtMs, answered, recordAnswer }
   run.runningAttempts.add(callAttempt)
 }
 
+/** Creates the buffer of an answer; the attempt is lost if too many bytes are in it. */
+function createAnswerBuffer ({ context, dependencies }: CallRun, { target }: TargetReservation, attempt: Attempt): AnswerBuffer {
+  return AnswerBuffer.create({
+    bufferBudget: dependencies.bufferBudget,
+    owner: { kind: 'targetAnswer', request: context.request.id, peer: target.name },
+    handleDrop: () => attempt.markLost(BUFFER_BUDGET_CAUSE)
+  })
+}
+
 function sendRequest ({ context, dependencies, sentAttempts }: CallRun, reservation: TargetReservation, signal: AbortSignal): Attempt {
   return sendToTarget(dependencies, reservation, {
     request: context.request,
--- a/packages/relay/test/calls/classifyCallAnswer.test.ts
+++ b/packages/relay/test/calls/classifyCallAnswer.test.ts
@@ -1,8 +1,14 @@
+import { BufferBudget } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
+import { AnswerBuffer } from '../../src/calls/AnswerBuffer.js'
 import { classifyCallAnswer } from '../../src/calls/classifyCallAnswer.js'
 
-function doTest (status: number, isSigned: boolean): string {
-  return classifyCallAnswer({ kind: 'answer', head: { status, headers: [], isSigned, isFramed: true, isEventStream: false }, chunks: [], isComplete: true })
+function createBuffer (maxBytes?: number): AnswerBuffer {
+  return AnswerBuffer.create({ bufferBudget: BufferBudget.create({ maxBytes }), owner: { kind: 'targetAnswer' }, handleDrop: () => undefined })
+}
+
+function doTest (status: number, isSigned: boolean, buffer = createBuffer()): string {
+  return classifyCallAnswer({ kind: 'answer', head: { status, headers: [], isSigned, isFramed: true, isEventStream: false }, buffer, isComplete: true })
 }
 
 describe('classifyCallAnswer', () => {
@@ -25,6 +31,12 @@
     `)
   })
 
+  it('counts an answer whose bytes were dropped as lost', () => {
+    const buffer = createBuffer(1)
+    buffer.addBytes(Buffer.alloc(2))
+    expect(doTest(200, true, buffer)).toBe('lost')
+  })
+
   it('returns the error of an attempt without an answer', () => {
     expect(classifyCallAnswer({ kind: 'error', error: 'notHere' })).toBe('notHere')
   })
