--- a/packages/relay/src/calls/CallAnswer.ts
+++ b/packages/relay/src/calls/CallAnswer.ts
@@ -1,5 +1,5 @@
+import { type AccountedBuffer } from '@fescuespoke/common'
 import { type Attempt, type AttemptError, type AttemptHead } from '../targets/RelayTargetClient.js'
-import { type AnswerBuffer } from './AnswerBuffer.js'
 
 /** Maximum size of an answer that is buffered completely before its first byte is forwarded, in bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
@@ -7,7 +7,7 @@
 /** The buffered start of an answer, or the whole answer. */
 export interface BufferedAnswer {
   readonly head: AttemptHead
-  readonly buffer: AnswerBuffer
+  readonly buffer: AccountedBuffer
   /** Whether this is the whole answer. */
   readonly isComplete: boolean
 }
@@ -22,7 +22,7 @@
  * @param attempt - The attempt.
  * @param buffer - Receives the bytes of the answer.
  */
-export async function readCallAnswer (attempt: Attempt, buffer: AnswerBuffer): Promise<CallAnswer> {
+export async function readCallAnswer (attempt: Attempt, buffer: AccountedBuffer): Promise<CallAnswer> {
   const head = await attempt.head
   if (head.isErr) return { kind: 'error', error: head.error }
   while (buffer.getByteCount() < MAX_BUFFERED_BYTES) {
--- a/packages/relay/src/calls/CallAttempt.ts
+++ b/packages/relay/src/calls/CallAttempt.ts
@@ -1,6 +1,6 @@
+import { type AccountedBuffer } from '@fescuespoke/common'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Attempt } from '../targets/RelayTargetClient.js'
-import { type AnswerBuffer } from './AnswerBuffer.js'
 import { type CallAnswer } from './CallAnswer.js'
 
 /** An attempt of a call at one target, and the reservation of the target. */
@@ -9,7 +9,7 @@
   readonly attempt: Attempt
   readonly abortController: AbortController
   /** Bytes of the answer that are not forwarded yet. */
-  readonly buffer: AnswerBuffer
+  readonly buffer: AccountedBuffer
   /** Clock reading at which it was sent. */
   readonly sentAtMs: number
   /** Resolves with the answer once it is complete or the buffer is full. */
--- a/packages/relay/src/calls/startCallAttempt.ts
+++ b/packages/relay/src/calls/startCallAttempt.ts
@@ -1,8 +1,7 @@
-import { BUFFER_BUDGET_CAUSE } from '@fescuespoke/common'
+import { AccountedBuffer, BUFFER_BUDGET_CAUSE } from '@fescuespoke/common'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { sendToTarget } from '../requests/sendToTarget.js'
 import { type Attempt } from '../targets/RelayTargetClient.js'
-import { AnswerBuffer } from './AnswerBuffer.js'
 import { readCallAnswer } from './CallAnswer.js'
 import { type CallAttempt } from './CallAttempt.js'
 import { type CallRun } from './CallRun.js'
@@ -61,8 +60,8 @@
 }
 
 /** Creates the buffer of an answer; the attempt is lost if too many bytes are in it. */
-function createAnswerBuffer ({ context, dependencies }: CallRun, { target }: TargetReservation, attempt: Attempt): AnswerBuffer {
-  return AnswerBuffer.create({
+function createAnswerBuffer ({ context, dependencies }: CallRun, { target }: TargetReservation, attempt: Attempt): AccountedBuffer {
+  return AccountedBuffer.create({
     bufferBudget: dependencies.bufferBudget,
     owner: { kind: 'targetAnswer', request: context.request.id, peer: target.name },
     handleDrop: () => attempt.markLost(BUFFER_BUDGET_CAUSE)
--- a/packages/relay/test/calls/classifyCallAnswer.test.ts
+++ b/packages/relay/test/calls/classifyCallAnswer.test.ts
@@ -1,10 +1,9 @@
-import { BufferBudget } from '@fescuespoke/common'
+import { AccountedBuffer, BufferBudget } from '@fescuespoke/common'
 import { describe, expect, it } from 'vitest'
-import { AnswerBuffer } from '../../src/calls/AnswerBuffer.js'
 import { classifyCallAnswer } from '../../src/calls/classifyCallAnswer.js'
 
-function createBuffer (maxBytes?: number): AnswerBuffer {
-  return AnswerBuffer.create({ bufferBudget: BufferBudget.create({ maxBytes }), owner: { kind: 'targetAnswer' }, handleDrop: () => undefined })
+function createBuffer (maxBytes?: number): AccountedBuffer {
+  return AccountedBuffer.create({ bufferBudget: BufferBudget.create({ maxBytes }), owner: { kind: 'targetAnswer' }, handleDrop: () => undefined })
 }
 
 function doTest (status: number, isSigned: boolean, buffer = createBuffer()): string {
