--- a/packages/relay/src/published/PublishedItem.ts
+++ b/packages/relay/src/published/PublishedItem.ts
@@ -27,7 +27,7 @@
 /**
  * Reason for which the store gave no usable answer. `compacted`: the requested history was compacted away. `restored`: the store
  * has returned from an older copy since the previous answer. `outdated`: the answer is from before the store returned. `tooLarge`: a
- * read of all keys contains more than is accepted.
+ * read of all keys, or an answer while the process buffers much besides, contains more than is accepted.
  */
 export type PublishedError = 'compacted' | 'restored' | 'outdated' | 'refused' | 'unreachable' | 'timeout' | 'malformed' | 'tooLarge'
 
