--- a/packages/relay/src/calls/CallAttempt.ts
+++ b/packages/relay/src/calls/CallAttempt.ts
@@ -1,3 +1,4 @@
+import { type AccountedBuffer } from '@fescuespoke/common'
 import { type TargetReservation } from '../placement/TargetReservation.js'
 import { type Attempt } from '../targets/RelayTargetClient.js'
 import { type CallAnswer } from './CallAnswer.js'
@@ -7,6 +8,8 @@
   readonly reservation: TargetReservation
   readonly attempt: Attempt
   readonly abortController: AbortController
+  /** Bytes of the answer that are not forwarded yet. */
+  readonly buffer: AccountedBuffer
   /** Clock reading at which it was sent. */
   readonly sentAtMs: number
   /** Resolves with the answer once it is complete or the buffer is full. */
--- a/packages/relay/src/requests/HeldBackSink.ts
+++ b/packages/relay/src/requests/HeldBackSink.ts
@@ -37,7 +37,7 @@
   /** @internal */
   private constructor ({ sink, budget }: HeldBackSinkOptions) {
     this.sink = sink
-    this.account = budget.openAccount({ end: () => { this.release() } })
+    this.account = budget.openAccount({ kind: 'callerAnswer', end: () => { this.release() } })
     sink.callerSignal.addEventListener('abort', () => this.drop())
   }
 
