Name the requests that a stop cuts in one line, and count them

What operators saw: after a stop nobody could tell which requests had been lost: neither a line nor a counter said how many a process had cut. Calls that broke off after their answer had begun were in no counter.

Fix: when the last answers are written, and before connections to peers, targets and callers are closed, a process writes `requests ended`: the requests that were cut since the signal by outcome, with up to 8 ids of each, how many were refused as stopping, how many lines were left out since its start, and the time of each step. It has the level `warn`, so it goes before other lines that wait for their reader. The counter fescuespoke_cut_requests_total has the same outcomes; calls that break off are counted as streams were.

--- a/packages/common/src/metrics/metricDefinitions.ts
+++ b/packages/common/src/metrics/metricDefinitions.ts
@@ -141,6 +141,12 @@
     unboundedLabels: ['route'],
     maxSeries: 256
   },
+  cutRequests: {
+    kind: 'counter',
+    exposedName: 'fescuespoke_cut_requests_total',
+    help: 'Relayed requests that may have run and have no complete answer, by outcome.',
+    labels: ['outcome']
+  },
   relayedRepeats: {
     kind: 'counter',
     exposedName: 'fescuespoke_relayed_repeats_total',
--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -28,7 +28,7 @@
   const { route, request, sink } = context
   await forwardBuffered(context, answer)
   sink.end()
-  dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
+  dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered', request.id)
   dependencies.metrics.recordAnswerTime(route.name, dependencies.clock.nowMs() - request.receivedAtMs)
   run.recordDuration()
 }
@@ -64,10 +64,12 @@
   }
 }
 
+/** Breaks off the answer, which has begun. */
 function abortAnswer ({ context, dependencies, watch }: CallRun, { attempt, reservation }: CallAttempt): void {
   if (attempt.isBrokenOff()) watch.recordLoss(reservation.target, true)
   const { sink, request, route } = context
   const outcome = getAbortOutcome(context)
   sink.abort()
+  dependencies.metrics.countOutcome(route.name, outcome, request.id)
   dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, target: reservation.target.name, outcome, cause: attempt.getCause() }, getAbortLineKind(outcome))
 }
--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -53,6 +53,8 @@
   private readonly components: RelayComponents
   private readonly stopController = new AbortController()
   private phase: RelayPhase = 'starting'
+  /** Times of the steps of the stop, in milliseconds after the signal, by step. */
+  private readonly stopSteps: Record<string, number> = {}
   private routes: RouteTable | undefined
 
   /** @internal */
@@ -137,10 +139,11 @@
    */
   async drain (connections = NO_CONNECTIONS): Promise<void> {
     if (this.phase === 'draining' || this.phase === 'stopped') return
-    const { dependencies: { drain }, pauseDetector, log, peers, history } = this.components
+    const { dependencies: { drain, metrics }, pauseDetector, log, peers, history } = this.components
     const signalDelayMs = pauseDetector.getDelayMs()
     this.phase = 'draining'
     drain.start(signalDelayMs)
+    metrics.endedRequests.start()
     log.recordStateChange('drain started', { running: this.service.countRunning(), graceMs: this.options.graceMs, signalDelayMs: Math.round(signalDelayMs) })
     peers.announceLeaving()
     // Lets peers know the resumable streams of this instance, since it cannot tell where they began once it has ended.
@@ -149,6 +152,7 @@
     this.recordDrainStep('drain ended', connections)
     await this.finishLastAnswers(connections)
     this.recordDrainStep('last answers written', connections)
+    await this.recordEnd(connections)
     await this.stopInTime()
   }
 
@@ -209,10 +213,19 @@
     this.components.dependencies.drain.schedule.recordLateness(clock.nowMs() - startedAtMs - delayMs)
   }
 
+  /** Logs what became of the requests, before anything else is waited for. */
+  private async recordEnd (connections: CallerConnections): Promise<void> {
+    const { dependencies: { metrics }, log } = this.components
+    // The requests that were ended last have their outcomes by then.
+    await connections.waitForInput()
+    log.recordEnd('requests ended', { ...metrics.endedRequests.getSummary(), running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), linesLeftOut: metrics.getDroppedLines(), steps: this.stopSteps })
+  }
+
   private recordDrainStep (step: string, connections: CallerConnections): void {
     const { dependencies: { drain: { schedule } }, log } = this.components
+    this.stopSteps[step] = Math.round(schedule.getElapsedMs())
     log.recordStateChange(step, {
-      running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), tookMs: Math.round(schedule.getElapsedMs()), latenessMs: Math.round(schedule.getLatenessMs()), marginMs: Math.round(schedule.getMarginMs())
+      running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), tookMs: this.stopSteps[step], latenessMs: Math.round(schedule.getLatenessMs()), marginMs: Math.round(schedule.getMarginMs())
     })
   }
 
--- a/packages/relay/src/logs/DecisionLog.ts
+++ b/packages/relay/src/logs/DecisionLog.ts
@@ -65,6 +65,16 @@
     this.options.logger.info(fields, change)
   }
 
+  /**
+   * Logs what is known when this process ends, after how many lines were left out; goes before ordinary lines that wait for their reader.
+   * @param end - Message that names the end.
+   * @param fields - What is known.
+   */
+  recordEnd (end: string, fields: LogFields): void {
+    this.recordLeftOut()
+    this.options.logger.warn(fields, end)
+  }
+
   /** Logs how many lines were left out, when the second in which they were is over. */
   runMaintenance (): void {
     this.quota.updateWindow()
--- a/packages/relay/src/logs/RelayMetrics.ts
+++ b/packages/relay/src/logs/RelayMetrics.ts
@@ -1,8 +1,6 @@
 import { type MetricsRegistry } from '@fescuespoke/common'
-import { type RefusalReason } from '../requests/RelayRequest.js'
-
-/** Outcome of a request in the counters. */
-export type RelayOutcome = 'answered' | 'targetFailed' | 'brokenOff' | 'callerLeft' | 'stopped' | RefusalReason
+import { EndedRequests } from './EndedRequests.js'
+import { isCut, type RelayOutcome } from './RelayOutcome.js'
 
 /** What became of a call for a reservation at an engine, or that an unused one was dropped. */
 export type HoldResult = 'taken' | 'refused' | 'failed' | 'dropped'
@@ -20,6 +18,9 @@
     return new RelayMetrics(registry)
   }
 
+  /** Requests that end while this instance stops. */
+  readonly endedRequests = EndedRequests.create()
+
   /** @internal */
   private constructor (private readonly registry: MetricsRegistry) {}
 
@@ -27,9 +28,12 @@
    * Counts a request that has ended.
    * @param route - Name of the route.
    * @param outcome - Outcome of the request.
+   * @param request - Id of the request.
    */
-  countOutcome (route: string, outcome: RelayOutcome): void {
+  countOutcome (route: string, outcome: RelayOutcome, request: string): void {
     this.registry.getCounter('relayedRequests', { route, outcome }).add()
+    if (isCut(outcome)) this.registry.getCounter('cutRequests', { outcome }).add()
+    this.endedRequests.recordEnd(outcome, request)
   }
 
   /**
@@ -98,6 +102,11 @@
     this.registry.getCounter('judgedSpeeds', { kind }).add()
   }
 
+  /** Returns the number of log lines that were dropped. */
+  getDroppedLines (): number {
+    return this.registry.getCounter('droppedLines', {}).getReading().value ?? 0
+  }
+
   /** Counts a dropped log line. */
   countDroppedLine (): void {
     this.registry.getCounter('droppedLines', {}).add()
--- a/packages/relay/src/requests/readStream.ts
+++ b/packages/relay/src/requests/readStream.ts
@@ -80,7 +80,7 @@
 async function finishStream (dependencies: RelayDependencies, context: RelayContext, run: StreamRun, head: AttemptHead): Promise<StreamEnd> {
   const end = run.describeEnd(head)
   await run.finish(head)
-  dependencies.metrics.countOutcome(context.route.name, head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
+  dependencies.metrics.countOutcome(context.route.name, head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered', context.request.id)
   dependencies.log.recordDecision(context.request.id, 'stream complete', { route: context.route.name, status: head.status, ...end, ...run.describeProgress() })
   return 'complete'
 }
--- a/packages/relay/src/requests/refuseRequest.ts
+++ b/packages/relay/src/requests/refuseRequest.ts
@@ -67,14 +67,14 @@
 export function refuseRequest (dependencies: RelayDependencies, context: RelayContext, reason: RefusalReason): void {
   const { sink, request, route } = context
   if (sink.callerSignal.aborted) {
-    dependencies.metrics.countOutcome(route.name, 'callerLeft')
+    dependencies.metrics.countOutcome(route.name, 'callerLeft', request.id)
     dependencies.log.recordDecision(request.id, 'caller left', { route: route.name, reason })
     return
   }
   const status = STATUSES[reason]
   const advice = reason === 'overloaded' ? scheduleReturn(dependencies, context) : undefined
   const retryAfterMs = advice?.retryAfterMs ?? computeRetryAfterMs(dependencies, context, reason)
-  dependencies.metrics.countOutcome(route.name, reason)
+  dependencies.metrics.countOutcome(route.name, reason, request.id)
   dependencies.log.recordDecision(request.id, 'refused', {
     route: route.name, reason, status, retryAfterMs, heldMs: Math.round(dependencies.clock.nowMs() - request.receivedAtMs), version: context.configuration.version, viewAgeMs: dependencies.getViewAgeMs(), ...advice?.inputs
   }, UNSURE_STATUSES.has(status) ? 'failure' : 'ordinary')
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -165,6 +165,6 @@
 
 function abortAnswer ({ metrics, log }: RelayDependencies, { sink, route, request }: RelayContext, run: StreamRun, outcome: AbortOutcome): void {
   sink.abort()
-  metrics.countOutcome(route.name, outcome)
+  metrics.countOutcome(route.name, outcome, request.id)
   log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...run.describeProgress() }, getAbortLineKind(outcome))
 }
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -1,5 +1,5 @@
-import { VirtualClock } from '@fescuespoke/common'
-import { describe, expect, it } from 'vitest'
+import { createLogger, type Logger, VirtualClock } from '@fescuespoke/common'
+import { describe, expect, it, vi } from 'vitest'
 import { RelayInstance } from '../../src/instance/RelayInstance.js'
 import { type PublishedSource } from '../../src/published/PublishedItem.js'
 import { createInstanceOptions } from '../support/createInstanceOptions.js'
@@ -38,6 +38,7 @@
   readonly signalDelayMs?: number
   /** Whether the request has arrived and is not read before the process waits for its input; by default it is read before the stop. */
   readonly isUnread?: boolean
+  readonly logger?: Logger
 }
 
 /** A store that gives no answers. */
@@ -46,13 +47,20 @@
   watchChanges: async () => await new Promise(() => {})
 }
 
+/** Creates a logger that records its lines of level `warn`. */
+function createRecordingLogger (lines: string[]): Logger {
+  const logger = createLogger({ instance: 'test', level: 'silent' })
+  vi.spyOn(logger, 'warn').mockImplementation(((fields: object, message: string) => lines.push(`${message} ${JSON.stringify(fields)}`)) as never)
+  return logger
+}
+
 /** Stops an instance with one request in progress, and returns when that is ended and when the stop is over, in milliseconds. */
-async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
+async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false, logger = createLogger({ instance: 'test', level: 'silent' }) }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
   const virtualClock = VirtualClock.create()
   const clock = LateClock.create(virtualClock)
   clock.lateMs = lateMs
   const client = isCloseSilent ? SilentTargetClient.create(virtualClock) : FakeTargetClient.create(virtualClock)
-  const options = createInstanceOptions(virtualClock, { clock, client, source: SILENT_SOURCE, graceMs: GRACE_MS })
+  const options = createInstanceOptions(virtualClock, { clock, client, source: SILENT_SOURCE, graceMs: GRACE_MS, logger })
   const instance = RelayInstance.create({ ...options, identity: { ...options.identity, peerAddress: PEER_ADDRESS } })
   if (signalDelayMs > 0) expect((await instance.start()).isOk).toBe(true)
   await virtualClock.advance(1000)
@@ -91,6 +99,16 @@
       "requestsEndedMs": 4000,
     }
   `))
+  it('leaves a line with what became of its requests when connections never finish closing', async () => {
+    const lines: string[] = []
+    await doTest({ isCloseSilent: true, logger: createRecordingLogger(lines) })
+    expect(lines).toMatchInlineSnapshot(`
+      [
+        "requests ended {"cut":{},"requests":{},"refused":0,"running":0,"openAnswers":0,"linesLeftOut":0,"steps":{"drain ended":7600,"last answers written":7620}}",
+      ]
+    `)
+  })
+
   it('comes earlier while timers fire late', async () => {
     expect([await doTest({ lateMs: 30 }), await doTest({ lateMs: 100 }), await doTest({ lateMs: 250 }), await doTest({ lateMs: 250, isReaderSilent: true })]).toMatchInlineSnapshot(`
       [
--- a/packages/relay/test/logs/DecisionLog.test.ts
+++ b/packages/relay/test/logs/DecisionLog.test.ts
@@ -51,7 +51,7 @@
       recordFailures(log)
       log.recordDecision('s', 'sent')
     })
-    expect(lines.at(-1)).toMatchInlineSnapshot(`"info sent s"`)
+    expect(lines.at(-1)).toMatchInlineSnapshot('"info sent s"')
   })
 
   it('names failures beyond the quota in the line about lines left out', async () => {
@@ -89,6 +89,6 @@
       recordSuccesses(log)
       log.recordLeftOut()
     })
-    expect(lines.at(-1)).toMatchInlineSnapshot(`"warn lines left out {"dropped":36}"`)
+    expect(lines.at(-1)).toMatchInlineSnapshot('"warn lines left out {"dropped":36}"')
   })
 })
