Write the line about a stop before the next turn of the event loop

Fix: the line is written at once. What is ended in that moment counts in its fields `running` and `openAnswers`, and leaves lines of its own.

Evidence: the new test fails before (the stop then waits for ever where a turn never comes).

--- a/packages/relay/src/instance/RelayInstance.ts
+++ b/packages/relay/src/instance/RelayInstance.ts
@@ -152,7 +152,7 @@
     this.recordDrainStep('drain ended', connections)
     await this.finishLastAnswers(connections)
     this.recordDrainStep('last answers written', connections)
-    await this.recordEnd(connections)
+    this.recordEnd(connections)
     await this.stopInTime()
   }
 
@@ -214,10 +214,8 @@
   }
 
   /** Logs what became of the requests, before anything else is waited for. */
-  private async recordEnd (connections: CallerConnections): Promise<void> {
+  private recordEnd (connections: CallerConnections): void {
     const { dependencies: { metrics }, log } = this.components
-    // The requests that were ended last have their outcomes by then.
-    await connections.waitForInput()
     log.recordEnd('requests ended', { ...metrics.endedRequests.getSummary(), running: this.service.countRunning(), openAnswers: connections.countOpenAnswers(), linesLeftOut: metrics.getDroppedLines(), steps: this.stopSteps })
   }
 
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -39,6 +39,8 @@
   /** Whether the request has arrived and is not read before the process waits for its input; by default it is read before the stop. */
   readonly isUnread?: boolean
   readonly logger?: Logger
+  /** Whether the process stands still when it waits for its input after the requests were ended. */
+  readonly isInputSilent?: boolean
 }
 
 /** A store that gives no answers. */
@@ -55,7 +57,7 @@
 }
 
 /** Stops an instance with one request in progress, and returns when that is ended and when the stop is over, in milliseconds. */
-async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false, logger = createLogger({ instance: 'test', level: 'silent' }) }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
+async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false, logger = createLogger({ instance: 'test', level: 'silent' }), isInputSilent = false }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
   const virtualClock = VirtualClock.create()
   const clock = LateClock.create(virtualClock)
   clock.lateMs = lateMs
@@ -69,7 +71,10 @@
   const getTimeMs = (): number => clock.nowMs() - signalAtMs
   const times: { requestsEndedMs?: number, overMs?: number } = {}
   let isRead = !isUnread
-  const waitForInput = async (): Promise<void> => { isRead = true }
+  const waitForInput = async (): Promise<void> => {
+    isRead = true
+    if (isInputSilent && times.requestsEndedMs !== undefined) await new Promise(() => {})
+  }
   const countOpenAnswers = (): number => {
     if (!isRead) return 0
     const endMs = times.requestsEndedMs === undefined ? requestEndMs : isReaderSilent ? Infinity : times.requestsEndedMs + WRITE_MS
@@ -109,6 +114,12 @@
     `)
   })
 
+  it('leaves that line before it waits for anything further', async () => {
+    const lines: string[] = []
+    await doTest({ isInputSilent: true, isCloseSilent: true, logger: createRecordingLogger(lines) })
+    expect(lines).toHaveLength(1)
+  })
+
   it('comes earlier while timers fire late', async () => {
     expect([await doTest({ lateMs: 30 }), await doTest({ lateMs: 100 }), await doTest({ lateMs: 250 }), await doTest({ lateMs: 250, isReaderSilent: true })]).toMatchInlineSnapshot(`
       [
