--- a/packages/common/test/logging/LogPipe.ts
+++ b/packages/common/test/logging/LogPipe.ts
@@ -3,8 +3,8 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
-/** Size of the reads, and of the writes that fill the pipe. */
-const CHUNK_BYTES = 1024 * 1024
+/** Size of the reads, which is that of a pipe, and of the writes that fill it. */
+const READ_BYTES = 64 * 1024
 const FILL_BYTES = 4096
 
 /** A pipe for the log of a process, both ends of which are open here. */
@@ -42,7 +42,7 @@
    * Reads what the pipe holds.
    * @param maxBytes - Maximum number of bytes.
    */
-  read (maxBytes = CHUNK_BYTES): string {
+  read (maxBytes = READ_BYTES): string {
     if (this.reader === undefined) return ''
     const buffer = Buffer.alloc(maxBytes)
     try {
