--- a/packages/relay/src/calls/forwardCallAnswer.ts
+++ b/packages/relay/src/calls/forwardCallAnswer.ts
@@ -30,7 +30,7 @@
   const { route, request, sink } = context
   if (!await forwardBuffered(context, answer)) return breakOffDropped(run)
   sink.end()
-  dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered')
+  dependencies.metrics.countOutcome(route.name, answer.head.status >= MIN_FAILURE_STATUS ? 'targetFailed' : 'answered', request.id)
   dependencies.metrics.recordAnswerTime(route.name, dependencies.clock.nowMs() - request.receivedAtMs)
   run.recordDuration()
 }
@@ -82,5 +82,6 @@
   const { sink, request, route } = context
   const outcome = getAbortOutcome(context)
   sink.abort()
+  dependencies.metrics.countOutcome(route.name, outcome, request.id)
   dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, outcome, ...fields }, getAbortLineKind(outcome))
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -181,5 +181,5 @@
   dependencies.log.recordDecision(request.id, 'broken off', { route: route.name, outcome, isHeldBack, ...run.describeProgress() }, getAbortLineKind(outcome))
   if (isHeldBack) return refuseRequest(dependencies, context, HELD_BACK_REFUSALS[outcome])
   sink.abort()
-  dependencies.metrics.countOutcome(route.name, outcome)
+  dependencies.metrics.countOutcome(route.name, outcome, request.id)
 }
--- a/packages/relay/test/instance/endOfDrain.test.ts
+++ b/packages/relay/test/instance/endOfDrain.test.ts
@@ -1,5 +1,5 @@
-import { VirtualClock } from '@fescuespoke/common'
-import { describe, expect, it } from 'vitest'
+import { createLogger, type Logger, VirtualClock } from '@fescuespoke/common'
+import { describe, expect, it, vi } from 'vitest'
 import { RelayInstance } from '../../src/instance/RelayInstance.js'
 import { type PublishedSource } from '../../src/published/PublishedItem.js'
 import { createInstanceOptions } from '../support/createInstanceOptions.js'
@@ -38,6 +38,9 @@
   readonly signalDelayMs?: number
   /** Whether the request has arrived and is not read before the process waits for its input; by default it is read before the stop. */
   readonly isUnread?: boolean
+  readonly logger?: Logger
+  /** Whether the process stands still when it waits for its input after the requests were ended. */
+  readonly isInputSilent?: boolean
 }
 
 /** A store that gives no answers. */
@@ -46,13 +49,20 @@
   watchChanges: async () => await new Promise(() => {})
 }
 
+/** Creates a logger that records its lines of level `warn`. */
+function createRecordingLogger (lines: string[]): Logger {
+  const logger = createLogger({ instance: 'test', level: 'silent' })
+  vi.spyOn(logger, 'warn').mockImplementation(((fields: object, message: string) => lines.push(`${message} ${JSON.stringify(fields)}`)) as never)
+  return logger
+}
+
 /** Stops an instance with one request in progress, and returns when that is ended and when the stop is over, in milliseconds. */
-async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
+async function doTest ({ lateMs = 0, isReaderSilent = false, isCloseSilent = false, requestEndMs = Infinity, signalDelayMs = 0, isUnread = false, logger = createLogger({ instance: 'test', level: 'silent' }), isInputSilent = false }: Options): Promise<{ requestsEndedMs?: number, overMs?: number }> {
   const virtualClock = VirtualClock.create()
   const clock = LateClock.create(virtualClock)
   clock.lateMs = lateMs
   const client = isCloseSilent ? SilentTargetClient.create(virtualClock) : FakeTargetClient.create(virtualClock)
-  const options = createInstanceOptions(virtualClock, { clock, client, source: SILENT_SOURCE, graceMs: GRACE_MS })
+  const options = createInstanceOptions(virtualClock, { clock, client, source: SILENT_SOURCE, graceMs: GRACE_MS, logger })
   const instance = RelayInstance.create({ ...options, identity: { ...options.identity, peerAddress: PEER_ADDRESS } })
   if (signalDelayMs > 0) expect((await instance.start()).isOk).toBe(true)
   await virtualClock.advance(1000)
@@ -61,7 +71,10 @@
   const getTimeMs = (): number => clock.nowMs() - signalAtMs
   const times: { requestsEndedMs?: number, overMs?: number } = {}
   let isRead = !isUnread
-  const waitForInput = async (): Promise<void> => { isRead = true }
+  const waitForInput = async (): Promise<void> => {
+    isRead = true
+    if (isInputSilent && times.requestsEndedMs !== undefined) await new Promise(() => {})
+  }
   const countOpenAnswers = (): number => {
     if (!isRead) return 0
     const endMs = times.requestsEndedMs === undefined ? requestEndMs : isReaderSilent ? Infinity : times.requestsEndedMs + WRITE_MS
@@ -91,6 +104,22 @@
       "requestsEndedMs": 4000,
     }
   `))
+  it('leaves a line with what became of its requests when connections never finish closing', async () => {
+    const lines: string[] = []
+    await doTest({ isCloseSilent: true, logger: createRecordingLogger(lines) })
+    expect(lines).toMatchInlineSnapshot(`
+      [
+        "requests ended {"cut":{},"requests":{},"refused":0,"running":0,"openAnswers":0,"linesLeftOut":0,"steps":{"drain ended":7600,"last answers written":7620}}",
+      ]
+    `)
+  })
+
+  it('leaves that line before it waits for anything further', async () => {
+    const lines: string[] = []
+    await doTest({ isInputSilent: true, isCloseSilent: true, logger: createRecordingLogger(lines) })
+    expect(lines).toHaveLength(1)
+  })
+
   it('comes earlier while timers fire late', async () => {
     expect([await doTest({ lateMs: 30 }), await doTest({ lateMs: 100 }), await doTest({ lateMs: 250 }), await doTest({ lateMs: 250, isReaderSilent: true })]).toMatchInlineSnapshot(`
       [
