Count moves beyond the retry budget, and stop no silent stream for one

A move that found the budget empty was made and not counted.

Now each move counts, so that later attempts make up for it. A run whose engine leaves is still moved, since it would be lost; a silent one stays where it is while the budget is empty, since its engine may go on. Two new tests fail on untouched code.

--- a/packages/relay/src/budget/AttemptBudget.ts
+++ b/packages/relay/src/budget/AttemptBudget.ts
@@ -69,9 +69,17 @@
    * @param purpose - Purpose of the attempt.
    */
   takeAttempt (service: string, purpose: AttemptPurpose): boolean {
-    if (!this.hasAttempt(service, purpose)) return false
+    const isLeft = this.hasAttempt(service, purpose)
+    if (isLeft) this.recordAttempt(service)
+    return isLeft
+  }
+
+  /**
+   * Records an additional attempt that is sent whether or not one is left, so that later ones make up for it.
+   * @param service - Name of the service.
+   */
+  recordAttempt (service: string): void {
     this.getSlice(service).additionalAttempts++
-    return true
   }
 
   /**
--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -190,7 +190,7 @@
     this.standbyCopy = { source, reservation, handle }
     if (run.isClosed() || this.isElsewhere()) return 'over'
     this.standbyCopy = undefined
-    this.dependencies.budget.takeAttempt(run.service.name, 'move')
+    this.dependencies.budget.recordAttempt(run.service.name)
     if (!lastCopy.isOk) reservation.release()
     run.continueAt({
       reservation: lastCopy.isOk ? reservation : this.dependencies.placer.reserveTarget(source, run.getExpectedTokens()),
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -94,16 +94,17 @@
     this.options.log.recordDecision(run.requestId, 'run recovered', { source: copy.source.name, destination: copy.reservation.target.name, lastCopy: outcome, isStopped })
     if (!isStopped) return this.dropStandbyCopy(run)
     this.standbyCopies.delete(run)
-    this.options.budget.takeAttempt(run.service.name, 'move')
+    this.options.budget.recordAttempt(run.service.name)
     const { handle, producedEvents } = lastCopy.unwrapOr({ handle: copy.handle, producedEvents: 0 })
     run.continueAt({ reservation: copy.reservation, continuation: { address: copy.source.address, handle }, source: copy.source, producedEvents })
   }
 
   /**
-   * Moves a run whose stream has stalled: the connection may be silent while the engine still executes the run.
+   * Moves a run whose stream has stalled, within the retry budget: the connection may be silent while the engine still executes the run.
    * @param run - The run.
    */
   moveStalledRun (run: MovableRun): void {
+    if (!this.options.budget.hasAttempt(run.service.name, 'move')) return
     const tracked = this.options.table.getTracked(run.getTarget()?.name ?? '')
     if (tracked === undefined || this.isMoving(run) || run.service.engine?.canMove !== true || this.isEnding()) return
     this.moveRun({ run, source: tracked.target, noticeAtMs: this.options.clock.nowMs(), mustStopAtOnce: true })
--- a/packages/relay/test/requests/startedStreams.test.ts
+++ b/packages/relay/test/requests/startedStreams.test.ts
@@ -172,6 +172,39 @@
   })
 })
 
+describe('moves', () => {
+  const copy = ({ client }: TestDependencies): void => { client.answerCopy = async () => Result.ok({ handle: 'h', producedEvents: 1 }) }
+  const useUpBudget = ({ budget }: TestDependencies): void => { while (budget.takeAttempt(ENGINES.name, 'move')); }
+  const silent: ScriptedAnswer = { steps: [createEvent(1), 3000, createEvent(2), 'END'] }
+
+  it('stop no silent stream while the retry budget is empty', async () => {
+    const prepare: Action = dependencies => {
+      copy(dependencies)
+      dependencies.clock.startTimer(500, () => useUpBudget(dependencies))
+    }
+    const { sink, dependencies } = await doTest({ a: [silent], b: [{ steps: [createEvent(2), 'END'] }] }, prepare, {})
+    expect([sink.endState, dependencies.client.listTargets()]).toEqual(['complete', ['a']])
+  })
+
+  it('off an engine that leaves use up the retry budget, also beyond it', async () => {
+    const left: boolean[] = []
+    const prepare: Action = dependencies => {
+      const { clock, table, budget } = dependencies
+      copy(dependencies)
+      clock.startTimer(500, () => {
+        useUpBudget(dependencies)
+        table.updateTarget(createTarget('a', { service: ENGINES.name, phase: 'leaving' }))
+      })
+      clock.startTimer(1500, () => {
+        budget.returnAttempt(ENGINES.name)
+        left.push(budget.takeAttempt(ENGINES.name, 'move'))
+      })
+    }
+    const { sink } = await doTest({ a: [silent], b: [{ steps: [createEvent(2), 'END'] }] }, prepare, {})
+    expect([sink.endState, left]).toEqual(['complete', [false]])
+  })
+})
+
 describe('whole answers', () => {
   it('without a length are complete when a failed move has left a copy that can no longer be used', async () => {
     const prepare: Action = ({ client, clock, table }) => {
