Move streams off an engine although one of them is held up, refused or silent

Three faults of moves off an engine that leaves, seen in a play in virtual time (six engines, two of which leave with 1.5 to 2.1 s of notice):

- Runs are moved one after the other.
Where the answer to one copy was lost, all others waited two seconds for it, as long as the whole notice, and were cut off with the engine without a try.
The next run is now moved beside one that takes much longer than its copies should.
- A run that went back to its source, because its destination refused the last copy, was not moved again, and cut off with its source.
It is now moved once more, within the retry budget.
- A run that fell silent while it waited for its turn was moved twice at a time; both moves met 'busy', and the end of one hid the other.

--- a/packages/relay/src/moves/MovableRun.ts
+++ b/packages/relay/src/moves/MovableRun.ts
@@ -30,6 +30,8 @@
   getCompletionValue(): number
   /** Returns the target that executes the run; undefined while there is none. */
   getTarget(): RelayTarget | undefined
+  /** Returns whether the run was stopped because it continues at another engine. */
+  isContinuing(): boolean
   /** Returns whether the run needs no more moves because it has ended or its caller has left. */
   isClosed(): boolean
   /** Records that its engine is asked to stop the run. */
--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -98,7 +98,7 @@
 
   private canContinue (): boolean {
     const { run, source } = this.options
-    return !run.isClosed() && run.getTarget()?.name === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
+    return !run.isClosed() && !run.isContinuing() && run.getTarget()?.name === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
   }
 
   /** Returns whether the run goes on at another engine already. */
--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -6,6 +6,7 @@
 import { type CopyError, type RunCopy } from '../targets/RelayTargetClient.js'
 import { type TrackedTarget, type TargetTable } from '../targets/TargetTable.js'
 import { waitForCopyTurn } from './CopyTurn.js'
+import { computeCopyDurationMs, REMOTE_COPY_FACTOR } from './computeCopyDuration.js'
 import { type MovableRun } from './MovableRun.js'
 import { type StandbyCopy } from './StandbyCopy.js'
 import { DROP_TIMEOUT_MS, MOVE_DEADLINE_MS, type MoveResult, RunMove, type RunMoveDependencies, type RunMoveOptions } from './RunMove.js'
@@ -24,6 +25,10 @@
 /** Time left of this instance below which runs stay at an engine that leaves, in milliseconds; the engine serves longer than that after its notice. */
 const MIN_TIME_LEFT_MS = 1500
 
+/** Number of whole copies for which a move has time, and the time for all else, in milliseconds, until the next run is moved beside it. */
+const COPIES_PER_MOVE = 2
+const LATE_MOVE_MS = 250
+
 /** Interval at which runs that the engine has not started are tried again, in milliseconds. */
 const START_CHECK_INTERVAL_MS = 40
 
@@ -54,6 +59,8 @@
   private readonly standbyCopies = new Map<MovableRun, StandbyCopy>()
   /** Name of the engine of the last attempted move of each run; it prevents an immediate retry of a move that failed. */
   private readonly lastSourceByRun = new WeakMap<MovableRun, string>()
+  /** Name of the last engine off which each run was moved a second time. */
+  private readonly secondSourceByRun = new WeakMap<MovableRun, string>()
 
   /** @internal */
   private constructor (private readonly options: RunMoverOptions) {
@@ -68,7 +75,9 @@
     this.runs.add(run)
     this.dropStandbyCopy(run)
     const tracked = this.options.table.getTracked(run.getTarget()?.name ?? '')
-    if (tracked !== undefined) this.handleTargetChange(tracked)
+    if (tracked === undefined) return
+    this.allowSecondMove(run, tracked.target.name)
+    this.handleTargetChange(tracked)
   }
 
   /**
@@ -126,6 +135,14 @@
     return this.standbyCopies.has(run)
   }
 
+  /** Lets a run that went back to its source, because its destination refused it, be moved once more, within the retry budget. */
+  private allowSecondMove (run: MovableRun, source: string): void {
+    const isBack = this.lastSourceByRun.get(run) === source && this.secondSourceByRun.get(run) !== source
+    if (!isBack || !this.options.budget.hasAttempt(run.service.name, 'move')) return
+    this.secondSourceByRun.set(run, source)
+    this.lastSourceByRun.delete(run)
+  }
+
   private handleTargetChange ({ target, state, stateSinceMs: noticeAtMs }: TrackedTarget): void {
     if (state !== 'leaving' && state !== 'gone') return
     this.moveRuns(target, noticeAtMs)
@@ -151,27 +168,35 @@
     await waitForCopyTurn({ clock, loads, instance, engine: source.name, profile, latestStartMs: noticeAtMs + MOVE_DEADLINE_MS })
   }
 
-  /** Moves runs in their order. Runs that the engine has not started cannot be copied yet and are tried again after the others. */
+  /** Moves runs in their order. Runs that the engine has not started, or that are moved already because they are silent, are tried again after the others. */
   private async moveSequentially (runs: MovableRun[], source: RelayTarget, noticeAtMs: number): Promise<void> {
     const { clock } = this.options
     const queue = [...runs]
     while (queue.length > 0 && clock.nowMs() - noticeAtMs < MOVE_DEADLINE_MS && !this.isEnding()) {
       const run = queue.shift()!
-      if (run.isClosed() || run.getTarget()?.name !== source.name) continue
-      const result = await this.moveRun({ run, source, noticeAtMs })
-      if (result !== 'noRun') continue
+      if (run.isClosed() || run.isContinuing() || run.getTarget()?.name !== source.name) continue
+      const result = this.isMoving(run) ? 'busy' : await this.moveInTurn({ run, source, noticeAtMs })
+      if (result !== 'noRun' && result !== 'busy') continue
       queue.push(run)
       await clock.sleep(START_CHECK_INTERVAL_MS)
     }
   }
 
+  /** Moves a run; one that takes much longer than its copies should, because an answer is late or lost, does not keep the next one waiting. */
+  private async moveInTurn (options: RunMoveOptions): Promise<MoveResult | 'late'> {
+    const { run } = options
+    const copiesMs = run.service.engine === undefined ? 0 : COPIES_PER_MOVE * REMOTE_COPY_FACTOR * computeCopyDurationMs(run.getHeldTokens(), run.service.engine)
+    const late = this.options.clock.sleep(copiesMs + LATE_MOVE_MS).then(() => 'late' as const)
+    return await Promise.race([this.moveRun(options), late])
+  }
+
   /** Returns whether this instance ends its requests so soon that a move could only stop a run that would be complete before. */
   private isEnding (): boolean {
     return this.options.getTimeLeftMs() < MIN_TIME_LEFT_MS
   }
 
   private canMoveRun (run: MovableRun, source: RelayTarget): boolean {
-    return run.service.engine?.canMove === true && !this.moving.has(run) && this.lastSourceByRun.get(run) !== source.name
+    return run.service.engine?.canMove === true && this.lastSourceByRun.get(run) !== source.name
   }
 
   private async moveRun (options: RunMoveOptions): Promise<MoveResult> {
--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -169,7 +169,7 @@
     this.pendingContinuation = undefined
   }
 
-  /** Returns whether the run was stopped because it continues at another engine. */
+  /** @inheritdoc */
   isContinuing (): boolean {
     return this.pendingContinuation !== undefined
   }
--- a/packages/relay/test/moves/RunMove.test.ts
+++ b/packages/relay/test/moves/RunMove.test.ts
@@ -27,6 +27,7 @@
     hasStarted: () => true,
     getCompletionValue: () => 1,
     getTarget: () => source,
+    isContinuing: () => isMoved,
     isClosed: () => isMoved,
     recordStopRequest: () => {},
     continueAt: () => { isMoved = true }
--- a/packages/relay/test/requests/engineLossesDuringStreams.test.ts
+++ b/packages/relay/test/requests/engineLossesDuringStreams.test.ts
@@ -45,11 +45,11 @@
       clock.startTimer(200, () => leave(dependencies, 'a'))
       clock.startTimer(1000, () => {
         client.reachability.set('a', 'refusing')
-        client.attempts[1]!.attempt.breakOff()
+        client.attempts.at(-1)!.attempt.breakOff()
       })
     }
-    const { sink, dependencies } = await runSilentStream({ a: [beginning, { steps: [createEvent(2), 60_000] }], b: { steps: [createEvent(3), createEvent(4), 'END'] } }, { prepare, route: { maxGapMs: 1000, maxAttempts: 1 } })
-    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'a', 'b']])
+    const { sink, dependencies } = await runSilentStream({ a: [beginning, { steps: [60_000] }, { steps: [createEvent(2), 60_000] }], b: { steps: [createEvent(3), createEvent(4), 'END'] } }, { prepare, route: { maxGapMs: 1000, maxAttempts: 1 } })
+    expect([sink.describe(), dependencies.client.listTargets()]).toEqual([WHOLE, ['a', 'a', 'a', 'b']])
   })
 
   it('is not sent to a third one while the first two still serve', async () => {
