Play streams at engines that leave, fall silent and refuse copies

One instance and six engines in virtual time, of which two leave every 3.3 s with 1.5 to 2.1 s of notice, fall silent after an event, are full at times, refuse requests and copies, and lose answers to copies. No stream that may be resumed may be broken off while it has time, none may lack an event or have one twice, two engines may not go on with one for long, and no more engines may run one than its route allows.

--- a/packages/relay/test/support/EngineAttempt.ts
+++ b/packages/relay/test/support/EngineAttempt.ts
@@ -7,6 +7,7 @@
 export class EngineAttempt implements Attempt {
   readonly head: Promise<Result<AttemptHead, AttemptError>>
   end: AttemptError | 'complete' | undefined
+  private hasConnectionBroken = false
   private readonly events: string[] = []
   private notifyHead: (head: Result<AttemptHead, AttemptError>) => void = () => undefined
   private notifyReader: () => void = () => undefined
@@ -30,6 +31,12 @@
     this.onEnd()
   }
 
+  /** Ends the answer as if its connection broke. */
+  breakOff (): void {
+    this.hasConnectionBroken ||= this.end === undefined
+    this.finish('lost')
+  }
+
   async readBytes (): Promise<Result<Buffer | undefined, AttemptError>> {
     while (this.events.length === 0 && this.end === undefined) await new Promise<void>(resolve => { this.notifyReader = resolve })
     const text = this.events.shift()
@@ -42,7 +49,7 @@
   }
 
   isBrokenOff (): boolean {
-    return false
+    return this.hasConnectionBroken
   }
 
   getCause (): undefined {
