--- a/packages/relay/src/moves/RunMove.ts
+++ b/packages/relay/src/moves/RunMove.ts
@@ -98,7 +98,7 @@
 
   private canContinue (): boolean {
     const { run, source } = this.options
-    return !run.isClosed() && run.getTarget()?.name === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
+    return !run.isClosed() && !run.isContinuing() && run.getTarget()?.name === source.name && this.getNoticeAgeMs() < MOVE_DEADLINE_MS
   }
 
   /** Returns whether the run goes on at another engine already. */
@@ -190,7 +190,7 @@
     this.standbyCopy = { source, reservation, handle }
     if (run.isClosed() || this.isElsewhere()) return 'over'
     this.standbyCopy = undefined
-    this.dependencies.budget.takeAttempt(run.service.name, 'move')
+    this.dependencies.budget.recordAttempt(run.service.name)
     if (!lastCopy.isOk) reservation.release()
     run.continueAt({
       reservation: lastCopy.isOk ? reservation : this.dependencies.placer.reserveTarget(source, run.getExpectedTokens()),
