Bound what all connections of peers keep of frames, and queue for them

What callers saw: a peer may send 4 MB of a frame on each of 2,048 connections, and 8 MB may wait for each peer that reads slowly; nothing bounded them together, beside a heap of 90 MB.

Now the frame that arrives on a connection and what is queued for it are an account of the budget of the process. The connection that holds most is closed, with a fault of its own, bufferBudget; its peer connects again.

--- a/packages/peers/src/network/PeerConnection.ts
+++ b/packages/peers/src/network/PeerConnection.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type BufferAccount, type BufferBudget, type Clock } from '@fescuespoke/common'
 import { type Socket } from 'node:net'
 import { HEARTBEAT_FRAME, encodeFrame } from '../framing/encodeFrame.js'
 import { FrameDecoder } from '../framing/FrameDecoder.js'
@@ -16,6 +16,8 @@
   readonly codec: MessageCodec
   readonly counters: CounterSet
   readonly limits: PeerLimits
+  /** Bounds the bytes that the process buffers. */
+  readonly bufferBudget: BufferBudget
   /** Whether to answer heartbeats of the other side instead of sending heartbeats at an interval. */
   readonly shouldEchoHeartbeats: boolean
 }
@@ -32,6 +34,8 @@
 
   private readonly decoder = FrameDecoder.create({ maxFrameBytes: MAX_HANDSHAKE_FRAME_BYTES })
   private readonly closeController = new AbortController()
+  /** Account of the frame that is arriving and of what is queued for sending. */
+  private readonly bufferAccount: BufferAccount
   private readonly envelopes: AsyncGenerator<Envelope>
   private lastReceivedAtMs: number
   private lastSentAtMs: number
@@ -40,9 +44,10 @@
 
   /** @internal */
   private constructor (private readonly options: PeerConnectionOptions) {
-    const { socket, clock } = options
+    const { socket, clock, bufferBudget } = options
     this.lastReceivedAtMs = clock.nowMs()
     this.lastSentAtMs = clock.nowMs()
+    this.bufferAccount = bufferBudget.openAccount({ kind: 'peerMessage', peer: formatRemoteAddress(socket), end: () => this.close('bufferBudget') })
     socket.setNoDelay(true)
     socket.on('error', () => this.close())
     socket.on('close', () => this.close())
@@ -108,7 +113,8 @@
     this.options.counters.framesOut++
     this.options.counters.bytesOut += frame.length
     this.lastSentAtMs = this.options.clock.nowMs()
-    this.options.socket.write(frame)
+    this.options.socket.write(frame, () => this.updateBufferedBytes())
+    this.updateBufferedBytes()
   }
 
   /**
@@ -119,6 +125,7 @@
     if (this.isClosed()) return
     this.fault = fault
     if (fault !== undefined) this.options.counters.recordFault(fault)
+    this.bufferAccount.close()
     this.closeController.abort()
     this.options.socket.destroy()
   }
@@ -159,6 +166,7 @@
 
   private * decodeChunk (chunk: Buffer): Generator<Envelope> {
     const frames = this.decoder.decodeBytes(chunk)
+    this.updateBufferedBytes()
     if (frames.isErr) {
       this.close(frames.error)
       return
@@ -183,8 +191,17 @@
     return undefined
   }
 
+  private updateBufferedBytes (): void {
+    this.bufferAccount.setBytes(this.decoder.getAllocatedBytes() + this.getQueuedBytes())
+  }
+
   private trackPartialFrame (hasCompletedFrame: boolean): void {
     if (!this.decoder.hasPartialFrame()) this.frameStartedAtMs = undefined
     else if (hasCompletedFrame || this.frameStartedAtMs === undefined) this.frameStartedAtMs = this.options.clock.nowMs()
   }
 }
+
+/** Returns the other side of a connection; absent while it is being opened. */
+function formatRemoteAddress ({ remoteAddress, remotePort }: Socket): string | undefined {
+  return remoteAddress === undefined ? undefined : `${remoteAddress}:${remotePort}`
+}
--- a/packages/peers/src/network/PeerCounters.ts
+++ b/packages/peers/src/network/PeerCounters.ts
@@ -11,6 +11,7 @@
   | 'silent'
   | 'slowFrame'
   | 'overflow'
+  | 'bufferBudget'
   | 'unexpected'
   | 'handlerFailed'
 
--- a/packages/peers/src/network/PeerNetwork.ts
+++ b/packages/peers/src/network/PeerNetwork.ts
@@ -172,7 +172,7 @@
 
   private createConnection (socket: Socket, shouldEchoHeartbeats: boolean): PeerConnection {
     const { clock } = this.options
-    const connection = PeerConnection.create({ socket, clock, codec: this.codec, counters: this.counters, limits: this.limits, shouldEchoHeartbeats })
+    const connection = PeerConnection.create({ socket, clock, codec: this.codec, counters: this.counters, limits: this.limits, bufferBudget: this.bufferBudget, shouldEchoHeartbeats })
     this.connections.add(connection)
     connection.getSignal().addEventListener('abort', () => this.connections.delete(connection))
     if (this.isClosed) connection.close()
--- a/packages/peers/test/network/OutgoingPeer.test.ts
+++ b/packages/peers/test/network/OutgoingPeer.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom, VirtualClock } from '@fescuespoke/common'
+import { BufferBudget, SeededRandom, VirtualClock } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
@@ -41,7 +41,7 @@
     codec,
     counters,
     limits,
-    openConnection: async () => Result.ok({ connection: PeerConnection.create({ socket: connect(port, '127.0.0.1'), clock, codec, counters, limits, shouldEchoHeartbeats: false }), hello: RAW_HELLO })
+    openConnection: async () => Result.ok({ connection: PeerConnection.create({ socket: connect(port, '127.0.0.1'), clock, codec, counters, limits, bufferBudget: BufferBudget.create(), shouldEchoHeartbeats: false }), hello: RAW_HELLO })
   })
   const sendRequest = async (): Promise<string> => {
     const answer = await peer!.request({ type: 'lengthsRequest' }, 20_000)
