Bound the answers that the daemon and the client of callers read

What callers saw: the daemon read the state and the cache events of a target, and the answer to the end of a generation, without any bound in bytes, so that one faulty target filled its memory until the connection was silent. Lines of generations (1 MB each), replies to calls (4 MB) and the documents of the platform (64 MB) had bounds of their own only. The client library of callers read addresses, leases and errors without a bound.

Now documents of targets are read up to 4 MB and answers to the client library up to 1 MB, and all bodies and the incomplete lines of generations are accounts of the budget of the process. Reading a limited text moved to the common package, and replaces two functions that did the same.

The bound of the client library has no test of its own.

--- a/packages/caller/src/http/InstanceClient.ts
+++ b/packages/caller/src/http/InstanceClient.ts
@@ -1,4 +1,4 @@
-import { type Clock, parseJson, readJsonLines } from '@fescuespoke/common'
+import { BufferBudget, type Clock, parseJson, readJsonLines, readLimitedText } from '@fescuespoke/common'
 import { createValidator, type AddressAnswer, type EndEvent, type ErrorBody, type LeaseGrant, type StreamEvent, type Validator } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
 import { type Dispatcher, request } from 'undici'
@@ -56,6 +56,9 @@
 /** Maximum length of an event, in characters. */
 const MAX_LINE_CHARACTERS = 16 * 1024 * 1024
 
+/** Maximum size of the body of a response that is no stream, in bytes. */
+const MAX_BODY_BYTES = 1024 * 1024
+
 const validateAddressAnswer = createValidator<AddressAnswer>('caller', 'AddressAnswer')
 const validateLeaseGrant = createValidator<LeaseGrant>('caller', 'LeaseGrant')
 const validateEndEvent = createValidator<EndEvent>('caller', 'EndEvent')
@@ -135,7 +138,7 @@
   }
 
   private async fetchJson<T> (jsonRequest: InstanceRequest, validate: Validator<T>): Promise<Result<T, ExchangeError>> {
-    return await this.exchange(jsonRequest, async response => validateOrThrow(await response.body.json(), validate))
+    return await this.exchange(jsonRequest, async response => validateOrThrow(JSON.parse(await readText(response)), validate))
   }
 
   private async exchange<T> (
@@ -190,9 +193,16 @@
   throw new Error(`invalid response: ${validated.error.map(problem => problem.field).join(', ')}`)
 }
 
+/** Reads the body of a response that is no stream; throws when it is too long. */
+async function readText ({ body }: Dispatcher.ResponseData): Promise<string> {
+  const text = await readLimitedText(body, { maxBytes: MAX_BODY_BYTES, bufferBudget: BufferBudget.create(), owner: { kind: 'platformAnswer' } })
+  if (text.isErr) throw new Error(`the body of a response exceeds ${MAX_BODY_BYTES} bytes`)
+  return text.value
+}
+
 async function readHttpError (response: Dispatcher.ResponseData): Promise<HttpError> {
   const status = response.statusCode
-  const text = await response.body.text()
+  const text = await readText(response)
   const validated = validateErrorBody(parseJson(text))
   if (validated.isErr) return { kind: 'httpError', status, error: 'internal', detail: `HTTP status ${status}` }
   const { error, message, problems = [] } = validated.value
--- a/packages/common/src/streams/readJsonLines.ts
+++ b/packages/common/src/streams/readJsonLines.ts
@@ -13,13 +13,15 @@
  * JSON, and rethrows errors of the stream. A last line without a line break is dropped, because it may be truncated.
  * @param chunks - Stream of bytes in UTF-8.
  * @param maxLineCharacters - Maximum length of a line in characters.
+ * @param onRemainder - Called with the length of the incomplete line in characters after each part of the stream.
  */
-export async function * readJsonLines (chunks: AsyncIterable<Uint8Array>, maxLineCharacters: number): AsyncGenerator<unknown, void, undefined> {
+export async function * readJsonLines (chunks: AsyncIterable<Uint8Array>, maxLineCharacters: number, onRemainder?: (length: number) => void): AsyncGenerator<unknown, void, undefined> {
   const decoder = new StringDecoder('utf8')
   let remainder = ''
   for await (const chunk of chunks) {
     const lines = (remainder + decoder.write(Buffer.from(chunk))).split('\n')
     remainder = lines.pop() ?? ''
+    onRemainder?.(remainder.length)
     for (const line of lines) {
       if (line.length > maxLineCharacters) throw new JsonLineError('tooLong', `line exceeds ${maxLineCharacters} characters`)
       if (line !== '') yield parseLine(line)
--- a/platform/src/readLimitedText.ts
+++ b/packages/common/src/streams/readLimitedText.ts
@@ -1,6 +1,11 @@
-import { AccountedBuffer, type BufferBudget, type BufferOwner } from '@fescuespoke/common'
 import { Result } from 'true-myth'
-import { type Dispatcher } from 'undici'
+import { AccountedBuffer } from '../memory/AccountedBuffer.js'
+import { type BufferBudget, type BufferOwner } from '../memory/BufferBudget.js'
+
+/** A body that can be ended with its connection. */
+export interface EndableBody extends AsyncIterable<Buffer> {
+  destroy(): unknown
+}
 
 /** Options of reading a body. */
 export interface LimitedTextOptions {
@@ -21,10 +26,10 @@
  * @param body - The body.
  * @param options - Options of reading.
  */
-export async function readLimitedText (body: Dispatcher.ResponseData['body'], { maxBytes, bufferBudget, owner, onBytes }: LimitedTextOptions): Promise<Result<string, UnreadText>> {
+export async function readLimitedText (body: EndableBody, { maxBytes, bufferBudget, owner, onBytes }: LimitedTextOptions): Promise<Result<string, UnreadText>> {
   const buffer = AccountedBuffer.create({ bufferBudget, owner, handleDrop: () => { body.destroy() } })
   try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
+    for await (const chunk of body) {
       onBytes?.()
       buffer.addBytes(chunk)
       // Leaving the loop destroys the body, and its connection with it.
--- a/packages/configuration/src/sources/HttpConfigurationSource.ts
+++ b/packages/configuration/src/sources/HttpConfigurationSource.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type BufferBudget, type Clock } from '@fescuespoke/common'
 import { createValidator, type PublishedChange, type PublishedValues } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type Dispatcher } from 'undici'
@@ -21,6 +21,8 @@
   /** Timeout for fetching the whole published state, in milliseconds. */
   readonly snapshotTimeoutMs?: number
   readonly dispatcher?: Dispatcher
+  /** Bounds the bytes that the process buffers; by default those of each read alone. */
+  readonly bufferBudget?: BufferBudget
 }
 
 const validateValues = createValidator<PublishedValues>('platform', 'PublishedValues')
@@ -67,8 +69,8 @@
     })
   }
 
-  private getReadOptions (signal?: AbortSignal): { clock: Clock, signal?: AbortSignal, dispatcher?: Dispatcher } {
-    const { clock, dispatcher } = this.options
-    return { clock, ...(signal === undefined ? {} : { signal }), ...(dispatcher === undefined ? {} : { dispatcher }) }
+  private getReadOptions (signal?: AbortSignal): { clock: Clock, signal?: AbortSignal, dispatcher?: Dispatcher, bufferBudget?: BufferBudget } {
+    const { clock, dispatcher, bufferBudget } = this.options
+    return { clock, ...(signal === undefined ? {} : { signal }), ...(dispatcher === undefined ? {} : { dispatcher }), ...(bufferBudget === undefined ? {} : { bufferBudget }) }
   }
 }
--- a/packages/configuration/src/sources/HttpInstanceListSource.ts
+++ b/packages/configuration/src/sources/HttpInstanceListSource.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { type BufferBudget, type Clock } from '@fescuespoke/common'
 import { type PublishedList } from '@fescuespoke/schema'
 import { type Result } from 'true-myth'
 import { type Dispatcher } from 'undici'
@@ -17,6 +17,8 @@
   /** Time to wait for a response beyond the requested wait, in milliseconds. */
   readonly timeoutMs?: number
   readonly dispatcher?: Dispatcher
+  /** Bounds the bytes that the process buffers; by default those of each read alone. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /** Reads the published list of instances and targets over HTTP. */
@@ -39,14 +41,15 @@
    * @param signal - Cancels the request.
    */
   async fetchList (after: number, waitMs: number, signal?: AbortSignal): Promise<Result<PublishedList, SourceError>> {
-    const { url, clock, dispatcher, timeoutMs = DEFAULT_TIMEOUT_MS } = this.options
+    const { url, clock, dispatcher, bufferBudget, timeoutMs = DEFAULT_TIMEOUT_MS } = this.options
     return await readDocument({
       url: `${url}/v1/instances?after=${after}&waitMs=${waitMs}`,
       validate: checkList,
       timeoutMs: waitMs + timeoutMs,
       clock,
       ...(signal === undefined ? {} : { signal }),
-      ...(dispatcher === undefined ? {} : { dispatcher })
+      ...(dispatcher === undefined ? {} : { dispatcher }),
+      ...(bufferBudget === undefined ? {} : { bufferBudget })
     })
   }
 }
--- a/packages/configuration/src/sources/readDocument.ts
+++ b/packages/configuration/src/sources/readDocument.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@fescuespoke/common'
+import { BUFFER_BUDGET_CAUSE, BufferBudget, type Clock, readLimitedText, type UnreadText } from '@fescuespoke/common'
 import { type Problem, formatProblem, type Validator } from '@fescuespoke/schema'
 import { Result } from 'true-myth'
 import { type Dispatcher, request } from 'undici'
@@ -15,6 +15,9 @@
 /** Maximum size of a response body, in bytes. */
 const MAX_BODY_BYTES = 67_108_864
 
+/** Descriptions of why a body was not read. */
+const UNREAD_DETAILS: Readonly<Record<UnreadText, string>> = { tooLong: `body of more than ${MAX_BODY_BYTES} bytes`, dropped: BUFFER_BUDGET_CAUSE }
+
 /** Options of one read. */
 export interface ReadOptions<T> {
   readonly url: string
@@ -26,6 +29,8 @@
   /** Cancels the read. */
   readonly signal?: AbortSignal
   readonly dispatcher?: Dispatcher
+  /** Bounds the bytes that the process buffers; by default those of this read alone. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /**
@@ -40,12 +45,12 @@
   options.signal?.addEventListener('abort', abortRead)
   if (options.signal?.aborted === true) abortRead()
   try {
-    const { dispatcher } = options
+    const { dispatcher, bufferBudget = BufferBudget.create() } = options
     const response = await request(options.url, { signal: abortController.signal, ...(dispatcher === undefined ? {} : { dispatcher }) })
-    const text = await readBody(response.body)
-    if (text === undefined) return createFailure('badAnswer', `body of more than ${MAX_BODY_BYTES} bytes`)
+    const text = await readLimitedText(response.body, { maxBytes: MAX_BODY_BYTES, bufferBudget, owner: { kind: 'platformAnswer' } })
+    if (text.isErr) return createFailure('badAnswer', UNREAD_DETAILS[text.error])
     if (response.statusCode !== 200) return createFailure('refused', `status ${response.statusCode}`)
-    return parseDocument(text, options.validate)
+    return parseDocument(text.value, options.validate)
   } catch (error) {
     return createFailure('unreachable', (error as Error).message)
   } finally {
@@ -69,17 +74,3 @@
 function createFailure<T> (kind: SourceErrorKind, detail: string): Result<T, SourceError> {
   return Result.err({ kind, detail })
 }
-
-async function readBody (body: AsyncIterable<Buffer> & { destroy: () => unknown }): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of body) {
-    bytes += chunk.length
-    if (bytes > MAX_BODY_BYTES) {
-      body.destroy()
-      return undefined
-    }
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks).toString('utf8')
-}
--- a/packages/daemon/src/instance/createTargetComponents.ts
+++ b/packages/daemon/src/instance/createTargetComponents.ts
@@ -25,7 +25,7 @@
 export function createTargetComponents (options: InstanceOptions, context: InstanceContext, views: Views): TargetComponents {
   const { settings, clock, random, audit } = context
   const { configuration, instanceList, instanceListFollower, peers } = views
-  const targetClient = options.targetClient ?? HttpTargetClient.create({ ...settings.requests, clock, observeTraffic: createTrafficObserver(context) })
+  const targetClient = options.targetClient ?? HttpTargetClient.create({ ...settings.requests, clock, bufferBudget: context.bufferBudget, observeTraffic: createTrafficObserver(context) })
   const scheduler = createScheduler({
     ...settings.instance,
     instance: settings.instance.id,
--- a/packages/daemon/src/instance/createViews.ts
+++ b/packages/daemon/src/instance/createViews.ts
@@ -26,7 +26,7 @@
  * @param context - Settings and services of the instance.
  */
 export function createViews (options: InstanceOptions, context: InstanceContext): Views {
-  const { clock, audit, settings } = context
+  const { clock, audit, settings, bufferBudget } = context
   const configuration = ConfigurationView.create({ clock, audit })
   const getRevision = (): number => configuration.getRevision()
   const instanceList = InstanceListView.create({ clock, audit, getRevision })
@@ -41,8 +41,8 @@
   const self: FleetMember = { instance: id, availabilityZone }
   const followerOptions = { ...context, transport: peers.transport, self, getRevision, listPeers: () => peers.listAlivePeers() }
   const { configurationUrl, instanceListUrl } = settings.platform
-  const configurationSource = options.configurationSource ?? HttpConfigurationSource.create({ url: configurationUrl, clock })
-  const listSource = options.instanceListSource ?? HttpInstanceListSource.create({ url: instanceListUrl, clock })
+  const configurationSource = options.configurationSource ?? HttpConfigurationSource.create({ url: configurationUrl, clock, bufferBudget })
+  const listSource = options.instanceListSource ?? HttpInstanceListSource.create({ url: instanceListUrl, clock, bufferBudget })
   const views: Views = {
     configuration,
     instanceList,
--- a/packages/daemon/src/targets/HttpTargetClient.ts
+++ b/packages/daemon/src/targets/HttpTargetClient.ts
@@ -1,4 +1,4 @@
-import { type Clock, JsonLineError, readJsonLines, type Target } from '@fescuespoke/common'
+import { BufferBudget, type Clock, JsonLineError, readJsonLines, readLimitedText, type Target } from '@fescuespoke/common'
 import {
   type CacheEvent, type CacheEvents, createValidator, type EngineEvent, type TargetState, type Validator
 } from '@fescuespoke/schema'
@@ -17,6 +17,9 @@
 const checkState: Validator<TargetState> = createValidator('platform', 'TargetState')
 const checkCacheEvents: Validator<CacheEvents> = createValidator('platform', 'CacheEvents')
 
+/** Maximum size of the state or the cache events of a target, in bytes. */
+const MAX_DOCUMENT_BYTES = 4_194_304
+
 /** Options of a target client. */
 export interface HttpTargetClientOptions {
   readonly clock: Clock
@@ -24,6 +27,8 @@
   readonly connectTimeoutMs: number
   /** Time without received data after which a connection is closed, in milliseconds. */
   readonly silenceMs: number
+  /** Bounds the bytes that the process buffers; by default those of this client alone. */
+  readonly bufferBudget?: BufferBudget
   /** Called with the number of bytes sent and received by each request for the state or the cache events of a target. */
   readonly observeTraffic?: (bytesOut: number, bytesIn: number) => void
 }
@@ -45,9 +50,11 @@
   }
 
   private readonly agent: Agent
+  private readonly bufferBudget: BufferBudget
 
   /** @internal */
   private constructor (private readonly options: HttpTargetClientOptions) {
+    this.bufferBudget = options.bufferBudget ?? BufferBudget.create()
     this.agent = new Agent({ connect: { timeout: options.connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, pipelining: 1 })
   }
 
@@ -76,7 +83,7 @@
 
   /** @inheritdoc */
   async sendCall (target: Target, options: CallOptions): Promise<Result<CallReply, CallError>> {
-    return await sendCallOnce(target, options, this.options)
+    return await sendCallOnce(target, options, { ...this.options, bufferBudget: this.bufferBudget })
   }
 
   /** @inheritdoc */
@@ -108,7 +115,7 @@
       yield Result.err(response.statusCode === 404 ? 'notFound' : 'refused')
       return
     }
-    for await (const line of readJsonLines(response.body, MAX_LINE_CHARACTERS)) {
+    for await (const line of this.readLines(response, options)) {
       restartWatchdog()
       const event = checkEngineEvent(line)
       if (event.isErr) throw new JsonLineError('notJson', 'an engine event does not match its schema')
@@ -119,6 +126,16 @@
     yield Result.err('cut')
   }
 
+  /** Reads the lines of a generation, whose connection is closed if the process buffers too many bytes and most for the line that is arriving. */
+  private async * readLines ({ body }: Dispatcher.ResponseData, { generation }: GenerationOptions): AsyncGenerator<unknown, void, undefined> {
+    const account = this.bufferBudget.openAccount({ kind: 'targetAnswer', request: generation, end: () => { body.destroy() } })
+    try {
+      yield * readJsonLines(body, MAX_LINE_CHARACTERS, length => account.setBytes(length))
+    } finally {
+      account.close()
+    }
+  }
+
   private async requestGeneration (target: Target, options: GenerationOptions, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
     const url = `${target.url}/v1/generations/${encodeURIComponent(options.generation)}?offset=${options.offset}`
     const requestOptions = options.spec === undefined
@@ -133,9 +150,10 @@
     try {
       const response = await request(`${target.url}${path}`, { method, signal: abort.signal, dispatcher: this.agent })
       if (response.statusCode === 204) return Result.ok(null)
-      const text = await response.body.text()
-      this.options.observeTraffic?.(path.length + REQUEST_OVERHEAD_BYTES, text.length + countHeaderBytes(response.headers))
-      const body: unknown = JSON.parse(text)
+      const text = await readLimitedText(response.body, { maxBytes: MAX_DOCUMENT_BYTES, bufferBudget: this.bufferBudget, owner: { kind: 'controlAnswer', peer: target.url } })
+      if (text.isErr) return Result.err('malformed')
+      this.options.observeTraffic?.(path.length + REQUEST_OVERHEAD_BYTES, text.value.length + countHeaderBytes(response.headers))
+      const body: unknown = JSON.parse(text.value)
       return response.statusCode === 200 ? Result.ok(body) : Result.err(response.statusCode === 404 ? 'notFound' : 'refused')
     } catch (error) {
       return Result.err(watchdog.hasFired() ? 'silent' : classifyError(error, undefined))
--- a/packages/daemon/src/targets/sendCallOnce.ts
+++ b/packages/daemon/src/targets/sendCallOnce.ts
@@ -1,6 +1,6 @@
 import { request as requestHttp, type IncomingMessage } from 'node:http'
 import { connect, type Socket } from 'node:net'
-import { type Clock, type Target } from '@fescuespoke/common'
+import { BufferBudget, type Clock, readLimitedText, type Target } from '@fescuespoke/common'
 import { Result } from 'true-myth'
 import { type CallError, type CallOptions, type CallReply } from './TargetClient.js'
 
@@ -12,6 +12,8 @@
   readonly clock: Clock
   /** Maximum time to establish a connection, in milliseconds. */
   readonly connectTimeoutMs: number
+  /** Bounds the bytes that the process buffers; by default those of each call alone. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /**
@@ -32,7 +34,7 @@
   const cancelTimer = limits.clock.startTimer(options.timeoutMs, () => socket.destroy())
   try {
     const response = await sendHttpRequest(url, socket, options)
-    return Result.ok({ status: response.statusCode ?? 0, body: await readReply(response) })
+    return Result.ok({ status: response.statusCode ?? 0, body: await readReply(response, target, limits) })
   } catch {
     return Result.err('replyLost')
   } finally {
@@ -76,16 +78,11 @@
   })
 }
 
-async function readReply (response: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > MAX_REPLY_BYTES) throw new Error('the reply exceeds the maximum size')
-    chunks.push(chunk)
-  }
+async function readReply (response: IncomingMessage, { url }: Target, { bufferBudget = BufferBudget.create() }: CallLimits): Promise<unknown> {
+  const text = await readLimitedText(response, { maxBytes: MAX_REPLY_BYTES, bufferBudget, owner: { kind: 'targetAnswer', peer: url } })
+  if (text.isErr) throw new Error('the reply is too long')
   if (!response.complete || !statesItsEnd(response)) throw new Error('the connection closed before the reply was complete')
-  return JSON.parse(Buffer.concat(chunks).toString('utf8'))
+  return JSON.parse(text.value)
 }
 
 /** Returns whether a reply states its end; otherwise it ends with its connection, and a reset looks the same as a regular close. */
