--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -14,6 +14,7 @@
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { RunTargets } from './RunTargets.js'
 import { type StreamAttempt } from './StreamAttempt.js'
 import { writeToCaller } from './writeToCaller.js'
 
@@ -71,8 +72,8 @@
   private longestGapMs = 0
   private firstHead: AttemptHead | undefined
   private hasClosed = false
-  /** Targets at which a run of the request began or may have begun. */
-  private readonly runTargets = new Set<RelayTarget>()
+  /** Targets at which the request began to run or may have begun; a run that is moved counts where it began. */
+  readonly runTargets: RunTargets
   private pendingContinuation: RunContinuation | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
@@ -90,6 +91,7 @@
     this.service = context.service
     this.allowedRegions = context.allowedRegions
     this.watch = dependencies.crashes.watchRuns(context)
+    this.runTargets = RunTargets.create(dependencies.table)
     this.origin = context.origin
     this.lastEventId = context.request.lastEventId
   }
@@ -193,25 +195,11 @@
     if (!isContinuation) this.runTargets.add(target)
   }
 
-  /**
-   * Records that the connection to a target broke during an attempt. A target that was about to shut down has ended.
-   * @param target - The target.
-   */
-  recordBrokenConnection ({ name, startedAtMs }: RelayTarget): void {
-    if (this.dependencies.table.getTracked(name)?.state !== 'leaving') return
-    for (const target of this.runTargets) if (target.name === name && target.startedAtMs === startedAtMs) this.runTargets.delete(target)
-  }
-
-  /** Counts the targets at which the request ran or may have run and that have not ended since. A run that is moved counts where it began. */
-  countRunTargets (): number {
-    return this.listRunTargets().length
-  }
-
-  /** Counts the targets as `countRunTargets` does, with the one at which the current attempt may run. */
+  /** Counts the targets at which the request may have run and that have not ended, with the one of the current attempt. */
   countPossibleRunTargets (): number {
     const { currentAttempt } = this
     const isCounted = currentAttempt === undefined || currentAttempt.isContinuation || this.runTargets.has(currentAttempt.reservation.target)
-    return this.countRunTargets() + (isCounted ? 0 : 1)
+    return this.runTargets.count() + (isCounted ? 0 : 1)
   }
 
   /** Starts to read the answer of a new attempt; discards an incomplete event of the previous attempt. */
@@ -316,15 +304,6 @@
     this.replacement.drop()
   }
 
-  private listRunTargets (): RelayTarget[] {
-    const { table } = this.dependencies
-    return [...this.runTargets].filter(({ name, startedAtMs }) => {
-      const tracked = table.getTracked(name)
-      const hasLeft = tracked?.state === 'gone' && !tracked.hasExpired
-      return tracked?.target.startedAtMs === startedAtMs && !hasLeft
-    })
-  }
-
   /** Opens an account for the answer of the current attempt, which is lost if it holds too many bytes. */
   private openBufferAccount (): BufferAccount | undefined {
     const { currentAttempt: current } = this
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -19,7 +19,7 @@
   const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
   if (run.sentAttempts - run.continuedAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
   const hasRun = end === 'lost' || end === 'aborted' || run.executedAttempts > 0
-  return !hasRun || (route.isResumable && run.countRunTargets() < route.maxAttempts)
+  return !hasRun || (route.isResumable && run.runTargets.count() < route.maxAttempts)
 }
 
 /**
--- a/packages/relay/src/requests/startStreamAttempt.ts
+++ b/packages/relay/src/requests/startStreamAttempt.ts
@@ -70,7 +70,7 @@
 export function recordAttemptEnd (dependencies: RelayDependencies, { request }: RelayContext, run: StreamRun, { attempt, reservation }: StreamAttempt, end: StreamEnd): void {
   if (attempt.isSent() && !NOT_RUN_ENDS.has(end)) recordRun(dependencies, reservation)
   if (end === 'notSent') run.unsentAttempts++
-  if (end === 'lost' && attempt.isBrokenOff()) run.recordBrokenConnection(reservation.target)
+  if (end === 'lost' && attempt.isBrokenOff()) run.runTargets.recordBrokenConnection(reservation.target)
   run.watch.endRun(reservation.target, end, attempt.isBrokenOff())
   dependencies.health.recordOutcome(reservation.target.name, run.isContinuing() ? 'success' : ATTEMPT_OUTCOMES[end])
   dependencies.log.recordDecision(request.id, 'attempt ended', { target: reservation.target.name, outcome: end, afterEvent: run.getLastEventId(), sharedParts: request.sharedParts, cause: attempt.getCause() }, end === 'lost' ? 'failure' : 'ordinary')
