--- a/packages/common/src/memory/BufferBudget.ts
+++ b/packages/common/src/memory/BufferBudget.ts
@@ -36,7 +36,7 @@
 
 /** Options of a buffer account. */
 export interface BufferAccountOptions extends BufferOwner {
-  /** Ends whatever fills the buffer; called at most once, when the budget is exceeded and no other account holds more. */
+  /** Ends whatever fills the buffer; called at most once, when the budget is exceeded. */
   readonly end: () => void
 }
 
@@ -47,6 +47,8 @@
    * @param bytes - The number of bytes.
    */
   setBytes(bytes: number): void
+  /** Records that the bytes are used by work that would be broken off, such as a request that was sent to a target. */
+  markInUse(): void
   /** Releases all bytes. */
   close(): void
 }
@@ -55,11 +57,20 @@
 interface OpenAccount {
   readonly options: BufferAccountOptions
   bytes: number
+  isInUse: boolean
 }
 
+/** Share of the largest number of bytes from which an account counts as one of the largest. */
+const LARGE_SHARE = 1 / 2
+
+/** Number of times that an account in use must hold the bytes of the largest one that is not, to be ended before it. */
+const IN_USE_FACTOR = 8
+
 /**
  * Bounds the bytes that a process keeps for all connections and answers together. When they exceed the budget, what keeps most is ended,
- * so that a sender without end loses its own buffer first and the others are served.
+ * so that a sender without end loses its own buffer first and the others are served. Among those that keep similarly much, it is the one
+ * that was opened first: what arrives slowly rather than a body that is just arriving. What is in use is spared while the others keep
+ * comparably much.
  */
 export class BufferBudget {
   /**
@@ -84,10 +95,11 @@
    * @param options - Options of the account.
    */
   openAccount (options: BufferAccountOptions): BufferAccount {
-    const account: OpenAccount = { options, bytes: 0 }
+    const account: OpenAccount = { options, bytes: 0, isInUse: false }
     this.accounts.add(account)
     return {
       setBytes: bytes => this.setBytes(account, bytes),
+      markInUse: () => { account.isInUse = true },
       close: () => this.closeAccount(account)
     }
   }
@@ -101,18 +113,32 @@
     if (!this.accounts.has(account)) return
     this.usedBytes += bytes - account.bytes
     account.bytes = bytes
-    while (this.usedBytes > this.maxBytes) this.endLargest()
+    while (this.usedBytes > this.maxBytes) this.endOne()
   }
 
   private closeAccount (account: OpenAccount): void {
     if (this.accounts.delete(account)) this.usedBytes -= account.bytes
   }
 
-  private endLargest (): void {
-    const largest = [...this.accounts].reduce((a, b) => b.bytes > a.bytes ? b : a)
-    const { options: { end, ...owner }, bytes } = largest
-    this.closeAccount(largest)
+  private endOne (): void {
+    const account = this.pickAccount()
+    const { options: { end, ...owner }, bytes } = account
+    this.closeAccount(account)
     this.options.handleEnd?.({ ...owner, bytes })
     end()
   }
+
+  /** Picks the account to end. They are listed in the order in which they were opened. */
+  private pickAccount (): OpenAccount {
+    const accounts = [...this.accounts]
+    const inUse = findLargest(accounts.filter(({ isInUse }) => isInUse))
+    const idle = accounts.filter(({ isInUse }) => !isInUse)
+    const largestIdle = findLargest(idle)
+    if (inUse !== undefined && inUse.bytes > (largestIdle?.bytes ?? 0) * IN_USE_FACTOR) return inUse
+    return idle.find(({ bytes }) => bytes >= largestIdle!.bytes * LARGE_SHARE)!
+  }
+}
+
+function findLargest (accounts: readonly OpenAccount[]): OpenAccount | undefined {
+  return accounts.reduce<OpenAccount | undefined>((largest, account) => largest === undefined || account.bytes > largest.bytes ? account : largest, undefined)
 }
--- a/packages/common/test/memory/BufferBudget.test.ts
+++ b/packages/common/test/memory/BufferBudget.test.ts
@@ -65,6 +65,35 @@
     expect(ended).toHaveLength(1)
   })
 
+  it('ends the oldest one of those that hold similarly much, so that a body that is arriving is not ended for those that arrive slowly', () => {
+    const { budget, ended, open } = createBudget(100)
+    open('small').setBytes(5)
+    open('slow').setBytes(40)
+    open('slow too').setBytes(40)
+    open('new').setBytes(50)
+    expect({ ended, usedBytes: budget.getUsedBytes() }).toEqual({ ended: ['slow'], usedBytes: 95 })
+  })
+
+  it('spares what is in use while the others hold comparably much', () => {
+    const { ended, open } = createBudget(100)
+    const used = open('used')
+    used.markInUse()
+    used.setBytes(80)
+    open('small').setBytes(10)
+    open('large').setBytes(12)
+    expect(ended).toEqual(['small'])
+  })
+
+  it('ends what is in use when the others hold little', () => {
+    const { ended, open } = createBudget(100)
+    const used = open('used')
+    used.setBytes(98)
+    used.markInUse()
+    open('a').setBytes(1)
+    open('b').setBytes(2)
+    expect(ended).toEqual(['used'])
+  })
+
   it('is bounded while many senders without end go on', () => {
     const { budget, ended, open } = createBudget(1000)
     const accounts = Array.from({ length: 50 }, (_, index) => open(String(index)))
