--- a/packages/relay/src/requests/RelayContext.ts
+++ b/packages/relay/src/requests/RelayContext.ts
@@ -7,6 +7,9 @@
 /** Reason with which the requests in progress are aborted when the process stops. */
 export const STOP_REASON = 'stopping'
 
+/** Reason with which a request is aborted when the process buffers too much, and most for this request. */
+export const EVICTION_REASON = 'evicted'
+
 /** One request in progress and the configuration with which it started. */
 export interface RelayContext {
   readonly request: RelayRequest
@@ -24,6 +27,6 @@
   readonly sink: AnswerSink
   /** Clock reading at which the request is ended. */
   readonly deadlineAtMs: number
-  /** Aborted when the caller has left or the deadline is reached, and with `STOP_REASON` when the process stops. */
+  /** Aborted when the caller has left or the deadline is reached, with `STOP_REASON` when the process stops, and with `EVICTION_REASON` when it buffers too much. */
   readonly signal: AbortSignal
 }
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -8,7 +8,7 @@
 import { type CrashSubject } from '../crashes/CrashSubject.js'
 import { type AnswerSink } from './AnswerSink.js'
 import { refuseRequest } from './refuseRequest.js'
-import { type RelayContext, STOP_REASON } from './RelayContext.js'
+import { EVICTION_REASON, type RelayContext, STOP_REASON } from './RelayContext.js'
 import { type RefusalReason, type RelayRequest } from './RelayRequest.js'
 import { type RelayDependencies } from './RelayDependencies.js'
 import { runRelayedCall } from './runRelayedCall.js'
@@ -87,8 +87,10 @@
   private runningCount = 0
   /** Aborted when the process stops. */
   private readonly stopController = new AbortController()
-  /** Functions that end the requests in progress when the process stops, by the sinks of their answers. */
-  private readonly stopFunctions = new Map<AnswerSink, () => void>()
+  /** Functions that end the requests in progress for a reason, by the sinks of their answers. */
+  private readonly endFunctions = new Map<AnswerSink, (reason: string) => void>()
+  /** Sinks of the requests for which the process has no memory. */
+  private readonly evictedSinks = new WeakSet<AnswerSink>()
 
   /** @internal */
   private constructor (private readonly options: RelayServiceOptions) {}
@@ -101,13 +103,22 @@
   /** Ends all requests in progress, and those that arrive later: what has not begun to be answered gets a final answer, and the rest is broken off. */
   stop (): void {
     this.stopController.abort(STOP_REASON)
-    for (const stop of this.stopFunctions.values()) stop()
+    for (const end of this.endFunctions.values()) end(STOP_REASON)
   }
 
   /** Ends requests as `stop` does, except for those whose callers have not read what was written: the rest of such an answer may be complete at its target. */
   stopExceptSlowReaders (): void {
     this.stopController.abort(STOP_REASON)
-    for (const [sink, stop] of this.stopFunctions) if (!sink.isWaitingForCaller()) stop()
+    for (const [sink, end] of this.endFunctions) if (!sink.isWaitingForCaller()) end(STOP_REASON)
+  }
+
+  /**
+   * Ends one request, for which the process has no memory: it is refused if no target has got it, and broken off otherwise.
+   * @param sink - Destination of its answer.
+   */
+  evictRequest (sink: AnswerSink): void {
+    this.evictedSinks.add(sink)
+    this.endFunctions.get(sink)?.(EVICTION_REASON)
   }
 
   /**
@@ -239,18 +250,19 @@
     const deadlineAtMs = computeDeadlineMs(request, route)
     const endController = new AbortController()
     const end = (): void => endController.abort()
-    const stop = (): void => endController.abort(STOP_REASON)
+    const endFor = (reason: string): void => endController.abort(reason)
     const cancelTimer = clock.startTimer(Math.max(0, deadlineAtMs - clock.nowMs()), end)
     sink.callerSignal.addEventListener('abort', end)
-    this.stopFunctions.set(sink, stop)
+    this.endFunctions.set(sink, endFor)
     if (sink.callerSignal.aborted) end()
-    else if (this.hasStopped()) stop()
+    else if (this.hasStopped()) endFor(STOP_REASON)
+    else if (this.evictedSinks.has(sink)) endFor(EVICTION_REASON)
     try {
       await RUNNERS[route.kind](this.options.dependencies, { ...partialContext, deadlineAtMs, signal: endController.signal })
     } finally {
       cancelTimer()
       sink.callerSignal.removeEventListener('abort', end)
-      this.stopFunctions.delete(sink)
+      this.endFunctions.delete(sink)
     }
   }
 
--- a/packages/relay/src/requests/abortOutcomes.ts
+++ b/packages/relay/src/requests/abortOutcomes.ts
@@ -1,4 +1,4 @@
-import { type RelayContext, STOP_REASON } from './RelayContext.js'
+import { EVICTION_REASON, type RelayContext, STOP_REASON } from './RelayContext.js'
 import { type RefusalReason } from './RelayRequest.js'
 
 /** Why an answer that has begun is broken off. */
@@ -9,6 +9,7 @@
  * @param context - The request.
  */
 export function getAbortOutcome ({ sink, signal }: RelayContext): AbortOutcome {
+  if (signal.reason === EVICTION_REASON) return 'brokenOff'
   if (sink.callerSignal.aborted) return 'callerLeft'
   if (!signal.aborted) return 'brokenOff'
   return signal.reason === STOP_REASON ? 'stopped' : 'timeout'
@@ -20,6 +21,7 @@
  * @param isSent - Whether it may have run.
  */
 export function findAbortReason ({ signal }: RelayContext, isSent: boolean): RefusalReason {
+  if (signal.reason === EVICTION_REASON) return isSent ? 'lost' : 'overloaded'
   if (signal.reason === STOP_REASON) return isSent ? 'lost' : 'stopping'
   return isSent ? 'timeout' : 'timeoutNotRun'
 }
--- a/packages/relay/test/requests/RelayService.test.ts
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -5,6 +5,7 @@
 import { EXIT_MARGIN_MS } from '../../src/drain/DrainSchedule.js'
 import { createConfiguration, createRequest, createRoute, createTarget, createTestDependencies } from '../support/createTestDependencies.js'
 import { FakeSink } from '../support/FakeSink.js'
+import { type AnswerStep } from '../support/FakeTargetClient.js'
 
 interface Options {
   readonly kind?: RouteKind
@@ -75,3 +76,25 @@
     expect(await doTest({ pauseMs: 4000, kind: 'idempotent', viewFreshAtMs: 100, callerLeavesAtMs: 20 })).toBe('nothing "" open; sent never')
   })
 })
+
+describe('a request for which the process has no memory', () => {
+  /** Serves one request that is evicted at a time, and returns what the caller received. */
+  async function evictAt (evictAtMs: number, steps: readonly AnswerStep[], { kind = 'idempotent', viewFreshAtMs = 0 }: Options = {}): Promise<string> {
+    const dependencies = createTestDependencies()
+    dependencies.table.updateTarget(createTarget('a'))
+    dependencies.client.scripts.set('a', [{ isEventStream: kind === 'stream', afterMs: 100, steps }])
+    const routes = RouteTable.create(createConfiguration([createRoute({ kind, maxAttempts: 1, ...LONG_TIME.route })]))
+    const service = RelayService.create({ dependencies, getRoutes: () => routes, getPauseMs: () => viewFreshAtMs, isViewStale: () => dependencies.clock.nowMs() < viewFreshAtMs })
+    const sink = FakeSink.create()
+    dependencies.clock.startTimer(evictAtMs, () => service.evictRequest(sink))
+    const serving = service.serve(createRequest({ remainingMs: 10_000, receivedAtMs: dependencies.clock.nowMs() }), sink)
+    await dependencies.clock.advance(3000)
+    await serving
+    return `${sink.describe()}; sent ${dependencies.client.attempts.length}`
+  }
+
+  it('is refused as not run before it was sent', async () => expect(await evictAt(20, ['hi', 'END'], { viewFreshAtMs: 100 })).toBe('503 overloaded; sent 0'))
+  it('is not called refused after it was sent', async () => expect(await evictAt(50, ['hi', 'END'])).toBe('502 lost; sent 1'))
+  it('is broken off after its answer has begun', async () => expect(await evictAt(500, ['id: 1\ndata: a\n\n', 600, 'END'], { kind: 'stream' })).toMatch(/^200 .* brokenOff; sent 1$/))
+  it('is complete before', async () => expect(await evictAt(500, ['hi', 'END'])).toBe('200 "hi" complete; sent 1'))
+})
