End the buffer that costs most in bytes and time

Many callers that keep 100 KB each could fill the budget of a process, and the next body of 200 KB would be the largest and be refused, though it only passes through. The cost of an account is now its bytes times the time for which it has held any, with a second added so that the bytes decide among new ones; an eighth of it for what is in use. This replaces the rule of the oldest among the largest.

--- a/packages/common/src/memory/BufferBudget.ts
+++ b/packages/common/src/memory/BufferBudget.ts
@@ -30,6 +30,8 @@
 export interface BufferBudgetOptions {
   /** Maximum number of bytes that all accounts together may hold; by default a share of the memory of the machine. */
   readonly maxBytes?: number
+  /** Returns the current reading of a clock, in milliseconds; by default that of the process. */
+  readonly nowMs?: () => number
   /** Called with each account that is ended. */
   readonly handleEnd?: (ended: EndedBuffer) => void
 }
@@ -57,20 +59,22 @@
 interface OpenAccount {
   readonly options: BufferAccountOptions
   bytes: number
+  /** Clock reading since which it has held bytes. */
+  sinceMs: number
   isInUse: boolean
 }
 
-/** Share of the largest number of bytes from which an account counts as one of the largest. */
-const LARGE_SHARE = 1 / 2
+/** Time that is added to the one for which bytes were held, in milliseconds: among what is newer than that, the number of bytes decides. */
+const BASE_HOLD_MS = 1000
 
-/** Number of times that an account in use must hold the bytes of the largest one that is not, to be ended before it. */
-const IN_USE_FACTOR = 8
+/** Number by which the cost of an account in use is divided. */
+const IN_USE_DIVISOR = 8
 
 /**
- * Bounds the bytes that a process keeps for all connections and answers together. When they exceed the budget, what keeps most is ended,
- * so that a sender without end loses its own buffer first and the others are served. Among those that keep similarly much, it is the one
- * that was opened first: what arrives slowly rather than a body that is just arriving. What is in use is spared while the others keep
- * comparably much.
+ * Bounds the bytes that a process keeps for all connections and answers together. When they exceed the budget, the account is ended that
+ * costs most: its bytes times the time for which it has held any. So a sender without end loses its own buffer first, be it fast or slow,
+ * and neither a small request nor a body that is just arriving is ended for it. What is in use is spared while the others cost comparably
+ * much.
  */
 export class BufferBudget {
   /**
@@ -95,7 +99,7 @@
    * @param options - Options of the account.
    */
   openAccount (options: BufferAccountOptions): BufferAccount {
-    const account: OpenAccount = { options, bytes: 0, isInUse: false }
+    const account: OpenAccount = { options, bytes: 0, sinceMs: 0, isInUse: false }
     this.accounts.add(account)
     return {
       setBytes: bytes => this.setBytes(account, bytes),
@@ -111,6 +115,7 @@
 
   private setBytes (account: OpenAccount, bytes: number): void {
     if (!this.accounts.has(account)) return
+    if (account.bytes === 0) account.sinceMs = this.getNowMs()
     this.usedBytes += bytes - account.bytes
     account.bytes = bytes
     while (this.usedBytes > this.maxBytes) this.endOne()
@@ -121,24 +126,23 @@
   }
 
   private endOne (): void {
-    const account = this.pickAccount()
+    const account = this.findCostliest()
     const { options: { end, ...owner }, bytes } = account
     this.closeAccount(account)
     this.options.handleEnd?.({ ...owner, bytes })
     end()
   }
 
-  /** Picks the account to end. They are listed in the order in which they were opened. */
-  private pickAccount (): OpenAccount {
-    const accounts = [...this.accounts]
-    const inUse = findLargest(accounts.filter(({ isInUse }) => isInUse))
-    const idle = accounts.filter(({ isInUse }) => !isInUse)
-    const largestIdle = findLargest(idle)
-    if (inUse !== undefined && inUse.bytes > (largestIdle?.bytes ?? 0) * IN_USE_FACTOR) return inUse
-    return idle.find(({ bytes }) => bytes >= largestIdle!.bytes * LARGE_SHARE)!
+  private findCostliest (): OpenAccount {
+    const nowMs = this.getNowMs()
+    return [...this.accounts].reduce((a, b) => computeCost(b, nowMs) > computeCost(a, nowMs) ? b : a)
+  }
+
+  private getNowMs (): number {
+    return this.options.nowMs?.() ?? performance.now()
   }
 }
 
-function findLargest (accounts: readonly OpenAccount[]): OpenAccount | undefined {
-  return accounts.reduce<OpenAccount | undefined>((largest, account) => largest === undefined || account.bytes > largest.bytes ? account : largest, undefined)
+function computeCost ({ bytes, sinceMs, isInUse }: OpenAccount, nowMs: number): number {
+  return bytes * (BASE_HOLD_MS + nowMs - sinceMs) / (isInUse ? IN_USE_DIVISOR : 1)
 }
--- a/packages/common/src/memory/createBufferBudget.ts
+++ b/packages/common/src/memory/createBufferBudget.ts
@@ -30,5 +30,5 @@
     lastLineAtMs = clock.nowMs()
     unloggedCount = 0
   }
-  return BufferBudget.create({ maxBytes, handleEnd })
+  return BufferBudget.create({ maxBytes, nowMs: () => clock.nowMs(), handleEnd })
 }
