--- a/packages/common/src/memory/AccountedBuffer.ts
+++ b/packages/common/src/memory/AccountedBuffer.ts
@@ -90,6 +90,20 @@
     return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
   }
 
+  /** Returns all bytes, which stay accounted until they are released. */
+  getBytes (): Buffer {
+    const bytes = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    if (!this.isEmpty()) this.chunks = [bytes]
+    this.joined = undefined
+    this.setByteCount(this.byteCount)
+    return bytes
+  }
+
+  /** Records that the bytes are used by work that their end would break off. */
+  markInUse (): void {
+    this.account.markInUse()
+  }
+
   /** Accounts the bytes no longer, which can still be taken. */
   closeAccount (): void {
     this.account.close()
--- a/packages/common/test/memory/AccountedBuffer.test.ts
+++ b/packages/common/test/memory/AccountedBuffer.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { AccountedBuffer } from '../../src/memory/AccountedBuffer.js'
-import { BufferBudget } from '../../src/memory/BufferBudget.js'
+import { BUFFER_OVERHEAD_BYTES, BufferBudget } from '../../src/memory/BufferBudget.js'
 
 function createBuffer (maxBytes = 1_000_000_000): { readonly budget: BufferBudget, readonly buffer: AccountedBuffer, readonly drops: string[] } {
   const budget = BufferBudget.create({ maxBytes })
@@ -50,4 +50,28 @@
     buffer.closeAccount()
     expect([budget.getUsedBytes(), buffer.takeBytes().toString()]).toEqual([0, 'a'])
   })
+
+  it.each([1, 7, 1023, 1024, 70_000])('returns a whole that stays accounted until it is released, in parts of %i bytes', partBytes => {
+    const { buffer, budget } = createBuffer()
+    const added = Buffer.from(Array.from({ length: 300_000 }, (_, index) => index % 251))
+    for (let start = 0; start < added.length; start += partBytes) buffer.addBytes(added.subarray(start, start + partBytes))
+    const isWhole = buffer.getBytes().equals(added)
+    const usedBytes = budget.getUsedBytes()
+    buffer.release()
+    expect([isWhole, usedBytes, budget.getUsedBytes()]).toEqual([true, added.length + BUFFER_OVERHEAD_BYTES, 0])
+  })
+
+  it('returns nothing as a whole when it is empty', () => {
+    const { buffer, budget } = createBuffer()
+    expect([buffer.getBytes().length, budget.getUsedBytes()]).toEqual([0, 0])
+  })
+
+  it('is spared while in use', () => {
+    const { buffer, budget, drops } = createBuffer(1000)
+    buffer.addBytes(Buffer.alloc(500))
+    buffer.markInUse()
+    const other = AccountedBuffer.create({ bufferBudget: budget, owner: { kind: 'targetAnswer' }, handleDrop: () => { drops.push('other') } })
+    other.addBytes(Buffer.alloc(300))
+    expect(drops).toEqual(['other'])
+  })
 })
