Hold back no stream whose own time is over before the end of a stop

Callers of short streams that arrive early in a stop got their events only with the last one, though the end of the stop could not cut them: their own time was over before it. A stream is held back only where the end may come first.

--- a/packages/relay/src/drain/DrainAdmission.ts
+++ b/packages/relay/src/drain/DrainAdmission.ts
@@ -162,12 +162,14 @@
 
   /**
    * Returns whether the answer to a request that has arrived during the drain is held back until it is complete. A stream is sent since it
-   * would end in time; where its engine falls silent or leaves, its caller then gets a final answer in place of a part of one.
+   * would end in time; where its engine falls silent or leaves, its caller then gets a final answer in place of a part of one. A stream
+   * whose own time is over before the end cannot be cut off by it.
    * @param subject - The request.
    */
   shouldHoldBack (subject: DrainSubject): boolean {
     if (!this.hasStarted() || subject.route.kind !== 'stream') return false
-    const { safeMs = Infinity, likelyMs, timeLeftMs } = this.computeTimes(subject)
+    const { safeMs = Infinity, likelyMs, timeLeftMs, certainTimeLeftMs, remainingMs } = this.computeTimes(subject)
+    if (remainingMs <= certainTimeLeftMs) return false
     return likelyMs <= subject.route.objectiveMs || (!this.isLikelyEnough() && safeMs <= timeLeftMs)
   }
 
--- a/packages/relay/test/drain/DrainAdmission.test.ts
+++ b/packages/relay/test/drain/DrainAdmission.test.ts
@@ -120,6 +120,17 @@
     expect([sentMs.length > 0, sentMs.filter(remainingMs => remainingMs > drain.getTimeLeftMs())]).toEqual([true, []])
   })
 
+  it('holds short streams back only while its end may come before their own time is over', async () => {
+    const dependencies = createTestDependencies({ graceMs: GRACE_MS })
+    const { drain, clock } = dependencies
+    createHistory(dependencies, 300, 40)
+    drain.start()
+    const isHeldBack = (remainingMs: number): boolean => drain.shouldHoldBack({ request: createRequest({ size: SHORT }), route: createRoute({ kind: 'stream' }), service: ENGINES, deadlineAtMs: clock.nowMs() + remainingMs })
+    const atStart = isHeldBack(6000)
+    await clock.advance(3000)
+    expect([atStart, isHeldBack(6000), isHeldBack(3000)]).toEqual([false, true, false])
+  })
+
   it('sends everything before its drain, and nothing after the end', async () => {
     const { drain, clock } = createTestDependencies({ graceMs: GRACE_MS })
     const subject = { request: createRequest({}), route: createRoute({ kind: 'stream' }), service: ENGINES, deadlineAtMs: clock.nowMs() + 60_000 }
