Drop the rest of a log line that its output fails to take

A line that a pipe had taken in part kept its rest for ever when the reader then closed the pipe, and all later lines with it, up to 1 MiB. The rest is dropped and counted like a line. The timer of a reader that is behind is also forgotten at the exit, so that lines of later exit handlers are written.

--- a/packages/common/src/logging/LogWriter.ts
+++ b/packages/common/src/logging/LogWriter.ts
@@ -69,6 +69,7 @@
   /** Writes the lines that are kept, as far as the reader takes them in a short time; blocks for that time. */
   finish (): void {
     clearTimeout(this.retryTimer)
+    this.retryTimer = undefined
     const cell = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT))
     const endAtMs = performance.now() + EXIT_FLUSH_MS
     while (!this.writeLines() && performance.now() < endAtMs) Atomics.wait(cell, 0, 0, EXIT_RETRY_INTERVAL_MS)
@@ -115,8 +116,9 @@
   private writeRest (): boolean {
     while (this.rest.length > 0) {
       const result = this.options.output.write(this.rest)
-      if (typeof result !== 'number') return false
-      this.rest = this.rest.subarray(result)
+      if (result === 'full') return false
+      if (result === 'failed') this.options.onDrop?.()
+      this.rest = result === 'failed' ? Buffer.alloc(0) : this.rest.subarray(result)
     }
     return true
   }
