End a held-back request for which the process has no memory

A request whose answer was held back during a stop ran on after the buffer budget had ended it, and what it held stayed counted where its handler failed. It was registered under the sink that holds back, while it is ended by the sink of its connection. Evidence: the new test of RelayService.test.ts fails before (still running 500 ms later).

--- a/packages/relay/src/requests/HeldBackSink.ts
+++ b/packages/relay/src/requests/HeldBackSink.ts
@@ -38,7 +38,7 @@
   private constructor ({ sink, budget }: HeldBackSinkOptions) {
     this.sink = sink
     this.account = budget.openAccount({ kind: 'callerAnswer', end: () => { this.release() } })
-    sink.callerSignal.addEventListener('abort', () => this.drop())
+    sink.callerSignal.addEventListener('abort', () => this.close())
   }
 
   /** @inheritdoc */
@@ -79,29 +79,30 @@
 
   /** @inheritdoc */
   abort (): void {
-    this.drop()
+    this.close()
     this.sink.abort()
   }
 
   /** @inheritdoc */
   refuse (refusal: RelayRefusal): void {
-    this.drop()
+    this.close()
     this.sink.refuse(refusal)
   }
 
+  /** Frees what is held. */
+  close (): void {
+    this.held = []
+    this.heldBytes = 0
+    this.account.close()
+  }
+
   /** Passes on what is held, and from then on all bytes at once. */
   private release (): Promise<void> | undefined {
     if (this.isReleased) return undefined
     this.isReleased = true
     if (this.head !== undefined) this.sink.writeHead(this.head)
     const bytes = Buffer.concat(this.held)
-    this.drop()
+    this.close()
     return bytes.length > 0 ? this.sink.writeBytes(bytes) : undefined
   }
-
-  private drop (): void {
-    this.held = []
-    this.heldBytes = 0
-    this.account.close()
-  }
 }
--- a/packages/relay/src/requests/RelayService.ts
+++ b/packages/relay/src/requests/RelayService.ts
@@ -156,7 +156,7 @@
     if (refusalReason !== undefined) return this.refuse(request, sink, routes, route, refusalReason, workspace)
     const priority = keyHolder?.priority ?? route.priority
     const allowedRegions = intersectRegions(route.allowedRegions, keyHolder?.allowedRegions)
-    await this.run({ request, sink: this.createSink({ request, route, service }, sink), configuration: routes.configuration, route, service, origin, allowedRegions, workspace, priority })
+    await this.run({ request, sink, configuration: routes.configuration, route, service, origin, allowedRegions, workspace, priority })
   }
 
   /**
@@ -250,16 +250,16 @@
     return AbortSignal.any([callerSignal, this.stopController.signal])
   }
 
-  /** Returns the sink that holds the answer back where this process could otherwise end with a part of it passed on. */
-  private createSink (subject: Omit<DrainSubject, 'deadlineAtMs'>, sink: AnswerSink): AnswerSink {
-    const { drain } = this.options.dependencies
-    return drain.shouldHoldBack({ ...subject, deadlineAtMs: computeDeadlineMs(subject.request, subject.route) }) ? HeldBackSink.create({ sink, budget: this.heldBackBudget }) : sink
+  /** Creates a sink that holds the answer back where this process could otherwise end with a part of it passed on; undefined elsewhere. */
+  private createHeldBackSink (subject: DrainSubject, sink: AnswerSink): HeldBackSink | undefined {
+    return this.options.dependencies.drain.shouldHoldBack(subject) ? HeldBackSink.create({ sink, budget: this.heldBackBudget }) : undefined
   }
 
   private async run (partialContext: Omit<RelayContext, 'deadlineAtMs' | 'signal'>): Promise<void> {
     const { clock } = this.options.dependencies
-    const { request, route, sink } = partialContext
+    const { request, route, service, sink } = partialContext
     const deadlineAtMs = computeDeadlineMs(request, route)
+    const heldBack = this.createHeldBackSink({ request, route, service, deadlineAtMs }, sink)
     const endController = new AbortController()
     const end = (): void => endController.abort()
     const endFor = (reason: string): void => endController.abort(reason)
@@ -270,8 +270,9 @@
     else if (this.hasStopped()) endFor(STOP_REASON)
     else if (this.evictedSinks.has(sink)) endFor(EVICTION_REASON)
     try {
-      await RUNNERS[route.kind](this.options.dependencies, { ...partialContext, deadlineAtMs, signal: endController.signal })
+      await RUNNERS[route.kind](this.options.dependencies, { ...partialContext, sink: heldBack ?? sink, deadlineAtMs, signal: endController.signal })
     } finally {
+      heldBack?.close()
       cancelTimer()
       sink.callerSignal.removeEventListener('abort', end)
       this.endFunctions.delete(sink)
--- a/packages/relay/test/requests/RelayService.test.ts
+++ b/packages/relay/test/requests/RelayService.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { RouteTable } from '../../src/model/RouteTable.js'
 import { type RelayRoute, type RouteKind } from '../../src/model/RelayConfiguration.js'
 import { RelayService } from '../../src/requests/RelayService.js'
@@ -79,8 +79,9 @@
 
 describe('a request for which the process has no memory', () => {
   /** Serves one request that is evicted at a time, and returns what the caller received. */
-  async function evictAt (evictAtMs: number, steps: readonly AnswerStep[], { kind = 'idempotent', viewFreshAtMs = 0 }: Options = {}): Promise<string> {
+  async function evictAt (evictAtMs: number, steps: readonly AnswerStep[], { kind = 'idempotent', viewFreshAtMs = 0, isHeldBack = false }: Options & { readonly isHeldBack?: boolean } = {}): Promise<string> {
     const dependencies = createTestDependencies()
+    vi.spyOn(dependencies.drain, 'shouldHoldBack').mockReturnValue(isHeldBack)
     dependencies.table.updateTarget(createTarget('a'))
     dependencies.client.scripts.set('a', [{ isEventStream: kind === 'stream', afterMs: 100, steps }])
     const routes = RouteTable.create(createConfiguration([createRoute({ kind, maxAttempts: 1, ...LONG_TIME.route })]))
@@ -96,5 +97,6 @@
   it('is refused as not run before it was sent', async () => expect(await evictAt(20, ['hi', 'END'], { viewFreshAtMs: 100 })).toBe('503 overloaded; sent 0'))
   it('is not called refused after it was sent', async () => expect(await evictAt(50, ['hi', 'END'])).toBe('502 lost; sent 1'))
   it('is broken off after its answer has begun', async () => expect(await evictAt(500, ['id: 1\ndata: a\n\n', 600, 'END'], { kind: 'stream' })).toMatch(/^200 .* brokenOff; sent 1$/))
+  it('ends at its target although its answer is held back', async () => expect(await evictAt(500, ['id: 1\ndata: a\n\n', 600, 'END'], { kind: 'stream', isHeldBack: true })).toBe('502 lost; sent 1'))
   it('is complete before', async () => expect(await evictAt(500, ['hi', 'END'])).toBe('200 "hi" complete; sent 1'))
 })
