Try a run again whose move was late and then found it not started

A leaving engine that answered the first copy after 600 ms that the run had not started got no second call: the run was broken off when the engine ended. The turn of a late move had been given up without coming back.

--- a/packages/relay/src/moves/RunMover.ts
+++ b/packages/relay/src/moves/RunMover.ts
@@ -41,6 +41,9 @@
 /** Outcomes of the last copy after which no engine executes the run; an engine that cannot be reached is taken as gone. */
 const RECOVERABLE_OUTCOMES: ReadonlySet<string> = new Set(['copied', 'noRun', 'noRoom', 'unreachable'])
 
+/** Results of a move after which the run is tried again: it had not started, or its move was not over in time. */
+const RETRIED_RESULTS: ReadonlySet<MoveResult | 'late'> = new Set(['noRun', 'busy', 'late'])
+
 /** Completion value that weighs as much as one token of held memory when runs are sorted. */
 const VALUE_PER_HELD_TOKEN = 10
 
@@ -176,7 +179,7 @@
       const run = queue.shift()!
       if (run.isClosed() || run.isContinuing() || run.getTarget()?.name !== source.name) continue
       const result = this.isMoving(run) ? 'busy' : await this.moveInTurn({ run, source, noticeAtMs })
-      if (result !== 'noRun' && result !== 'busy') continue
+      if (!RETRIED_RESULTS.has(result)) continue
       queue.push(run)
       await clock.sleep(START_CHECK_INTERVAL_MS)
     }
