Ask no engine for a reservation that is not needed any more

A started stream whose silent engine had gone on still asked up to three engines for capacity, and the end of its attempt waited for them. The loop looks at whether the request may go on to wait. By reading (reviewer); 799 tests of requests, moves, reservations and drain pass.

--- a/packages/relay/src/holds/reserveHeldEngine.ts
+++ b/packages/relay/src/holds/reserveHeldEngine.ts
@@ -43,7 +43,7 @@
   const waitEndsAtMs = startedAtMs + admission.maxWaitMs
   const mayAsk = (refusals: number): boolean => refusals === 0 || (admission.maxWaitMs > 0 ? clock.nowMs() < waitEndsAtMs : refusals < MAX_REFUSALS)
   let refusals = 0
-  for (; !admission.signal.aborted && mayAsk(refusals); refusals++) {
+  for (; !admission.signal.aborted && admission.mayWait?.() !== false && mayAsk(refusals); refusals++) {
     const reservation = await admissionQueue.waitForTarget({
       ...admission,
       requirements: { ...admission.requirements, isDecidedByEngine: true, isNearestFirst: refusals > 0 },
