Ask engines again that have refused the rest of a started stream

A started stream was broken off with 20 s left when three other engines had refused it, since refusals counted among its four sends, and when the only other engine had refused once, since that was excluded for ever. The retry budget and the number of engines that may run it bound the rest. A stream whose engine is only silent keeps the limit.

--- a/packages/relay/src/requests/StreamRun.ts
+++ b/packages/relay/src/requests/StreamRun.ts
@@ -14,6 +14,7 @@
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 import { type RelayContext } from './RelayContext.js'
 import { type RelayDependencies } from './RelayDependencies.js'
+import { RefusedTargets } from './RefusedTargets.js'
 import { RunTargets } from './RunTargets.js'
 import { type StreamAttempt } from './StreamAttempt.js'
 import { writeToCaller } from './writeToCaller.js'
@@ -74,6 +75,7 @@
   private hasClosed = false
   /** Targets at which the request began to run or may have begun; a run that is moved counts where it began. */
   readonly runTargets: RunTargets
+  readonly refusedTargets: RefusedTargets
   private pendingContinuation: RunContinuation | undefined
   /** Whether the engine of the current attempt was asked to stop the run. */
   private wasAskedToStop = false
@@ -92,6 +94,7 @@
     this.allowedRegions = context.allowedRegions
     this.watch = dependencies.crashes.watchRuns(context)
     this.runTargets = RunTargets.create(dependencies.table)
+    this.refusedTargets = RefusedTargets.create(dependencies.clock)
     this.origin = context.origin
     this.lastEventId = context.request.lastEventId
   }
@@ -195,6 +198,16 @@
     if (!isContinuation) this.runTargets.add(target)
   }
 
+  /**
+   * Records that a target refused an attempt. A stream that has started may ask it again later.
+   * @param attempt - The attempt.
+   */
+  recordRefusal ({ reservation: { target: { name } }, isContinuation }: StreamAttempt): void {
+    if (!this.hasStarted() || isContinuation) return
+    this.refusedTargets.add(name)
+    this.excludedTargets.delete(name)
+  }
+
   /** Counts the targets at which the request may have run and that have not ended, with the one of the current attempt. */
   countPossibleRunTargets (): number {
     const { currentAttempt } = this
--- a/packages/relay/src/requests/repeatStream.ts
+++ b/packages/relay/src/requests/repeatStream.ts
@@ -6,7 +6,10 @@
 import { type StreamEnd } from './StreamAttempt.js'
 import { type StreamRun } from './StreamRun.js'
 
-/** Maximum number of attempts that are sent for one request, apart from those that go on from the memory of an earlier one. */
+/**
+ * Maximum number of attempts that are sent for one request while it has not started or its engine is only silent, apart from those that
+ * go on from the memory of an earlier one.
+ */
 const MAX_SENT_ATTEMPTS = 4
 
 /**
@@ -17,7 +20,7 @@
  */
 export function canRepeat ({ route }: RelayContext, run: StreamRun, end: StreamEnd): boolean {
   const hasStartedWithoutEvents = run.getFirstHead()?.isEventStream === false
-  if (run.sentAttempts - run.continuedAttempts >= MAX_SENT_ATTEMPTS || hasStartedWithoutEvents) return false
+  if ((!run.hasStarted() && isLimitReached(run)) || hasStartedWithoutEvents) return false
   const hasRun = end === 'lost' || end === 'aborted' || run.executedAttempts > 0
   return !hasRun || (route.isResumable && run.runTargets.count() < route.maxAttempts)
 }
@@ -29,7 +32,7 @@
  */
 export function canRepeatAfterStall (context: RelayContext, run: StreamRun): boolean {
   const { route } = context
-  return route.isResumable && run.countPossibleRunTargets() < route.maxAttempts && canRepeat(context, run, 'lost')
+  return route.isResumable && run.countPossibleRunTargets() < route.maxAttempts && !isLimitReached(run) && canRepeat(context, run, 'lost')
 }
 
 /**
@@ -43,3 +46,7 @@
   const pace = reservation === undefined ? undefined : getTargetPace(speeds, reservation.target)
   return drain.maySend({ ...context, pace }) ? undefined : 'stopping'
 }
+
+function isLimitReached ({ sentAttempts, continuedAttempts }: StreamRun): boolean {
+  return sentAttempts - continuedAttempts >= MAX_SENT_ATTEMPTS
+}
--- a/packages/relay/src/requests/reserveEngine.ts
+++ b/packages/relay/src/requests/reserveEngine.ts
@@ -113,7 +113,7 @@
     promptParts,
     outputTokens: size === undefined ? undefined : estimateOutputTokens(size),
     excludedTargets: run.excludedTargets,
-    maySelect: target => run.hasStarted() || endsInTimeAt(dependencies, context, target),
+    maySelect: target => run.hasStarted() ? run.refusedTargets.mayAsk(target.name) : endsInTimeAt(dependencies, context, target),
     maxGapMs: route.maxGapMs
   }
 }
--- a/packages/relay/src/requests/runRelayedStream.ts
+++ b/packages/relay/src/requests/runRelayedStream.ts
@@ -29,6 +29,9 @@
   }
 }
 
+/** Ends of attempts after which the same engine may run the request later. */
+const REFUSAL_ENDS: ReadonlySet<StreamEnd> = new Set(['notExecuted', 'notSent'])
+
 /** What the next attempt begins with: a reserved target, the move after which the run continues there, and the attempt itself if it is sent already. */
 interface NextAttempt {
   readonly reservation: TargetReservation
@@ -131,6 +134,7 @@
   try {
     const end = await readStream(dependencies, context, run)
     recordAttemptEnd(dependencies, context, run, streamAttempt, end)
+    if (REFUSAL_ENDS.has(end)) run.recordRefusal(streamAttempt)
     return end
   } finally {
     run.closeCurrentAttempt()
